--- /dev/null
+++ b/packages/core/src/jaytray_core/document/__init__.py
@@ -0,0 +1,1 @@
+"""The document: what operators declare for one environment."""
--- /dev/null
+++ b/packages/core/src/jaytray_core/document/model.py
@@ -0,0 +1,118 @@
+"""Typed form of a document.
+
+One immutable `Document` lives as long as its version. Units are in the names:
+`_s` seconds, `_mib` mebibytes, `_tokens` tokens.
+"""
+
+import enum
+from typing import NamedTuple
+
+
+class TrafficClass(enum.StrEnum):
+    """Whether a caller waits for the answer or fetches it later."""
+
+    INTERACTIVE = "interactive"
+    DEFERRED = "deferred"
+
+
+class ClientAccount(NamedTuple):
+    """A client account with its contract over all VMs together."""
+
+    name: str
+    rate_tokens_per_s: float
+    burst_tokens: int
+    weight: float
+
+
+class Key(NamedTuple):
+    """A key of a client account; `digest` is `sha256:` and 64 hex digits."""
+
+    name: str
+    account: str
+    digest: str
+
+
+class Model(NamedTuple):
+    """A model that must stay reachable; one replica occupies one accelerator.
+
+    A request that names no `max_tokens` is charged `max_output_tokens`.
+    """
+
+    name: str
+    version: str
+    memory_mib: int
+    min_replicas: int
+    max_replicas: int
+    max_output_tokens: int
+    first_token_deadline_s: float
+    inter_token_deadline_s: float
+
+
+class Adapter(NamedTuple):
+    """An adapter of a model, loaded beside a replica of it."""
+
+    name: str
+    model: str
+    version: str
+    memory_mib: int
+
+
+class Target(NamedTuple):
+    """A model server; `address` is `IP:port`.
+
+    `max_running_requests` bounds the requests that jaytray keeps at it at once.
+    """
+
+    name: str
+    address: str
+    failure_domain: str
+    accelerators: int
+    accelerator_memory_mib: int
+    checks_fencing: bool
+    max_running_requests: int
+    is_drained: bool
+
+
+class Service(NamedTuple):
+    """A plain service behind `/services/NAME/`; addresses are `IP:port`."""
+
+    name: str
+    addresses: tuple[str, ...]
+
+
+class Route(NamedTuple):
+    """Rule for calls to a service; the longest matching `path_prefix` wins.
+
+    `is_repeatable` None means the default: GET and HEAD may be repeated.
+    `charge_tokens` is taken from the account's rate for each call.
+    """
+
+    name: str
+    service: str
+    path_prefix: str
+    methods: tuple[str, ...]
+    is_open: bool
+    is_repeatable: bool | None
+    traffic_class: TrafficClass
+    timeout_s: float
+    charge_tokens: int
+
+
+class Document(NamedTuple):
+    """All declarations of one environment at one version."""
+
+    environment: str
+    version: int
+    accounts_by_name: dict[str, ClientAccount]
+    keys_by_digest: dict[str, Key]
+    models_by_name: dict[str, Model]
+    adapters_by_name: dict[str, Adapter]
+    targets_by_name: dict[str, Target]
+    services_by_name: dict[str, Service]
+    routes_by_name: dict[str, Route]
+    drained_vms: frozenset[str]
+
+
+def empty_document(environment: str) -> Document:
+    """Return the document of version 0, which declares nothing."""
+    return Document(environment, 0, {}, {}, {}, {}, {}, {}, {}, frozenset())
--- /dev/null
+++ b/packages/core/src/jaytray_core/keyvalue.py
@@ -0,0 +1,71 @@
+"""Interface to the platform's key-value service.
+
+An implementation is a `KeyValueService`: a tuple of async functions. Each function
+raises `JaytrayError` with code `key_value_unavailable` when the call surely had no
+effect and `key_value_uncertain` when its answer was lost and it may have taken
+effect. Every waiting watch counts as one call against the service's rate.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+MAX_VALUE_BYTES = 1_000_000
+# Revision that a compare-and-swap expects for a key that must not exist.
+ABSENT_REVISION = 0
+
+
+class KeyValueRecord(NamedTuple):
+    """One stored value; `revision` is the store-wide revision of its last write."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+class SwapResult(NamedTuple):
+    """Outcome of a compare-and-swap.
+
+    When `is_swapped`, `revision` is the new revision of the key; otherwise it is
+    the revision found (0 when the key is absent).
+    """
+
+    is_swapped: bool
+    revision: int
+
+
+class WatchBatch(NamedTuple):
+    """Changes after the revision asked for; `revision` is where to go on.
+
+    A deleted key has a record with an empty value.
+    """
+
+    records: list[KeyValueRecord]
+    revision: int
+
+
+# (key) -> the record, or None when the key is absent.
+GetFunction = Callable[[str], Awaitable[KeyValueRecord | None]]
+# (prefix) -> all records whose key starts with the prefix, in key order.
+GetPrefixFunction = Callable[[str], Awaitable[list[KeyValueRecord]]]
+# (key, expected revision, new value or None to delete, lease id or "") -> outcome.
+SwapFunction = Callable[[str, int, bytes | None, str], Awaitable[SwapResult]]
+# (time to live in seconds) -> lease id.
+GrantLeaseFunction = Callable[[float], Awaitable[str]]
+# (lease id) -> whether the lease was still alive and is now extended.
+KeepLeaseFunction = Callable[[str], Awaitable[bool]]
+# (lease id); deletes the keys attached to the lease.
+RevokeLeaseFunction = Callable[[str], Awaitable[None]]
+# (prefix, after revision, wait in seconds) -> changes, empty after the wait.
+WatchFunction = Callable[[str, int, float], Awaitable[WatchBatch]]
+
+
+class KeyValueService(NamedTuple):
+    """The functions of one connection to the key-value service."""
+
+    get: GetFunction
+    get_prefix: GetPrefixFunction
+    compare_and_swap: SwapFunction
+    grant_lease: GrantLeaseFunction
+    keep_lease: KeepLeaseFunction
+    revoke_lease: RevokeLeaseFunction
+    watch: WatchFunction
--- /dev/null
+++ b/packages/core/src/jaytray_core/logs.py
@@ -0,0 +1,50 @@
+"""Structured logs: one line of key=value pairs for each event.
+
+`configure_logs` is called once by each binary. Keys and other secrets are never
+passed to a logger; `redact_secrets` drops the known field names as a second guard.
+"""
+
+import logging
+import sys
+from collections.abc import MutableMapping
+from typing import Any, TextIO
+
+import structlog
+
+_SECRET_FIELDS = ("key", "authorization", "secret", "curve_secret_key")
+
+
+def configure_logs(*, stream: TextIO = sys.stderr, level: int = logging.INFO) -> None:
+    """Send key=value lines to `stream` and silence libraries' request lines."""
+    for noisy in ("httpx", "httpcore", "uvicorn", "uvicorn.access", "litestar"):
+        logging.getLogger(noisy).setLevel(logging.WARNING)
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            redact_secrets,
+            structlog.processors.format_exc_info,
+            structlog.processors.LogfmtRenderer(
+                key_order=["timestamp", "level", "event"], bool_as_flag=False
+            ),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(level),
+        logger_factory=structlog.PrintLoggerFactory(stream),
+        cache_logger_on_first_use=False,
+    )
+
+
+def get_logger() -> Any:
+    """Return a logger whose methods take an event name and fields."""
+    return structlog.get_logger()
+
+
+def redact_secrets(
+    _logger: Any, _method: str, event: MutableMapping[str, Any]
+) -> MutableMapping[str, Any]:
+    """Replace the values of secret fields."""
+    for field in _SECRET_FIELDS:
+        if field in event:
+            event[field] = "[redacted]"
+    return event
--- /dev/null
+++ b/packages/core/src/jaytray_core/message_registry.py
@@ -0,0 +1,229 @@
+"""All messages shown to callers and operators, each with a stable code.
+
+A template holds the code, the HTTP status of the refusal, the text with named
+fields, and the remedy printed in docs/ERRORS.md. Codes never change their meaning.
+Add a template to the section of its subsystem; `BY_CODE` collects them all.
+"""
+
+from typing import NamedTuple
+
+
+class MessageTemplate(NamedTuple):
+    """One message: stable code, HTTP status, text with `{field}`s, and remedy."""
+
+    code: str
+    status: int
+    text: str
+    remedy: str
+
+
+# Decoding and callers' input.
+MALFORMED_MESSAGE = MessageTemplate(
+    "malformed_message",
+    400,
+    "the message cannot be decoded: {detail}",
+    "Send a message of the documented shape.",
+)
+INVALID_REQUEST = MessageTemplate(
+    "invalid_request",
+    400,
+    "{detail}",
+    "Correct the named field and send the request again.",
+)
+REQUEST_TOO_LARGE = MessageTemplate(
+    "request_too_large",
+    413,
+    "the request body exceeds {limit} bytes",
+    "Send a shorter prompt, or raise max_body_bytes in the settings.",
+)
+NOT_FOUND = MessageTemplate(
+    "not_found",
+    404,
+    "there is no {what} named {name}",
+    "Check the name against GET /v1/models and the document's routes.",
+)
+INTERNAL_ERROR = MessageTemplate(
+    "internal_error",
+    500,
+    "an internal error occurred",
+    "Report the request id with the log lines that carry it.",
+)
+
+# Keys and routes.
+KEY_MISSING = MessageTemplate(
+    "key_missing",
+    401,
+    "this route needs a key in the Authorization header",
+    "Send 'Authorization: Bearer KEY'.",
+)
+KEY_UNKNOWN = MessageTemplate(
+    "key_unknown",
+    401,
+    "the key is not valid",
+    "Ask the operator for a key; a withdrawn key stays invalid.",
+)
+KEY_WITHDRAWN = MessageTemplate(
+    "key_withdrawn",
+    401,
+    "the key was withdrawn while the request was running",
+    "Ask the operator for a new key.",
+)
+ROUTE_UNKNOWN = MessageTemplate(
+    "route_unknown",
+    404,
+    "no route accepts {method} {path}",
+    "Declare the route in the document.",
+)
+MODEL_UNKNOWN = MessageTemplate(
+    "model_unknown",
+    404,
+    "the document declares no model or adapter named {name}",
+    "Use a name listed by GET /v1/models.",
+)
+
+# Admission and queues.
+RATE_EXCEEDED = MessageTemplate(
+    "rate_exceeded",
+    429,
+    "client account {account} has used up its rate and burst",
+    "Wait for Retry-After, or ask for a higher rate.",
+)
+REQUEST_ABOVE_BURST = MessageTemplate(
+    "request_above_burst",
+    413,
+    "the request needs {tokens} tokens, more than the burst of client account "
+    "{account}",
+    "Lower max_tokens, shorten the prompt, or raise the account's burst.",
+)
+QUEUE_FULL = MessageTemplate(
+    "queue_full",
+    503,
+    "the queue for {name} is full",
+    "Send the request again after Retry-After.",
+)
+DEADLINE_UNREACHABLE = MessageTemplate(
+    "deadline_unreachable",
+    503,
+    "the request cannot start before its deadline",
+    "Send the request again after Retry-After, or raise the deadline.",
+)
+SHUTTING_DOWN = MessageTemplate(
+    "shutting_down",
+    503,
+    "this VM is shutting down",
+    "Send the request again; the balancer chooses another VM.",
+)
+VM_ISOLATED = MessageTemplate(
+    "vm_isolated",
+    503,
+    "this VM is cut off from the key-value service and from most other VMs",
+    "Send the request again; the balancer chooses another VM.",
+)
+NOT_READY = MessageTemplate(
+    "not_ready",
+    503,
+    "this VM has no document yet",
+    "Send the request again; check that a document was applied.",
+)
+
+# Dispatch to targets.
+NO_REPLICA = MessageTemplate(
+    "no_replica",
+    503,
+    "no ready replica serves {name}",
+    "Send the request again after Retry-After; see 'jaytray status'.",
+)
+TARGET_UNREACHABLE = MessageTemplate(
+    "target_unreachable",
+    502,
+    "the target cannot be reached: {detail}",
+    "Send the request again; check the target and the network.",
+)
+TARGET_TIMEOUT = MessageTemplate(
+    "target_timeout",
+    504,
+    "the target did not answer within {timeout_s} s",
+    "Send the request again if it may be repeated.",
+)
+TARGET_FAILED = MessageTemplate(
+    "target_failed",
+    502,
+    "the target answered with an error: {detail}",
+    "Check the target's log.",
+)
+TARGET_REFUSED = MessageTemplate(
+    "target_refused",
+    503,
+    "the target refused the request before running it: {detail}",
+    "Send the request again after Retry-After.",
+)
+ANSWER_MISMATCH = MessageTemplate(
+    "answer_mismatch",
+    502,
+    "the target's answer belongs to another request",
+    "Report the request id; the connection was closed.",
+)
+ANSWER_INCOMPLETE = MessageTemplate(
+    "answer_incomplete",
+    502,
+    "the target's answer ended early: {detail}",
+    "Send the request again if it may be repeated.",
+)
+
+# Outside systems.
+KEY_VALUE_UNAVAILABLE = MessageTemplate(
+    "key_value_unavailable",
+    503,
+    "the key-value service does not answer: {detail}",
+    "Wait for the platform; serving goes on with the last version.",
+)
+KEY_VALUE_UNCERTAIN = MessageTemplate(
+    "key_value_uncertain",
+    503,
+    "the answer of the key-value service was lost: {detail}",
+    "Read the key again to learn whether the write took effect.",
+)
+KEY_VALUE_TOO_LARGE = MessageTemplate(
+    "key_value_too_large",
+    413,
+    "the value of {key} exceeds {limit} bytes",
+    "Split the value.",
+)
+WEIGHT_STORE_UNAVAILABLE = MessageTemplate(
+    "weight_store_unavailable",
+    503,
+    "the weight store does not answer: {detail}",
+    "Wait for the platform.",
+)
+VM_LIST_UNAVAILABLE = MessageTemplate(
+    "vm_list_unavailable",
+    503,
+    "the list of VMs cannot be read: {detail}",
+    "Wait for the platform; the last list stays in use.",
+)
+ORDER_REFUSED = MessageTemplate(
+    "order_refused",
+    409,
+    "the target refused the order: {detail}",
+    "Orders with an old fencing number are refused; a newer planner is at work.",
+)
+
+# Settings.
+SETTINGS_UNREADABLE = MessageTemplate(
+    "settings_unreadable",
+    400,
+    "{file}: {detail}",
+    "Check the file's path and syntax.",
+)
+SETTINGS_INVALID = MessageTemplate(
+    "settings_invalid",
+    400,
+    "{file}: section [{section}] option {option}: {detail}",
+    "Correct the option; docs/operations/settings.md lists all.",
+)
+
+
+def by_code() -> dict[str, MessageTemplate]:
+    """Return all templates of this module by their code."""
+    templates = [t for t in globals().values() if isinstance(t, MessageTemplate)]
+    return {template.code: template for template in templates}
--- /dev/null
+++ b/packages/core/src/jaytray_core/targets.py
@@ -0,0 +1,192 @@
+"""Interface to targets: model engines and plain services.
+
+Orders change what a target's accelerators hold. A target that checks fencing
+numbers refuses an order whose number is lower than the highest it has seen; others
+ignore the number. Load reports and cache events arrive late and may have gaps.
+"""
+
+import enum
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AbstractAsyncContextManager
+from typing import NamedTuple
+
+
+class OrderKind(enum.StrEnum):
+    """What an order asks of a target."""
+
+    LOAD_MODEL = "load_model"
+    UNLOAD_MODEL = "unload_model"
+    LOAD_ADAPTER = "load_adapter"
+    UNLOAD_ADAPTER = "unload_adapter"
+    SET_ROLE = "set_role"
+
+
+class Order(NamedTuple):
+    """One order to a target.
+
+    `order_id` makes the order idempotent at the target. `name` is a model or an
+    adapter; `model` is the base model of an adapter, else the model itself.
+    """
+
+    order_id: str
+    kind: OrderKind
+    name: str
+    model: str
+    version: str
+    accelerator: int
+    memory_mib: int
+    fencing_number: int
+
+
+class OrderReply(NamedTuple):
+    """Answer to an order; `detail` says why it was not accepted."""
+
+    order_id: str
+    is_accepted: bool
+    detail: str
+
+
+class ResidentState(enum.StrEnum):
+    """Life cycle of a model or an adapter on an accelerator."""
+
+    LOADING = "loading"
+    READY = "ready"
+    UNLOADING = "unloading"
+
+
+class Resident(NamedTuple):
+    """One model or adapter that occupies memory of an accelerator."""
+
+    name: str
+    model: str
+    version: str
+    accelerator: int
+    memory_mib: int
+    state: ResidentState
+
+
+class LoadReport(NamedTuple):
+    """State of a target at `taken_at_s` of the target's own clock.
+
+    `settled_order_ids` are recent orders that can have no further effect.
+    `boot_id` changes whenever the target restarts with empty accelerators.
+    `tokens_pending` is the output still to be produced by running requests.
+    """
+
+    target: str
+    boot_id: str
+    taken_at_s: float
+    residents: list[Resident]
+    settled_order_ids: list[str]
+    highest_fencing_number: int
+    running_requests: int
+    queued_requests: int
+    tokens_pending: int
+    is_leaving: bool
+
+
+class CacheEventKind(enum.StrEnum):
+    """Change of a target's prompt prefix cache."""
+
+    STORED = "stored"
+    EVICTED = "evicted"
+
+
+class CacheEvent(NamedTuple):
+    """A prefix of a prompt entered or left a target's cache.
+
+    `sequence` grows by one for each event, so that a reader sees gaps.
+    """
+
+    sequence: int
+    kind: CacheEventKind
+    model: str
+    prefix_digest: str
+    tokens: int
+
+
+class InferRequest(NamedTuple):
+    """A request to a model engine.
+
+    `body` is the JSON body of an OpenAI completion without any key of the caller.
+    `resume_after_tokens` asks to continue after that many output tokens, whose text
+    is `resume_text`. `priority` is smaller for more urgent work. `deadline_s` is
+    the remaining time to the first token.
+    """
+
+    request_id: str
+    path: str
+    model: str
+    body: bytes
+    resume_after_tokens: int
+    resume_text: str
+    priority: int
+    deadline_s: float
+
+
+class StreamPiece(NamedTuple):
+    """One piece of a streamed answer.
+
+    `end_index` is the number of output tokens up to and including this piece. `data`
+    is the JSON of one server-sent event. `is_end` marks the last piece; only then
+    is `output_tokens` the whole length of the answer, as announced by the target.
+    """
+
+    request_id: str
+    end_index: int
+    text: str
+    data: bytes
+    is_end: bool
+    output_tokens: int
+    finish_reason: str
+
+
+class WholeAnswer(NamedTuple):
+    """A complete answer of a target with the request id that it echoed."""
+
+    request_id: str
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+class ServiceCall(NamedTuple):
+    """A call to a plain service, without any key of the caller."""
+
+    request_id: str
+    method: str
+    path: str
+    query: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    timeout_s: float
+
+
+# Errors of the functions below are `JaytrayError`s whose `execution` is `not_run`
+# only when no byte of the request can have left or the target said so.
+InferFunction = Callable[[InferRequest], Awaitable[WholeAnswer]]
+StreamFunction = Callable[
+    [InferRequest], AbstractAsyncContextManager[AsyncIterator[StreamPiece]]
+]
+CallServiceFunction = Callable[[ServiceCall], Awaitable[WholeAnswer]]
+# (request id); asks the target to stop producing the answer.
+CancelFunction = Callable[[str], Awaitable[None]]
+OrderFunction = Callable[[Order], Awaitable[OrderReply]]
+LoadReportFunction = Callable[[], Awaitable[LoadReport]]
+# (after sequence) -> events with a higher sequence, oldest first.
+CacheEventsFunction = Callable[[int], Awaitable[list[CacheEvent]]]
+CloseFunction = Callable[[], Awaitable[None]]
+
+
+class TargetConnection(NamedTuple):
+    """The functions of one connection pool to one target."""
+
+    target: str
+    infer: InferFunction
+    stream: StreamFunction
+    call_service: CallServiceFunction
+    cancel: CancelFunction
+    order: OrderFunction
+    load_report: LoadReportFunction
+    cache_events: CacheEventsFunction
+    close: CloseFunction
--- /dev/null
+++ b/packages/core/src/jaytray_core/vm_list.py
@@ -0,0 +1,35 @@
+"""Interface to the platform's list of live and leaving VMs, which lags."""
+
+import enum
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+
+class VmState(enum.StrEnum):
+    """State of a VM in the platform's list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class VmEntry(NamedTuple):
+    """One listed VM.
+
+    `peer_address` is `IP:port` of the socket for other VMs; `http_address` is where
+    it serves callers. A replaced VM gets a new `vm_id`; a restarted process keeps it.
+    """
+
+    vm_id: str
+    peer_address: str
+    http_address: str
+    failure_domain: str
+    state: VmState
+
+
+ListVmsFunction = Callable[[], Awaitable[list[VmEntry]]]
+
+
+class VmList(NamedTuple):
+    """The functions of one connection to the list of VMs."""
+
+    list_vms: ListVmsFunction
--- /dev/null
+++ b/packages/server/src/jaytray_server/__init__.py
@@ -0,0 +1,1 @@
+"""The server that runs on every VM: `jaytrayd`."""
--- /dev/null
+++ b/packages/server/src/jaytray_server/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one request."""
--- /dev/null
+++ b/packages/standins/src/jaytray_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder."""
