--- a/packages/server/src/jaytray_server/ports.py
+++ b/packages/server/src/jaytray_server/ports.py
@@ -124,3 +124,14 @@
 
 # Returns the connection pool to a declared target, or None.
 ConnectionTo = Callable[[str], TargetConnection | None]
+
+
+class Metrics(NamedTuple):
+    """Counters, gauges and timings; never fails and never blocks.
+
+    `timing` takes milliseconds. Names are dotted, without a prefix.
+    """
+
+    increment: Callable[[str, int], None]
+    gauge: Callable[[str, float], None]
+    timing: Callable[[str, float], None]
