Connect VMs with authenticated links, heartbeats and flooded broadcasts

Cause: shares, versions and suspicion must travel between VMs without the key-value service and without all VMs talking to all.

--- /dev/null
+++ b/packages/server/src/jaytray_server/connection/peer_network.py
@@ -0,0 +1,355 @@
+"""The network of VMs: one listening socket, one link for each peer.
+
+Neighbours are chosen by `process/membership.py`; links to other listed VMs are
+opened on demand and closed when idle. Broadcasts are flooded over the links between
+neighbours, each VM forwarding a message once. Delivery is best effort: senders
+repeat what matters, and receivers treat every message as idempotent.
+"""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+
+import zmq
+import zmq.asyncio
+from zmq.auth.asyncio import AsyncioAuthenticator
+
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.codec import decode_msgpack, encode_msgpack
+from jaytray_core.errors import JaytrayError
+from jaytray_core.logs import get_logger
+from jaytray_core.vm_list import VmEntry, VmState
+from jaytray_server.connection.peer_link import (
+    SILENCE_LIMIT_S,
+    CurveKeys,
+    PeerLink,
+    run_link,
+)
+from jaytray_server.connection.peer_messages import (
+    HEARTBEAT_TOPIC,
+    MAX_ENVELOPE_BYTES,
+    Envelope,
+    Heartbeat,
+)
+from jaytray_server.ports import PeerHandler, PeerNetwork
+
+# Number of recent broadcasts remembered to recognise copies.
+REMEMBERED_BROADCASTS = 4096
+# Stands for "never" in heartbeats, in milliseconds.
+NEVER_MS = 1_000_000_000
+
+
+class HeardPeer(NamedTuple):
+    """What the last accepted heartbeat of a peer told.
+
+    `key_value_contact_s` is on this process's monotonic clock.
+    """
+
+    boot_epoch_ms: int
+    sequence: int
+    heard_at_s: float
+    key_value_contact_s: float
+
+
+class PeerHub:
+    """State of this VM's part of the network."""
+
+    def __init__(
+        self,
+        *,
+        vm_id: str,
+        boot_epoch_ms: int,
+        keys: CurveKeys,
+        clock: MonotonicClock,
+    ) -> None:
+        self.vm_id = vm_id
+        self.boot_epoch_ms = boot_epoch_ms
+        self.keys = keys
+        self.clock = clock
+        self.vms_by_id: dict[str, VmEntry] = {}
+        self.heard_by_id: dict[str, HeardPeer] = {}
+        self.own_key_value_contact_s = -float("inf")
+        self.bytes_sent = 0
+        self.messages_sent = 0
+        self._links_by_id: dict[str, PeerLink] = {}
+        self._tasks_by_id: dict[str, asyncio.Task[None]] = {}
+        self._handlers_by_topic: dict[str, PeerHandler] = {}
+        self._seen_broadcasts: OrderedDict[tuple[str, int, int], None] = OrderedDict()
+        self._sequence = 0
+        self._chosen: frozenset[str] = frozenset()
+        self._context: zmq.asyncio.Context | None = None
+
+    def functions(self) -> PeerNetwork:
+        """Return the interface that the other subsystems use."""
+        return PeerNetwork(
+            vm_id=self.vm_id,
+            send=self.send,
+            broadcast=self.broadcast,
+            set_handler=self.set_handler,
+            neighbours=self.neighbours,
+            listed_vms=self.listed_vms,
+        )
+
+    def set_handler(self, topic: str, handler: PeerHandler) -> None:
+        """Route messages of `topic` to `handler`."""
+        self._handlers_by_topic[topic] = handler
+
+    def listed_vms(self) -> list[str]:
+        """Return the ids of listed VMs that are not leaving, this one included."""
+        return sorted(
+            vm.vm_id for vm in self.vms_by_id.values() if vm.state is VmState.LIVE
+        )
+
+    def neighbours(self) -> list[str]:
+        """Return the neighbours whose heartbeat arrived recently."""
+        oldest_s = self.clock() - SILENCE_LIMIT_S
+        return [
+            vm_id
+            for vm_id, link in self._links_by_id.items()
+            if link.is_neighbour
+            and vm_id in self.heard_by_id
+            and self.heard_by_id[vm_id].heard_at_s >= oldest_s
+        ]
+
+    def chosen_neighbours(self) -> frozenset[str]:
+        """Return the VMs that this VM keeps links to, heard from or not."""
+        return self._chosen
+
+    def key_value_contact_s(self) -> float:
+        """Return when this VM or any VM it hears from reached the service last."""
+        heard = (peer.key_value_contact_s for peer in self.heard_by_id.values())
+        return max([self.own_key_value_contact_s, *heard])
+
+    def update_vms(self, vms: list[VmEntry], *, chosen: frozenset[str]) -> None:
+        """Take a new list of VMs and the choice of neighbours among them."""
+        self.vms_by_id = {vm.vm_id: vm for vm in vms}
+        self._chosen = chosen
+        for vm_id in [*self._links_by_id]:
+            entry = self.vms_by_id.get(vm_id)
+            if entry is None or entry.peer_address != self._links_by_id[vm_id].address:
+                self._drop_link(vm_id)
+        for vm_id in [*self.heard_by_id]:
+            if vm_id not in self.vms_by_id:
+                del self.heard_by_id[vm_id]
+        self._refresh_neighbours()
+
+    def send(self, vm_id: str, topic: str, body: bytes) -> bool:
+        """Send to one listed VM; False when it surely does not leave this VM."""
+        link = self._link_to(vm_id)
+        if link is None:
+            return False
+        return self._offer(link, self._envelope(topic, body, is_broadcast=False))
+
+    def broadcast(self, topic: str, body: bytes) -> None:
+        """Send to all VMs through neighbours."""
+        envelope = self._envelope(topic, body, is_broadcast=True)
+        self._is_new_broadcast(envelope)
+        self._flood(envelope, except_vm="")
+
+    def receive(self, frame: bytes) -> None:
+        """Handle one frame from the listening socket; bad ones are dropped."""
+        try:
+            envelope = decode_msgpack(frame, Envelope, peer="peer")
+        except JaytrayError as err:
+            get_logger().warning("peer_message_malformed", error=str(err))
+            return
+        if envelope.sender not in self.vms_by_id or envelope.origin == self.vm_id:
+            return
+        if envelope.topic == HEARTBEAT_TOPIC:
+            self._receive_heartbeat(envelope)
+            return
+        if envelope.is_broadcast:
+            if not self._is_new_broadcast(envelope):
+                return
+            self._flood(envelope._replace(sender=self.vm_id), except_vm=envelope.sender)
+        self._deliver(envelope)
+
+    @asynccontextmanager
+    async def listen(self, address: str) -> AsyncIterator[str]:
+        """Open the listening socket and the links; yield the bound `IP:port`."""
+        context = zmq.asyncio.Context()
+        authenticator = AsyncioAuthenticator(context)
+        authenticator.start()
+        authenticator.configure_curve_callback(
+            domain="*", credentials_provider=_FleetKeyCheck(keys=self.keys)
+        )
+        socket = _bind(context, address, self.keys)
+        bound = socket.getsockopt_string(zmq.LAST_ENDPOINT).removeprefix("tcp://")
+        self._context = context
+        self._refresh_neighbours()
+        receiver = asyncio.create_task(self._receive_all(socket))
+        try:
+            yield bound
+        finally:
+            self._context = None
+            receiver.cancel()
+            for vm_id in [*self._links_by_id]:
+                self._drop_link(vm_id)
+            # Lets the cancelled link tasks close their sockets.
+            await asyncio.sleep(0)
+            await asyncio.gather(receiver, return_exceptions=True)
+            socket.close(linger=0)
+            authenticator.stop()
+            context.destroy(linger=0)
+
+    async def _receive_all(self, socket: zmq.asyncio.Socket) -> None:
+        while True:
+            frames = await socket.recv_multipart()
+            if len(frames) == 2:
+                self.receive(frames[1])
+
+    def _receive_heartbeat(self, envelope: Envelope) -> None:
+        try:
+            beat = decode_msgpack(envelope.body, Heartbeat, peer=envelope.origin)
+        except JaytrayError as err:
+            get_logger().warning("peer_message_malformed", error=str(err))
+            return
+        known = self.heard_by_id.get(envelope.origin)
+        number = (envelope.boot_epoch_ms, beat.sequence)
+        if known and number <= (known.boot_epoch_ms, known.sequence):
+            return
+        now_s = self.clock()
+        contact_s = now_s - max(0, beat.key_value_age_ms) / 1000
+        self.heard_by_id[envelope.origin] = HeardPeer(*number, now_s, contact_s)
+        link = self._link_to(envelope.origin)
+        if link is not None:
+            # The other end chose this VM: keep the link in both directions.
+            link.is_neighbour = True
+            link.record_echo(beat.echo, now_s=now_s)
+
+    def _deliver(self, envelope: Envelope) -> None:
+        handler = self._handlers_by_topic.get(envelope.topic)
+        if handler is None:
+            return
+        try:
+            handler(envelope.origin, envelope.body)
+        except JaytrayError as err:
+            get_logger().warning(
+                "peer_message_refused", topic=envelope.topic, error=str(err)
+            )
+
+    def _flood(self, envelope: Envelope, *, except_vm: str) -> None:
+        for vm_id, link in self._links_by_id.items():
+            if link.is_neighbour and vm_id not in (except_vm, envelope.origin):
+                self._offer(link, envelope)
+
+    def _offer(self, link: PeerLink, envelope: Envelope) -> bool:
+        frame = encode_msgpack(envelope)
+        if len(frame) > MAX_ENVELOPE_BYTES:
+            return False
+        self.bytes_sent += len(frame)
+        self.messages_sent += 1
+        return link.offer(frame, now_s=self.clock())
+
+    def _envelope(self, topic: str, body: bytes, *, is_broadcast: bool) -> Envelope:
+        self._sequence += 1
+        return Envelope(
+            origin=self.vm_id,
+            boot_epoch_ms=self.boot_epoch_ms,
+            sequence=self._sequence,
+            sender=self.vm_id,
+            is_broadcast=is_broadcast,
+            topic=topic,
+            body=body,
+        )
+
+    def _is_new_broadcast(self, envelope: Envelope) -> bool:
+        identity = (envelope.origin, envelope.boot_epoch_ms, envelope.sequence)
+        if identity in self._seen_broadcasts:
+            return False
+        self._seen_broadcasts[identity] = None
+        if len(self._seen_broadcasts) > REMEMBERED_BROADCASTS:
+            self._seen_broadcasts.popitem(last=False)
+        return True
+
+    def _link_to(self, vm_id: str) -> PeerLink | None:
+        link = self._links_by_id.get(vm_id)
+        entry = self.vms_by_id.get(vm_id)
+        if link is not None or entry is None or vm_id == self.vm_id:
+            return link
+        if self._context is None:
+            return None
+        link = PeerLink(
+            vm_id=vm_id,
+            address=entry.peer_address,
+            is_neighbour=vm_id in self._chosen,
+            clock=self.clock,
+        )
+        self._links_by_id[vm_id] = link
+        self._tasks_by_id[vm_id] = asyncio.create_task(self._run_link(link))
+        return link
+
+    async def _run_link(self, link: PeerLink) -> None:
+        assert self._context is not None
+        try:
+            await run_link(
+                link,
+                context=self._context,
+                keys=self.keys,
+                clock=self.clock,
+                make_heartbeat=self._heartbeat_frame,
+            )
+        finally:
+            if self._links_by_id.get(link.vm_id) is link:
+                del self._links_by_id[link.vm_id]
+                self._tasks_by_id.pop(link.vm_id, None)
+
+    def _heartbeat_frame(self, link: PeerLink) -> bytes:
+        heard = self.heard_by_id.get(link.vm_id)
+        age_s = self.clock() - self.key_value_contact_s()
+        beat = Heartbeat(
+            sequence=link.heartbeats_sent,
+            echo=heard.sequence if heard else 0,
+            key_value_age_ms=min(NEVER_MS, int(min(age_s, 1e6) * 1000)),
+        )
+        frame = encode_msgpack(
+            self._envelope(HEARTBEAT_TOPIC, encode_msgpack(beat), is_broadcast=False)
+        )
+        self.bytes_sent += len(frame)
+        self.messages_sent += 1
+        return frame
+
+    def _drop_link(self, vm_id: str) -> None:
+        self._links_by_id.pop(vm_id)
+        task = self._tasks_by_id.pop(vm_id, None)
+        if task is not None:
+            task.cancel()
+
+    def _refresh_neighbours(self) -> None:
+        for vm_id in self._chosen:
+            link = self._link_to(vm_id)
+            if link is not None:
+                link.is_neighbour = True
+        oldest_s = self.clock() - 2 * SILENCE_LIMIT_S
+        for vm_id, link in self._links_by_id.items():
+            heard = self.heard_by_id.get(vm_id)
+            is_adopted = heard is not None and heard.heard_at_s >= oldest_s
+            link.is_neighbour = vm_id in self._chosen or (
+                link.is_neighbour and is_adopted
+            )
+
+
+class _FleetKeyCheck:
+    """Admits only connections that hold the fleet's key pair."""
+
+    def __init__(self, *, keys: CurveKeys) -> None:
+        self._public_key = keys.public_key
+
+    def callback(self, _domain: str, key: bytes) -> bool:
+        """Return whether the client's public key (Z85) is the fleet's."""
+        return key == self._public_key
+
+
+def _bind(
+    context: zmq.asyncio.Context, address: str, keys: CurveKeys
+) -> zmq.asyncio.Socket:
+    socket = context.socket(zmq.ROUTER)
+    socket.linger = 0
+    socket.setsockopt(zmq.MAXMSGSIZE, MAX_ENVELOPE_BYTES)
+    socket.curve_server = True
+    socket.curve_publickey = keys.public_key
+    socket.curve_secretkey = keys.secret_key
+    socket.bind(f"tcp://{address}")
+    return socket
--- /dev/null
+++ b/packages/server/tests/connection/test_peer_network.py
@@ -0,0 +1,172 @@
+"""Tests of the network of VMs over real sockets on port 0."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import zmq
+import zmq.asyncio
+from hypothesis import given, strategies as st
+from parameterized import parameterized
+from testtools import TestCase
+
+from jaytray_core.clock import monotonic_clock
+from jaytray_core.codec import encode_msgpack
+from jaytray_core.vm_list import VmEntry, VmState
+from jaytray_server.connection.peer_link import CurveKeys, PeerLink
+from jaytray_server.connection.peer_messages import (
+    HEARTBEAT_TOPIC,
+    Envelope,
+    Heartbeat,
+)
+from jaytray_server.connection.peer_network import PeerHub
+
+KEYS = CurveKeys(*zmq.curve_keypair())
+WAIT_S = 20.0
+
+
+def make_hub(vm_id: str, *, keys: CurveKeys = KEYS, boot: int = 1) -> PeerHub:
+    return PeerHub(vm_id=vm_id, boot_epoch_ms=boot, keys=keys, clock=monotonic_clock)
+
+
+def entry(vm_id: str, address: str = "127.0.0.1:1") -> VmEntry:
+    return VmEntry(vm_id, address, "127.0.0.1:2", "zone-a", VmState.LIVE)
+
+
+@asynccontextmanager
+async def listening_hubs(*ids: str) -> AsyncIterator[list[PeerHub]]:
+    async with AsyncExitStack() as stack:
+        hubs = [make_hub(vm_id) for vm_id in ids]
+        entries = []
+        for hub in hubs:
+            address = await stack.enter_async_context(hub.listen("127.0.0.1:0"))
+            entries.append(entry(hub.vm_id, address))
+        for hub in hubs:
+            others = frozenset(vm_id for vm_id in ids if vm_id != hub.vm_id)
+            hub.update_vms(entries, chosen=others)
+        yield hubs
+
+
+def recorder(
+    vm_id: str, received: list[tuple[str, str, bytes]]
+) -> Callable[[str, bytes], None]:
+    return lambda sender, body: received.append((vm_id, sender, body))
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(WAIT_S):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def heartbeat(*, origin: str, boot: int, sequence: int, age_ms: int = 0) -> bytes:
+    body = encode_msgpack(Heartbeat(sequence, 0, age_ms))
+    return encode_msgpack(
+        Envelope(origin, boot, sequence, origin, False, HEARTBEAT_TOPIC, body)
+    )
+
+
+class PeerNetworkTests(TestCase):
+    def test_messages_and_broadcasts_arrive_once_at_each_vm(self) -> None:
+        async def scenario() -> None:
+            async with listening_hubs("a", "b", "c") as hubs:
+                received: list[tuple[str, str, bytes]] = []
+                for hub in hubs:
+                    hub.set_handler("news", recorder(hub.vm_id, received))
+                await until(lambda: all(len(hub.neighbours()) == 2 for hub in hubs))
+                hubs[0].broadcast("news", b"1")
+                self.assertTrue(hubs[1].send("c", "news", b"2"))
+                await until(lambda: len(received) >= 3)
+                await asyncio.sleep(0.1)
+                self.assertEqual(
+                    [("b", "a", b"1"), ("c", "a", b"1"), ("c", "b", b"2")],
+                    sorted(received),
+                )
+
+        asyncio.run(scenario())
+
+    def test_stranger_without_the_fleet_key_is_not_heard(self) -> None:
+        async def scenario() -> None:
+            received: list[bytes] = []
+            async with listening_hubs("a", "b") as (hub, _other):
+                hub.set_handler("news", lambda _sender, body: received.append(body))
+                address = hub.vms_by_id["a"].peer_address
+                stranger = CurveKeys(*zmq.curve_keypair())
+                with zmq.asyncio.Context() as context:
+                    socket = context.socket(zmq.DEALER)
+                    socket.linger = 0
+                    socket.curve_publickey = stranger.public_key
+                    socket.curve_secretkey = stranger.secret_key
+                    socket.curve_serverkey = KEYS.public_key
+                    socket.connect(f"tcp://{address}")
+                    envelope = Envelope("b", 1, 1, "b", False, "news", b"bad")
+                    await socket.send(encode_msgpack(envelope))
+                    # The honest message, sent later, arrives; the other never does.
+                    await asyncio.sleep(0.2)
+                    _other.send("a", "news", b"good")
+                    await until(lambda: bool(received))
+                    socket.close()
+                self.assertEqual([b"good"], received)
+
+        asyncio.run(scenario())
+
+    @given(st.binary(max_size=200))
+    def test_arbitrary_frames_change_nothing(self, frame: bytes) -> None:
+        hub = make_hub("a")
+        hub.update_vms([entry("a"), entry("b")], chosen=frozenset("b"))
+        hub.receive(frame)
+        self.assertEqual({}, hub.heard_by_id)
+
+    @parameterized.expand(
+        [
+            ("doubled", heartbeat(origin="b", boot=5, sequence=7)),
+            ("older", heartbeat(origin="b", boot=5, sequence=6, age_ms=9)),
+            ("of an earlier boot", heartbeat(origin="b", boot=4, sequence=99)),
+            ("of an unlisted VM", heartbeat(origin="z", boot=9, sequence=99)),
+            ("own message coming back", heartbeat(origin="a", boot=9, sequence=9)),
+        ]
+    )
+    def test_heartbeat_without_news_is_ignored(self, _name: str, frame: bytes) -> None:
+        hub = make_hub("a")
+        hub.update_vms([entry("a"), entry("b")], chosen=frozenset())
+        hub.receive(heartbeat(origin="b", boot=5, sequence=7))
+        before = dict(hub.heard_by_id)
+        hub.receive(frame)
+        self.assertEqual(before, hub.heard_by_id)
+        hub.receive(heartbeat(origin="b", boot=5, sequence=8))
+        self.assertNotEqual(before, hub.heard_by_id)
+
+    def test_contact_with_the_service_is_relayed(self) -> None:
+        hub = make_hub("a")
+        hub.update_vms([entry("a"), entry("b")], chosen=frozenset())
+        now_s = monotonic_clock()
+        hub.receive(heartbeat(origin="b", boot=1, sequence=1, age_ms=1000))
+        self.assertAlmostEqual(now_s - 1.0, hub.key_value_contact_s(), delta=0.5)
+
+
+class PeerLinkTests(TestCase):
+    def test_only_echoes_of_sent_heartbeats_count(self) -> None:
+        link = PeerLink(
+            vm_id="b", address="127.0.0.1:1", is_neighbour=True, clock=lambda: 0.0
+        )
+        link.heartbeats_sent = 3
+        for echo, expected_s in ((5, 0.0), (2, 10.0), (1, 10.0), (3, 10.0)):
+            link.record_echo(echo, now_s=10.0)
+            self.assertEqual(expected_s, link.echoed_at_s)
+        self.assertEqual(3, link.highest_echo)
+
+    def test_silent_peer_is_dialled_on_a_new_socket(self) -> None:
+        async def scenario() -> None:
+            now = [0.0]
+            hub = PeerHub(vm_id="a", boot_epoch_ms=1, keys=KEYS, clock=lambda: now[0])
+            async with hub.listen("127.0.0.1:0") as address:
+                hub.update_vms(
+                    [entry("a", address), entry("b")], chosen=frozenset({"b"})
+                )
+                link = hub._links_by_id["b"]
+                await until(lambda: link.heartbeats_sent >= 1)
+                now[0] = 100.0
+                hub.send("b", "news", b"wakes the link")
+                await until(lambda: link.dials == 2)
+
+        asyncio.run(scenario())
