Add in-process stand-ins with fault switches

The other packages need the outside systems without sockets to test against. Adds the key-value store, target, plain service, weight store and VM list on a clock passed in, fault switches between each caller and each stand-in, and the in-process implementations of the interfaces of jaytray_core.

--- /dev/null
+++ b/packages/standins/src/jaytray_standins/in_process.py
@@ -0,0 +1,214 @@
+"""The outside systems' interfaces served by stand-ins in the same process.
+
+No socket is opened. Each call passes the fault switches of its connection, so one
+caller can be cut off while another is not.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+from jaytray_core import message_registry as messages
+from jaytray_core.errors import Execution, JaytrayError, Step
+from jaytray_core.keyvalue import (
+    KeyValueRecord,
+    KeyValueService,
+    SwapResult,
+    WatchBatch,
+)
+from jaytray_core.vm_list import VmEntry, VmList
+from jaytray_core.weight_store import WeightStore, WeightStoreStatus
+from jaytray_standins.faults import (
+    FaultKind,
+    FaultSwitches,
+    NoAnswerError,
+    NotDeliveredError,
+    deliver,
+)
+from jaytray_standins.in_process_target import in_process_service, in_process_target
+from jaytray_standins.key_value.store import KeyValueStore, ValueTooLargeError
+from jaytray_standins.vm_list.state import VmListState
+from jaytray_standins.weight_store.state import WeightStoreState
+
+__all__ = [
+    "in_process_key_value",
+    "in_process_service",
+    "in_process_target",
+    "in_process_vm_list",
+    "in_process_weight_store",
+]
+
+T = TypeVar("T")
+_KEY_VALUE_PEER = "kv"
+_READS = ("get", "get_prefix", "watch")
+
+
+def in_process_key_value(
+    store: KeyValueStore, faults: FaultSwitches, *, timeout_s: float = 1.0
+) -> KeyValueService:
+    """Return a connection to `store`; calls wait at most `timeout_s` seconds."""
+
+    async def call(operation: str, run: Callable[[], T], wait_s: float = 0.0) -> T:
+        async def run_async() -> T:
+            return run()
+
+        return await call_async(operation, run_async, wait_s)
+
+    async def call_async(
+        operation: str, run: Callable[[], Awaitable[T]], wait_s: float = 0.0
+    ) -> T:
+        try:
+            return await deliver(
+                run,
+                operation=operation,
+                faults=faults,
+                sleep=store.sleep,
+                timeout_s=timeout_s + wait_s,
+            )
+        except NotDeliveredError:
+            raise _key_value_unavailable("connection refused") from None
+        except NoAnswerError:
+            if operation in _READS:
+                raise _key_value_unavailable("no answer") from None
+            raise _key_value_uncertain("no answer") from None
+
+    async def get(key: str) -> KeyValueRecord | None:
+        def run() -> KeyValueRecord | None:
+            stale = faults.take(FaultKind.STALE, "get")
+            if stale is None:
+                return store.get(key)
+            records = store.get_as_of(key, stale.revision)
+            return next((r for r in records if r.key == key), None)
+
+        return await call("get", run)
+
+    async def get_prefix(prefix: str) -> list[KeyValueRecord]:
+        def run() -> list[KeyValueRecord]:
+            stale = faults.take(FaultKind.STALE, "get_prefix")
+            if stale is None:
+                return store.get_prefix(prefix)
+            return store.get_as_of(prefix, stale.revision)
+
+        return await call("get_prefix", run)
+
+    async def compare_and_swap(
+        key: str, expected_revision: int, value: bytes | None, lease_id: str
+    ) -> SwapResult:
+        def run() -> SwapResult:
+            return store.compare_and_swap(key, expected_revision, value, lease_id)
+
+        try:
+            return await call("compare_and_swap", run)
+        except ValueTooLargeError:
+            raise _value_too_large(key, store.max_value_bytes) from None
+
+    async def grant_lease(ttl_s: float) -> str:
+        return await call("grant_lease", lambda: store.grant_lease(ttl_s))
+
+    async def keep_lease(lease_id: str) -> bool:
+        return await call("keep_lease", lambda: store.keep_lease(lease_id))
+
+    async def revoke_lease(lease_id: str) -> None:
+        await call("revoke_lease", lambda: store.revoke_lease(lease_id))
+
+    async def watch(prefix: str, after: int, wait_s: float) -> WatchBatch:
+        async def run() -> WatchBatch:
+            return await store.watch(prefix, after, wait_s)
+
+        return await call_async("watch", run, wait_s)
+
+    return KeyValueService(
+        get=get,
+        get_prefix=get_prefix,
+        compare_and_swap=compare_and_swap,
+        grant_lease=grant_lease,
+        keep_lease=keep_lease,
+        revoke_lease=revoke_lease,
+        watch=watch,
+    )
+
+
+def in_process_weight_store(
+    state: WeightStoreState, faults: FaultSwitches, *, timeout_s: float = 1.0
+) -> WeightStore:
+    """Return a connection to the weight store."""
+
+    async def status() -> WeightStoreStatus:
+        async def run() -> WeightStoreStatus:
+            return state.status()
+
+        return await _deliver_read(
+            run, "status", faults, timeout_s, messages.WEIGHT_STORE_UNAVAILABLE
+        )
+
+    return WeightStore(status=status)
+
+
+def in_process_vm_list(
+    state: VmListState, faults: FaultSwitches, *, timeout_s: float = 1.0
+) -> VmList:
+    """Return a connection to the list of VMs."""
+
+    async def list_vms() -> list[VmEntry]:
+        async def run() -> list[VmEntry]:
+            return state.visible()
+
+        return await _deliver_read(
+            run, "list_vms", faults, timeout_s, messages.VM_LIST_UNAVAILABLE
+        )
+
+    return VmList(list_vms=list_vms)
+
+
+async def _deliver_read(
+    run: Callable[[], Awaitable[T]],
+    operation: str,
+    faults: FaultSwitches,
+    timeout_s: float,
+    template: messages.MessageTemplate,
+) -> T:
+    async def no_wait(_seconds: float) -> None:
+        return None
+
+    try:
+        return await deliver(
+            run,
+            operation=operation,
+            faults=faults,
+            sleep=no_wait,
+            timeout_s=timeout_s,
+        )
+    except (NotDeliveredError, NoAnswerError):
+        is_weight_store = template is messages.WEIGHT_STORE_UNAVAILABLE
+        step = Step.WEIGHT_STORE if is_weight_store else Step.VM_LIST
+        raise JaytrayError(
+            template, step=step, peer=str(step), detail="no answer"
+        ) from None
+
+
+def _key_value_unavailable(detail: str) -> JaytrayError:
+    return JaytrayError(
+        messages.KEY_VALUE_UNAVAILABLE,
+        step=Step.KEY_VALUE,
+        peer=_KEY_VALUE_PEER,
+        detail=detail,
+    )
+
+
+def _key_value_uncertain(detail: str) -> JaytrayError:
+    return JaytrayError(
+        messages.KEY_VALUE_UNCERTAIN,
+        step=Step.KEY_VALUE,
+        peer=_KEY_VALUE_PEER,
+        execution=Execution.MAY_HAVE_RUN,
+        detail=detail,
+    )
+
+
+def _value_too_large(key: str, limit: int) -> JaytrayError:
+    return JaytrayError(
+        messages.KEY_VALUE_TOO_LARGE,
+        step=Step.KEY_VALUE,
+        peer=_KEY_VALUE_PEER,
+        key=key,
+        limit=limit,
+    )
--- /dev/null
+++ b/packages/standins/src/jaytray_standins/key_value/__init__.py
@@ -0,0 +1,1 @@
+"""Key-value service stand-in."""
--- /dev/null
+++ b/packages/standins/src/jaytray_standins/key_value/store.py
@@ -0,0 +1,205 @@
+"""In-memory key-value store with revisions, leases and long-poll watches.
+
+Each write takes the next store-wide revision. The last change of each key, deletions
+included, answers a watch from any revision; a bounded history of writes answers
+reads as of an older revision.
+"""
+
+import asyncio
+import collections
+import itertools
+from typing import NamedTuple
+
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.keyvalue import (
+    ABSENT_REVISION,
+    MAX_VALUE_BYTES,
+    KeyValueRecord,
+    SwapResult,
+    WatchBatch,
+)
+from jaytray_standins.virtual_time import Sleep
+
+_HISTORY_WRITES = 20_000
+
+
+class ValueTooLargeError(Exception):
+    """A value exceeds the limit; nothing was written."""
+
+
+class _Write(NamedTuple):
+    record: KeyValueRecord
+    is_deletion: bool
+
+
+class _Lease(NamedTuple):
+    ttl_s: float
+    expires_at_s: float
+    keys: set[str]
+
+
+class KeyValueStore:
+    """State of the key-value service; `sleep` waits on the same time as `clock`.
+
+    `calls_by_function` counts each call, a waiting watch as one.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: MonotonicClock,
+        sleep: Sleep = asyncio.sleep,
+        max_value_bytes: int = MAX_VALUE_BYTES,
+    ) -> None:
+        self.clock = clock
+        self.sleep = sleep
+        self.max_value_bytes = max_value_bytes
+        self.revision = 0
+        self.calls_by_function: collections.Counter[str] = collections.Counter()
+        self._last_write_by_key: dict[str, _Write] = {}
+        self._history: collections.deque[_Write] = collections.deque(
+            maxlen=_HISTORY_WRITES
+        )
+        self._lease_by_id: dict[str, _Lease] = {}
+        self._lease_id_by_key: dict[str, str] = {}
+        self._lease_numbers = itertools.count(1)
+        self._changed = asyncio.Event()
+
+    def get(self, key: str) -> KeyValueRecord | None:
+        """Return the record of `key`, or None."""
+        self._begin("get")
+        return self._find(key)
+
+    def get_prefix(self, prefix: str) -> list[KeyValueRecord]:
+        """Return the records whose keys start with `prefix`, in key order."""
+        self._begin("get_prefix")
+        return sorted(
+            write.record
+            for key, write in self._last_write_by_key.items()
+            if key.startswith(prefix) and not write.is_deletion
+        )
+
+    def get_as_of(self, prefix: str, revision: int) -> list[KeyValueRecord]:
+        """Return the records under `prefix` as they were at `revision`."""
+        self._begin("get_prefix")
+        write_by_key = {
+            write.record.key: write
+            for write in self._history
+            if write.record.revision <= revision and write.record.key.startswith(prefix)
+        }
+        return sorted(w.record for w in write_by_key.values() if not w.is_deletion)
+
+    def compare_and_swap(
+        self, key: str, expected_revision: int, value: bytes | None, lease_id: str
+    ) -> SwapResult:
+        """Write `value` if the key's revision is the expected one.
+
+        A lease that has ended makes the call fail with the revision found. Writing
+        without a lease detaches the key from its lease.
+        """
+        self._begin("compare_and_swap")
+        if value is not None and len(value) > self.max_value_bytes:
+            raise ValueTooLargeError(key)
+        found = self._find(key)
+        found_revision = found.revision if found else ABSENT_REVISION
+        is_lease_gone = bool(lease_id) and lease_id not in self._lease_by_id
+        if found_revision != expected_revision or is_lease_gone:
+            return SwapResult(False, found_revision)
+        if value is None and found is None:
+            return SwapResult(True, ABSENT_REVISION)
+        self._write(key, value)
+        if lease_id and value is not None:
+            self._lease_id_by_key[key] = lease_id
+            self._lease_by_id[lease_id].keys.add(key)
+        return SwapResult(True, ABSENT_REVISION if value is None else self.revision)
+
+    def grant_lease(self, ttl_s: float) -> str:
+        """Return the id of a new lease that ends `ttl_s` from now unless kept."""
+        self._begin("grant_lease")
+        lease_id = f"lease-{next(self._lease_numbers)}"
+        self._lease_by_id[lease_id] = _Lease(ttl_s, self.clock() + ttl_s, set())
+        self._changed.set()
+        return lease_id
+
+    def keep_lease(self, lease_id: str) -> bool:
+        """Extend a lease by its time to live; False when it has ended."""
+        self._begin("keep_lease")
+        lease = self._lease_by_id.get(lease_id)
+        if lease is None:
+            return False
+        expires_at_s = self.clock() + lease.ttl_s
+        self._lease_by_id[lease_id] = lease._replace(expires_at_s=expires_at_s)
+        return True
+
+    def revoke_lease(self, lease_id: str) -> None:
+        """End a lease and delete its keys."""
+        self._begin("revoke_lease")
+        self._end_lease(lease_id)
+
+    async def watch(self, prefix: str, after: int, wait_s: float) -> WatchBatch:
+        """Return changes under `prefix` after a revision, waiting for them."""
+        self._begin("watch")
+        deadline_s = self.clock() + wait_s
+        while True:
+            self._expire_leases()
+            batch = self._changes(prefix, after)
+            remaining_s = deadline_s - self.clock()
+            if batch.records or remaining_s <= 0:
+                return batch
+            await self._wait_for_change(remaining_s)
+
+    def _begin(self, function: str) -> None:
+        self.calls_by_function[function] += 1
+        self._expire_leases()
+
+    def _find(self, key: str) -> KeyValueRecord | None:
+        write = self._last_write_by_key.get(key)
+        return None if write is None or write.is_deletion else write.record
+
+    def _changes(self, prefix: str, after: int) -> WatchBatch:
+        records = [
+            write.record
+            for key, write in self._last_write_by_key.items()
+            if write.record.revision > after and key.startswith(prefix)
+        ]
+        records.sort(key=lambda record: record.revision)
+        return WatchBatch(records, max(self.revision, after))
+
+    def _write(self, key: str, value: bytes | None) -> None:
+        lease_id = self._lease_id_by_key.pop(key, "")
+        if lease_id in self._lease_by_id:
+            self._lease_by_id[lease_id].keys.discard(key)
+        self.revision += 1
+        record = KeyValueRecord(key, value or b"", self.revision)
+        write = _Write(record, value is None)
+        self._last_write_by_key[key] = write
+        self._history.append(write)
+        self._changed.set()
+
+    def _expire_leases(self) -> None:
+        now_s = self.clock()
+        for lease_id, lease in list(self._lease_by_id.items()):
+            if lease.expires_at_s <= now_s:
+                self._end_lease(lease_id)
+
+    def _end_lease(self, lease_id: str) -> None:
+        lease = self._lease_by_id.pop(lease_id, None)
+        for key in sorted(lease.keys) if lease else ():
+            self._write(key, None)
+
+    async def _wait_for_change(self, longest_s: float) -> None:
+        """Wait for a write, a lease's end, or at most `longest_s`."""
+        if self._changed.is_set():
+            self._changed = asyncio.Event()
+        expiries = [lease.expires_at_s for lease in self._lease_by_id.values()]
+        next_expiry_s = min(expiries, default=float("inf")) - self.clock()
+        wait_s = min(longest_s, max(next_expiry_s, 0.0))
+        waiters = [
+            asyncio.ensure_future(self._changed.wait()),
+            asyncio.ensure_future(self.sleep(wait_s)),
+        ]
+        try:
+            await asyncio.wait(waiters, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for waiter in waiters:
+                waiter.cancel()
--- /dev/null
+++ b/packages/standins/src/jaytray_standins/target/__init__.py
@@ -0,0 +1,1 @@
+"""Target and plain service stand-ins."""
--- /dev/null
+++ b/packages/standins/src/jaytray_standins/target/records.py
@@ -0,0 +1,62 @@
+"""What a target stand-in remembers of the requests that reached it."""
+
+import hashlib
+from typing import NamedTuple
+
+_KEPT_BODY_BYTES = 65_536
+
+
+class RanRequest(NamedTuple):
+    """One request that a target ran.
+
+    `headers` and `query` are what arrived; `was_leaving` tells that the target had
+    announced its leaving. `started_at_s` is the stand-in's clock.
+    """
+
+    request_id: str
+    method: str
+    path: str
+    query: str
+    body_digest: str
+    body: bytes
+    headers: list[tuple[str, str]]
+    model: str
+    priority: int
+    resume_after_tokens: int
+    started_at_s: float
+    was_leaving: bool
+
+
+class Overcommit(NamedTuple):
+    """An order after which an accelerator held more than its memory."""
+
+    accelerator: int
+    used_mib: int
+    capacity_mib: int
+    order_id: str
+    at_s: float
+
+
+class OvercommitError(AssertionError):
+    """Accelerator memory was overcommitted."""
+
+
+def body_digest(body: bytes) -> str:
+    """Return the digest under which a body is recorded."""
+    return hashlib.blake2b(body, digest_size=12).hexdigest()
+
+
+def kept_body(body: bytes) -> bytes:
+    """Return the part of a body that is kept for the search for secrets."""
+    return body[:_KEPT_BODY_BYTES]
+
+
+def requests_with(secret: str, requests: list[RanRequest]) -> list[RanRequest]:
+    """Return the requests in which `secret` arrived, wherever it stood."""
+    return [r for r in requests if secret in _visible_text(r)]
+
+
+def _visible_text(request: RanRequest) -> str:
+    headers = "\n".join(f"{name}: {value}" for name, value in request.headers)
+    body = request.body.decode(errors="replace")
+    return "\n".join((request.request_id, request.path, request.query, headers, body))
--- /dev/null
+++ b/packages/standins/src/jaytray_standins/vm_list/__init__.py
@@ -0,0 +1,1 @@
+"""VM list stand-in."""
--- /dev/null
+++ b/packages/standins/src/jaytray_standins/weight_store/__init__.py
@@ -0,0 +1,1 @@
+"""Weight store stand-in."""
