--- /dev/null
+++ b/packages/core/src/jaytray_core/document/status.py
@@ -0,0 +1,20 @@
+"""What a VM tells operators about the document that it runs."""
+
+from typing import NotRequired, TypedDict
+
+
+class DocumentStatus(TypedDict):
+    """The document part of a VM's answer to `GET /admin/status`.
+
+    `alarms` counts heads that were refused: contradictory, or not applicable.
+    `service_age_s` is the time since the key-value service last answered, -1 if never.
+    """
+
+    vm_id: str
+    environment: str
+    document_version: int
+    body_digest: str
+    rejected_version: int
+    alarms: int
+    service_age_s: float
+    unreachable: NotRequired[list[str]]
--- /dev/null
+++ b/packages/core/src/jaytray_core/document/store.py
@@ -0,0 +1,312 @@
+"""Versions of documents in the key-value service.
+
+Parts are written first and are immutable; then the head of the environment changes by
+compare-and-swap. A lost answer is settled by reading which writer id the version has.
+The previous head is copied to the history before the swap, so that the history never
+misses a version.
+"""
+
+import asyncio
+import uuid
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+
+from jaytray_core import message_registry as messages
+from jaytray_core.clock import WallClock, wall_clock
+from jaytray_core.document.model import Document
+from jaytray_core.document.parts import (
+    Body,
+    Head,
+    decode_head,
+    document_of,
+    encode_head,
+    make_body,
+    sections_of,
+)
+from jaytray_core.document.sections import Section
+from jaytray_core.errors import Execution, JaytrayError, Step
+from jaytray_core.keyvalue import ABSENT_REVISION, KeyValueService, SwapResult
+
+HEADS_PREFIX = "documents/heads/"
+HISTORY_PREFIX = "documents/history/"
+PARTS_PREFIX = "documents/parts/"
+HISTORY_VERSIONS = 100
+# A part that no version names is kept this long, because an operator may be about
+# to name it; an operator's change is given up long before.
+UNUSED_PART_GRACE_S = 3600.0
+CHANGE_TIMEOUT_S = 60.0
+_WRITE_ATTEMPTS = 4
+_RETRY_PAUSE_S = 0.1
+_VERSION_DIGITS = 10
+
+
+class StoredHead(NamedTuple):
+    """A head with the key-value revision by which it can be changed."""
+
+    head: Head | None
+    revision: int
+
+    @property
+    def version(self) -> int:
+        """Return the version, 0 when nothing was applied yet."""
+        return self.head.version if self.head else 0
+
+
+class Change(NamedTuple):
+    """Who changes an environment, and on which version the change is based.
+
+    `minimum_version` is higher than every version that a VM is known to run, which
+    matters when the service lost the latest versions.
+    """
+
+    environment: str
+    based_on: int
+    author: str
+    summary: str
+    minimum_version: int = 1
+
+
+def head_key(environment: str) -> str:
+    """Return the key of an environment's head."""
+    return HEADS_PREFIX + environment
+
+
+def part_key(digest: str) -> str:
+    """Return the key of a part."""
+    return PARTS_PREFIX + digest
+
+
+async def read_head(key_value: KeyValueService, environment: str) -> StoredHead:
+    """Return the head in force."""
+    record = await key_value.get(head_key(environment))
+    if record is None:
+        return StoredHead(None, ABSENT_REVISION)
+    return StoredHead(decode_head(record.value), record.revision)
+
+
+async def read_parts(key_value: KeyValueService, digests: set[str]) -> dict[str, bytes]:
+    """Return the parts that the service has."""
+    parts = {}
+    for digest in sorted(digests):
+        record = await key_value.get(part_key(digest))
+        if record is not None:
+            parts[digest] = strip_time(record.value)
+    return parts
+
+
+async def read_sections(key_value: KeyValueService, head: Head) -> list[Section]:
+    """Return the sections of a version."""
+    parts = await read_parts(key_value, set(filter(None, head.part_digests)))
+    return sections_of(head, parts)
+
+
+async def read_document(key_value: KeyValueService, head: Head) -> Document:
+    """Return the typed document of a version."""
+    parts = await read_parts(key_value, set(filter(None, head.part_digests)))
+    return document_of(head, parts)
+
+
+async def apply(
+    key_value: KeyValueService,
+    change: Change,
+    sections: list[Section],
+    *,
+    clock: WallClock = wall_clock,
+) -> Head:
+    """Make `sections` the next version of an environment and return its head.
+
+    Raises `version_conflict`, which names the version that won, when the environment
+    is no longer at `change.based_on`; `key_value_unavailable` when nothing changed.
+    """
+    async with _change_timeout():
+        stored = await read_head(key_value, change.environment)
+        if stored.version != change.based_on:
+            raise _conflict(change, stored.head)
+        body = make_body(sections)
+        await _write_parts(key_value, body, stored.head, clock)
+        await _copy_to_history(key_value, stored)
+        head = _next_head(change, body, clock)
+        return await _swap_head(key_value, change, stored, head)
+
+
+async def history(key_value: KeyValueService, environment: str) -> list[Head]:
+    """Return the versions that are kept, latest first, with the one in force."""
+    stored = await read_head(key_value, environment)
+    records = await key_value.get_prefix(f"{HISTORY_PREFIX}{environment}/")
+    heads = [decode_head(record.value) for record in records if record.value]
+    older = [head for head in heads if head.version < stored.version]
+    latest = [stored.head] if stored.head else []
+    return latest + sorted(older, key=lambda head: head.version, reverse=True)
+
+
+async def read_version(
+    key_value: KeyValueService, environment: str, version: int
+) -> Head:
+    """Return the head of a version that is kept; raises `version_unknown`."""
+    stored = await read_head(key_value, environment)
+    if stored.head is not None and stored.head.version == version:
+        return stored.head
+    record = await key_value.get(_history_key(environment, version))
+    if record is None:
+        raise JaytrayError(
+            messages.VERSION_UNKNOWN,
+            step=Step.CONFIGURATION,
+            environment=environment,
+            version=version,
+        )
+    return decode_head(record.value)
+
+
+@asynccontextmanager
+async def _change_timeout() -> AsyncIterator[None]:
+    try:
+        async with asyncio.timeout(CHANGE_TIMEOUT_S):
+            yield
+    except TimeoutError as err:
+        raise JaytrayError(
+            messages.KEY_VALUE_UNCERTAIN,
+            step=Step.CONFIGURATION,
+            peer="kv",
+            execution=Execution.MAY_HAVE_RUN,
+            detail=f"no end within {CHANGE_TIMEOUT_S:g} s",
+        ) from err
+
+
+async def _swap_head(
+    key_value: KeyValueService, change: Change, stored: StoredHead, head: Head
+) -> Head:
+    key = head_key(change.environment)
+    try:
+        result = await _swap_surely(key_value, key, stored.revision, encode_head(head))
+        is_swapped = result.is_swapped
+    except JaytrayError as err:
+        if err.code != messages.KEY_VALUE_UNCERTAIN.code:
+            raise
+        if not await _is_in_force(key_value, head):
+            raise
+        is_swapped = True
+    if not is_swapped and not await _is_in_force(key_value, head):
+        current = await read_head(key_value, change.environment)
+        raise _conflict(change, current.head)
+    await _trim_history(key_value, head)
+    return head
+
+
+async def _swap_surely(
+    key_value: KeyValueService, key: str, revision: int, value: bytes
+) -> SwapResult:
+    """Swap until the answer arrives; only the first of the attempts takes effect.
+
+    An attempt that finds another revision may have been beaten by an earlier attempt
+    whose answer was lost: the caller compares what is stored. Once one answer was
+    lost, the error is `key_value_uncertain`, whatever the later attempts met.
+    """
+    uncertain: JaytrayError | None = None
+    for attempt in range(_WRITE_ATTEMPTS):
+        await asyncio.sleep(attempt * _RETRY_PAUSE_S)
+        try:
+            return await key_value.compare_and_swap(key, revision, value, "")
+        except JaytrayError as err:
+            if err.code == messages.KEY_VALUE_UNCERTAIN.code:
+                uncertain = err
+            elif uncertain is None:
+                raise
+    assert uncertain is not None
+    raise uncertain
+
+
+async def _is_in_force(key_value: KeyValueService, head: Head) -> bool:
+    """Return whether `head` became a version, even if a later one followed it."""
+    try:
+        found = await read_version(key_value, head.environment, head.version)
+    except JaytrayError as err:
+        if err.code != messages.VERSION_UNKNOWN.code:
+            raise
+        return False
+    return found.writer_id == head.writer_id
+
+
+async def _write_parts(
+    key_value: KeyValueService, body: Body, base: Head | None, clock: WallClock
+) -> None:
+    """Write the parts that the base version does not already hold."""
+    present = frozenset(base.part_digests) if base else frozenset()
+    for digest, data in body.parts_by_digest.items():
+        if digest not in present:
+            await _write_part(key_value, part_key(digest), data, clock)
+
+
+async def _write_part(
+    key_value: KeyValueService, key: str, data: bytes, clock: WallClock
+) -> None:
+    for _ in range(_WRITE_ATTEMPTS):
+        record = await key_value.get(key)
+        if record is not None and not _is_near_removal(record.value, clock()):
+            return
+        revision = record.revision if record else ABSENT_REVISION
+        stamped = _stamp_time(data, clock())
+        result = await _swap_surely(key_value, key, revision, stamped)
+        if result.is_swapped:
+            return
+
+
+async def _copy_to_history(key_value: KeyValueService, stored: StoredHead) -> None:
+    if stored.head is not None:
+        key = _history_key(stored.head.environment, stored.head.version)
+        await _swap_surely(key_value, key, ABSENT_REVISION, encode_head(stored.head))
+
+
+async def _trim_history(key_value: KeyValueService, head: Head) -> None:
+    """Delete the version that left the history; leftovers do no harm."""
+    key = _history_key(head.environment, head.version - HISTORY_VERSIONS)
+    try:
+        record = await key_value.get(key)
+        if record is not None:
+            await key_value.compare_and_swap(key, record.revision, None, "")
+    except JaytrayError:
+        return
+
+
+def _next_head(change: Change, body: Body, clock: WallClock) -> Head:
+    return Head(
+        environment=change.environment,
+        version=max(change.based_on + 1, change.minimum_version),
+        writer_id=uuid.uuid4().hex,
+        part_digests=body.part_digests,
+        body_digest=body.body_digest,
+        based_on=change.based_on,
+        author=change.author,
+        time=clock(),
+        summary=change.summary,
+    )
+
+
+def _conflict(change: Change, current: Head | None) -> JaytrayError:
+    return JaytrayError(
+        messages.VERSION_CONFLICT,
+        step=Step.CONFIGURATION,
+        peer="kv",
+        environment=change.environment,
+        version=current.version if current else 0,
+        author=current.author if current else "nobody",
+        based_on=change.based_on,
+    )
+
+
+def _history_key(environment: str, version: int) -> str:
+    return f"{HISTORY_PREFIX}{environment}/{version:0{_VERSION_DIGITS}d}"
+
+
+def _stamp_time(data: bytes, time_s: float) -> bytes:
+    return b"%d\n" % time_s + data
+
+
+def strip_time(value: bytes) -> bytes:
+    """Return the encoded sections of a part without the time of writing."""
+    return value.partition(b"\n")[2]
+
+
+def _is_near_removal(value: bytes, time_s: float) -> bool:
+    stamp = value.partition(b"\n")[0]
+    return not stamp.isdigit() or time_s - int(stamp) > UNUSED_PART_GRACE_S / 2
--- /dev/null
+++ b/packages/server/src/jaytray_server/version/authentication.py
@@ -0,0 +1,116 @@
+"""Keys of callers: who they belong to, and keeping them away from targets.
+
+A presented key is looked up by its digest and compared in constant time. The key
+itself is kept for one request only, to remove it from everything that is sent on.
+"""
+
+import hashlib
+import hmac
+from collections.abc import Iterable
+from typing import NamedTuple
+from urllib.parse import quote, quote_plus, unquote, unquote_plus
+
+from jaytray_core import message_registry as messages
+from jaytray_core.document.model import ClientAccount, Document
+from jaytray_core.errors import JaytrayError, Step
+
+_SCHEME = "bearer"
+_DIGEST_PREFIX = "sha256:"
+# Headers that carry credentials by their meaning; they never go to a target.
+CREDENTIAL_HEADERS = frozenset(
+    {"authorization", "proxy-authorization", "x-api-key", "api-key", "x-auth-token"}
+)
+# Shorter values are not searched for, as they would match by chance.
+_MIN_SEARCHED_KEY_LENGTH = 8
+
+Headers = Iterable[tuple[str, str]]
+
+
+class Caller(NamedTuple):
+    """An authenticated caller; `key` is a secret and never leaves this VM."""
+
+    account: ClientAccount
+    key_digest: str
+    key: str
+
+    def __repr__(self) -> str:
+        return f"Caller({self.account.name})"
+
+
+def digest_key(key: str) -> str:
+    """Return the digest of a key as the document holds it."""
+    return _DIGEST_PREFIX + hashlib.sha256(key.encode()).hexdigest()
+
+
+def authenticate(
+    document: Document, headers: Headers, *, is_open: bool = False
+) -> Caller | None:
+    """Return the caller whose key the headers carry, or None on an open route.
+
+    Raises `key_missing` without a key on a route that is not open, and `key_unknown`
+    for a key that is not valid, also on an open route.
+    """
+    key = _presented_key(headers)
+    if not key:
+        if is_open:
+            return None
+        raise JaytrayError(messages.KEY_MISSING, step=Step.AUTHENTICATE)
+    digest = digest_key(key)
+    account = _account_of(document, digest)
+    if account is None:
+        raise JaytrayError(messages.KEY_UNKNOWN, step=Step.AUTHENTICATE)
+    return Caller(account, digest, key)
+
+
+def is_key_valid(document: Document, key_digest: str) -> bool:
+    """Return whether a digest still belongs to a client account."""
+    return _account_of(document, key_digest) is not None
+
+
+def strip_credentials(
+    headers: Headers, query: str, *, key: str = ""
+) -> tuple[list[tuple[str, str]], str]:
+    """Return headers and query without credentials.
+
+    Headers that carry credentials by their meaning are dropped, as is each header,
+    cookie and query parameter in which `key` stands, plain or percent-encoded.
+    """
+    kept = []
+    for name, value in headers:
+        if name.lower() == "cookie":
+            value = _strip_cookies(value, key)
+            if not value:
+                continue
+        elif name.lower() in CREDENTIAL_HEADERS or _holds_key(name + value, key):
+            continue
+        kept.append((name, value))
+    parameters = [p for p in query.split("&") if not _holds_key(p, key)]
+    return kept, "&".join(parameters)
+
+
+def _presented_key(headers: Headers) -> str:
+    for name, value in headers:
+        if name.lower() == "authorization":
+            scheme, _, key = value.strip().partition(" ")
+            return key.strip() if scheme.lower() == _SCHEME else ""
+    return ""
+
+
+def _account_of(document: Document, digest: str) -> ClientAccount | None:
+    key = document.keys_by_digest.get(digest)
+    if key is None or not hmac.compare_digest(key.digest, digest):
+        return None
+    return document.accounts_by_name.get(key.account)
+
+
+def _strip_cookies(value: str, key: str) -> str:
+    cookies = [cookie.strip() for cookie in value.split(";")]
+    return "; ".join(c for c in cookies if c and not _holds_key(c, key))
+
+
+def _holds_key(text: str, key: str) -> bool:
+    if len(key) < _MIN_SEARCHED_KEY_LENGTH:
+        return bool(key) and key in (text, text.partition("=")[2])
+    spellings = {key, quote(key, safe=""), quote_plus(key)}
+    texts = {text, unquote(text), unquote_plus(text)}
+    return any(spelling in form for spelling in spellings for form in texts)
--- /dev/null
+++ b/packages/server/src/jaytray_server/version/running_streams.py
@@ -0,0 +1,59 @@
+"""Running streams by key, so that a withdrawn key ends its streams."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from jaytray_core import message_registry as messages
+from jaytray_core.document.model import Document
+from jaytray_core.errors import Execution, JaytrayError, Step
+from jaytray_core.logs import get_logger
+from jaytray_server.ports import CurrentDocument
+from jaytray_server.version.authentication import is_key_valid
+
+# Ends one stream with the error, which its caller sees. Must not block.
+EndStream = Callable[[JaytrayError], None]
+
+
+class RunningStreams:
+    """The streams that run on this VM.
+
+    Pass `end_withdrawn` to `DocumentFollower.on_change`.
+    """
+
+    def __init__(self, *, current: CurrentDocument) -> None:
+        self._current = current
+        self._ends_by_digest: dict[str, dict[int, EndStream]] = {}
+        self._last_id = 0
+
+    @contextmanager
+    def register(self, key_digest: str, end: EndStream) -> Iterator[None]:
+        """Keep a stream registered for the length of the block.
+
+        Raises `key_withdrawn` when the key was withdrawn since it was checked.
+        """
+        if not is_key_valid(self._current(), key_digest):
+            raise _withdrawn_error(Execution.NOT_RUN)
+        self._last_id += 1
+        stream_id = self._last_id
+        self._ends_by_digest.setdefault(key_digest, {})[stream_id] = end
+        try:
+            yield
+        finally:
+            ends = self._ends_by_digest.get(key_digest, {})
+            ends.pop(stream_id, None)
+            if not ends:
+                self._ends_by_digest.pop(key_digest, None)
+
+    def end_withdrawn(self, document: Document) -> None:
+        """End each stream whose key `document` no longer holds."""
+        for digest in list(self._ends_by_digest):
+            if is_key_valid(document, digest):
+                continue
+            ends = self._ends_by_digest.pop(digest)
+            get_logger().info("streams_ended_key_withdrawn", streams=len(ends))
+            for end in ends.values():
+                end(_withdrawn_error(Execution.MAY_HAVE_RUN))
+
+
+def _withdrawn_error(execution: Execution) -> JaytrayError:
+    return JaytrayError(messages.KEY_WITHDRAWN, step=Step.STREAM, execution=execution)
