--- /dev/null
+++ b/packages/core/src/jaytray_core/document/garbage.py
@@ -0,0 +1,53 @@
+"""Removes parts that no kept version names.
+
+A part is deleted only when it is older than a grace that exceeds the longest change
+by far, and only by compare-and-swap: a part that an operator is about to name is
+younger, or was written anew and has another revision.
+"""
+
+from jaytray_core.clock import WallClock, wall_clock
+from jaytray_core.document.part_store import (
+    PARTS_PREFIX,
+    UNUSED_PART_GRACE_S,
+    written_at_s,
+)
+from jaytray_core.document.parts import decode_head
+from jaytray_core.document.store import HEADS_PREFIX, HISTORY_PREFIX
+from jaytray_core.keyvalue import KeyValueService
+
+# A change collects parts when its version is a multiple of this.
+COLLECT_EVERY_VERSIONS = 50
+
+
+async def collect_parts(
+    key_value: KeyValueService, *, clock: WallClock = wall_clock
+) -> int:
+    """Delete unused parts and return how many were deleted.
+
+    Parts are listed before the heads are read, so that a head which names a listed
+    part is seen.
+    """
+    parts = await key_value.get_prefix(PARTS_PREFIX)
+    used = await _used_keys(key_value)
+    deleted = 0
+    for record in parts:
+        age_s = clock() - written_at_s(record.value)
+        if record.key in used or age_s <= UNUSED_PART_GRACE_S:
+            continue
+        result = await key_value.compare_and_swap(record.key, record.revision, None, "")
+        deleted += result.is_swapped
+    return deleted
+
+
+async def _used_keys(key_value: KeyValueService) -> set[str]:
+    """Return the keys of parts that a head or the history names.
+
+    Heads are read first: a head that is replaced meanwhile is then in the history.
+    """
+    used: set[str] = set()
+    for prefix in (HEADS_PREFIX, HISTORY_PREFIX):
+        for record in await key_value.get_prefix(prefix):
+            if record.value:
+                digests = decode_head(record.value).part_digests
+                used.update(PARTS_PREFIX + digest for digest in digests if digest)
+    return used
--- a/packages/core/src/jaytray_core/document/options.py
+++ b/packages/core/src/jaytray_core/document/options.py
@@ -4,26 +4,27 @@
 Option names are the field names of `model`.
 """
 
-import re
-from collections.abc import Callable
-from typing import Any, NamedTuple, TypeVar
-
-from jaytray_core.document.model import TrafficClass
+from typing import NamedTuple
+
+from jaytray_core.document.option_types import (
+    Convert,
+    convert_address,
+    convert_addresses,
+    convert_bool,
+    convert_digest,
+    convert_methods,
+    convert_name,
+    convert_names,
+    convert_optional_bool,
+    convert_path_prefix,
+    convert_traffic_class,
+    decimal,
+    integer,
+)
 
-NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,99}")
-_ADDRESS_PATTERN = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}", re.ASCII)
-_DIGEST_PATTERN = re.compile(r"sha256:[0-9a-f]{64}")
-_METHOD_PATTERN = re.compile(r"[A-Z]{1,20}")
-_WORDS_BY_BOOL = {True: ("yes", "true", "on"), False: ("no", "false", "off")}
-_MAX_OCTET = 255
-_MAX_PORT = 65535
 _MAX_MEMORY_MIB = 4_194_304
 _MAX_TOKENS = 1_000_000_000
 
-Number = TypeVar("Number", int, float)
-# Turns the text of an option into its value; raises ValueError with the reason.
-Convert = Callable[[str], Any]
-
 
 class Option(NamedTuple):
     """One option: `default` None means that it must be given.
@@ -48,101 +49,10 @@
     options_by_name: dict[str, Option]
 
 
-def _integer(minimum: int, maximum: int) -> tuple[str, Convert]:
-    def convert(text: str) -> int:
-        if not re.fullmatch(r"-?\d{1,18}", text, re.ASCII):
-            raise ValueError("is not a whole number")
-        return _within(int(text), minimum, maximum)
-
-    return f"{minimum} to {maximum}", convert
-
-
-def _decimal(minimum: float, maximum: float) -> tuple[str, Convert]:
-    def convert(text: str) -> float:
-        if not re.fullmatch(r"-?\d{1,18}(\.\d{1,9})?", text, re.ASCII):
-            raise ValueError("is not a decimal number")
-        return _within(float(text), minimum, maximum)
-
-    return f"{minimum:g} to {maximum:g}", convert
-
-
-def _within(value: Number, minimum: float, maximum: float) -> Number:
-    if not minimum <= value <= maximum:
-        raise ValueError(f"is not within {minimum:g} to {maximum:g}")
-    return value
-
-
-def _convert_bool(text: str) -> bool:
-    for value, words in _WORDS_BY_BOOL.items():
-        if text.lower() in words:
-            return value
-    raise ValueError("is neither yes nor no")
-
-
-def _convert_optional_bool(text: str) -> bool | None:
-    return None if text == "default" else _convert_bool(text)
-
-
-def _convert_name(text: str) -> str:
-    if not NAME_PATTERN.fullmatch(text):
-        raise ValueError("is not a name of letters, digits and . _ : -")
-    return text
-
-
-def _convert_names(text: str) -> tuple[str, ...]:
-    return tuple(_convert_name(name) for name in text.replace(",", " ").split())
-
-
-def _convert_address(text: str) -> str:
-    if not _ADDRESS_PATTERN.fullmatch(text):
-        raise ValueError("is not IP:port")
-    ip, port = text.split(":")
-    if any(int(octet) > _MAX_OCTET for octet in ip.split(".")):
-        raise ValueError("is not IP:port")
-    if not 0 < int(port) <= _MAX_PORT:
-        raise ValueError("has no valid port")
-    return text
-
-
-def _convert_addresses(text: str) -> tuple[str, ...]:
-    addresses = tuple(map(_convert_address, text.replace(",", " ").split()))
-    if not addresses:
-        raise ValueError("names no address")
-    if len(set(addresses)) != len(addresses):
-        raise ValueError("names an address twice")
-    return addresses
-
-
-def _convert_digest(text: str) -> str:
-    if not _DIGEST_PATTERN.fullmatch(text):
-        raise ValueError("is not sha256: and 64 hex digits")
-    return text
-
-
-def _convert_path_prefix(text: str) -> str:
-    if not text.startswith("/") or any(c in text for c in "?# "):
-        raise ValueError("is not a path that starts with /")
-    return text
-
-
-def _convert_methods(text: str) -> tuple[str, ...]:
-    methods = tuple(text.replace(",", " ").split())
-    if not methods or not all(map(_METHOD_PATTERN.fullmatch, methods)):
-        raise ValueError("is not a list of HTTP methods")
-    return methods
-
-
-def _convert_traffic_class(text: str) -> TrafficClass:
-    try:
-        return TrafficClass(text)
-    except ValueError:
-        raise ValueError("is neither interactive nor deferred") from None
-
-
-_BOOL = ("yes or no", _convert_bool)
-_NAME = ("a name", _convert_name)
-_ADDRESS = ("IP:port", _convert_address)
-_MEMORY = _integer(1, _MAX_MEMORY_MIB)
+_BOOL = ("yes or no", convert_bool)
+_NAME = ("a name", convert_name)
+_ADDRESS = ("IP:port", convert_address)
+_MEMORY = integer(1, _MAX_MEMORY_MIB)
 _VERSION = Option("version", "", "1", *_NAME[:1], "Version to serve.", _NAME[1])
 
 
@@ -169,13 +79,13 @@
             "rate_tokens_per_s",
             "tokens/s",
             None,
-            _decimal(0.001, 10_000_000),
+            decimal(0.001, 10_000_000),
             "Rate over all VMs.",
         ),
         _option(
-            "burst_tokens", "tokens", None, _integer(1, _MAX_TOKENS), "Largest burst."
+            "burst_tokens", "tokens", None, integer(1, _MAX_TOKENS), "Largest burst."
         ),
-        _option("weight", "", "1", _decimal(0.01, 1000), "Share under load, relative."),
+        _option("weight", "", "1", decimal(0.01, 1000), "Share under load, relative."),
     ),
     _section(
         "key",
@@ -186,7 +96,7 @@
             "digest",
             "",
             None,
-            ("sha256: and 64 hex digits", _convert_digest),
+            ("sha256: and 64 hex digits", convert_digest),
             "SHA-256 of the key's UTF-8 bytes.",
         ),
         _option(
@@ -199,27 +109,27 @@
         "A model that must stay reachable; a replica lies on one accelerator.",
         _VERSION,
         _option("memory_mib", "MiB", None, _MEMORY, "Memory of one replica."),
-        _option("min_replicas", "replicas", "1", _integer(1, 1000), "Kept at least."),
-        _option("max_replicas", "replicas", "1", _integer(1, 1000), "Kept at most."),
+        _option("min_replicas", "replicas", "1", integer(1, 1000), "Kept at least."),
+        _option("max_replicas", "replicas", "1", integer(1, 1000), "Kept at most."),
         _option(
             "max_output_tokens",
             "tokens",
             "1024",
-            _integer(1, 1_000_000),
+            integer(1, 1_000_000),
             "Charged when a request names no max_tokens.",
         ),
         _option(
             "first_token_deadline_s",
             "s",
             "10",
-            _decimal(0.01, 3600),
+            decimal(0.01, 3600),
             "Time to the first token before a request is refused.",
         ),
         _option(
             "inter_token_deadline_s",
             "s",
             "5",
-            _decimal(0.01, 3600),
+            decimal(0.01, 3600),
             "Silence within a stream before it is resumed elsewhere.",
         ),
     ),
@@ -237,7 +147,7 @@
         "A model server.",
         _option("address", "", None, _ADDRESS, "Where it listens."),
         _option("failure_domain", "", None, _NAME, "What fails together with it."),
-        _option("accelerators", "", None, _integer(1, 64), "Number of accelerators."),
+        _option("accelerators", "", None, integer(1, 64), "Number of accelerators."),
         _option("accelerator_memory_mib", "MiB", None, _MEMORY, "Memory of each."),
         _option(
             "checks_fencing",
@@ -250,7 +160,7 @@
             "max_running_requests",
             "requests",
             "16",
-            _integer(1, 10_000),
+            integer(1, 10_000),
             "Requests kept at it at once.",
         ),
     ),
@@ -259,7 +169,7 @@
         True,
         "A plain service behind /services/NAME/.",
         _option(
-            "addresses", "", None, ("list of IP:port", _convert_addresses), "Instances."
+            "addresses", "", None, ("list of IP:port", convert_addresses), "Instances."
         ),
     ),
     _section(
@@ -271,14 +181,14 @@
             "path_prefix",
             "",
             "/",
-            ("a path", _convert_path_prefix),
+            ("a path", convert_path_prefix),
             "Paths below the service that it covers.",
         ),
         _option(
             "methods",
             "",
             "GET, HEAD",
-            ("list of HTTP methods", _convert_methods),
+            ("list of HTTP methods", convert_methods),
             "Methods that it covers.",
         ),
         _option("is_open", "", "no", _BOOL, "Whether calls need no key."),
@@ -286,22 +196,22 @@
             "is_repeatable",
             "",
             "default",
-            ("yes, no or default", _convert_optional_bool),
+            ("yes, no or default", convert_optional_bool),
             "Whether a call may be repeated; by default only GET and HEAD.",
         ),
         _option(
             "traffic_class",
             "",
             "interactive",
-            ("interactive or deferred", _convert_traffic_class),
+            ("interactive or deferred", convert_traffic_class),
             "Whether a caller waits for the answer.",
         ),
-        _option("timeout_s", "s", "10", _decimal(0.01, 3600), "Limit for one call."),
+        _option("timeout_s", "s", "10", decimal(0.01, 3600), "Limit for one call."),
         _option(
             "charge_tokens",
             "tokens",
             "0",
-            _integer(0, _MAX_TOKENS),
+            integer(0, _MAX_TOKENS),
             "Taken from the account's rate for each call.",
         ),
     ),
@@ -309,8 +219,8 @@
         "drain",
         False,
         "VMs and targets that get no new work; see 'jaytray drain'.",
-        _option("vms", "", "", ("list of names", _convert_names), "Ids of VMs."),
-        _option("targets", "", "", ("list of names", _convert_names), "Targets."),
+        _option("vms", "", "", ("list of names", convert_names), "Ids of VMs."),
+        _option("targets", "", "", ("list of names", convert_names), "Targets."),
     ),
 )
 
--- a/packages/core/src/jaytray_core/document/parser.py
+++ b/packages/core/src/jaytray_core/document/parser.py
@@ -17,8 +17,8 @@
     Service,
     Target,
 )
+from jaytray_core.document.option_types import NAME_PATTERN
 from jaytray_core.document.options import (
-    NAME_PATTERN,
     SECTION_KINDS_BY_NAME,
     Option,
     SectionKind,
--- /dev/null
+++ b/packages/core/src/jaytray_core/document/part_store.py
@@ -0,0 +1,101 @@
+"""Parts in the key-value service, and writes whose answer may be lost.
+
+A part is stored under its digest, after a line with the time of writing by which
+unused parts are collected.
+"""
+
+import asyncio
+
+from jaytray_core import message_registry as messages
+from jaytray_core.clock import WallClock
+from jaytray_core.document.parts import Body, Head
+from jaytray_core.errors import JaytrayError
+from jaytray_core.keyvalue import ABSENT_REVISION, KeyValueService, SwapResult
+
+PARTS_PREFIX = "documents/parts/"
+# A part that no version names is kept this long, because an operator may be about
+# to name it; an operator's change is given up long before.
+UNUSED_PART_GRACE_S = 3600.0
+_WRITE_ATTEMPTS = 4
+_RETRY_PAUSE_S = 0.1
+
+
+def part_key(digest: str) -> str:
+    """Return the key of a part."""
+    return PARTS_PREFIX + digest
+
+
+async def read_parts(key_value: KeyValueService, digests: set[str]) -> dict[str, bytes]:
+    """Return the parts that the service has."""
+    parts = {}
+    for digest in sorted(digests):
+        record = await key_value.get(part_key(digest))
+        if record is not None:
+            parts[digest] = strip_time(record.value)
+    return parts
+
+
+async def write_parts(
+    key_value: KeyValueService, body: Body, base: Head | None, clock: WallClock
+) -> None:
+    """Write the parts that the base version does not already hold."""
+    present = frozenset(base.part_digests) if base else frozenset()
+    for digest, data in body.parts_by_digest.items():
+        if digest not in present:
+            await _write_part(key_value, part_key(digest), data, clock)
+
+
+async def _write_part(
+    key_value: KeyValueService, key: str, data: bytes, clock: WallClock
+) -> None:
+    for _ in range(_WRITE_ATTEMPTS):
+        record = await key_value.get(key)
+        if record is not None and not _is_near_removal(record.value, clock()):
+            return
+        revision = record.revision if record else ABSENT_REVISION
+        stamped = _stamp_time(data, clock())
+        result = await swap_surely(key_value, key, revision, stamped)
+        if result.is_swapped:
+            return
+
+
+async def swap_surely(
+    key_value: KeyValueService, key: str, revision: int, value: bytes
+) -> SwapResult:
+    """Swap until the answer arrives; only the first of the attempts takes effect.
+
+    An attempt that finds another revision may have been beaten by an earlier attempt
+    whose answer was lost: the caller compares what is stored. Once one answer was
+    lost, the error is `key_value_uncertain`, whatever the later attempts met.
+    """
+    uncertain: JaytrayError | None = None
+    for attempt in range(_WRITE_ATTEMPTS):
+        await asyncio.sleep(attempt * _RETRY_PAUSE_S)
+        try:
+            return await key_value.compare_and_swap(key, revision, value, "")
+        except JaytrayError as err:
+            if err.code == messages.KEY_VALUE_UNCERTAIN.code:
+                uncertain = err
+            elif uncertain is None:
+                raise
+    assert uncertain is not None
+    raise uncertain
+
+
+def _stamp_time(data: bytes, time_s: float) -> bytes:
+    return b"%d\n" % time_s + data
+
+
+def strip_time(value: bytes) -> bytes:
+    """Return the encoded sections of a part without the time of writing."""
+    return value.partition(b"\n")[2]
+
+
+def written_at_s(value: bytes) -> float:
+    """Return when a part was written, in seconds since the Unix epoch."""
+    stamp = value.partition(b"\n")[0]
+    return float(stamp) if stamp.isdigit() else 0.0
+
+
+def _is_near_removal(value: bytes, time_s: float) -> bool:
+    return time_s - written_at_s(value) > UNUSED_PART_GRACE_S / 2
--- a/packages/core/src/jaytray_core/document/store.py
+++ b/packages/core/src/jaytray_core/document/store.py
@@ -15,6 +15,11 @@
 from jaytray_core import message_registry as messages
 from jaytray_core.clock import WallClock, wall_clock
 from jaytray_core.document.model import Document
+from jaytray_core.document.part_store import (
+    read_parts,
+    swap_surely,
+    write_parts,
+)
 from jaytray_core.document.parts import (
     Body,
     Head,
@@ -26,18 +31,12 @@
 )
 from jaytray_core.document.sections import Section
 from jaytray_core.errors import Execution, JaytrayError, Step
-from jaytray_core.keyvalue import ABSENT_REVISION, KeyValueService, SwapResult
+from jaytray_core.keyvalue import ABSENT_REVISION, KeyValueService
 
 HEADS_PREFIX = "documents/heads/"
 HISTORY_PREFIX = "documents/history/"
-PARTS_PREFIX = "documents/parts/"
 HISTORY_VERSIONS = 100
-# A part that no version names is kept this long, because an operator may be about
-# to name it; an operator's change is given up long before.
-UNUSED_PART_GRACE_S = 3600.0
 CHANGE_TIMEOUT_S = 60.0
-_WRITE_ATTEMPTS = 4
-_RETRY_PAUSE_S = 0.1
 _VERSION_DIGITS = 10
 
 
@@ -72,11 +71,6 @@
     return HEADS_PREFIX + environment
 
 
-def part_key(digest: str) -> str:
-    """Return the key of a part."""
-    return PARTS_PREFIX + digest
-
-
 async def read_head(key_value: KeyValueService, environment: str) -> StoredHead:
     """Return the head in force."""
     record = await key_value.get(head_key(environment))
@@ -85,16 +79,6 @@
     return StoredHead(decode_head(record.value), record.revision)
 
 
-async def read_parts(key_value: KeyValueService, digests: set[str]) -> dict[str, bytes]:
-    """Return the parts that the service has."""
-    parts = {}
-    for digest in sorted(digests):
-        record = await key_value.get(part_key(digest))
-        if record is not None:
-            parts[digest] = strip_time(record.value)
-    return parts
-
-
 async def read_sections(key_value: KeyValueService, head: Head) -> list[Section]:
     """Return the sections of a version."""
     parts = await read_parts(key_value, set(filter(None, head.part_digests)))
@@ -124,7 +108,7 @@
         if stored.version != change.based_on:
             raise _conflict(change, stored.head)
         body = make_body(sections)
-        await _write_parts(key_value, body, stored.head, clock)
+        await write_parts(key_value, body, stored.head, clock)
         await _copy_to_history(key_value, stored)
         head = _next_head(change, body, clock)
         return await _swap_head(key_value, change, stored, head)
@@ -178,7 +162,7 @@
 ) -> Head:
     key = head_key(change.environment)
     try:
-        result = await _swap_surely(key_value, key, stored.revision, encode_head(head))
+        result = await swap_surely(key_value, key, stored.revision, encode_head(head))
         is_swapped = result.is_swapped
     except JaytrayError as err:
         if err.code != messages.KEY_VALUE_UNCERTAIN.code:
@@ -193,29 +177,6 @@
     return head
 
 
-async def _swap_surely(
-    key_value: KeyValueService, key: str, revision: int, value: bytes
-) -> SwapResult:
-    """Swap until the answer arrives; only the first of the attempts takes effect.
-
-    An attempt that finds another revision may have been beaten by an earlier attempt
-    whose answer was lost: the caller compares what is stored. Once one answer was
-    lost, the error is `key_value_uncertain`, whatever the later attempts met.
-    """
-    uncertain: JaytrayError | None = None
-    for attempt in range(_WRITE_ATTEMPTS):
-        await asyncio.sleep(attempt * _RETRY_PAUSE_S)
-        try:
-            return await key_value.compare_and_swap(key, revision, value, "")
-        except JaytrayError as err:
-            if err.code == messages.KEY_VALUE_UNCERTAIN.code:
-                uncertain = err
-            elif uncertain is None:
-                raise
-    assert uncertain is not None
-    raise uncertain
-
-
 async def _is_in_force(key_value: KeyValueService, head: Head) -> bool:
     """Return whether `head` became a version, even if a later one followed it."""
     try:
@@ -227,34 +188,10 @@
     return found.writer_id == head.writer_id
 
 
-async def _write_parts(
-    key_value: KeyValueService, body: Body, base: Head | None, clock: WallClock
-) -> None:
-    """Write the parts that the base version does not already hold."""
-    present = frozenset(base.part_digests) if base else frozenset()
-    for digest, data in body.parts_by_digest.items():
-        if digest not in present:
-            await _write_part(key_value, part_key(digest), data, clock)
-
-
-async def _write_part(
-    key_value: KeyValueService, key: str, data: bytes, clock: WallClock
-) -> None:
-    for _ in range(_WRITE_ATTEMPTS):
-        record = await key_value.get(key)
-        if record is not None and not _is_near_removal(record.value, clock()):
-            return
-        revision = record.revision if record else ABSENT_REVISION
-        stamped = _stamp_time(data, clock())
-        result = await _swap_surely(key_value, key, revision, stamped)
-        if result.is_swapped:
-            return
-
-
 async def _copy_to_history(key_value: KeyValueService, stored: StoredHead) -> None:
     if stored.head is not None:
         key = _history_key(stored.head.environment, stored.head.version)
-        await _swap_surely(key_value, key, ABSENT_REVISION, encode_head(stored.head))
+        await swap_surely(key_value, key, ABSENT_REVISION, encode_head(stored.head))
 
 
 async def _trim_history(key_value: KeyValueService, head: Head) -> None:
@@ -296,17 +233,3 @@
 
 def _history_key(environment: str, version: int) -> str:
     return f"{HISTORY_PREFIX}{environment}/{version:0{_VERSION_DIGITS}d}"
-
-
-def _stamp_time(data: bytes, time_s: float) -> bytes:
-    return b"%d\n" % time_s + data
-
-
-def strip_time(value: bytes) -> bytes:
-    """Return the encoded sections of a part without the time of writing."""
-    return value.partition(b"\n")[2]
-
-
-def _is_near_removal(value: bytes, time_s: float) -> bool:
-    stamp = value.partition(b"\n")[0]
-    return not stamp.isdigit() or time_s - int(stamp) > UNUSED_PART_GRACE_S / 2
--- a/packages/server/src/jaytray_server/version/follower.py
+++ b/packages/server/src/jaytray_server/version/follower.py
@@ -12,9 +12,9 @@
 from jaytray_core import message_registry as messages
 from jaytray_core.clock import MonotonicClock, monotonic_clock
 from jaytray_core.document.model import Document
+from jaytray_core.document.part_store import part_key, strip_time
 from jaytray_core.document.parts import Head, digest_of
 from jaytray_core.document.status import DocumentStatus
-from jaytray_core.document.store import part_key, strip_time
 from jaytray_core.errors import JaytrayError
 from jaytray_core.keyvalue import KeyValueService
 from jaytray_core.logs import get_logger
