--- /dev/null
+++ b/packages/server/src/jaytray_server/process/limits/limiter.py
@@ -0,0 +1,278 @@
+"""Admission of requests against the rate and burst of their client accounts.
+
+Each account has a token bucket with this VM's part of the contract. A request is
+charged its upper bound when admitted; settling returns what it did not use. When
+the level is too low the request waits in the account's first-in first-out queue for
+refill, for returns, or for tokens of other VMs that the shortage handler asks for.
+
+Accounts are materialised at their first use and forgotten when their bucket is full
+again: an account without state is one that nobody used since this VM's share last
+changed.
+"""
+
+import asyncio
+import itertools
+from collections import deque
+from collections.abc import Callable
+
+from jaytray_core import message_registry as messages
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.document.model import ClientAccount
+from jaytray_core.errors import JaytrayError, Step
+from jaytray_server.ports import CurrentDocument, Limiter, Reservation
+from jaytray_server.process.limits.bucket import TokenBucket
+
+MAX_WAITING_PER_ACCOUNT = 256
+# Parts into which every contract is divided among the VMs.
+TOTAL_PARTS = 1 << 20
+# Shortest delay of a refill timer in seconds, against timers that fire early.
+MIN_TIMER_S = 0.001
+
+# Called with an account whose waiting requests need tokens of other VMs.
+ShortageHandler = Callable[[str], None]
+
+_NO_CONTRACT = ClientAccount("", 0.0, 0, 1.0)
+
+
+class Waiter:
+    """One request that waits for tokens."""
+
+    def __init__(self, *, tokens: int, future: asyncio.Future[Reservation]) -> None:
+        self.tokens = tokens
+        self.future = future
+
+
+class AccountState:
+    """Bucket, queue and lendings of one account on this VM."""
+
+    def __init__(self, *, contract: ClientAccount, now: float) -> None:
+        self.contract = contract
+        self.bucket = TokenBucket(now=now)
+        self.waiters: deque[Waiter] = deque()
+        self.timer: asyncio.TimerHandle | None = None
+        self.last_used_at = float("-inf")
+        # Parts borrowed less parts lent, and the same of capacity in tokens.
+        self.parts_balance = 0
+        self.capacity_balance = 0.0
+        self.open_lendings = 0
+
+
+class AccountLimiter:
+    """Buckets and queues of all client accounts on this VM.
+
+    `set_parts` gives this VM its share; before it nothing is admitted.
+    """
+
+    def __init__(
+        self,
+        *,
+        current_document: CurrentDocument,
+        clock: MonotonicClock,
+        on_shortage: ShortageHandler = lambda _account: None,
+        max_waiting_per_account: int = MAX_WAITING_PER_ACCOUNT,
+    ) -> None:
+        self._current_document = current_document
+        self._clock = clock
+        self._on_shortage = on_shortage
+        self._max_waiting = max_waiting_per_account
+        self._document = current_document()
+        self._parts = 0
+        self._parts_since = clock()
+        self._states_by_account: dict[str, AccountState] = {}
+        self._charge_ids = itertools.count(1)
+
+    @property
+    def parts(self) -> int:
+        """Return this VM's share out of `TOTAL_PARTS`."""
+        return self._parts
+
+    def set_parts(self, parts: int) -> None:
+        """Change this VM's share; a part that is added starts empty."""
+        self.follow_document()
+        if parts == self._parts:
+            return
+        for account in self._document.accounts_by_name:
+            self.state_of(account)
+        self._parts = parts
+        self._parts_since = self._clock()
+        for account in list(self._states_by_account):
+            self.refresh(account)
+
+    def follow_document(self) -> None:
+        """Apply changed rates and bursts of a new document version."""
+        document = self._current_document()
+        if document is self._document:
+            return
+        old_accounts = self._document.accounts_by_name
+        for name in old_accounts.keys() | document.accounts_by_name.keys():
+            contract = document.accounts_by_name.get(name, _NO_CONTRACT)
+            if old_accounts.get(name, _NO_CONTRACT) != contract:
+                state = self.state_of(name)
+                state.bucket.advance(self._clock())
+                state.contract = contract
+                self.refresh(name)
+        self._document = document
+
+    async def reserve(
+        self, account: str, tokens: int, max_wait_s: float
+    ) -> Reservation:
+        """Charge `tokens` to `account`, waiting up to `max_wait_s` seconds.
+
+        Raises `request_above_burst` when no wait would help, else `rate_exceeded`
+        with the refill time.
+        """
+        self.follow_document()
+        state = self.state_of(account)
+        if tokens > state.contract.burst_tokens:
+            raise JaytrayError(
+                messages.REQUEST_ABOVE_BURST,
+                step=Step.ADMIT,
+                tokens=tokens,
+                account=account,
+            )
+        now = self._clock()
+        state.last_used_at = now
+        state.bucket.advance(now)
+        if not state.waiters and state.bucket.can_take(tokens):
+            return self._admit(account, state, tokens)
+        if max_wait_s <= 0 or len(state.waiters) >= self._max_waiting:
+            raise self._rate_exceeded(account, state, tokens)
+        return await self._wait(account, state, tokens, max_wait_s)
+
+    def settle(self, reservation: Reservation, used_tokens: int) -> None:
+        """Return the tokens that were not used; a second call does nothing."""
+        state = self._states_by_account.get(reservation.account)
+        if state is None:
+            return
+        unused = max(0, reservation.tokens - used_tokens)
+        state.bucket.advance(self._clock())
+        state.bucket.give_back(reservation.reservation_id, unused)
+        self.wake(reservation.account)
+
+    def state_of(self, account: str) -> AccountState:
+        """Return the account's state, materialised as never used when absent."""
+        state = self._states_by_account.get(account)
+        if state is None:
+            contract = self._document.accounts_by_name.get(account, _NO_CONTRACT)
+            state = AccountState(contract=contract, now=self._parts_since)
+            self._states_by_account[account] = state
+            self.refresh(account)
+        return state
+
+    def refresh(self, account: str) -> None:
+        """Apply the present share, contract and lendings to the account's bucket."""
+        state = self._states_by_account[account]
+        contract = state.contract
+        fraction = self._parts / TOTAL_PARTS
+        rate_fraction = max(0, self._parts + state.parts_balance) / TOTAL_PARTS
+        state.bucket.set_limits(
+            capacity=contract.burst_tokens * fraction + state.capacity_balance,
+            rate=contract.rate_tokens_per_s * rate_fraction,
+            now=self._clock(),
+        )
+
+    def tokens_short(self, account: str) -> float:
+        """Return what the account's waiting requests need above the level."""
+        state = self._states_by_account.get(account)
+        if state is None or not state.waiters:
+            return 0.0
+        state.bucket.advance(self._clock())
+        needed = sum(waiter.tokens for waiter in state.waiters)
+        return max(0.0, needed - state.bucket.level)
+
+    def wake(self, account: str) -> None:
+        """Admit waiting requests that the level now covers, in order."""
+        state = self._states_by_account.get(account)
+        if state is None:
+            return
+        state.bucket.advance(self._clock())
+        while state.waiters:
+            waiter = state.waiters[0]
+            if waiter.future.done():
+                state.waiters.popleft()
+            elif state.bucket.can_take(waiter.tokens):
+                state.waiters.popleft()
+                waiter.future.set_result(self._admit(account, state, waiter.tokens))
+            else:
+                break
+        self._set_timer(account, state)
+
+    def forget_idle(self) -> None:
+        """Drop accounts whose state equals that of one never used."""
+        now = self._clock()
+        for account, state in list(self._states_by_account.items()):
+            state.bucket.advance(now)
+            if self._is_forgettable(state):
+                del self._states_by_account[account]
+
+    def _is_forgettable(self, state: AccountState) -> bool:
+        return (
+            not state.waiters
+            and not state.open_lendings
+            and not state.bucket.has_open_charges()
+            and state.bucket.level >= state.bucket.capacity
+        )
+
+    def _admit(self, account: str, state: AccountState, tokens: int) -> Reservation:
+        reservation = Reservation(next(self._charge_ids), account, tokens)
+        state.bucket.charge(reservation.reservation_id, tokens)
+        return reservation
+
+    async def _wait(
+        self, account: str, state: AccountState, tokens: int, max_wait_s: float
+    ) -> Reservation:
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[Reservation] = loop.create_future()
+        waiter = Waiter(tokens=tokens, future=future)
+        state.waiters.append(waiter)
+        self._set_timer(account, state)
+        self._on_shortage(account)
+        try:
+            async with asyncio.timeout(max_wait_s):
+                await asyncio.shield(future)
+            return future.result()
+        except TimeoutError:
+            if future.done():
+                return future.result()
+            raise self._rate_exceeded(account, state, tokens) from None
+        except asyncio.CancelledError:
+            if future.done():
+                self.settle(future.result(), 0)
+            raise
+        finally:
+            future.cancel()
+            self.wake(account)
+
+    def _set_timer(self, account: str, state: AccountState) -> None:
+        if state.timer is not None:
+            state.timer.cancel()
+            state.timer = None
+        if not state.waiters:
+            return
+        delay = state.bucket.seconds_until(state.waiters[0].tokens)
+        if delay is not None:
+            state.timer = asyncio.get_running_loop().call_later(
+                max(delay, MIN_TIMER_S), self.wake, account
+            )
+
+    def _rate_exceeded(
+        self, account: str, state: AccountState, tokens: int
+    ) -> JaytrayError:
+        return JaytrayError(
+            messages.RATE_EXCEEDED,
+            step=Step.ADMIT,
+            retry_after_s=self._refill_time(state, tokens),
+            account=account,
+        )
+
+    def _refill_time(self, state: AccountState, tokens: int) -> float | None:
+        local = state.bucket.seconds_until(tokens)
+        if local is not None:
+            return local
+        rate = state.contract.rate_tokens_per_s
+        return tokens / rate if rate > 0 else None
+
+
+def limiter_functions(limiter: AccountLimiter) -> Limiter:
+    """Return the limiter as the interface that requests use."""
+    return Limiter(reserve=limiter.reserve, settle=limiter.settle)
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/limits/slots.py
@@ -0,0 +1,214 @@
+"""Running slots of targets, shared fairly among client accounts.
+
+Each target has a bounded number of running requests. Waiting requests are started
+by start-time fair queueing: a request's start tag is the later of the target's
+virtual time and its account's last finish tag, which grows by tokens over weight.
+An account that sends several times its part only lengthens its own queue.
+
+Interactive requests go before deferred ones, except that every
+`DEFERRED_TURN`-th start goes to a deferred request when one waits. A request that
+cannot start within its wait is refused as soon as that is seen.
+"""
+
+import asyncio
+import heapq
+import itertools
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+
+from jaytray_core import message_registry as messages
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.document.model import TrafficClass
+from jaytray_core.errors import JaytrayError, Step
+from jaytray_server.ports import CurrentDocument, SlotRequest
+
+MAX_WAITING_PER_TARGET = 512
+MAX_WAITING_PER_ACCOUNT = 128
+# One start in this many goes to a waiting deferred request.
+DEFERRED_TURN = 8
+# Weight of the newest observation in the mean time between two starts.
+INTERVAL_GAIN = 0.2
+
+
+class _Waiting(NamedTuple):
+    start_tag: float
+    sequence: int
+    request: SlotRequest
+    future: asyncio.Future[None]
+
+
+class _TargetQueue:
+    """Slots, queues and virtual time of one target."""
+
+    def __init__(self) -> None:
+        self.running = 0
+        self.virtual_time = 0.0
+        self.finish_tags: dict[tuple[TrafficClass, str], float] = {}
+        self.waiting: dict[TrafficClass, list[_Waiting]] = {
+            traffic_class: [] for traffic_class in TrafficClass
+        }
+        self.waiting_by_account: dict[str, int] = {}
+        self.starts_since_deferred = 0
+        self.slot_held_s: float | None = None
+
+    def waiting_total(self) -> int:
+        """Return the number of waiting requests of all accounts."""
+        return sum(self.waiting_by_account.values())
+
+    def is_idle(self) -> bool:
+        """Return whether nothing runs or waits here."""
+        return self.running == 0 and not self.waiting_by_account
+
+
+class TargetSlots:
+    """Running slots of all targets; `acquire` is a `ports.AcquireSlot`."""
+
+    def __init__(
+        self,
+        *,
+        current_document: CurrentDocument,
+        clock: MonotonicClock,
+        max_waiting_per_target: int = MAX_WAITING_PER_TARGET,
+        max_waiting_per_account: int = MAX_WAITING_PER_ACCOUNT,
+    ) -> None:
+        self._current_document = current_document
+        self._clock = clock
+        self._max_waiting_per_target = max_waiting_per_target
+        self._max_waiting_per_account = max_waiting_per_account
+        self._queues_by_target: dict[str, _TargetQueue] = {}
+        self._sequence = itertools.count()
+
+    @asynccontextmanager
+    async def acquire(self, request: SlotRequest) -> AsyncIterator[None]:
+        """Hold one slot of the target; raises when it cannot start in time."""
+        queue = self._queues_by_target.setdefault(request.target, _TargetQueue())
+        await self._start(queue, request)
+        started_at = self._clock()
+        try:
+            yield
+        finally:
+            self._finish(queue, request.target, self._clock() - started_at)
+
+    async def _start(self, queue: _TargetQueue, request: SlotRequest) -> None:
+        if not queue.waiting_by_account and queue.running < self._slots(request.target):
+            queue.virtual_time = self._tag(queue, request)
+            queue.running += 1
+            return
+        self._check_bounds(queue, request)
+        await self._wait(queue, request)
+
+    def _check_bounds(self, queue: _TargetQueue, request: SlotRequest) -> None:
+        own_waiting = queue.waiting_by_account.get(request.account, 0)
+        estimate = self._wait_estimate(queue, request)
+        is_full = (
+            queue.waiting_total() >= self._max_waiting_per_target
+            or own_waiting >= self._max_waiting_per_account
+        )
+        if is_full:
+            raise self._refusal(messages.QUEUE_FULL, request, estimate)
+        if request.max_wait_s <= 0 or estimate > request.max_wait_s:
+            raise self._refusal(messages.DEADLINE_UNREACHABLE, request, estimate)
+
+    async def _wait(self, queue: _TargetQueue, request: SlotRequest) -> None:
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        tag = self._tag(queue, request)
+        waiting = _Waiting(tag, next(self._sequence), request, future)
+        heapq.heappush(queue.waiting[request.traffic_class], waiting)
+        account = request.account
+        queue.waiting_by_account[account] = queue.waiting_by_account.get(account, 0) + 1
+        try:
+            async with asyncio.timeout(request.max_wait_s):
+                await asyncio.shield(future)
+        except TimeoutError:
+            if not future.done():
+                estimate = self._wait_estimate(queue, request)
+                raise self._refusal(
+                    messages.DEADLINE_UNREACHABLE, request, estimate
+                ) from None
+        except asyncio.CancelledError:
+            if future.done():
+                self._finish(queue, request.target, None)
+            raise
+        finally:
+            if not future.done():
+                future.cancel()
+                queue.waiting[request.traffic_class].remove(waiting)
+                heapq.heapify(queue.waiting[request.traffic_class])
+                self._leave_queue(queue, account)
+
+    def _tag(self, queue: _TargetQueue, request: SlotRequest) -> float:
+        """Return the start tag and move the account's finish tag on."""
+        key = (request.traffic_class, request.account)
+        start = max(queue.virtual_time, queue.finish_tags.get(key, 0.0))
+        cost = request.tokens / max(request.weight, 1e-9)
+        queue.finish_tags[key] = start + cost
+        return start
+
+    def _finish(self, queue: _TargetQueue, target: str, held_s: float | None) -> None:
+        queue.running -= 1
+        if held_s is not None:
+            previous = held_s if queue.slot_held_s is None else queue.slot_held_s
+            queue.slot_held_s = previous + INTERVAL_GAIN * (held_s - previous)
+        self._start_waiting(queue, target)
+        if queue.is_idle() and self._queues_by_target.get(target) is queue:
+            queue.finish_tags.clear()
+            queue.virtual_time = 0.0
+
+    def _start_waiting(self, queue: _TargetQueue, target: str) -> None:
+        while queue.running < self._slots(target):
+            waiting = self._next(queue)
+            if waiting is None:
+                return
+            queue.virtual_time = max(queue.virtual_time, waiting.start_tag)
+            queue.running += 1
+            self._leave_queue(queue, waiting.request.account)
+            waiting.future.set_result(None)
+
+    def _next(self, queue: _TargetQueue) -> _Waiting | None:
+        interactive = queue.waiting[TrafficClass.INTERACTIVE]
+        deferred = queue.waiting[TrafficClass.DEFERRED]
+        is_deferred_turn = queue.starts_since_deferred >= DEFERRED_TURN - 1
+        if deferred and (is_deferred_turn or not interactive):
+            queue.starts_since_deferred = 0
+            return heapq.heappop(deferred)
+        if interactive:
+            queue.starts_since_deferred += 1
+            return heapq.heappop(interactive)
+        return None
+
+    def _leave_queue(self, queue: _TargetQueue, account: str) -> None:
+        remaining = queue.waiting_by_account[account] - 1
+        if remaining:
+            queue.waiting_by_account[account] = remaining
+        else:
+            del queue.waiting_by_account[account]
+
+    def _slots(self, target: str) -> int:
+        declared = self._current_document().targets_by_name.get(target)
+        return declared.max_running_requests if declared is not None else 0
+
+    def _wait_estimate(self, queue: _TargetQueue, request: SlotRequest) -> float:
+        """Return the expected wait in seconds, 0 while nothing is known."""
+        slots = self._slots(request.target)
+        if queue.slot_held_s is None or slots == 0:
+            return 0.0
+        ahead = sum(
+            1
+            for waiting in queue.waiting[request.traffic_class]
+            if waiting.start_tag <= queue.virtual_time
+        )
+        return queue.slot_held_s * ahead / slots
+
+    def _refusal(
+        self,
+        template: messages.MessageTemplate,
+        request: SlotRequest,
+        estimate: float,
+    ) -> JaytrayError:
+        return JaytrayError(
+            template,
+            step=Step.QUEUE,
+            retry_after_s=max(estimate, 1.0),
+            name=request.target,
+        )
