--- /dev/null
+++ b/packages/server/src/jaytray_server/process/demand.py
@@ -0,0 +1,100 @@
+"""Demand for each model and adapter, in tokens a second over all VMs.
+
+Each VM counts the output tokens that its callers asked for, refused requests
+included, and sends the rates that matter to its peers (see `target_observer`).
+Two averages are kept: a quick one, by which replicas are added, and a peak that
+fades over minutes, by which replicas are given up. The distance between the two is
+the hysteresis that keeps models from moving to and fro.
+"""
+
+import math
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from jaytray_core.clock import MonotonicClock
+
+FAST_AVERAGE_S = 10.0
+PEAK_FADE_S = 300.0
+PEER_DEMAND_VALID_S = 90.0
+NEGLIGIBLE_TOKENS_PER_S = 0.01
+
+
+class Demand(NamedTuple):
+    """Demand in tokens a second: now, and the fading peak."""
+
+    tokens_per_s: float
+    peak_tokens_per_s: float
+
+
+NO_DEMAND = Demand(0.0, 0.0)
+
+
+class _Average:
+    """Exponentially weighted rate with a fading peak."""
+
+    def __init__(self, now: float) -> None:
+        self.rate = 0.0
+        self.peak = 0.0
+        self.updated_at_s = now
+
+    def advance(self, now: float) -> None:
+        """Let the averages fade to `now`."""
+        elapsed_s = max(0.0, now - self.updated_at_s)
+        self.rate *= math.exp(-elapsed_s / FAST_AVERAGE_S)
+        self.peak = max(self.rate, self.peak * math.exp(-elapsed_s / PEAK_FADE_S))
+        self.updated_at_s = now
+
+    def add(self, tokens: int) -> None:
+        """Count tokens that were asked for just now."""
+        self.rate += tokens / FAST_AVERAGE_S
+        self.peak = max(self.peak, self.rate)
+
+
+class DemandMeter:
+    """Own demand by name, and the last demand told by each peer."""
+
+    def __init__(self, *, clock: MonotonicClock) -> None:
+        self._clock = clock
+        self._averages_by_name: dict[str, _Average] = {}
+        self._peers_by_vm: dict[str, tuple[float, dict[str, Demand]]] = {}
+
+    def record(self, name: str, tokens: int) -> None:
+        """Count a request for `name`, whether it is served or refused."""
+        now = self._clock()
+        average = self._averages_by_name.get(name)
+        if average is None:
+            average = self._averages_by_name[name] = _Average(now)
+        average.advance(now)
+        average.add(tokens)
+
+    def own_demand(self) -> dict[str, Demand]:
+        """Return this VM's demand by name, negligible ones left out."""
+        now = self._clock()
+        demand_by_name: dict[str, Demand] = {}
+        for name, average in list(self._averages_by_name.items()):
+            average.advance(now)
+            if average.peak < NEGLIGIBLE_TOKENS_PER_S:
+                del self._averages_by_name[name]
+                continue
+            demand_by_name[name] = Demand(average.rate, average.peak)
+        return demand_by_name
+
+    def record_peer(self, vm_id: str, demand_by_name: Mapping[str, Demand]) -> None:
+        """Replace what a peer told; it counts until it has grown old."""
+        self._peers_by_vm[vm_id] = (self._clock(), dict(demand_by_name))
+
+    def total_demand(self) -> dict[str, Demand]:
+        """Return the demand of all VMs by name."""
+        oldest = self._clock() - PEER_DEMAND_VALID_S
+        total = self.own_demand()
+        for vm_id, (received_at_s, demand_by_name) in list(self._peers_by_vm.items()):
+            if received_at_s < oldest:
+                del self._peers_by_vm[vm_id]
+                continue
+            for name, demand in demand_by_name.items():
+                known = total.get(name, NO_DEMAND)
+                total[name] = Demand(
+                    known.tokens_per_s + demand.tokens_per_s,
+                    known.peak_tokens_per_s + demand.peak_tokens_per_s,
+                )
+        return total
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/target_table.py
@@ -0,0 +1,208 @@
+"""What this VM knows of each target: lagging reports plus its own requests.
+
+A load report is old when it arrives. Requests that this VM has sent since are not in
+it, so their expected tokens are added to the reported load (own tokens in flight).
+Targets that fail are suspected for a time that grows with each failure in a row;
+targets whose first tokens or pieces come late are marked slow for a time.
+
+The table is changed only from the event loop and does no I/O.
+"""
+
+from typing import NamedTuple
+
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.targets import LoadReport, Resident, ResidentState
+
+REPORT_LAG_S = 1.0
+REPORT_STALE_S = 15.0
+SUSPECT_FIRST_S = 1.0
+SUSPECT_MAX_S = 30.0
+SLOW_S = 5.0
+
+
+class OwnRequest(NamedTuple):
+    """A request of this VM at a target; `tokens` are those still expected."""
+
+    tokens: int
+    started_at_s: float
+
+
+class TargetLoad(NamedTuple):
+    """Estimated load of a target now."""
+
+    requests: int
+    tokens: int
+
+
+class TargetEntry:
+    """Mutable state of one target; read it through `TargetTable`."""
+
+    def __init__(self) -> None:
+        self.report: LoadReport | None = None
+        self.received_at_s = float("-inf")
+        self.own_by_request_id: dict[str, OwnRequest] = {}
+        self.own_tokens = 0
+        self.failures_in_a_row = 0
+        self.suspected_until_s = float("-inf")
+        self.slow_until_s = float("-inf")
+
+
+class TargetTable:
+    """State of all targets, keyed by name, with an index of ready replicas.
+
+    `report_lag_s` is how old a report may be when it arrives; own requests that
+    started within that time before its arrival are taken as missing from it.
+    A target without a report for `report_stale_s` is suspected.
+    `counts_own_requests` False leaves them out and exists for comparisons.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: MonotonicClock,
+        report_lag_s: float = REPORT_LAG_S,
+        report_stale_s: float = REPORT_STALE_S,
+        counts_own_requests: bool = True,
+    ) -> None:
+        self._clock = clock
+        self._report_lag_s = report_lag_s
+        self.report_stale_s = report_stale_s
+        self._counts_own_requests = counts_own_requests
+        self._entries_by_target: dict[str, TargetEntry] = {}
+        self._ready_by_name: dict[str, dict[str, list[Resident]]] = {}
+
+    def record_report(self, report: LoadReport) -> bool:
+        """Take in a report; return False when a newer one is already known."""
+        entry = self._entry(report.target)
+        known = entry.report
+        if (
+            known is not None
+            and known.boot_id == report.boot_id
+            and known.taken_at_s >= report.taken_at_s
+        ):
+            return False
+        if known is None or known.residents != report.residents:
+            self._remove_from_index(report.target, known)
+            self._index_residents(report)
+        entry.report = report
+        entry.received_at_s = self._clock()
+        return True
+
+    def known_targets(self) -> set[str]:
+        """Return the names of all targets that the table knows."""
+        return set(self._entries_by_target)
+
+    def report_of(self, target: str) -> LoadReport | None:
+        """Return the last report of a target."""
+        entry = self._entries_by_target.get(target)
+        return entry.report if entry else None
+
+    def report_age_s(self, target: str) -> float:
+        """Return seconds since the last report arrived; infinite without one."""
+        entry = self._entries_by_target.get(target)
+        return self._clock() - entry.received_at_s if entry else float("inf")
+
+    def ready_replicas(self, name: str) -> dict[str, list[Resident]]:
+        """Return the ready residents called `name` by target; do not change it."""
+        return self._ready_by_name.get(name, {})
+
+    def load_of(self, target: str) -> TargetLoad:
+        """Return the reported load plus own requests that it cannot contain."""
+        entry = self._entries_by_target.get(target)
+        if entry is None:
+            return TargetLoad(0, 0)
+        report = entry.report
+        requests = report.running_requests + report.queued_requests if report else 0
+        tokens = report.tokens_pending if report else 0
+        if not self._counts_own_requests:
+            return TargetLoad(requests, tokens)
+        missing_since = entry.received_at_s - self._report_lag_s
+        missing = [
+            own.tokens
+            for own in entry.own_by_request_id.values()
+            if own.started_at_s >= missing_since
+        ]
+        return TargetLoad(
+            max(requests + len(missing), len(entry.own_by_request_id)),
+            max(tokens + sum(missing), entry.own_tokens),
+        )
+
+    def is_leaving(self, target: str) -> bool:
+        """Return whether the target said that it is leaving."""
+        report = self.report_of(target)
+        return report is not None and report.is_leaving
+
+    def is_suspected(self, target: str) -> bool:
+        """Return whether the target failed lately or its reports went silent."""
+        entry = self._entries_by_target.get(target)
+        if entry is None:
+            return True
+        now = self._clock()
+        is_stale = now - entry.received_at_s > self.report_stale_s
+        return now < entry.suspected_until_s or is_stale
+
+    def is_slow(self, target: str) -> bool:
+        """Return whether the target lately missed a deadline."""
+        entry = self._entries_by_target.get(target)
+        return entry is not None and self._clock() < entry.slow_until_s
+
+    def started(self, target: str, request_id: str, tokens: int) -> None:
+        """Count an own request that was sent to the target."""
+        entry = self._entry(target)
+        self.finished(target, request_id)
+        entry.own_by_request_id[request_id] = OwnRequest(tokens, self._clock())
+        entry.own_tokens += tokens
+
+    def progressed(self, target: str, request_id: str, tokens: int) -> None:
+        """Set the tokens still expected of an own request."""
+        entry = self._entry(target)
+        own = entry.own_by_request_id.get(request_id)
+        if own is None:
+            return
+        entry.own_tokens += tokens - own.tokens
+        entry.own_by_request_id[request_id] = own._replace(tokens=tokens)
+        entry.failures_in_a_row = 0
+
+    def own_request(self, target: str, request_id: str) -> OwnRequest | None:
+        """Return an own request that is running at the target."""
+        entry = self._entries_by_target.get(target)
+        return entry.own_by_request_id.get(request_id) if entry else None
+
+    def finished(self, target: str, request_id: str) -> None:
+        """Forget an own request; unknown ones are ignored."""
+        entry = self._entry(target)
+        own = entry.own_by_request_id.pop(request_id, None)
+        if own is not None:
+            entry.own_tokens -= own.tokens
+
+    def failed(self, target: str) -> None:
+        """Suspect the target, for twice as long at each failure in a row."""
+        entry = self._entry(target)
+        duration_s = min(SUSPECT_MAX_S, SUSPECT_FIRST_S * 2**entry.failures_in_a_row)
+        entry.failures_in_a_row += 1
+        entry.suspected_until_s = self._clock() + duration_s
+
+    def slow(self, target: str) -> None:
+        """Mark the target as slow for a time: it missed a deadline."""
+        self._entry(target).slow_until_s = self._clock() + SLOW_S
+
+    def forget(self, target: str) -> None:
+        """Drop a target that the document no longer declares."""
+        entry = self._entries_by_target.pop(target, None)
+        self._remove_from_index(target, entry.report if entry else None)
+
+    def _entry(self, target: str) -> TargetEntry:
+        entry = self._entries_by_target.get(target)
+        if entry is None:
+            entry = self._entries_by_target[target] = TargetEntry()
+        return entry
+
+    def _index_residents(self, report: LoadReport) -> None:
+        for resident in report.residents:
+            if resident.state is ResidentState.READY:
+                replicas = self._ready_by_name.setdefault(resident.name, {})
+                replicas.setdefault(report.target, []).append(resident)
+
+    def _remove_from_index(self, target: str, report: LoadReport | None) -> None:
+        for resident in report.residents if report else ():
+            self._ready_by_name.get(resident.name, {}).pop(target, None)
--- /dev/null
+++ b/packages/server/src/jaytray_server/request/routing.py
@@ -0,0 +1,316 @@
+"""Choice of a replica for each request.
+
+The router draws a few of the ready replicas at random, adds the one that probably
+caches the prompt's prefix, and takes the cheapest: load relative to the target's
+slots, less a discount for the cached prefix, plus small charges for another failure
+domain and for a missing adapter. Drawing a few, instead of taking the least loaded
+of all, keeps many VMs with equally old reports from all choosing the same target.
+
+Leaving and drained targets are never chosen. Suspected and slow targets are chosen
+only when nothing better is ready. A request that no replica can start before its
+deadline is refused at once. Each decision is one log line.
+"""
+
+from collections import OrderedDict
+from collections.abc import Mapping
+from random import Random
+from typing import NamedTuple
+
+from jaytray_core import message_registry as messages
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.document.model import Document, Model, Target, TrafficClass
+from jaytray_core.errors import JaytrayError, Step
+from jaytray_core.logs import get_logger
+from jaytray_core.targets import Resident
+from jaytray_server.ports import (
+    CurrentDocument,
+    Router,
+    RoutingDecision,
+    RoutingRequest,
+)
+from jaytray_server.process.cache_index import CacheIndex
+from jaytray_server.process.decision_log import DecisionLog, DecisionRecord
+from jaytray_server.process.demand import DemandMeter
+from jaytray_server.process.target_table import TargetLoad, TargetTable
+
+NO_REPLICA_RETRY_S = 2.0
+MIN_RETRY_S = 0.5
+MAX_WATCHED_REQUESTS = 10_000
+
+
+class RoutingPolicy(NamedTuple):
+    """Weights of a routing decision; costs are in parts of a target's slots.
+
+    `choices` is how many replicas are drawn at random. `prefix_discount` is taken
+    off for a wholly cached prompt as long as the target's load is at most
+    `affinity_load_factor` times the least drawn plus `affinity_slack_requests`.
+    `output_tokens_weight` is the weight of pending tokens against requests.
+    """
+
+    choices: int = 3
+    prefix_discount: float = 0.25
+    affinity_load_factor: float = 1.25
+    affinity_slack_requests: int = 2
+    output_tokens_weight: float = 0.5
+    other_domain_cost: float = 0.02
+    adapter_load_cost: float = 0.5
+    refuses_unreachable_deadlines: bool = True
+
+
+class _Candidate(NamedTuple):
+    """A replica that may be chosen."""
+
+    target: Target
+    load: TargetLoad
+    needs_adapter_load: bool
+
+
+class _Scored(NamedTuple):
+    """A candidate with its cost and the number of cached prefixes."""
+
+    candidate: _Candidate
+    cost: float
+    matched_prefixes: int
+
+
+def make_router(
+    *,
+    table: TargetTable,
+    cache_index: CacheIndex,
+    current_document: CurrentDocument,
+    clock: MonotonicClock,
+    random: Random,
+    vm_failure_domain: str,
+    policy: RoutingPolicy = RoutingPolicy(),
+    decisions: DecisionLog | None = None,
+    demand: DemandMeter | None = None,
+) -> Router:
+    """Return the router of this VM; it needs no task of its own.
+
+    `choose` raises `model_unknown`, `no_replica` or `deadline_unreachable`, all of
+    them `not_run`. `progressed` takes the tokens that are still expected; a first
+    progress after the request's deadline marks the target as slow.
+    """
+    decision_log = decisions if decisions is not None else DecisionLog()
+    deadline_by_request_id: OrderedDict[str, float] = OrderedDict()
+
+    def choose(request: RoutingRequest) -> RoutingDecision:
+        document = current_document()
+        model = _base_model(document, request.name)
+        if demand is not None:
+            demand.record(request.name, request.output_tokens)
+        try:
+            scored, drawn = _best_replica(
+                request, document, table, cache_index, random, policy, vm_failure_domain
+            )
+            if policy.refuses_unreachable_deadlines:
+                _refuse_unreachable_deadline(request, model, scored.candidate)
+        except JaytrayError as err:
+            _record(request, "", err.code, 0.0, 0)
+            raise
+        reason = _reason(scored, drawn)
+        target = scored.candidate.target.name
+        _record(request, target, reason, scored.cost, drawn)
+        cache_index.record_dispatch(target, request.prefix_digests)
+        deadline_by_request_id[request.request_id] = request.deadline_s
+        if len(deadline_by_request_id) > MAX_WATCHED_REQUESTS:
+            deadline_by_request_id.popitem(last=False)
+        return RoutingDecision(
+            target, reason, scored.cost, drawn, scored.candidate.needs_adapter_load
+        )
+
+    def _record(
+        request: RoutingRequest, target: str, reason: str, score: float, drawn: int
+    ) -> None:
+        record = DecisionRecord(
+            request.request_id, "routing", target, reason, score, drawn, clock()
+        )
+        decision_log.add(record)
+        get_logger().info(
+            "routing_decision",
+            request_id=request.request_id,
+            name=request.name,
+            account=request.account,
+            target=target,
+            reason=reason,
+            score=round(score, 3),
+            candidates=drawn,
+        )
+
+    def progressed(target: str, request_id: str, tokens: int) -> None:
+        deadline_s = deadline_by_request_id.pop(request_id, None)
+        own = table.own_request(target, request_id)
+        if own and deadline_s and clock() - own.started_at_s > deadline_s:
+            table.slow(target)
+        table.progressed(target, request_id, tokens)
+
+    def finished(target: str, request_id: str) -> None:
+        deadline_by_request_id.pop(request_id, None)
+        table.finished(target, request_id)
+
+    return Router(
+        choose=choose,
+        started=table.started,
+        progressed=progressed,
+        finished=finished,
+        failed=table.failed,
+    )
+
+
+def _base_model(document: Document, name: str) -> Model:
+    adapter = document.adapters_by_name.get(name)
+    model = document.models_by_name.get(adapter.model if adapter else name)
+    if model is None:
+        raise JaytrayError(messages.MODEL_UNKNOWN, name=name, step=Step.ROUTE)
+    return model
+
+
+def _best_replica(
+    request: RoutingRequest,
+    document: Document,
+    table: TargetTable,
+    cache_index: CacheIndex,
+    random: Random,
+    policy: RoutingPolicy,
+    vm_failure_domain: str,
+) -> tuple[_Scored, int]:
+    """Return the cheapest of the drawn replicas and how many were weighed."""
+    names = _preferred_targets(request, document, table)
+    drawn = _draw(names, request, cache_index, random, policy.choices)
+    with_adapter = table.ready_replicas(request.name)
+    candidates = [
+        _Candidate(
+            document.targets_by_name[name],
+            table.load_of(name),
+            name not in with_adapter,
+        )
+        for name in drawn
+    ]
+    least = min(candidate.load.requests for candidate in candidates)
+    bound = least * policy.affinity_load_factor + policy.affinity_slack_requests
+    scored = [
+        _score(candidate, request, cache_index, policy, vm_failure_domain, bound)
+        for candidate in candidates
+    ]
+    return min(scored, key=lambda each: each.cost), len(drawn)
+
+
+def _preferred_targets(
+    request: RoutingRequest, document: Document, table: TargetTable
+) -> list[str]:
+    """Return ready targets of the best available standing, in stable order."""
+    adapter = document.adapters_by_name.get(request.name)
+    replicas = table.ready_replicas(request.name)
+    usable = _usable_targets(request, replicas, document, table)
+    if adapter is not None:
+        base = table.ready_replicas(adapter.model)
+        usable = usable or _usable_targets(request, base, document, table)
+    if not usable:
+        raise JaytrayError(
+            messages.NO_REPLICA,
+            name=request.name,
+            step=Step.ROUTE,
+            retry_after_s=NO_REPLICA_RETRY_S,
+        )
+    healthy = [name for name in usable if not table.is_suspected(name)]
+    quick = [name for name in healthy if not table.is_slow(name)]
+    return quick or healthy or usable
+
+
+def _usable_targets(
+    request: RoutingRequest,
+    replicas: Mapping[str, list[Resident]],
+    document: Document,
+    table: TargetTable,
+) -> list[str]:
+    return [
+        name
+        for name in replicas
+        if name not in request.excluded_targets
+        and (target := document.targets_by_name.get(name)) is not None
+        and not target.is_drained
+        and not table.is_leaving(name)
+    ]
+
+
+def _draw(
+    names: list[str],
+    request: RoutingRequest,
+    cache_index: CacheIndex,
+    random: Random,
+    choices: int,
+) -> list[str]:
+    """Return some targets at random and the one with the longest cached prefix."""
+    if len(names) <= choices:
+        return names
+    drawn = random.sample(names, choices)
+    if not request.prefix_digests:
+        return drawn
+    matches = [
+        cache_index.matched_prefixes(name, request.prefix_digests) for name in names
+    ]
+    longest = max(matches)
+    best = names[matches.index(longest)]
+    return drawn if longest == 0 or best in drawn else [*drawn, best]
+
+
+def _score(
+    candidate: _Candidate,
+    request: RoutingRequest,
+    cache_index: CacheIndex,
+    policy: RoutingPolicy,
+    vm_failure_domain: str,
+    affinity_bound: float,
+) -> _Scored:
+    target, load, needs_adapter_load = candidate
+    slots = max(1, target.max_running_requests)
+    pending = load.tokens / (slots * max(1, request.output_tokens))
+    cost = load.requests / slots + policy.output_tokens_weight * pending
+    matched = 0
+    if request.prefix_digests and load.requests <= affinity_bound:
+        matched = cache_index.matched_prefixes(target.name, request.prefix_digests)
+        cost -= policy.prefix_discount * matched / len(request.prefix_digests)
+    if target.failure_domain != vm_failure_domain:
+        cost += policy.other_domain_cost
+    if needs_adapter_load:
+        cost += policy.adapter_load_cost
+    return _Scored(candidate, cost, matched)
+
+
+def _refuse_unreachable_deadline(
+    request: RoutingRequest, model: Model, candidate: _Candidate
+) -> None:
+    """Raise when the best replica cannot start the request before its deadline."""
+    if request.traffic_class is TrafficClass.DEFERRED:
+        return
+    wait_s = estimate_wait_s(candidate.target, candidate.load, model)
+    if wait_s > request.deadline_s:
+        raise JaytrayError(
+            messages.DEADLINE_UNREACHABLE,
+            step=Step.ADMIT,
+            peer=candidate.target.name,
+            retry_after_s=max(MIN_RETRY_S, wait_s - request.deadline_s),
+        )
+
+
+def estimate_wait_s(target: Target, load: TargetLoad, model: Model) -> float:
+    """Return seconds until a slot of the target is free for one more request.
+
+    The target is taken to give each running request a token within the model's
+    inter-token deadline, which is what its number of slots is set for.
+    """
+    slots = max(1, target.max_running_requests)
+    waiting = load.requests + 1 - slots
+    if waiting <= 0 or load.requests == 0:
+        return 0.0
+    tokens_each = load.tokens / load.requests
+    tokens_per_s = slots / model.inter_token_deadline_s
+    return waiting * tokens_each / tokens_per_s
+
+
+def _reason(scored: _Scored, drawn: int) -> str:
+    if scored.candidate.needs_adapter_load:
+        return "adapter_load_needed"
+    if drawn == 1:
+        return "only_replica"
+    return "cached_prefix" if scored.matched_prefixes else "least_cost"
