Serve completions, models and services over HTTP with typed refusals

Change: make_app(RequestServices), dispatch straight down with a tracker that computes not_run or may_have_run, streams resumed after the last delivered token, retry budget.

--- a/packages/core/src/jaytray_core/message_registry.py
+++ b/packages/core/src/jaytray_core/message_registry.py
@@ -170,6 +170,20 @@
     "Send the request again if it may be repeated.",
 )
 
+# Requests: input limits.
+HEADERS_TOO_LARGE = MessageTemplate(
+    "headers_too_large",
+    431,
+    "the {part} exceeds {limit} bytes",
+    "Send fewer or shorter headers, or a shorter URL.",
+)
+BODY_TIMEOUT = MessageTemplate(
+    "body_timeout",
+    408,
+    "the request body did not arrive within {timeout_s} s",
+    "Send the whole body without pauses.",
+)
+
 # Outside systems.
 KEY_VALUE_UNAVAILABLE = MessageTemplate(
     "key_value_unavailable",
--- /dev/null
+++ b/packages/server/src/jaytray_server/request/responses.py
@@ -0,0 +1,200 @@
+"""Writing of answers to callers over ASGI.
+
+A whole answer is sent in one go. A stream is pumped through a bounded buffer: what
+arrives together is written together, and a slow caller holds back the target.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import AsyncGenerator, Awaitable, Coroutine
+from contextlib import aclosing
+from typing import Any, TypeVar
+
+from litestar.types import Receive, Send
+
+from jaytray_core.errors import JaytrayError
+from jaytray_core.targets import StreamPiece
+from jaytray_server.request.refusals import encode_refusal, refusal_headers
+
+T = TypeVar("T")
+REQUEST_ID_HEADER = "x-request-id"
+DONE_EVENT = b"data: [DONE]\n\n"
+_STREAM_HEADERS = [("content-type", "text/event-stream"), ("cache-control", "no-cache")]
+# Headers of a target's answer that describe its connection, not the answer.
+_DROPPED_HEADERS = frozenset(
+    (
+        "connection",
+        "content-length",
+        "date",
+        "keep-alive",
+        "server",
+        "transfer-encoding",
+        REQUEST_ID_HEADER,
+    )
+)
+
+
+class CallerLeft(Exception):
+    """The caller closed its connection or stopped reading."""
+
+
+async def until_caller_leaves(receive: Receive, work: Coroutine[Any, Any, T]) -> T:
+    """Return the result of `work`; cancel it and raise `CallerLeft` on disconnect."""
+    task = asyncio.ensure_future(work)
+    watch = asyncio.ensure_future(_wait_for_disconnect(receive))
+    try:
+        await asyncio.wait((task, watch), return_when=asyncio.FIRST_COMPLETED)
+        if not task.done():
+            raise CallerLeft
+        return task.result()
+    finally:
+        watch.cancel()
+        if not task.done():
+            task.cancel()
+        await asyncio.gather(task, watch, return_exceptions=True)
+
+
+async def send_whole(
+    send: Send,
+    *,
+    request_id: str,
+    status: int,
+    headers: list[tuple[str, str]],
+    body: bytes,
+) -> None:
+    """Send a complete answer."""
+    kept = [pair for pair in headers if pair[0].lower() not in _DROPPED_HEADERS]
+    kept.append(("content-length", str(len(body))))
+    await _send_start(send, request_id=request_id, status=status, headers=kept)
+    await send({"type": "http.response.body", "body": body, "more_body": False})
+
+
+async def send_refusal(send: Send, *, request_id: str, error: JaytrayError) -> None:
+    """Send a refusal in the one shape."""
+    await send_whole(
+        send,
+        request_id=request_id,
+        status=error.status,
+        headers=refusal_headers(error),
+        body=encode_refusal(error),
+    )
+
+
+async def send_stream(
+    send: Send,
+    *,
+    request_id: str,
+    pieces: AsyncGenerator[StreamPiece, None],
+    buffer_bytes: int,
+    slow_caller_s: float,
+) -> None:
+    """Send `pieces` as server-sent events, ended by `[DONE]` or an error event.
+
+    A failure before the first piece raises `JaytrayError`, so that the caller gets
+    a refusal with its status.
+    """
+    buffer = _StreamBuffer(max_bytes=buffer_bytes)
+    pump = asyncio.ensure_future(_pump(pieces, buffer))
+    try:
+        first = await buffer.take()
+        if not first:
+            await pump
+        await _send_start(
+            send, request_id=request_id, status=200, headers=_STREAM_HEADERS
+        )
+        await _send_chunks(send, first, buffer, slow_caller_s)
+        await _send_end(send, pump)
+    finally:
+        pump.cancel()
+        await asyncio.gather(pump, return_exceptions=True)
+
+
+async def _pump(
+    pieces: AsyncGenerator[StreamPiece, None], buffer: "_StreamBuffer"
+) -> None:
+    try:
+        async with aclosing(pieces):
+            async for piece in pieces:
+                await buffer.put(b"data: " + piece.data + b"\n\n")
+    finally:
+        buffer.close()
+
+
+async def _send_chunks(
+    send: Send, chunk: bytes, buffer: "_StreamBuffer", slow_caller_s: float
+) -> None:
+    while chunk:
+        try:
+            async with asyncio.timeout(slow_caller_s):
+                await send(
+                    {"type": "http.response.body", "body": chunk, "more_body": True}
+                )
+        except TimeoutError as err:
+            raise CallerLeft from err
+        chunk = await buffer.take()
+
+
+async def _send_end(send: Send, pump: Awaitable[None]) -> None:
+    try:
+        await pump
+        last = DONE_EVENT
+    except JaytrayError as err:
+        last = b"event: error\ndata: " + encode_refusal(err) + b"\n\n"
+    await send({"type": "http.response.body", "body": last, "more_body": False})
+
+
+async def _send_start(
+    send: Send, *, request_id: str, status: int, headers: list[tuple[str, str]]
+) -> None:
+    pairs = [*headers, (REQUEST_ID_HEADER, request_id)]
+    await send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": [(k.encode("latin-1"), v.encode("latin-1")) for k, v in pairs],
+        }
+    )
+
+
+async def _wait_for_disconnect(receive: Receive) -> None:
+    while True:
+        event = await receive()
+        if event["type"] == "http.disconnect":
+            return
+
+
+class _StreamBuffer:
+    """Chunks between the reader of a target and the writer to a caller."""
+
+    def __init__(self, *, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
+        self._chunks: deque[bytes] = deque()
+        self._held_bytes = 0
+        self._is_closed = False
+        self._filled = asyncio.Event()
+        self._emptied = asyncio.Event()
+
+    async def put(self, chunk: bytes) -> None:
+        """Add `chunk`; waits while the buffer is full."""
+        while self._held_bytes >= self._max_bytes:
+            self._emptied.clear()
+            await self._emptied.wait()
+        self._chunks.append(chunk)
+        self._held_bytes += len(chunk)
+        self._filled.set()
+
+    def close(self) -> None:
+        """Tell the reader that nothing more comes."""
+        self._is_closed = True
+        self._filled.set()
+
+    async def take(self) -> bytes:
+        """Return all that is held, or an empty string after `close`."""
+        while not self._chunks and not self._is_closed:
+            self._filled.clear()
+            await self._filled.wait()
+        joined = b"".join(self._chunks)
+        self._chunks.clear()
+        self._held_bytes = 0
+        self._emptied.set()
+        return joined
--- /dev/null
+++ b/packages/server/src/jaytray_server/request/services.py
@@ -0,0 +1,125 @@
+"""What request handling needs from the rest of the process.
+
+The process fills a `RequestServices` once; every request reads from it. `Lifecycle`
+tells whether this VM takes new requests and counts the answers that still run.
+"""
+
+import enum
+from collections.abc import Awaitable, Callable, Iterator, Mapping
+from contextlib import contextmanager
+from typing import NamedTuple
+
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.document.model import ClientAccount, Document
+from jaytray_server.ports import (
+    AcquireSlot,
+    ConnectionTo,
+    CurrentDocument,
+    Limiter,
+    Metrics,
+    Router,
+)
+from jaytray_server.request.retry import RetryBudget
+
+
+class Phase(enum.StrEnum):
+    """Stage in the life of the process."""
+
+    STARTING = "starting"
+    READY = "ready"
+    DRAINING = "draining"
+    CLOSED = "closed"
+
+
+class Lifecycle:
+    """Whether this VM takes new requests, and how many answers still run.
+
+    DRAINING leaves the balancer but still serves what the balancer sends; CLOSED
+    refuses new requests while running answers finish.
+    """
+
+    def __init__(self) -> None:
+        self.phase = Phase.STARTING
+        self.is_isolated = False
+        self.running_answers = 0
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the balancer should send requests here."""
+        return self.phase is Phase.READY and not self.is_isolated
+
+    @contextmanager
+    def running_answer(self) -> Iterator[None]:
+        """Count one answer as running."""
+        self.running_answers += 1
+        try:
+            yield
+        finally:
+            self.running_answers -= 1
+
+
+class Timeouts(NamedTuple):
+    """Limits in seconds for each step of a request."""
+
+    body_read_s: float = 30.0
+    first_token_s: float = 30.0
+    idle_token_s: float = 10.0
+    whole_answer_s: float = 600.0
+    slow_caller_s: float = 60.0
+    cancel_s: float = 2.0
+
+
+class SizeLimits(NamedTuple):
+    """Limits in bytes on what a caller sends and on what is buffered for it."""
+
+    body_bytes: int = 1_000_000
+    header_bytes: int = 16_384
+    url_bytes: int = 8_192
+    stream_buffer_bytes: int = 65_536
+
+
+class Caller(NamedTuple):
+    """Who sent a request; `account` is None on a route that is open to all."""
+
+    account: ClientAccount | None
+    key_digest: str
+
+
+# (document, headers, query string) -> caller; raises `key_missing` or `key_unknown`.
+Authenticate = Callable[[Document, Mapping[str, str], str], Caller]
+# (headers, query string) -> the same without any key of the caller.
+StripCredentials = Callable[
+    [list[tuple[str, str]], str], tuple[list[tuple[str, str]], str]
+]
+# (model, prompt) -> digests of growing prefixes of the prompt, shortest first.
+PrefixDigests = Callable[[str, str], tuple[str, ...]]
+# (target, adapter) returns when the adapter is loaded there.
+LoadAdapter = Callable[[str, str], Awaitable[None]]
+# (key digest, function that ends the stream) -> function that forgets the stream.
+RegisterStream = Callable[[str, Callable[[], None]], Callable[[], None]]
+
+
+class RequestServices(NamedTuple):
+    """Everything that request handling reads from the process.
+
+    `connection_to` takes a target's name, `connection_to_address` the `IP:port` of
+    a plain service.
+    """
+
+    current_document: CurrentDocument
+    authenticate: Authenticate
+    strip_credentials: StripCredentials
+    register_stream: RegisterStream
+    limiter: Limiter
+    acquire_slot: AcquireSlot
+    router: Router
+    connection_to: ConnectionTo
+    connection_to_address: ConnectionTo
+    prefix_digests: PrefixDigests
+    load_adapter: LoadAdapter
+    metrics: Metrics
+    clock: MonotonicClock
+    lifecycle: Lifecycle
+    retry_budget: RetryBudget
+    timeouts: Timeouts
+    sizes: SizeLimits
--- /dev/null
+++ b/packages/server/src/jaytray_server/request/stream.py
@@ -0,0 +1,170 @@
+"""The path of a streamed completion, with resumption on another replica.
+
+When a target dies, goes silent or sends pieces that do not fit, the stream goes on
+at another replica after the last token that was passed on. An answer ends only with
+its end mark at the announced length.
+"""
+
+import asyncio
+from collections.abc import AsyncGenerator, AsyncIterator
+from contextlib import aclosing, asynccontextmanager
+from typing import NamedTuple
+
+from jaytray_core import message_registry as messages
+from jaytray_core.errors import Execution, JaytrayError, Step
+from jaytray_core.targets import InferRequest, StreamPiece, TargetConnection
+from jaytray_server.request.dispatch import (
+    Charge,
+    Work,
+    cancel_at_target,
+    choose_target,
+    infer_request,
+    new_dispatch_id,
+    reserved_tokens,
+    running_at,
+    target_timeout,
+    wait_before_retry,
+)
+from jaytray_server.request.services import RequestServices
+from jaytray_server.request.tracker import DispatchTracker
+
+
+class Delivered:
+    """What of a stream was passed on so far."""
+
+    def __init__(self) -> None:
+        self.tokens = 0
+        self.texts: list[str] = []
+        self.is_complete = False
+
+    def add(self, piece: StreamPiece) -> None:
+        """Record `piece` as passed on."""
+        self.tokens = piece.end_index
+        self.texts.append(piece.text)
+        self.is_complete = piece.is_end
+
+
+class _Source(NamedTuple):
+    connection: TargetConnection
+    dispatch_id: str
+
+
+async def dispatch_stream(
+    services: RequestServices, work: Work, tracker: DispatchTracker
+) -> AsyncGenerator[StreamPiece, None]:
+    """Yield the pieces of the answer to `work`; raises `JaytrayError`.
+
+    Closing the iterator early cancels the answer at its target.
+    """
+    delivered = Delivered()
+    async with reserved_tokens(services, work) as charge:
+        services.retry_budget.record_first_try()
+        while not delivered.is_complete:
+            pieces = _attempt(services, work, tracker, delivered)
+            try:
+                async with aclosing(pieces):
+                    async for piece in pieces:
+                        _charge_delivered(charge, work, piece)
+                        yield piece
+            except JaytrayError as err:
+                await wait_before_retry(services, tracker, err)
+                services.metrics.increment("request.stream_resumed", 1)
+
+
+def _charge_delivered(charge: Charge, work: Work, piece: StreamPiece) -> None:
+    charge.used_tokens = work.call.prompt_tokens + piece.end_index
+
+
+async def _attempt(
+    services: RequestServices,
+    work: Work,
+    tracker: DispatchTracker,
+    delivered: Delivered,
+) -> AsyncGenerator[StreamPiece, None]:
+    decision = choose_target(services, work, tracker)
+    dispatch_id = new_dispatch_id()
+    async with running_at(services, work, decision, dispatch_id) as connection:
+        tracker.begin()
+        request = infer_request(services, work, dispatch_id)._replace(
+            resume_after_tokens=delivered.tokens,
+            resume_text="".join(delivered.texts),
+        )
+        try:
+            async with _cancelled_unless_complete(
+                services, _Source(connection, dispatch_id), delivered
+            ):
+                async for piece in _checked(services, connection, request, delivered):
+                    services.router.progressed(
+                        decision.target,
+                        dispatch_id,
+                        max(0, work.call.output_tokens - piece.end_index),
+                    )
+                    yield piece
+        except JaytrayError as err:
+            tracker.fail(decision.target, err)
+            services.router.failed(decision.target)
+            raise
+
+
+async def _checked(
+    services: RequestServices,
+    connection: TargetConnection,
+    request: InferRequest,
+    delivered: Delivered,
+) -> AsyncGenerator[StreamPiece, None]:
+    target = connection.target
+    limit_s = services.timeouts.first_token_s
+    async with connection.stream(request) as pieces:
+        while not delivered.is_complete:
+            try:
+                async with asyncio.timeout(limit_s):
+                    piece = await anext(pieces)
+            except TimeoutError as err:
+                raise target_timeout(target, limit_s) from err
+            except StopAsyncIteration as err:
+                raise _incomplete(target, "no end mark") from err
+            _check_piece(piece, request.request_id, delivered, target)
+            delivered.add(piece)
+            limit_s = services.timeouts.idle_token_s
+            yield piece
+
+
+def _check_piece(
+    piece: StreamPiece, dispatch_id: str, delivered: Delivered, target: str
+) -> None:
+    if piece.request_id != dispatch_id:
+        raise JaytrayError(
+            messages.ANSWER_MISMATCH,
+            step=Step.STREAM,
+            peer=target,
+            execution=Execution.MAY_HAVE_RUN,
+        )
+    if piece.end_index < delivered.tokens:
+        raise _incomplete(target, "pieces out of order")
+    if piece.end_index == delivered.tokens and piece.text:
+        raise _incomplete(target, "a piece came twice")
+    if piece.is_end and piece.output_tokens != piece.end_index:
+        announced = piece.output_tokens
+        detail = f"{piece.end_index} of {announced} announced tokens came"
+        raise _incomplete(target, detail)
+
+
+def _incomplete(target: str, detail: str) -> JaytrayError:
+    return JaytrayError(
+        messages.ANSWER_INCOMPLETE,
+        step=Step.STREAM,
+        peer=target,
+        execution=Execution.MAY_HAVE_RUN,
+        detail=detail,
+    )
+
+
+@asynccontextmanager
+async def _cancelled_unless_complete(
+    services: RequestServices, source: _Source, delivered: Delivered
+) -> AsyncIterator[None]:
+    try:
+        yield
+    finally:
+        if not delivered.is_complete:
+            await cancel_at_target(services, source.connection, source.dispatch_id)
--- /dev/null
+++ b/packages/server/src/jaytray_server/request/tracker.py
@@ -0,0 +1,52 @@
+"""How far the dispatches of one request got.
+
+Whether a refused request may have run is computed here from the dispatches made,
+never chosen where an error is raised.
+"""
+
+import enum
+
+from jaytray_core.errors import Execution, JaytrayError
+
+
+class _Progress(enum.Enum):
+    UNSENT = enum.auto()
+    MAY_HAVE_LEFT = enum.auto()
+
+
+class DispatchTracker:
+    """Dispatches of one request, their targets and what is known of their effect."""
+
+    def __init__(self) -> None:
+        self.attempts = 0
+        self.failed_targets: list[str] = []
+        self._progress = _Progress.UNSENT
+        self._may_have_run = False
+
+    @property
+    def execution(self) -> Execution:
+        """Return whether any dispatch so far may have had an effect."""
+        if self._may_have_run or self._progress is _Progress.MAY_HAVE_LEFT:
+            return Execution.MAY_HAVE_RUN
+        return Execution.NOT_RUN
+
+    def begin(self) -> None:
+        """Record that bytes of a new dispatch may leave from now on."""
+        self.attempts += 1
+        self._progress = _Progress.MAY_HAVE_LEFT
+
+    def fail(self, target: str, error: JaytrayError) -> None:
+        """Record the failure of the dispatch to `target`.
+
+        A target connection raises `not_run` only when no byte left or the target
+        said that it did not run the request.
+        """
+        self.failed_targets.append(target)
+        if error.execution is Execution.MAY_HAVE_RUN:
+            self._may_have_run = True
+        self._progress = _Progress.UNSENT
+
+    def apply_to(self, error: JaytrayError) -> JaytrayError:
+        """Set the execution of `error` to that of the whole request."""
+        error.execution = self.execution
+        return error
--- /dev/null
+++ b/packages/server/tests/request/support.py
@@ -0,0 +1,204 @@
+"""Small fakes for tests of request handling."""
+
+from collections.abc import AsyncIterator, Callable, Mapping
+from contextlib import asynccontextmanager
+from typing import Any, NamedTuple
+
+import httpx
+
+from jaytray_core import message_registry as messages
+from jaytray_core.document.model import (
+    Adapter,
+    ClientAccount,
+    Document,
+    Model,
+    Route,
+    Service,
+    Target,
+    TrafficClass,
+    empty_document,
+)
+from jaytray_core.errors import JaytrayError, Step
+from jaytray_core.targets import TargetConnection
+from jaytray_server.ports import (
+    Limiter,
+    Reservation,
+    Router,
+    RoutingDecision,
+    RoutingRequest,
+    SlotRequest,
+)
+from jaytray_server.process.metrics import make_null_metrics
+from jaytray_server.request.http_api import make_app
+from jaytray_server.request.retry import RetryBudget
+from jaytray_server.request.services import (
+    Caller,
+    Lifecycle,
+    Phase,
+    RequestServices,
+    SizeLimits,
+    Timeouts,
+)
+
+KEY = "k-lakeshore"
+ACCOUNT = ClientAccount("lakeshore", 1000.0, 5000, 1.0)
+MODEL = Model("assistant", "1", 100, 1, 2, 64, 5.0, 1.0)
+TARGETS = ("t1", "t2", "t3")
+
+
+def make_document(*, routes: tuple[Route, ...] = ()) -> Document:
+    """Return a document with one model on three targets and one service."""
+    targets = {
+        name: Target(name, f"127.0.0.1:{9000 + i}", "d1", 1, 1000, True, 8, False)
+        for i, name in enumerate(TARGETS)
+    }
+    return empty_document("trial")._replace(
+        version=1,
+        accounts_by_name={ACCOUNT.name: ACCOUNT},
+        models_by_name={MODEL.name: MODEL},
+        adapters_by_name={"mare": Adapter("mare", MODEL.name, "1", 10)},
+        targets_by_name=targets,
+        services_by_name={"rounds": Service("rounds", ("s1", "s2"))},
+        routes_by_name={r.name: r for r in (*DEFAULT_ROUTES, *routes)},
+    )
+
+
+def make_route(name: str, prefix: str, **fields: Any) -> Route:
+    """Return a route of the service `rounds` for all methods."""
+    route = Route(
+        name, "rounds", prefix, (), False, None, TrafficClass.INTERACTIVE, 5.0, 1
+    )
+    return route._replace(**fields)
+
+
+DEFAULT_ROUTES = (
+    make_route("all", "/"),
+    make_route("open", "/menu", is_open=True, methods=("GET",)),
+    make_route("safe", "/safe", is_repeatable=True),
+)
+
+
+class Ledger:
+    """What the fakes were asked to do."""
+
+    def __init__(self) -> None:
+        self.reserved: list[int] = []
+        self.settled: list[int] = []
+        self.failed_targets: list[str] = []
+        self.slots_held = 0
+
+
+class Site(NamedTuple):
+    """Services on fakes, their ledger and the application."""
+
+    services: RequestServices
+    ledger: Ledger
+    client: Callable[[], httpx.AsyncClient]
+
+
+def make_site(
+    *,
+    connection_to: Callable[[str], TargetConnection | None],
+    connection_to_address: Callable[[str], TargetConnection | None] | None = None,
+    document: Document | None = None,
+    timeouts: Timeouts | None = None,
+    **changes: Any,
+) -> Site:
+    """Return request handling on fakes before the given connections."""
+    ledger = Ledger()
+    in_force = document or make_document()
+    lifecycle = Lifecycle()
+    lifecycle.phase = Phase.READY
+    services = RequestServices(
+        current_document=lambda: in_force,
+        authenticate=_authenticate,
+        strip_credentials=_strip_credentials,
+        register_stream=lambda _digest, _end: lambda: None,
+        limiter=_make_limiter(ledger),
+        acquire_slot=_make_acquire_slot(ledger),
+        router=_make_router(ledger),
+        connection_to=connection_to,
+        connection_to_address=connection_to_address or connection_to,
+        prefix_digests=lambda _model, _prompt: (),
+        load_adapter=_load_adapter,
+        metrics=make_null_metrics(),
+        clock=lambda: 0.0,
+        lifecycle=lifecycle,
+        retry_budget=RetryBudget(),
+        timeouts=timeouts or Timeouts(),
+        sizes=SizeLimits(),
+    )._replace(**changes)
+    app = make_app(services)
+
+    def client() -> httpx.AsyncClient:
+        transport = httpx.ASGITransport(app=app)  # type: ignore[arg-type]
+        headers = {"authorization": f"Bearer {KEY}"}
+        return httpx.AsyncClient(
+            transport=transport, base_url="http://vm", headers=headers
+        )
+
+    return Site(services, ledger, client)
+
+
+def _authenticate(
+    _document: Document, headers: Mapping[str, str], _query: str
+) -> Caller:
+    given = headers.get("authorization")
+    if given is None:
+        raise JaytrayError(messages.KEY_MISSING, step=Step.AUTHENTICATE)
+    if given != f"Bearer {KEY}":
+        raise JaytrayError(messages.KEY_UNKNOWN, step=Step.AUTHENTICATE)
+    return Caller(ACCOUNT, "sha256:0")
+
+
+def _strip_credentials(
+    headers: list[tuple[str, str]], query: str
+) -> tuple[list[tuple[str, str]], str]:
+    return [pair for pair in headers if pair[0] != "authorization"], query
+
+
+async def _load_adapter(_target: str, _adapter: str) -> None:
+    return
+
+
+def _make_limiter(ledger: Ledger) -> Limiter:
+    async def reserve(account: str, tokens: int, _wait_s: float) -> Reservation:
+        if tokens > ACCOUNT.burst_tokens:
+            raise JaytrayError(
+                messages.REQUEST_ABOVE_BURST,
+                step=Step.ADMIT,
+                tokens=tokens,
+                account=account,
+            )
+        ledger.reserved.append(tokens)
+        return Reservation(len(ledger.reserved), account, tokens)
+
+    return Limiter(reserve, lambda _r, used: ledger.settled.append(used))
+
+
+def _make_acquire_slot(ledger: Ledger) -> Any:
+    @asynccontextmanager
+    async def acquire_slot(_request: SlotRequest) -> AsyncIterator[None]:
+        ledger.slots_held += 1
+        try:
+            yield
+        finally:
+            ledger.slots_held -= 1
+
+    return acquire_slot
+
+
+def _make_router(ledger: Ledger) -> Router:
+    def choose(request: RoutingRequest) -> RoutingDecision:
+        free = [name for name in TARGETS if name not in request.excluded_targets]
+        if not free:
+            raise JaytrayError(messages.NO_REPLICA, step=Step.ROUTE, name=request.name)
+        return RoutingDecision(free[0], "first", 0.0, len(free), False)
+
+    return Router(
+        choose=choose,
+        started=lambda _target, _id, _tokens: None,
+        progressed=lambda _target, _id, _tokens: None,
+        finished=lambda _target, _id: None,
+        failed=ledger.failed_targets.append,
+    )
--- /dev/null
+++ b/packages/server/tests/request/test_http_api.py
@@ -0,0 +1,193 @@
+"""Tests of the HTTP interface: shapes of answers and refusals."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import httpx
+from parameterized import parameterized
+from testtools import TestCase
+
+from jaytray_core.targets import (
+    InferRequest,
+    ServiceCall,
+    StreamPiece,
+    TargetConnection,
+    WholeAnswer,
+)
+from jaytray_server.request.services import Phase
+from packages.server.tests.request.support import Site, make_site
+
+CHAT = {"model": "assistant", "messages": [{"role": "user", "content": "hello"}]}
+
+
+async def _infer(request: InferRequest) -> WholeAnswer:
+    body = b'{"usage": {"prompt_tokens": 3, "completion_tokens": 4}}'
+    headers = [("content-type", "application/json")]
+    return WholeAnswer(request.request_id, 200, headers, body)
+
+
+@asynccontextmanager
+async def _stream(request: InferRequest) -> AsyncIterator[AsyncIterator[StreamPiece]]:
+    async def pieces() -> AsyncIterator[StreamPiece]:
+        for number in range(1, 4):
+            is_end = number == 3
+            data = json.dumps({"n": number}).encode()
+            yield StreamPiece(
+                request.request_id, number, "w", data, is_end, 3 * is_end, ""
+            )
+
+    yield pieces()
+
+
+async def _call_service(call: ServiceCall) -> WholeAnswer:
+    body = json.dumps({"path": call.path, "headers": dict(call.headers)}).encode()
+    return WholeAnswer(call.request_id, 201, [("x-service", "1")], body)
+
+
+async def _cancel(_request_id: str) -> None:
+    return
+
+
+def _connection(name: str) -> TargetConnection:
+    unused: Any = None
+    return TargetConnection(
+        name,
+        _infer,
+        _stream,
+        _call_service,
+        _cancel,
+        unused,
+        unused,
+        unused,
+        unused,
+    )
+
+
+def _request(
+    method: str, path: str, *, site: Site | None = None, **arguments: Any
+) -> httpx.Response:
+    async def run() -> httpx.Response:
+        serving = site or make_site(connection_to=_connection)
+        async with serving.client() as client:
+            return await client.request(method, path, **arguments)
+
+    return asyncio.run(run())
+
+
+class AnswerTests(TestCase):
+    def test_whole_completion_settles_its_usage(self) -> None:
+        site = make_site(connection_to=_connection)
+        answer = _request("POST", "/v1/chat/completions", site=site, json=CHAT)
+        self.assertEqual(200, answer.status_code)
+        self.assertEqual([7], site.ledger.settled)
+        self.assertEqual(32, len(answer.headers["x-request-id"]))
+
+    def test_stream_ends_with_done(self) -> None:
+        body = {**CHAT, "stream": True}
+        answer = _request("POST", "/v1/chat/completions", json=body)
+        events = answer.text.split("\n\n")
+        self.assertEqual("text/event-stream", answer.headers["content-type"])
+        self.assertEqual('data: {"n": 1}', events[0])
+        self.assertEqual(["data: [DONE]", ""], events[3:])
+
+    def test_service_gets_no_key(self) -> None:
+        answer = _request("POST", "/services/rounds/book/7?x=1", json={})
+        self.assertEqual((201, "1"), (answer.status_code, answer.headers["x-service"]))
+        self.assertEqual("/book/7", answer.json()["path"])
+        self.assertNotIn("authorization", answer.json()["headers"])
+
+    def test_models_are_listed(self) -> None:
+        listed = _request("GET", "/v1/models").json()["data"]
+        self.assertEqual(["assistant", "mare"], [entry["id"] for entry in listed])
+
+
+class RefusalTests(TestCase):
+    @parameterized.expand(
+        [
+            ("path", "GET", "/nothing", {}, 404, "route_unknown"),
+            ("method", "PUT", "/v1/models", {}, 404, "route_unknown"),
+            ("json", "POST", "/v1/completions", {"content": b"{"}, 400, None),
+            ("utf8", "POST", "/v1/completions", {"content": b"\xff"}, 400, None),
+            ("type", "POST", "/v1/completions", {"json": {"model": 1}}, 400, None),
+            (
+                "prompt",
+                "POST",
+                "/v1/completions",
+                {"json": {"model": "mare"}},
+                400,
+                None,
+            ),
+            ("model", "POST", "/v1/completions", {"json": {"model": "x"}}, 404, None),
+            (
+                "large",
+                "POST",
+                "/v1/completions",
+                {"content": b" " * 10**6 + b" "},
+                413,
+                "request_too_large",
+            ),
+            (
+                "header",
+                "GET",
+                "/v1/models",
+                {"headers": {"x": "y" * 17000}},
+                431,
+                "headers_too_large",
+            ),
+            ("url", "GET", "/v1/models?" + "y" * 9000, {}, 431, "headers_too_large"),
+            (
+                "key",
+                "GET",
+                "/v1/models",
+                {"headers": {"authorization": "no"}},
+                401,
+                "key_unknown",
+            ),
+            ("service", "GET", "/services/none/a", {}, 404, "route_unknown"),
+        ]
+    )
+    def test_shape(
+        self,
+        _name: str,
+        method: str,
+        path: str,
+        arguments: Any,
+        status: int,
+        code: str | None,
+    ) -> None:
+        answer = _request(method, path, **arguments)
+        error = answer.json()["error"]
+        self.assertEqual(status, answer.status_code)
+        self.assertEqual("not_run", error["execution"])
+        self.assertEqual(
+            {"code", "message", "type", "execution", "step", "peer"}, set(error)
+        )
+        self.assertIn("x-request-id", answer.headers)
+        if code:
+            self.assertEqual(code, error["code"])
+
+
+class LifecycleTests(TestCase):
+    @parameterized.expand(
+        [
+            ("ready", Phase.READY, False, 200, 200),
+            ("draining", Phase.DRAINING, False, 503, 200),
+            ("closed", Phase.CLOSED, False, 503, 503),
+            ("isolated", Phase.READY, True, 503, 503),
+        ]
+    )
+    def test_readiness(
+        self, _name: str, phase: Phase, isolated: bool, readyz: int, models: int
+    ) -> None:
+        site = make_site(connection_to=_connection)
+        site.services.lifecycle.phase = phase
+        site.services.lifecycle.is_isolated = isolated
+        self.assertEqual(200, _request("GET", "/healthz", site=site).status_code)
+        self.assertEqual(readyz, _request("GET", "/readyz", site=site).status_code)
+        answer = _request("GET", "/v1/models", site=site)
+        self.assertEqual(models, answer.status_code)
+        if models == 503:
+            self.assertEqual("1", answer.headers["retry-after"])
