--- /dev/null
+++ b/packages/server/src/jaytray_server/connection/callers.py
@@ -0,0 +1,77 @@
+"""The listening socket for callers and the HTTP server on it.
+
+TCP keep-alive and a user timeout end connections whose other end has vanished
+without a word, also while an answer is being written.
+"""
+
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import uvicorn
+
+from jaytray_core.addresses import parse_address
+
+KEEPALIVE_IDLE_S = 10
+KEEPALIVE_INTERVAL_S = 5
+KEEPALIVE_PROBES = 3
+# Longest time that written data may stay unacknowledged, in milliseconds.
+USER_TIMEOUT_MS = 20_000
+# An idle caller connection is closed after this time, in seconds.
+IDLE_TIMEOUT_S = 75
+LISTEN_BACKLOG = 512
+
+
+@contextmanager
+def open_caller_socket(address: str) -> Iterator[socket.socket]:
+    """Listen on `IP:port`; accepted connections inherit the keep-alive options."""
+    host, port = parse_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    with socket.socket(family, socket.SOCK_STREAM) as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        for option, value in (
+            (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+            (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+            (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+            (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+        ):
+            listener.setsockopt(socket.IPPROTO_TCP, option, value)
+        listener.bind((host, port))
+        listener.listen(LISTEN_BACKLOG)
+        listener.setblocking(False)
+        yield listener
+
+
+class CallerServer(uvicorn.Server):
+    """uvicorn without its own signal handlers: the process decides when to stop."""
+
+    @contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave signals to `process/shutdown.py`."""
+        yield
+
+
+def make_caller_server(app: Any) -> CallerServer:
+    """Return the HTTP server for `app`; run it with `serve(sockets=[...])`."""
+    return CallerServer(
+        uvicorn.Config(
+            app,
+            loop="asyncio",
+            http="h11",
+            ws="none",
+            lifespan="off",
+            interface="asgi3",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            timeout_keep_alive=IDLE_TIMEOUT_S,
+        )
+    )
+
+
+def bound_address(listener: socket.socket) -> str:
+    """Return the `IP:port` that a listening socket is bound to."""
+    host, port = listener.getsockname()[:2]
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
--- /dev/null
+++ b/packages/server/src/jaytray_server/connection/observed_key_value.py
@@ -0,0 +1,42 @@
+"""Wraps the key-value service to count calls and to note when it answered."""
+
+from collections.abc import Awaitable, Callable
+from typing import ParamSpec, TypeVar
+
+from jaytray_core.errors import JaytrayError
+from jaytray_core.keyvalue import KeyValueService
+from jaytray_server.ports import Metrics
+
+P = ParamSpec("P")
+T = TypeVar("T")
+
+
+def observe_key_value(
+    service: KeyValueService, *, metrics: Metrics, on_contact: Callable[[], None]
+) -> KeyValueService:
+    """Return `service` with each call counted and each answer reported."""
+
+    def observed(
+        name: str, call: Callable[P, Awaitable[T]]
+    ) -> Callable[P, Awaitable[T]]:
+        async def observe(*args: P.args, **kwargs: P.kwargs) -> T:
+            metrics.increment(f"key_value.calls.{name}", 1)
+            try:
+                answer = await call(*args, **kwargs)
+            except JaytrayError:
+                metrics.increment(f"key_value.failures.{name}", 1)
+                raise
+            on_contact()
+            return answer
+
+        return observe
+
+    return KeyValueService(
+        get=observed("get", service.get),
+        get_prefix=observed("get_prefix", service.get_prefix),
+        compare_and_swap=observed("compare_and_swap", service.compare_and_swap),
+        grant_lease=observed("grant_lease", service.grant_lease),
+        keep_lease=observed("keep_lease", service.keep_lease),
+        revoke_lease=observed("revoke_lease", service.revoke_lease),
+        watch=observed("watch", service.watch),
+    )
