--- /dev/null
+++ b/packages/server/src/jaytray_server/process/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement: which accelerator holds which model and adapter."""
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/placement/adapters.py
@@ -0,0 +1,163 @@
+"""Placement of adapters beside the replicas of their models.
+
+An adapter that callers ask for is loaded at once on the least busy replica of its
+model; more copies follow its demand. With memory to spare, each declared adapter is
+kept loaded somewhere. Idle ones leave when memory is wanted.
+"""
+
+from collections.abc import Mapping
+
+from jaytray_core.document.model import Adapter, Document, Model
+from jaytray_core.targets import OrderKind
+from jaytray_server.process.demand import NO_DEMAND, Demand
+from jaytray_server.process.placement.changes import (
+    PlannedChange,
+    PlanSettings,
+    Urgency,
+    adapter_load_change,
+    unload_change,
+)
+from jaytray_server.process.placement.state import Accelerator, PlanBoard, Replica
+
+# Part of an accelerator's memory that preloaded adapters leave free.
+PRELOAD_RESERVE = 0.05
+
+
+def plan_adapters(
+    board: PlanBoard,
+    document: Document,
+    models: list[Model],
+    demand_by_name: Mapping[str, Demand],
+    settings: PlanSettings,
+) -> list[PlannedChange]:
+    """Return loads and unloads of adapters whose models have their home here."""
+    homed = {model.name: model for model in models}
+    changes = _remove_undeclared(board, document)
+    adapters = [a for a in document.adapters_by_name.values() if a.model in homed]
+    adapters.sort(
+        key=lambda a: -demand_by_name.get(a.name, NO_DEMAND).peak_tokens_per_s
+    )
+    for adapter in adapters:
+        demand = demand_by_name.get(adapter.name, NO_DEMAND)
+        changes += _place(
+            board, adapter, homed[adapter.model], demand, demand_by_name, settings
+        )
+    return changes
+
+
+def _place(
+    board: PlanBoard,
+    adapter: Adapter,
+    model: Model,
+    demand: Demand,
+    demand_by_name: Mapping[str, Demand],
+    settings: PlanSettings,
+) -> list[PlannedChange]:
+    loaded = board.replicas(adapter.name)
+    current = [r for r in loaded if r.version == adapter.version]
+    is_wanted = demand.tokens_per_s > settings.idle_tokens_per_s
+    changes: list[PlannedChange] = []
+    if len(current) < _wanted_copies(model, demand, settings, current):
+        urgency = Urgency.ADAPTER_WANTED if is_wanted else Urgency.ADAPTER_PRELOAD
+        changes += _load(board, adapter, urgency, demand_by_name)
+    if any(r.is_ready for r in current) or (not current and not changes):
+        # The name can be held only once beside a replica, so when every replica
+        # holds the old version, one of them gives it up first.
+        stale = [r for r in loaded if r.version != adapter.version]
+        changes += [_unload(board, r, "replaced_version") for r in stale[:1]]
+    return changes
+
+
+def _wanted_copies(
+    model: Model, demand: Demand, settings: PlanSettings, current: list[Replica]
+) -> int:
+    """Return the number of copies; a second one only at a good part of a replica."""
+    if not current:
+        return 1
+    slots = current[0].accelerator.slots
+    per_copy = max(1.0, slots) / model.inter_token_deadline_s
+    extra = demand.tokens_per_s / (per_copy * settings.target_utilisation)
+    return 1 + int(extra)
+
+
+def _load(
+    board: PlanBoard,
+    adapter: Adapter,
+    urgency: Urgency,
+    demand_by_name: Mapping[str, Demand],
+) -> list[PlannedChange]:
+    hosts = [
+        replica.accelerator
+        for replica in board.replicas(adapter.model)
+        if replica.accelerator.may_take_orders
+        and adapter.name not in replica.accelerator.replicas_by_name
+    ]
+    fitting = [a for a in hosts if _fits(a, adapter, urgency)]
+    if fitting:
+        best = min(fitting, key=lambda a: (a.tokens_per_s, -a.free_mib))
+        board.add_planned(
+            best,
+            name=adapter.name,
+            model=adapter.model,
+            version=adapter.version,
+            mib=adapter.memory_mib,
+        )
+        return [adapter_load_change(best, adapter, urgency)]
+    if urgency is Urgency.ADAPTER_PRELOAD:
+        return []
+    return _make_room(board, adapter, hosts, demand_by_name)
+
+
+def _fits(accelerator: Accelerator, adapter: Adapter, urgency: Urgency) -> bool:
+    reserve = 0.0
+    if urgency is Urgency.ADAPTER_PRELOAD:
+        reserve = PRELOAD_RESERVE * accelerator.target.accelerator_memory_mib
+    return accelerator.free_mib - reserve >= adapter.memory_mib
+
+
+def _make_room(
+    board: PlanBoard,
+    adapter: Adapter,
+    hosts: list[Accelerator],
+    demand_by_name: Mapping[str, Demand],
+) -> list[PlannedChange]:
+    """Unload the least wanted adapter that makes room, unless it is under way."""
+    if any(host.expected_free_mib >= adapter.memory_mib for host in hosts):
+        return []
+    wanted = demand_by_name.get(adapter.name, NO_DEMAND).tokens_per_s
+    victims = [
+        replica
+        for host in hosts
+        for replica in host.replicas_by_name.values()
+        if replica.name != replica.model
+        and replica.is_ready
+        and not replica.is_leaving
+        and host.expected_free_mib + replica.memory_mib >= adapter.memory_mib
+        and demand_by_name.get(replica.name, NO_DEMAND).peak_tokens_per_s < wanted
+    ]
+    if not victims:
+        return []
+    victim = min(
+        victims,
+        key=lambda r: demand_by_name.get(r.name, NO_DEMAND).peak_tokens_per_s,
+    )
+    return [_unload(board, victim, f"room_for_{adapter.name}")]
+
+
+def _remove_undeclared(board: PlanBoard, document: Document) -> list[PlannedChange]:
+    return [
+        _unload(board, replica, "undeclared")
+        for name, replicas in list(board.replicas_by_name.items())
+        for replica in replicas
+        if replica.name != replica.model
+        and name not in document.adapters_by_name
+        and replica.is_ready
+        and not replica.is_leaving
+        and replica.accelerator.is_usable
+        and replica.accelerator.may_take_orders
+    ]
+
+
+def _unload(board: PlanBoard, replica: Replica, reason: str) -> PlannedChange:
+    board.remove_planned(replica)
+    return unload_change(replica, OrderKind.UNLOAD_ADAPTER, Urgency.CLEAN_UP, reason)
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/placement/changes.py
@@ -0,0 +1,103 @@
+"""Planned changes, their urgency, and the settings of planning."""
+
+import enum
+from typing import NamedTuple
+
+from jaytray_core.document.model import Adapter, Model
+from jaytray_core.targets import OrderKind
+from jaytray_server.process.placement.state import Accelerator, Replica
+
+
+class Urgency(enum.IntEnum):
+    """Order of changes in the weight store's queue, the smallest first."""
+
+    UNREACHABLE = 0
+    BELOW_MINIMUM = 1
+    ADAPTER_WANTED = 2
+    VERSION = 3
+    DEMAND = 4
+    SPREAD = 5
+    CLEAN_UP = 6
+    ADAPTER_PRELOAD = 7
+
+
+class PlanSettings(NamedTuple):
+    """Weights of a plan.
+
+    `target_utilisation` is the part of a replica's capacity to be used at most;
+    `move_cost` the shortfall, in replicas, below which demand moves nothing;
+    `shared_floor` the part of a replica counted on an accelerator that other
+    models use up; `idle_tokens_per_s` the demand at which an adapter is idle.
+    """
+
+    target_utilisation: float = 0.7
+    move_cost: float = 0.3
+    shared_floor: float = 0.2
+    idle_tokens_per_s: float = 0.05
+    adds_for_demand: bool = True
+
+
+class PlannedChange(NamedTuple):
+    """One order to be given, with the reason for the decision log line."""
+
+    kind: OrderKind
+    target: str
+    accelerator: int
+    name: str
+    model: str
+    version: str
+    memory_mib: int
+    urgency: Urgency
+    reason: str
+
+
+def load_change(
+    accelerator: Accelerator, model: Model, urgency: Urgency, reason: str = ""
+) -> PlannedChange:
+    """Return the load of a model onto an accelerator."""
+    return PlannedChange(
+        OrderKind.LOAD_MODEL,
+        accelerator.target.name,
+        accelerator.number,
+        model.name,
+        model.name,
+        model.version,
+        model.memory_mib,
+        urgency,
+        reason or urgency.name.lower(),
+    )
+
+
+def adapter_load_change(
+    accelerator: Accelerator, adapter: Adapter, urgency: Urgency
+) -> PlannedChange:
+    """Return the load of an adapter beside a replica of its model."""
+    return PlannedChange(
+        OrderKind.LOAD_ADAPTER,
+        accelerator.target.name,
+        accelerator.number,
+        adapter.name,
+        adapter.model,
+        adapter.version,
+        adapter.memory_mib,
+        urgency,
+        urgency.name.lower(),
+    )
+
+
+def unload_change(
+    replica: Replica, kind: OrderKind, urgency: Urgency, reason: str
+) -> PlannedChange:
+    """Return the unload of a replica."""
+    accelerator = replica.accelerator
+    return PlannedChange(
+        kind,
+        accelerator.target.name,
+        accelerator.number,
+        replica.name,
+        replica.model,
+        replica.version,
+        replica.memory_mib,
+        urgency,
+        reason,
+    )
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/placement/duties.py
@@ -0,0 +1,185 @@
+"""The placement groups for which this VM may hold the lease.
+
+For each group, the first few VMs of its rendezvous order seek the lease; the others
+do nothing for it, so the work of placement is spread over the VMs and any of them
+can be replaced. Groups follow the document in force.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.document.model import Document
+from jaytray_core.errors import JaytrayError
+from jaytray_core.keyvalue import KeyValueService
+from jaytray_core.logs import get_logger
+from jaytray_core.weight_store import WeightStore
+from jaytray_server.ports import ConnectionTo, CurrentDocument, PeerNetwork
+from jaytray_server.process.decision_log import DecisionLog
+from jaytray_server.process.demand import DemandMeter
+from jaytray_server.process.placement.changes import PlanSettings
+from jaytray_server.process.placement.executor import GroupDuty, PlacementGroup
+from jaytray_server.process.placement.groups import Group, candidates, make_groups
+from jaytray_server.process.placement.pacing import LoadLimits
+from jaytray_server.process.target_table import TargetTable
+
+TOPIC = "placement_wanted"
+CHECK_PERIOD_S = 2.0
+STATUS_PERIOD_S = 60.0
+DEFAULT_LIMITS = LoadLimits(loads_per_second=1.0, concurrent_loads=2)
+
+Sleep = Callable[[float], Awaitable[None]]
+
+
+class PlacementDuties:
+    """Runs a `PlacementGroup` for each group that this VM is a candidate for.
+
+    Run `run()` as one task for the life of the process; cancel it first when the VM
+    leaves, which gives its leases up. `want` asks the planners of a model's or an
+    adapter's group to act at once.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm_id: str,
+        key_value: KeyValueService,
+        peers: PeerNetwork,
+        connection_to: ConnectionTo,
+        current_document: CurrentDocument,
+        weight_store: WeightStore,
+        table: TargetTable,
+        demand: DemandMeter,
+        clock: MonotonicClock,
+        sleep: Sleep = asyncio.sleep,
+        settings: PlanSettings = PlanSettings(),
+        decisions: DecisionLog | None = None,
+    ) -> None:
+        self._vm_id = vm_id
+        self._key_value = key_value
+        self._peers = peers
+        self._connection_to = connection_to
+        self._current_document = current_document
+        self._weight_store = weight_store
+        self._table = table
+        self._demand = demand
+        self._clock = clock
+        self._sleep = sleep
+        self._settings = settings
+        self._decisions = decisions or DecisionLog()
+        self._limits = DEFAULT_LIMITS
+        self._limits_read_at_s = float("-inf")
+        self._document: Document | None = None
+        self._groups_by_name: dict[str, Group] = {}
+        self._planners_by_group: dict[str, PlacementGroup] = {}
+        self._tasks_by_group: dict[str, asyncio.Task[None]] = {}
+        peers.set_handler(TOPIC, self._handle_wanted)
+
+    async def run(self) -> None:
+        """Follow the document and the list of VMs until cancelled."""
+        try:
+            while True:
+                await self._read_limits()
+                self.adjust()
+                await self._sleep(CHECK_PERIOD_S)
+        finally:
+            tasks = list(self._tasks_by_group.values())
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    def held_groups(self) -> list[str]:
+        """Return the groups whose lease this VM holds now."""
+        return [
+            name
+            for name, planner in self._planners_by_group.items()
+            if planner.lease.is_valid()
+        ]
+
+    def want(self, name: str) -> None:
+        """Ask the planners of a model's or an adapter's group to act at once.
+
+        A lost message only delays the change until the planner's next pass.
+        """
+        document = self._current_document()
+        adapter = document.adapters_by_name.get(name)
+        model = adapter.model if adapter else name
+        for group in self._groups().values():
+            if model not in group.models:
+                continue
+            for vm_id in candidates(group.name, self._members()):
+                if vm_id == self._vm_id:
+                    self._wake(group.name)
+                else:
+                    self._peers.send(vm_id, TOPIC, group.name.encode())
+
+    def adjust(self) -> None:
+        """Start and stop planners so that they match the groups and the VMs."""
+        wanted = {
+            name
+            for name in self._groups()
+            if self._vm_id in candidates(name, self._members())
+        }
+        for name in set(self._tasks_by_group) - wanted:
+            self._tasks_by_group.pop(name).cancel()
+            del self._planners_by_group[name]
+        for name in wanted - set(self._tasks_by_group):
+            planner = self._make_planner(name)
+            self._planners_by_group[name] = planner
+            self._tasks_by_group[name] = asyncio.create_task(planner.run())
+
+    def _make_planner(self, name: str) -> PlacementGroup:
+        return PlacementGroup(
+            group=name,
+            vm_id=self._vm_id,
+            key_value=self._key_value,
+            connection_to=self._connection_to,
+            current_document=self._current_document,
+            duty=lambda: self._duty(name),
+            table=self._table,
+            demand=self._demand,
+            clock=self._clock,
+            sleep=self._sleep,
+            settings=self._settings,
+            decisions=self._decisions,
+        )
+
+    def _duty(self, name: str) -> GroupDuty:
+        groups = self._groups()
+        group = groups.get(name) or Group(name, frozenset(), frozenset())
+        share = max(1, len(groups))
+        limits = LoadLimits(
+            self._limits.loads_per_second / share,
+            max(1, self._limits.concurrent_loads // share),
+            max(1, self._limits.concurrent_adapter_loads // share),
+        )
+        return GroupDuty(group, limits)
+
+    def _groups(self) -> dict[str, Group]:
+        document = self._current_document()
+        if document is not self._document:
+            self._document = document
+            self._groups_by_name = make_groups(document)
+        return self._groups_by_name
+
+    def _members(self) -> list[str]:
+        return sorted({*self._peers.listed_vms(), self._vm_id})
+
+    def _wake(self, group: str) -> None:
+        planner = self._planners_by_group.get(group)
+        if planner is not None:
+            planner.wake()
+
+    def _handle_wanted(self, _sender: str, body: bytes) -> None:
+        self._wake(body.decode(errors="replace"))
+
+    async def _read_limits(self) -> None:
+        if self._clock() - self._limits_read_at_s < STATUS_PERIOD_S:
+            return
+        try:
+            status = await self._weight_store.status()
+        except JaytrayError as err:
+            get_logger().warning("weight_store_status_failed", code=err.code)
+            return
+        self._limits_read_at_s = self._clock()
+        self._limits = LoadLimits(status.loads_per_second, status.concurrent_loads)
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/placement/executor.py
@@ -0,0 +1,390 @@
+"""Carries out the plan of one group of targets under the group's lease.
+
+Each pass renews the lease, reads what it needs of the targets, plans, and gives the
+orders that are safe now. An order is written to its target's record by
+compare-and-swap, then sent with the record's revision as fencing number, right after
+the lease was checked against the monotonic clock. Lost orders are sent again with
+the same id. Without the key-value service nothing is ordered.
+"""
+
+import asyncio
+import contextlib
+import uuid
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.document.model import Document, Target
+from jaytray_core.errors import JaytrayError
+from jaytray_core.keyvalue import KeyValueService
+from jaytray_core.logs import get_logger
+from jaytray_core.targets import Order, OrderKind, ResidentState
+from jaytray_server.ports import ConnectionTo, CurrentDocument
+from jaytray_server.process.decision_log import DecisionLog, DecisionRecord
+from jaytray_server.process.demand import DemandMeter
+from jaytray_server.process.placement.changes import PlannedChange, PlanSettings
+from jaytray_server.process.placement.groups import Group
+from jaytray_server.process.placement.lease import GroupLease
+from jaytray_server.process.placement.ledger import SafetyRules, TargetLedger
+from jaytray_server.process.placement.memory import LOADS, UNLOADS
+from jaytray_server.process.placement.pacing import LoadLimits, LoadPacer
+from jaytray_server.process.placement.planner import plan
+from jaytray_server.process.placement.record import (
+    StoredRecord,
+    TargetRecord,
+    decode_record,
+    encode_record,
+    fill_fencing,
+    record_key,
+    with_order,
+)
+from jaytray_server.process.placement.state import TargetState
+from jaytray_server.process.target_table import TargetTable
+
+PASS_PERIOD_S = 1.0
+READS_PER_S = 8
+READ_TIMEOUT_S = 2.0
+ORDER_TIMEOUT_S = 2.0
+RESEND_AFTER_S = 2.0
+# A target that cannot be read for so long counts as lost.
+DEAD_AFTER_S = 5.0
+
+Sleep = Callable[[float], Awaitable[None]]
+NewOrderId = Callable[[], str]
+
+
+class GroupDuty(NamedTuple):
+    """What a pass is about; read anew at each pass."""
+
+    group: Group
+    limits: LoadLimits
+
+
+class PlacementGroup:
+    """Plans one group whenever this VM holds its lease.
+
+    Run `run()` as one task; cancelling it gives the lease up. `duty` returns the
+    group as the document in force has it. `wake` makes the next pass come at once.
+    """
+
+    def __init__(
+        self,
+        *,
+        group: str,
+        vm_id: str,
+        key_value: KeyValueService,
+        connection_to: ConnectionTo,
+        current_document: CurrentDocument,
+        duty: Callable[[], GroupDuty],
+        table: TargetTable,
+        demand: DemandMeter,
+        clock: MonotonicClock,
+        sleep: Sleep = asyncio.sleep,
+        settings: PlanSettings = PlanSettings(),
+        rules: SafetyRules = SafetyRules(),
+        decisions: DecisionLog | None = None,
+        new_order_id: NewOrderId = lambda: uuid.uuid4().hex,
+    ) -> None:
+        self.group = group
+        self._vm_id = vm_id
+        self._key_value = key_value
+        self._connection_to = connection_to
+        self._current_document = current_document
+        self._duty = duty
+        self._table = table
+        self._demand = demand
+        self._clock = clock
+        self._sleep = sleep
+        self._settings = settings
+        self._rules = rules
+        self._decisions = decisions or DecisionLog()
+        self._new_order_id = new_order_id
+        self._pacer = LoadPacer(clock=clock, limits=duty().limits)
+        self._wake = asyncio.Event()
+        self._tenure = 0
+        self._taken_over_at_s = float("-inf")
+        self._ledgers_by_target: dict[str, TargetLedger] = {}
+        self._failing_since_s: dict[str, float] = {}
+        self.lease = GroupLease(
+            group=group, vm_id=vm_id, key_value=key_value, clock=clock
+        )
+
+    async def run(self) -> None:
+        """Make passes until cancelled."""
+        try:
+            while True:
+                try:
+                    await self.step()
+                except JaytrayError as err:
+                    get_logger().warning(
+                        "placement_pass_failed", group=self.group, code=err.code
+                    )
+                await self._pause()
+        finally:
+            await self.lease.release()
+
+    def wake(self) -> None:
+        """Let the next pass begin now, as for an adapter that a request needs."""
+        self._wake.set()
+
+    async def step(self) -> int:
+        """Make one pass; return the number of new orders that were sent.
+
+        Raises `key_value_unavailable` or `key_value_uncertain`.
+        """
+        if not await self.lease.ensure():
+            self._ledgers_by_target.clear()
+            return 0
+        if self._tenure != self.lease.tenure:
+            self._begin_tenure()
+        document = self._current_document()
+        duty = self._duty()
+        self._pacer.limits = duty.limits
+        targets = [
+            document.targets_by_name[name]
+            for name in sorted(duty.group.targets)
+            if name in document.targets_by_name
+        ]
+        await self._read_records(targets)
+        await asyncio.gather(*(self._read_report(t, len(targets)) for t in targets))
+        states = [self._state(target) for target in targets]
+        changes = plan(
+            document=document,
+            states=states,
+            demand_by_name=self._demand.total_demand(),
+            settings=self._settings,
+            models=duty.group.models,
+        )
+        sent = await self._carry_out(document, changes, states)
+        await asyncio.gather(*(self._resend(t, states) for t in targets))
+        return sent
+
+    def _begin_tenure(self) -> None:
+        self._tenure = self.lease.tenure
+        self._taken_over_at_s = self._clock()
+        self._ledgers_by_target.clear()
+        get_logger().info("placement_lease_taken", group=self.group, vm=self._vm_id)
+
+    def _ledger(self, target: str) -> TargetLedger:
+        ledger = self._ledgers_by_target.get(target)
+        if ledger is None:
+            ledger = TargetLedger(
+                rules=self._rules, taken_over_at_s=self._taken_over_at_s
+            )
+            self._ledgers_by_target[target] = ledger
+        return ledger
+
+    async def _read_records(self, targets: list[Target]) -> None:
+        for target in targets:
+            ledger = self._ledger(target.name)
+            if not ledger.is_record_read:
+                record = await self._key_value.get(record_key(target.name))
+                ledger.set_record(decode_record(record), is_proven=False)
+
+    async def _read_report(self, target: Target, group_size: int) -> None:
+        ledger = self._ledger(target.name)
+        if not self._needs_report(ledger, target, group_size):
+            return
+        connection = self._connection_to(target.name)
+        asked_at_s = self._clock()
+        try:
+            if connection is None:
+                raise TimeoutError
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                report = await connection.load_report()
+        except (JaytrayError, TimeoutError):
+            self._failing_since_s.setdefault(target.name, asked_at_s)
+            return
+        self._failing_since_s.pop(target.name, None)
+        self._table.record_report(report)
+        ledger.take_report(report, asked_at_s=asked_at_s)
+
+    def _needs_report(
+        self, ledger: TargetLedger, target: Target, group_size: int
+    ) -> bool:
+        age_s = ledger.report_age_s(self._clock())
+        if age_s >= max(PASS_PERIOD_S, group_size / READS_PER_S):
+            return True
+        if target.name in self._failing_since_s or ledger.unsettled_orders(target):
+            return True
+        told = self._table.report_of(target.name)
+        return bool(told and ledger.report and told.boot_id != ledger.report.boot_id)
+
+    def _state(self, target: Target) -> TargetState:
+        ledger = self._ledger(target.name)
+        failing_since_s = self._failing_since_s.get(target.name, self._clock())
+        is_lost = self._clock() - failing_since_s >= DEAD_AFTER_S
+        is_leaving = bool(ledger.report and ledger.report.is_leaving)
+        is_usable = not (is_lost or is_leaving or target.is_drained)
+        return ledger.state(target, is_usable=is_usable)
+
+    async def _carry_out(
+        self,
+        document: Document,
+        changes: list[PlannedChange],
+        states: list[TargetState],
+    ) -> int:
+        models_loading, adapters_loading = _loading(states)
+        sent = 0
+        for change in changes:
+            is_allowed = self._pacer.allows(
+                change,
+                models_loading=models_loading,
+                adapters_loading=adapters_loading,
+            )
+            if not is_allowed:
+                continue
+            if not await self._order(document.targets_by_name[change.target], change):
+                continue
+            sent += 1
+            if change.kind is OrderKind.LOAD_MODEL:
+                models_loading += 1
+            adapters_loading += change.kind is OrderKind.LOAD_ADAPTER
+        return sent
+
+    async def _order(self, target: Target, change: PlannedChange) -> bool:
+        """Write the order to the record and send it; return whether it was sent."""
+        ledger = self._ledger(target.name)
+        order = _new_order(change, self._new_order_id())
+        if not ledger.allows(order, target) or ledger.report is None:
+            return False
+        live_ids = frozenset(o.order_id for o in ledger.live_orders(target))
+        value = with_order(ledger.record.value, ledger.report, order, live_ids)
+        revision = await self._write_record(target, ledger, value)
+        if revision is None:
+            return False
+        ledger.note_own(order.order_id)
+        self._record_decision(change, revision)
+        if change.kind is OrderKind.LOAD_MODEL:
+            self._pacer.note_load()
+        return await self._send(target, order._replace(fencing_number=revision))
+
+    async def _write_record(
+        self, target: Target, ledger: TargetLedger, value: TargetRecord
+    ) -> int | None:
+        """Write the target's record; return its revision, None if it was outdated.
+
+        When the outcome is unknown, the record is read again in the next pass.
+        """
+        expected = ledger.record.revision
+        ledger.is_record_read = False
+        swapped = await self._key_value.compare_and_swap(
+            record_key(target.name), expected, encode_record(value), ""
+        )
+        if not swapped.is_swapped:
+            return None
+        revision = swapped.revision
+        record = StoredRecord(fill_fencing(value, revision), revision)
+        ledger.set_record(record, is_proven=True)
+        return revision
+
+    async def _send(self, target: Target, order: Order) -> bool:
+        connection = self._connection_to(target.name)
+        if connection is None or not self.lease.is_valid():
+            return False
+        self._ledger(target.name).note_sent(order.order_id, self._clock())
+        with contextlib.suppress(JaytrayError, TimeoutError):
+            async with asyncio.timeout(ORDER_TIMEOUT_S):
+                reply = await connection.order(order)
+            get_logger().info(
+                "placement_order",
+                target=target.name,
+                order_id=order.order_id,
+                is_accepted=reply.is_accepted,
+                detail=reply.detail,
+            )
+        return True
+
+    async def _resend(self, target: Target, states: list[TargetState]) -> None:
+        """Send unsettled orders again whose effect has not shown in time."""
+        ledger = self._ledger(target.name)
+        now = self._clock()
+        unsettled = ledger.unsettled_orders(target) if ledger.is_record_read else []
+        if unsettled and not ledger.is_record_proven:
+            # What was read may be outdated; only a write shows that it is not.
+            if await self._write_record(target, ledger, ledger.record.value) is None:
+                return
+        for order in unsettled:
+            is_due = now - ledger.sent_at_s(order.order_id) >= RESEND_AFTER_S
+            if is_due and not _removes_last(order, states):
+                await self._send(target, order)
+
+    def _record_decision(self, change: PlannedChange, revision: int) -> None:
+        get_logger().info(
+            "placement_decision",
+            group=self.group,
+            target=change.target,
+            accelerator=change.accelerator,
+            kind=str(change.kind),
+            name=change.name,
+            version=change.version,
+            reason=change.reason,
+            fencing_number=revision,
+        )
+        self._decisions.add(
+            DecisionRecord(
+                change.target,
+                "placement",
+                change.target,
+                f"{change.kind} {change.name}: {change.reason}",
+                float(change.urgency),
+                1,
+                self._clock(),
+            )
+        )
+
+    async def _pause(self) -> None:
+        self._wake.clear()
+        waits = {
+            asyncio.ensure_future(self._sleep(PASS_PERIOD_S)),
+            asyncio.ensure_future(self._wake.wait()),
+        }
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for wait in waits:
+                wait.cancel()
+
+
+def _new_order(change: PlannedChange, order_id: str) -> Order:
+    return Order(
+        order_id,
+        change.kind,
+        change.name,
+        change.model,
+        change.version,
+        change.accelerator,
+        change.memory_mib,
+        0,
+    )
+
+
+def _loading(states: list[TargetState]) -> tuple[int, int]:
+    """Return how many models and adapters are being loaded or may be."""
+    places: set[tuple[str, int, str, bool]] = set()
+    for state in states:
+        target = state.target.name
+        for resident in state.residents:
+            if resident.state is ResidentState.LOADING:
+                is_model = resident.name == resident.model
+                places.add((target, resident.accelerator, resident.name, is_model))
+        for order in state.orders:
+            if order.kind in LOADS and order.order_id in state.unsettled_order_ids:
+                is_model = order.kind is OrderKind.LOAD_MODEL
+                places.add((target, order.accelerator, order.name, is_model))
+    models = sum(is_model for *_, is_model in places)
+    return models, len(places) - models
+
+
+def _removes_last(order: Order, states: list[TargetState]) -> bool:
+    """Return whether an unload would take the last ready replica away."""
+    if order.kind not in UNLOADS:
+        return False
+    serving = [
+        resident
+        for state in states
+        if state.is_usable
+        for resident in state.residents
+        if resident.name == order.name and resident.state is ResidentState.READY
+    ]
+    return len(serving) <= 1
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/placement/groups.py
@@ -0,0 +1,87 @@
+"""Groups of targets that are planned together, and the home group of each model.
+
+Both follow from the document alone, so all VMs agree without talking. The number of
+groups is a power of two, so that a growing fleet seldom moves a target to another
+group. A model's home is the first group in its rendezvous order that still has room
+for it; the targets of a group are spread over the failure domains by hashing.
+"""
+
+from typing import NamedTuple
+
+from jaytray_core.document.model import Document, Target
+from jaytray_core.rendezvous import owner_of, rank_members
+
+MAX_TARGETS_PER_GROUP = 32
+# A group takes models up to this multiple of its fair part of the memory asked for.
+HOME_MEMORY_FACTOR = 1.25
+CANDIDATES_PER_GROUP = 3
+
+
+class Group(NamedTuple):
+    """Targets planned under one lease and the models that have their home there."""
+
+    name: str
+    targets: frozenset[str]
+    models: frozenset[str]
+
+
+def make_groups(document: Document) -> dict[str, Group]:
+    """Return the groups of a document by name."""
+    names = [f"group-{number}" for number in range(_number_of_groups(document))]
+    targets_by_group: dict[str, set[str]] = {name: set() for name in names}
+    for target in document.targets_by_name:
+        targets_by_group[owner_of(target, names) or names[0]].add(target)
+    models_by_group = _homes(document, targets_by_group)
+    return {
+        name: Group(name, frozenset(targets), frozenset(models_by_group[name]))
+        for name, targets in targets_by_group.items()
+    }
+
+
+def candidates(group: str, vms: list[str]) -> list[str]:
+    """Return the VMs that seek the lease of a group, the first choice first."""
+    return rank_members(group, vms)[:CANDIDATES_PER_GROUP]
+
+
+def _number_of_groups(document: Document) -> int:
+    number = 1
+    while len(document.targets_by_name) / number > MAX_TARGETS_PER_GROUP:
+        number *= 2
+    return number
+
+
+def _homes(
+    document: Document, targets_by_group: dict[str, set[str]]
+) -> dict[str, set[str]]:
+    """Return the models of each group, by rendezvous with bounded memory."""
+    room_by_group = _room(document, targets_by_group)
+    models_by_group: dict[str, set[str]] = {name: set() for name in targets_by_group}
+    for model in sorted(document.models_by_name.values()):
+        wanted = model.memory_mib * max(1, model.min_replicas)
+        ranked = rank_members(model.name, targets_by_group)
+        home = next((g for g in ranked if room_by_group[g] >= wanted), ranked[0])
+        room_by_group[home] -= wanted
+        models_by_group[home].add(model.name)
+    return models_by_group
+
+
+def _room(
+    document: Document, targets_by_group: dict[str, set[str]]
+) -> dict[str, float]:
+    wanted = sum(
+        model.memory_mib * max(1, model.min_replicas)
+        for model in document.models_by_name.values()
+    )
+    memory_by_group = {
+        group: sum(_memory_mib(document.targets_by_name[t]) for t in targets)
+        for group, targets in targets_by_group.items()
+    }
+    total = max(1, sum(memory_by_group.values()))
+    return {
+        group: HOME_MEMORY_FACTOR * wanted * memory / total
+        for group, memory in memory_by_group.items()
+    }
+
+
+def _memory_mib(target: Target) -> int:
+    return target.accelerators * target.accelerator_memory_mib
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/placement/lease.py
@@ -0,0 +1,94 @@
+"""The lease under which one VM plans a group of targets."""
+
+import contextlib
+
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.errors import JaytrayError
+from jaytray_core.keyvalue import ABSENT_REVISION, KeyValueService
+
+KEY_PREFIX = "placement/groups/"
+LEASE_TTL_S = 9.0
+# Part of the time to live that the holder does not use: clocks differ in speed.
+SAFETY_SHARE = 0.2
+
+
+class GroupLease:
+    """Holds or seeks the lease of one group.
+
+    `is_valid` is judged by the monotonic clock from the moment before the last
+    renewal was asked for, so a holder that was paused sees by itself that it lapsed.
+    """
+
+    def __init__(
+        self,
+        *,
+        group: str,
+        vm_id: str,
+        key_value: KeyValueService,
+        clock: MonotonicClock,
+        ttl_s: float = LEASE_TTL_S,
+    ) -> None:
+        self._key = KEY_PREFIX + group
+        self._vm_id = vm_id
+        self._key_value = key_value
+        self._clock = clock
+        self._ttl_s = ttl_s
+        self._lease_id = ""
+        self._valid_until_s = float("-inf")
+        # Grows each time that the lease is taken anew.
+        self.tenure = 0
+
+    def is_valid(self) -> bool:
+        """Return whether this VM may still act as the holder."""
+        return self._clock() < self._valid_until_s
+
+    async def ensure(self) -> bool:
+        """Renew or take the lease; return whether this VM holds it.
+
+        Raises `key_value_unavailable` or `key_value_uncertain`.
+        """
+        asked_at_s = self._clock()
+        if self._lease_id:
+            if self._is_fresh(asked_at_s):
+                return True
+            if await self._key_value.keep_lease(self._lease_id):
+                if self.is_valid():
+                    self._extend(asked_at_s)
+                    return True
+                # Renewed only after it had lapsed here: begin as a new holder.
+                await self._key_value.revoke_lease(self._lease_id)
+            self._drop()
+        return await self._take()
+
+    async def release(self) -> None:
+        """Give the lease up, as when the VM leaves; failures are ignored."""
+        lease_id = self._lease_id
+        self._drop()
+        if lease_id:
+            with contextlib.suppress(JaytrayError):
+                await self._key_value.revoke_lease(lease_id)
+
+    def _is_fresh(self, now: float) -> bool:
+        return self._valid_until_s - now > self._ttl_s / 2
+
+    async def _take(self) -> bool:
+        if await self._key_value.get(self._key) is not None:
+            return False
+        asked_at_s = self._clock()
+        lease_id = await self._key_value.grant_lease(self._ttl_s)
+        swapped = await self._key_value.compare_and_swap(
+            self._key, ABSENT_REVISION, self._vm_id.encode(), lease_id
+        )
+        if not swapped.is_swapped:
+            return False
+        self._lease_id = lease_id
+        self.tenure += 1
+        self._extend(asked_at_s)
+        return self.is_valid()
+
+    def _extend(self, asked_at_s: float) -> None:
+        self._valid_until_s = asked_at_s + self._ttl_s * (1 - SAFETY_SHARE)
+
+    def _drop(self) -> None:
+        self._lease_id = ""
+        self._valid_until_s = float("-inf")
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/placement/memory.py
@@ -0,0 +1,57 @@
+"""Worst-case accelerator memory and conflicts between orders.
+
+An order that was written down may take effect now, later, twice or never. Memory is
+therefore counted as all reported residents plus every load that may still take
+effect, while an unload frees nothing until a report shows it.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from jaytray_core.targets import Order, OrderKind, Resident
+
+LOADS = (OrderKind.LOAD_MODEL, OrderKind.LOAD_ADAPTER)
+UNLOADS = (OrderKind.UNLOAD_MODEL, OrderKind.UNLOAD_ADAPTER)
+
+
+class Place(NamedTuple):
+    """A name on one accelerator of a target."""
+
+    name: str
+    accelerator: int
+
+
+def worst_case_mib(
+    accelerator: int, residents: Iterable[Resident], orders: Iterable[Order]
+) -> int:
+    """Return the most memory that the accelerator may hold, in mebibytes.
+
+    `orders` are all that may still take effect. A resident and the order that
+    loads it count once, with the larger size.
+    """
+    memory_by_place: dict[Place, int] = {}
+    for resident in residents:
+        if resident.accelerator == accelerator:
+            _raise_to(memory_by_place, resident.name, accelerator, resident.memory_mib)
+    for order in orders:
+        if order.accelerator == accelerator and order.kind in LOADS:
+            _raise_to(memory_by_place, order.name, accelerator, order.memory_mib)
+    return sum(memory_by_place.values())
+
+
+def conflict(first: Order, second: Order) -> bool:
+    """Return whether the outcome of two orders depends on their sequence.
+
+    Memory is not considered here; the worst case covers it.
+    """
+    if first.accelerator != second.accelerator or first.model != second.model:
+        return False
+    has_unload = first.kind in UNLOADS or second.kind in UNLOADS
+    return first.name == second.name or has_unload
+
+
+def _raise_to(
+    memory_by_place: dict[Place, int], name: str, accelerator: int, memory_mib: int
+) -> None:
+    place = Place(name, accelerator)
+    memory_by_place[place] = max(memory_by_place.get(place, 0), memory_mib)
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/placement/pacing.py
@@ -0,0 +1,47 @@
+"""Pacing of loads by the limits of the weight store.
+
+Loads that the plan puts first go first; of the loads at once, the last free one is
+kept for models that are unreachable. Adapter loads have a limit of their own, beyond
+which each of them takes longer.
+"""
+
+from typing import NamedTuple
+
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.targets import OrderKind
+from jaytray_server.process.placement.changes import PlannedChange, Urgency
+
+
+class LoadLimits(NamedTuple):
+    """Limits of the weight store, or of this group's part of it."""
+
+    loads_per_second: float
+    concurrent_loads: int
+    concurrent_adapter_loads: int = 16
+
+
+class LoadPacer:
+    """Grants loads within the limits; holds only the time of the last one."""
+
+    def __init__(self, *, clock: MonotonicClock, limits: LoadLimits) -> None:
+        self._clock = clock
+        self.limits = limits
+        self._next_load_at_s = float("-inf")
+
+    def allows(
+        self, change: PlannedChange, *, models_loading: int, adapters_loading: int
+    ) -> bool:
+        """Return whether the change may be ordered now; unloads always may."""
+        if change.kind is OrderKind.LOAD_ADAPTER:
+            return adapters_loading < self.limits.concurrent_adapter_loads
+        if change.kind is not OrderKind.LOAD_MODEL:
+            return True
+        allowed = self.limits.concurrent_loads
+        if change.urgency > Urgency.BELOW_MINIMUM:
+            allowed = max(1, allowed - 1)
+        return models_loading < allowed and self._clock() >= self._next_load_at_s
+
+    def note_load(self) -> None:
+        """Count a model load that is about to be ordered."""
+        start = max(self._clock(), self._next_load_at_s)
+        self._next_load_at_s = start + 1.0 / self.limits.loads_per_second
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/placement/planner.py
@@ -0,0 +1,227 @@
+"""The placement plan of one group of targets, a pure function.
+
+`plan` compares what the targets hold with what the document and the demand ask for
+and returns the changes to make next, the most urgent first. It keeps no state, so
+any VM can plan a group at any time. Its rules:
+
+- a replica is added before another is taken away, and the last one is never taken;
+- replicas are taken away only to make room, or when nothing declares them;
+- demand now decides what is added, the fading peak of demand what may go, which is
+  the hysteresis; a move must be worth `move_cost` replicas of unmet demand;
+- replicas of a model go to different failure domains where memory allows.
+"""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from jaytray_core.document.model import Document, Model
+from jaytray_core.targets import OrderKind
+from jaytray_server.process.demand import NO_DEMAND, Demand
+from jaytray_server.process.placement.adapters import plan_adapters
+from jaytray_server.process.placement.changes import (
+    PlannedChange,
+    PlanSettings,
+    Urgency,
+    load_change,
+    unload_change,
+)
+from jaytray_server.process.placement.room import find_accelerator, make_room
+from jaytray_server.process.placement.state import (
+    PlanBoard,
+    Replica,
+    TargetState,
+)
+
+
+def plan(
+    *,
+    document: Document,
+    states: list[TargetState],
+    demand_by_name: Mapping[str, Demand],
+    settings: PlanSettings = PlanSettings(),
+    models: frozenset[str] | None = None,
+) -> list[PlannedChange]:
+    """Return the changes to order next, the most urgent first.
+
+    `models` are those that have their home in this group; None means all. Changes
+    are independent of each other: each fits into memory by itself and together.
+    """
+    board = PlanBoard(states=states)
+    total_by_name = _with_adapters(document, demand_by_name)
+    homed = [
+        model
+        for model in document.models_by_name.values()
+        if models is None or model.name in models
+    ]
+    _spread_demand(board, homed, total_by_name)
+    changes: list[PlannedChange] = []
+    for need in sorted(_needs(board, homed, total_by_name, settings)):
+        changes += _meet(board, document, need, total_by_name, settings)
+    changes += _remove_unwanted(board, document, frozenset(m.name for m in homed))
+    changes += plan_adapters(board, document, homed, total_by_name, settings)
+    return sorted(changes, key=lambda change: change.urgency)
+
+
+def _with_adapters(
+    document: Document, demand_by_name: Mapping[str, Demand]
+) -> dict[str, Demand]:
+    """Return the demand with that of each adapter added to its model's."""
+    total = dict(demand_by_name)
+    for name, demand in demand_by_name.items():
+        adapter = document.adapters_by_name.get(name)
+        if adapter is None:
+            continue
+        known = total.get(adapter.model, NO_DEMAND)
+        total[adapter.model] = Demand(
+            known.tokens_per_s + demand.tokens_per_s,
+            known.peak_tokens_per_s + demand.peak_tokens_per_s,
+        )
+    return total
+
+
+def replica_tokens_per_s(model: Model, slots: float) -> float:
+    """Return the tokens a second that a replica with `slots` gives in time.
+
+    A target's slots are set so that, all in use, each request still gets its tokens
+    within the inter-token deadline.
+    """
+    return max(slots, 1.0) / model.inter_token_deadline_s
+
+
+class _Need(NamedTuple):
+    """A model short of replicas; sorted, the most urgent and largest come first."""
+
+    urgency: Urgency
+    negative_size: float
+    name: str
+    missing: int
+
+
+def _needs(
+    board: PlanBoard,
+    models: list[Model],
+    demand_by_name: Mapping[str, Demand],
+    settings: PlanSettings,
+) -> list[_Need]:
+    needs: list[_Need] = []
+    for model in models:
+        demand = demand_by_name.get(model.name, NO_DEMAND)
+        replicas = board.replicas(model.name)
+        current = [r for r in replicas if r.version == model.version]
+        minimum = max(1, model.min_replicas)
+        missing = minimum - len(current)
+        if not replicas:
+            needs.append(
+                _Need(Urgency.UNREACHABLE, -demand.tokens_per_s, model.name, 1)
+            )
+            missing -= 1
+        if missing > 0:
+            is_version = len(replicas) > len(current)
+            urgency = Urgency.VERSION if is_version else Urgency.BELOW_MINIMUM
+            needs.append(_Need(urgency, -demand.tokens_per_s, model.name, missing))
+            continue
+        shortfall = _shortfall(board, model, demand, settings)
+        room = max(model.max_replicas, minimum) - len(current)
+        if shortfall > settings.move_cost and room > 0:
+            missing = min(room, max(1, round(shortfall)))
+            needs.append(_Need(Urgency.DEMAND, -shortfall, model.name, missing))
+        elif room > 0 and len({r.accelerator.domain for r in current}) == 1:
+            needs.append(
+                _Need(Urgency.SPREAD, -demand.peak_tokens_per_s, model.name, 1)
+            )
+    return needs
+
+
+def _shortfall(
+    board: PlanBoard, model: Model, demand: Demand, settings: PlanSettings
+) -> float:
+    """Return how many replicas the present ones fall short of the demand.
+
+    An accelerator shared with other models in demand gives each its part.
+    """
+    if demand.tokens_per_s <= 0:
+        return 0.0
+    capacity = 0.0
+    whole = 0.0
+    for replica in board.replicas(model.name):
+        accelerator = replica.accelerator
+        whole = replica_tokens_per_s(model, accelerator.slots)
+        others = accelerator.tokens_per_s - demand.tokens_per_s / len(
+            board.replicas(model.name)
+        )
+        capacity += max(whole * settings.shared_floor, whole - max(0.0, others))
+    if whole == 0:
+        return 1.0
+    return (demand.tokens_per_s / settings.target_utilisation - capacity) / whole
+
+
+def _spread_demand(
+    board: PlanBoard, models: list[Model], demand_by_name: Mapping[str, Demand]
+) -> None:
+    """Charge each model's demand to the accelerators of its replicas."""
+    for model in models:
+        tokens_per_s = demand_by_name.get(model.name, NO_DEMAND).tokens_per_s
+        replicas = board.replicas(model.name)
+        for replica in replicas:
+            replica.accelerator.tokens_per_s += tokens_per_s / len(replicas)
+
+
+def _meet(
+    board: PlanBoard,
+    document: Document,
+    need: _Need,
+    demand_by_name: Mapping[str, Demand],
+    settings: PlanSettings,
+) -> list[PlannedChange]:
+    """Plan loads for a need, or the unloads that make room for them."""
+    urgency, _, name, missing = need
+    model = document.models_by_name[name]
+    changes: list[PlannedChange] = []
+    for _ in range(missing):
+        accelerator = find_accelerator(board, model, urgency)
+        if accelerator is not None:
+            board.add_planned(
+                accelerator,
+                name=name,
+                model=name,
+                version=model.version,
+                mib=model.memory_mib,
+            )
+            changes.append(load_change(accelerator, model, urgency))
+            continue
+        if urgency is Urgency.SPREAD:
+            break
+        changes += make_room(board, document, model, urgency, demand_by_name, settings)
+    return changes
+
+
+def _remove_unwanted(
+    board: PlanBoard, document: Document, homed: frozenset[str]
+) -> list[PlannedChange]:
+    """Plan unloads of undeclared models and of replaced versions."""
+    changes: list[PlannedChange] = []
+    for name, replicas in board.replicas_by_name.items():
+        model = document.models_by_name.get(name)
+        for replica in replicas:
+            if replica.is_leaving or not replica.accelerator.may_take_orders:
+                continue
+            if name != replica.model or not replica.accelerator.is_usable:
+                continue
+            if model is None:
+                changes.append(_unload(board, replica, "undeclared"))
+            elif name in homed and _is_replaced(board, model, replica):
+                changes.append(_unload(board, replica, "replaced_version"))
+    return changes
+
+
+def _is_replaced(board: PlanBoard, model: Model, replica: Replica) -> bool:
+    """Return whether enough replicas of the declared version serve already."""
+    if replica.version == model.version:
+        return False
+    current = [r for r in board.serving(model.name) if r.version == model.version]
+    return len(current) >= max(1, model.min_replicas)
+
+
+def _unload(board: PlanBoard, replica: Replica, reason: str) -> PlannedChange:
+    board.remove_planned(replica)
+    return unload_change(replica, OrderKind.UNLOAD_MODEL, Urgency.CLEAN_UP, reason)
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/placement/record.py
@@ -0,0 +1,111 @@
+"""The record of a target's orders in the key-value service.
+
+Every order stands in its target's record before it is sent, and the revision of
+that write is its fencing number. Whoever plans the target later finds there all
+orders that may still take effect.
+"""
+
+from typing import NamedTuple
+
+from jaytray_core.codec import decode_json, encode_json
+from jaytray_core.keyvalue import ABSENT_REVISION, KeyValueRecord
+from jaytray_core.targets import LoadReport, Order, OrderKind
+
+KEY_PREFIX = "placement/targets/"
+MAX_PAST_BOOTS = 8
+# Fencing number in a record of the order written last: the record's revision.
+_THIS_REVISION = 0
+
+
+class WrittenOrder(NamedTuple):
+    """An order as it stands in a record; `fencing_number` 0 is its own revision."""
+
+    order_id: str
+    kind: OrderKind
+    name: str
+    model: str
+    version: str
+    accelerator: int
+    memory_mib: int
+    fencing_number: int
+
+
+class TargetRecord(NamedTuple):
+    """The value of a target's record.
+
+    `report_taken_at_s` and `boot_id` name the load report by which orders were
+    last dropped; older reports must not be used with this record.
+    """
+
+    boot_id: str
+    past_boot_ids: list[str]
+    report_taken_at_s: float
+    orders: list[WrittenOrder]
+
+
+EMPTY_RECORD = TargetRecord("", [], float("-inf"), [])
+
+
+class StoredRecord(NamedTuple):
+    """A target's record with its revision, 0 when it does not exist yet."""
+
+    value: TargetRecord
+    revision: int
+
+
+def record_key(target: str) -> str:
+    """Return the key of a target's record."""
+    return KEY_PREFIX + target
+
+
+def decode_record(record: KeyValueRecord | None) -> StoredRecord:
+    """Return the stored record with all fencing numbers filled in."""
+    if record is None:
+        return StoredRecord(EMPTY_RECORD, ABSENT_REVISION)
+    value = decode_json(record.value, TargetRecord, peer="kv")
+    return StoredRecord(fill_fencing(value, record.revision), record.revision)
+
+
+def encode_record(record: TargetRecord) -> bytes:
+    """Return the record as JSON; an unset time of report becomes zero."""
+    taken_at_s = max(record.report_taken_at_s, 0.0)
+    return encode_json(record._replace(report_taken_at_s=taken_at_s))
+
+
+def fill_fencing(record: TargetRecord, revision: int) -> TargetRecord:
+    """Return the record with the order written last numbered by `revision`."""
+    orders = [
+        order._replace(fencing_number=order.fencing_number or revision)
+        for order in record.orders
+    ]
+    return record._replace(orders=orders)
+
+
+def is_usable_report(record: TargetRecord, report: LoadReport) -> bool:
+    """Return whether a report is at least as new as the one behind the record."""
+    if report.boot_id == record.boot_id:
+        return report.taken_at_s >= record.report_taken_at_s
+    return report.boot_id not in record.past_boot_ids
+
+
+def with_order(
+    record: TargetRecord,
+    report: LoadReport,
+    order: Order,
+    live_order_ids: frozenset[str],
+) -> TargetRecord:
+    """Return the record to be written for a new order made by `report`.
+
+    Orders outside `live_order_ids` can have no further effect and are dropped.
+    """
+    past = record.past_boot_ids
+    if record.boot_id and record.boot_id != report.boot_id:
+        past = [*past, record.boot_id][-MAX_PAST_BOOTS:]
+    kept = [old for old in record.orders if old.order_id in live_order_ids]
+    written = WrittenOrder(*order._replace(fencing_number=_THIS_REVISION))
+    return TargetRecord(report.boot_id, past, report.taken_at_s, [*kept, written])
+
+
+def to_order(written: WrittenOrder) -> Order:
+    """Return the order as it is sent."""
+    return Order(*written)
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/placement/room.py
@@ -0,0 +1,232 @@
+"""Where a new replica goes, and what gives way when nowhere is room."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from jaytray_core.document.model import Document, Model
+from jaytray_core.targets import OrderKind
+from jaytray_server.process.demand import NO_DEMAND, Demand
+from jaytray_server.process.placement.changes import (
+    PlannedChange,
+    PlanSettings,
+    Urgency,
+    load_change,
+    unload_change,
+)
+from jaytray_server.process.placement.state import Accelerator, PlanBoard, Replica
+
+
+class _Room(NamedTuple):
+    """An accelerator with the replicas that would have to leave it."""
+
+    accelerator: Accelerator
+    victims: list[Replica]
+
+
+def find_accelerator(
+    board: PlanBoard, model: Model, urgency: Urgency
+) -> Accelerator | None:
+    """Return the best accelerator with free memory for one more replica, or None.
+
+    A failure domain without a replica goes first, then little demand, then the
+    tightest fit, which keeps large holes for large models.
+    """
+    domains = {replica.accelerator.domain for replica in board.replicas(model.name)}
+    fitting = [
+        accelerator
+        for accelerator in _open_accelerators(board, model)
+        if accelerator.free_mib >= model.memory_mib
+        and (urgency is not Urgency.SPREAD or accelerator.domain not in domains)
+    ]
+    return min(
+        fitting,
+        key=lambda a: (
+            a.domain in domains,
+            model.name in board.names_by_target[a.target.name],
+            a.tokens_per_s,
+            a.free_mib,
+        ),
+        default=None,
+    )
+
+
+def make_room(
+    board: PlanBoard,
+    document: Document,
+    model: Model,
+    urgency: Urgency,
+    demand_by_name: Mapping[str, Demand],
+    settings: PlanSettings,
+) -> list[PlannedChange]:
+    """Return the unloads that make room for a replica, or none.
+
+    Nothing is returned when room is being made already. When only last replicas
+    stand in the way of an unreachable model, one of them is first loaded elsewhere.
+    """
+    accelerators = _open_accelerators(board, model)
+    for accelerator in accelerators:
+        if accelerator.expected_free_mib >= model.memory_mib:
+            accelerator.expected_free_mib -= model.memory_mib
+            return []
+    rooms = [
+        room
+        for accelerator in accelerators
+        if (
+            room := _room_on(
+                board, document, model, urgency, accelerator, demand_by_name, settings
+            )
+        )
+    ]
+    if not rooms:
+        return _relocate(board, document, model, urgency, accelerators)
+    domains = {replica.accelerator.domain for replica in board.replicas(model.name)}
+    room = min(
+        rooms,
+        key=lambda r: (
+            sum(v.name == v.model for v in r.victims),
+            r.accelerator.domain in domains,
+            r.accelerator.tokens_per_s,
+        ),
+    )
+    changes = []
+    for victim in room.victims:
+        board.remove_planned(victim)
+        is_model = victim.name == victim.model
+        kind = OrderKind.UNLOAD_MODEL if is_model else OrderKind.UNLOAD_ADAPTER
+        reason = f"room_for_{model.name}"
+        changes.append(unload_change(victim, kind, urgency, reason))
+    room.accelerator.expected_free_mib -= model.memory_mib
+    return changes
+
+
+def _open_accelerators(board: PlanBoard, model: Model) -> list[Accelerator]:
+    """Return the accelerators that can take orders and do not hold the model.
+
+    A target that holds another version of the model is left out: engines address a
+    replica by name, so both versions would answer there.
+    """
+    return [
+        accelerator
+        for accelerator in board.accelerators
+        if accelerator.is_usable
+        and accelerator.may_take_orders
+        and model.name not in accelerator.replicas_by_name
+        and not _holds_other_version(board, accelerator, model)
+    ]
+
+
+def _holds_other_version(
+    board: PlanBoard, accelerator: Accelerator, model: Model
+) -> bool:
+    target = accelerator.target.name
+    if model.name not in board.names_by_target[target]:
+        return False
+    return any(
+        replica.version != model.version
+        for replica in board.replicas_by_name.get(model.name, ())
+        if replica.accelerator.target.name == target
+    )
+
+
+def _room_on(
+    board: PlanBoard,
+    document: Document,
+    model: Model,
+    urgency: Urgency,
+    accelerator: Accelerator,
+    demand_by_name: Mapping[str, Demand],
+    settings: PlanSettings,
+) -> _Room | None:
+    """Return what has to leave the accelerator, or None if that is not allowed."""
+    missing_mib = model.memory_mib - accelerator.expected_free_mib
+    removable = [
+        replica
+        for replica in accelerator.replicas_by_name.values()
+        if _may_leave(board, document, replica, urgency, demand_by_name, settings)
+    ]
+    removable.sort(key=lambda r: (r.name == r.model, _peak(r, demand_by_name)))
+    victims: list[Replica] = []
+    for replica in removable:
+        if missing_mib <= 0:
+            break
+        victims.append(replica)
+        missing_mib -= replica.memory_mib
+    return _Room(accelerator, victims) if missing_mib <= 0 and victims else None
+
+
+def _may_leave(
+    board: PlanBoard,
+    document: Document,
+    replica: Replica,
+    urgency: Urgency,
+    demand_by_name: Mapping[str, Demand],
+    settings: PlanSettings,
+) -> bool:
+    """Return whether a replica may give way to a need of this urgency."""
+    if replica.is_leaving or not replica.is_ready:
+        return False
+    if replica.name != replica.model:
+        return urgency <= Urgency.BELOW_MINIMUM or _peak(replica, demand_by_name) <= 0
+    has_adapters = any(
+        other.model == replica.name and other is not replica
+        for other in replica.accelerator.replicas_by_name.values()
+    )
+    if has_adapters and urgency > Urgency.BELOW_MINIMUM:
+        return False
+    serving = len([r for r in board.serving(replica.name) if r is not replica])
+    model = document.models_by_name.get(replica.name)
+    if model is None:
+        return True
+    if urgency is Urgency.UNREACHABLE:
+        return serving >= 1
+    if serving < max(1, model.min_replicas):
+        return False
+    if urgency is not Urgency.DEMAND:
+        return True
+    per_replica = max(1.0, replica.accelerator.slots) / model.inter_token_deadline_s
+    return (
+        _peak(replica, demand_by_name)
+        <= serving * per_replica * settings.target_utilisation
+    )
+
+
+def _relocate(
+    board: PlanBoard,
+    document: Document,
+    model: Model,
+    urgency: Urgency,
+    accelerators: list[Accelerator],
+) -> list[PlannedChange]:
+    """Load one blocking last replica elsewhere, so that it can leave later."""
+    if urgency > Urgency.BELOW_MINIMUM:
+        return []
+    for accelerator in accelerators:
+        missing_mib = model.memory_mib - accelerator.expected_free_mib
+        for replica in accelerator.replicas_by_name.values():
+            other = document.models_by_name.get(replica.name)
+            if other is None or replica.is_leaving or replica.memory_mib < missing_mib:
+                continue
+            refuge = next(
+                (
+                    each
+                    for each in _open_accelerators(board, other)
+                    if each.free_mib >= other.memory_mib and each is not accelerator
+                ),
+                None,
+            )
+            if refuge is None:
+                continue
+            board.add_planned(
+                refuge,
+                name=other.name,
+                model=other.name,
+                version=other.version,
+                mib=other.memory_mib,
+            )
+            reason = f"relocate_for_{model.name}"
+            return [load_change(refuge, other, urgency, reason)]
+    return []
+
+
+def _peak(replica: Replica, demand_by_name: Mapping[str, Demand]) -> float:
+    return demand_by_name.get(replica.name, NO_DEMAND).peak_tokens_per_s
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/placement/state.py
@@ -0,0 +1,193 @@
+"""Working picture of a group of targets while a plan is made.
+
+`PlanBoard` holds, for each accelerator, what it holds for sure, what it may come to
+hold, and the memory that is free even in the worst case. The planner changes the
+board with each change that it plans, so later choices see earlier ones.
+"""
+
+from typing import NamedTuple
+
+from jaytray_core.document.model import Target
+from jaytray_core.targets import Order, Resident, ResidentState
+from jaytray_server.process.placement.memory import LOADS, UNLOADS, worst_case_mib
+
+
+class TargetState(NamedTuple):
+    """What planning needs to know of a target.
+
+    `is_usable` is False for a target that is drained, leaving or silent.
+    `may_take_orders` is False while an earlier holder's orders must be waited for.
+    `orders` are all that may still take effect; `unsettled_order_ids` names those
+    that the target has not yet settled.
+    """
+
+    target: Target
+    is_usable: bool
+    may_take_orders: bool
+    residents: tuple[Resident, ...]
+    orders: tuple[Order, ...]
+    unsettled_order_ids: frozenset[str]
+
+
+class Replica:
+    """A model or an adapter on an accelerator, present or ordered."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        model: str,
+        version: str,
+        memory_mib: int,
+        is_ready: bool,
+        is_leaving: bool,
+        accelerator: "Accelerator",
+    ) -> None:
+        self.name = name
+        self.model = model
+        self.version = version
+        self.memory_mib = memory_mib
+        self.is_ready = is_ready
+        self.is_leaving = is_leaving
+        self.accelerator = accelerator
+
+    @property
+    def is_serving(self) -> bool:
+        """Return whether requests can be routed to it now."""
+        return self.is_ready and not self.is_leaving and self.accelerator.is_usable
+
+
+class Accelerator:
+    """One accelerator; `free_mib` is free in the worst case.
+
+    `expected_free_mib` adds what outstanding unloads will free. `tokens_per_s` is
+    the demand that its replicas are taken to serve.
+    """
+
+    def __init__(self, *, state: TargetState, number: int) -> None:
+        self.target = state.target
+        self.number = number
+        self.is_usable = state.is_usable
+        self.may_take_orders = state.may_take_orders
+        used = worst_case_mib(number, state.residents, state.orders)
+        self.free_mib = state.target.accelerator_memory_mib - used
+        self.expected_free_mib = self.free_mib
+        self.tokens_per_s = 0.0
+        self.replicas_by_name: dict[str, Replica] = {}
+
+    @property
+    def domain(self) -> str:
+        """Return the failure domain of its target."""
+        return self.target.failure_domain
+
+    @property
+    def slots(self) -> float:
+        """Return its part of the target's running requests."""
+        return self.target.max_running_requests / max(1, self.target.accelerators)
+
+
+class PlanBoard:
+    """All accelerators of a group and the replicas on them by name."""
+
+    def __init__(self, *, states: list[TargetState]) -> None:
+        self.accelerators: list[Accelerator] = []
+        self.replicas_by_name: dict[str, list[Replica]] = {}
+        # Names present on each target; engines address a replica by name only.
+        self.names_by_target: dict[str, set[str]] = {}
+        for state in states:
+            self._add_target(state)
+
+    def replicas(self, name: str) -> list[Replica]:
+        """Return the replicas of a name on usable targets that are to stay."""
+        return [
+            replica
+            for replica in self.replicas_by_name.get(name, ())
+            if replica.accelerator.is_usable and not replica.is_leaving
+        ]
+
+    def serving(self, name: str) -> list[Replica]:
+        """Return the replicas of a name that can be routed to now."""
+        return [r for r in self.replicas_by_name.get(name, ()) if r.is_serving]
+
+    def add_planned(
+        self, accelerator: Accelerator, *, name: str, model: str, version: str, mib: int
+    ) -> Replica:
+        """Count a load that was just planned."""
+        replica = Replica(
+            name=name,
+            model=model,
+            version=version,
+            memory_mib=mib,
+            is_ready=False,
+            is_leaving=False,
+            accelerator=accelerator,
+        )
+        accelerator.free_mib -= mib
+        accelerator.expected_free_mib -= mib
+        self._add(replica)
+        return replica
+
+    def remove_planned(self, replica: Replica) -> None:
+        """Count an unload that was just planned: memory is only expected."""
+        replica.is_leaving = True
+        replica.accelerator.expected_free_mib += replica.memory_mib
+
+    def _add_target(self, state: TargetState) -> None:
+        accelerators = [
+            Accelerator(state=state, number=number)
+            for number in range(state.target.accelerators)
+        ]
+        self.accelerators += accelerators
+        self.names_by_target.setdefault(state.target.name, set())
+        unloading = {
+            (order.name, order.accelerator)
+            for order in state.orders
+            if order.kind in UNLOADS and order.order_id in state.unsettled_order_ids
+        }
+        for resident in state.residents:
+            if resident.accelerator >= len(accelerators):
+                continue
+            accelerator = accelerators[resident.accelerator]
+            is_leaving = (
+                resident.state is ResidentState.UNLOADING
+                or (resident.name, resident.accelerator) in unloading
+                or (resident.model, resident.accelerator) in unloading
+            )
+            replica = Replica(
+                name=resident.name,
+                model=resident.model,
+                version=resident.version,
+                memory_mib=resident.memory_mib,
+                is_ready=resident.state is ResidentState.READY,
+                is_leaving=is_leaving,
+                accelerator=accelerator,
+            )
+            if is_leaving:
+                accelerator.expected_free_mib += resident.memory_mib
+            self._add(replica)
+        for order in state.orders:
+            if order.kind in LOADS and order.order_id in state.unsettled_order_ids:
+                self._add_ordered(accelerators, order)
+
+    def _add_ordered(self, accelerators: list[Accelerator], order: Order) -> None:
+        if order.accelerator >= len(accelerators):
+            return
+        accelerator = accelerators[order.accelerator]
+        if order.name in accelerator.replicas_by_name:
+            return
+        self._add(
+            Replica(
+                name=order.name,
+                model=order.model,
+                version=order.version,
+                memory_mib=order.memory_mib,
+                is_ready=False,
+                is_leaving=False,
+                accelerator=accelerator,
+            )
+        )
+
+    def _add(self, replica: Replica) -> None:
+        replica.accelerator.replicas_by_name[replica.name] = replica
+        self.replicas_by_name.setdefault(replica.name, []).append(replica)
+        self.names_by_target[replica.accelerator.target.name].add(replica.name)
