Authenticate callers by the document and end streams of withdrawn keys visibly

Cause: the request path had a parameter in place of the document's keys. Change: uses version/authentication; a body or path that holds the caller's key is refused, since it would reach a target; a withdrawn key ends its streams with an error event.

--- a/packages/server/src/jaytray_server/request/endpoint.py
+++ b/packages/server/src/jaytray_server/request/endpoint.py
@@ -11,10 +11,11 @@
 from jaytray_core import message_registry as messages
 from jaytray_core.errors import JaytrayError, Step
 from jaytray_core.logs import get_logger
-from jaytray_server.request.refusals import internal_error
+from jaytray_server.request.refusals import internal_error, invalid_request
 from jaytray_server.request.responses import CallerLeft, send_refusal
-from jaytray_server.request.services import Caller, Phase, RequestServices
+from jaytray_server.request.services import Phase, RequestServices
 from jaytray_server.request.tracker import DispatchTracker
+from jaytray_server.version.authentication import Caller, authenticate
 
 AnyRequest = Request[Any, Any, Any]
 
@@ -97,11 +98,20 @@
     ]
 
 
-def authenticate(services: RequestServices, exchange: Exchange) -> Caller:
-    """Return the caller; raises `key_missing` or `key_unknown`."""
-    return services.authenticate(
-        services.current_document(), dict(exchange.headers), exchange.query
-    )
+def authenticated(services: RequestServices, exchange: Exchange) -> Caller:
+    """Return the caller; raises `key_missing`, `key_unknown` or `invalid_request`."""
+    caller = authenticate(services.current_document(), exchange.headers)
+    if caller is None:
+        raise JaytrayError(messages.KEY_MISSING, step=Step.AUTHENTICATE)
+    check_key_is_only_in_header(exchange, caller)
+    return caller
+
+
+def check_key_is_only_in_header(exchange: Exchange, caller: Caller) -> None:
+    """Refuse a body or a path that holds the key, as it would reach a target."""
+    is_in_body = caller.key.encode() in exchange.body
+    if is_in_body or caller.key in exchange.path:
+        raise invalid_request("the key may stand in the Authorization header only")
 
 
 async def _read_body(services: RequestServices, request: AnyRequest) -> bytes:
--- a/packages/server/src/jaytray_server/request/responses.py
+++ b/packages/server/src/jaytray_server/request/responses.py
@@ -80,6 +80,20 @@
     )
 
 
+class StreamEnding:
+    """Lets another part of the process end a running stream with an error."""
+
+    def __init__(self) -> None:
+        self.error: JaytrayError | None = None
+        self.pump: asyncio.Future[None] | None = None
+
+    def end(self, error: JaytrayError) -> None:
+        """End the stream; its caller sees `error`."""
+        self.error = error
+        if self.pump is not None:
+            self.pump.cancel()
+
+
 async def send_stream(
     send: Send,
     *,
@@ -87,6 +101,7 @@
     pieces: AsyncGenerator[StreamPiece, None],
     buffer_bytes: int,
     slow_caller_s: float,
+    ending: StreamEnding,
 ) -> None:
     """Send `pieces` as server-sent events, ended by `[DONE]` or an error event.
 
@@ -95,15 +110,16 @@
     """
     buffer = _StreamBuffer(max_bytes=buffer_bytes)
     pump = asyncio.ensure_future(_pump(pieces, buffer))
+    ending.pump = pump
     try:
         first = await buffer.take()
         if not first:
-            await pump
+            await _wait_for_pump(pump, ending)
         await _send_start(
             send, request_id=request_id, status=200, headers=_STREAM_HEADERS
         )
         await _send_chunks(send, first, buffer, slow_caller_s)
-        await _send_end(send, pump)
+        await _send_end(send, pump, ending)
     finally:
         pump.cancel()
         await asyncio.gather(pump, return_exceptions=True)
@@ -134,9 +150,18 @@
         chunk = await buffer.take()
 
 
-async def _send_end(send: Send, pump: Awaitable[None]) -> None:
+async def _wait_for_pump(pump: Awaitable[None], ending: StreamEnding) -> None:
     try:
         await pump
+    except asyncio.CancelledError:
+        if ending.error is None:
+            raise
+        raise ending.error from None
+
+
+async def _send_end(send: Send, pump: Awaitable[None], ending: StreamEnding) -> None:
+    try:
+        await _wait_for_pump(pump, ending)
         last = DONE_EVENT
     except JaytrayError as err:
         last = b"event: error\ndata: " + encode_refusal(err) + b"\n\n"
--- a/packages/server/src/jaytray_server/request/service_call.py
+++ b/packages/server/src/jaytray_server/request/service_call.py
@@ -22,8 +22,9 @@
     target_timeout,
 )
 from jaytray_server.request.retry import MAX_ATTEMPTS, backoff_s, is_retryable
-from jaytray_server.request.services import Caller, RequestServices
+from jaytray_server.request.services import RequestServices
 from jaytray_server.request.tracker import DispatchTracker
+from jaytray_server.version.authentication import Caller, strip_credentials
 
 SERVICE_PREFIX = "/services/"
 # Account under which calls to open routes wait for a slot.
@@ -88,11 +89,11 @@
     services: RequestServices,
     route: Route,
     call: IncomingCall,
-    caller: Caller,
+    caller: Caller | None,
     tracker: DispatchTracker,
 ) -> WholeAnswer:
     """Return the whole answer of the service; raises `JaytrayError`."""
-    account = caller.account
+    account = caller.account if caller else None
     if account is None or not route.charge_tokens:
         return await _dispatch(services, route, call, caller, tracker)
     reservation = await services.limiter.reserve(
@@ -113,7 +114,7 @@
     services: RequestServices,
     route: Route,
     call: IncomingCall,
-    caller: Caller,
+    caller: Caller | None,
     tracker: DispatchTracker,
 ) -> WholeAnswer:
     deadline_s = services.clock() + route.timeout_s
@@ -170,7 +171,7 @@
     services: RequestServices,
     route: Route,
     call: IncomingCall,
-    caller: Caller,
+    caller: Caller | None,
     tracker: DispatchTracker,
     address: str,
     deadline_s: float,
@@ -180,7 +181,7 @@
         raise JaytrayError(
             messages.NO_REPLICA, step=Step.ROUTE, name=route.service, retry_after_s=1.0
         )
-    account = caller.account
+    account = caller.account if caller else None
     slot = SlotRequest(
         target=address,
         account=account.name if account else OPEN_ACCOUNT,
@@ -192,7 +193,7 @@
     async with services.acquire_slot(slot):
         tracker.begin()
         try:
-            return await _send(services, call, connection, deadline_s)
+            return await _send(services, call, caller, connection, deadline_s)
         except JaytrayError as err:
             tracker.fail(address, err)
             raise
@@ -201,12 +202,14 @@
 async def _send(
     services: RequestServices,
     call: IncomingCall,
+    caller: Caller | None,
     connection: TargetConnection,
     deadline_s: float,
 ) -> WholeAnswer:
     dispatch_id = new_dispatch_id()
     timeout_s = max(0.001, deadline_s - services.clock())
-    headers, query = services.strip_credentials(call.headers, call.query)
+    key = caller.key if caller else ""
+    headers, query = strip_credentials(call.headers, call.query, key=key)
     message = ServiceCall(
         request_id=dispatch_id,
         method=call.method,
--- a/packages/server/src/jaytray_server/request/service_routes.py
+++ b/packages/server/src/jaytray_server/request/service_routes.py
@@ -1,8 +1,6 @@
 """Endpoint of plain services behind `/services/NAME/`."""
 
-from jaytray_core import message_registry as messages
-from jaytray_core.errors import JaytrayError, Step
-from jaytray_server.request.endpoint import Exchange, authenticate
+from jaytray_server.request.endpoint import Exchange, authenticated
 from jaytray_server.request.responses import send_whole, until_caller_leaves
 from jaytray_server.request.service_call import (
     SERVICE_PREFIX,
@@ -10,18 +8,14 @@
     dispatch_service_call,
     find_route,
 )
-from jaytray_server.request.services import Caller, RequestServices
-
-_OPEN_CALLER = Caller(account=None, key_digest="")
+from jaytray_server.request.services import RequestServices
 
 
 async def answer_service_call(services: RequestServices, exchange: Exchange) -> None:
     """Answer one call to a plain service."""
     call = incoming_call(exchange)
     route = find_route(services.current_document(), call)
-    caller = _OPEN_CALLER if route.is_open else authenticate(services, exchange)
-    if not route.is_open and caller.account is None:
-        raise JaytrayError(messages.KEY_MISSING, step=Step.AUTHENTICATE)
+    caller = None if route.is_open else authenticated(services, exchange)
     answer = await until_caller_leaves(
         exchange.receive,
         dispatch_service_call(services, route, call, caller, exchange.tracker),
--- a/packages/server/src/jaytray_server/request/services.py
+++ b/packages/server/src/jaytray_server/request/services.py
@@ -5,12 +5,11 @@
 """
 
 import enum
-from collections.abc import Awaitable, Callable, Iterator, Mapping
-from contextlib import contextmanager
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import AbstractContextManager, contextmanager
 from typing import NamedTuple
 
 from jaytray_core.clock import MonotonicClock
-from jaytray_core.document.model import ClientAccount, Document
 from jaytray_server.ports import (
     AcquireSlot,
     ConnectionTo,
@@ -20,6 +19,7 @@
     Router,
 )
 from jaytray_server.request.retry import RetryBudget
+from jaytray_server.version.running_streams import EndStream
 
 
 class Phase(enum.StrEnum):
@@ -78,25 +78,13 @@
     stream_buffer_bytes: int = 65_536
 
 
-class Caller(NamedTuple):
-    """Who sent a request; `account` is None on a route that is open to all."""
-
-    account: ClientAccount | None
-    key_digest: str
-
-
-# (document, headers, query string) -> caller; raises `key_missing` or `key_unknown`.
-Authenticate = Callable[[Document, Mapping[str, str], str], Caller]
-# (headers, query string) -> the same without any key of the caller.
-StripCredentials = Callable[
-    [list[tuple[str, str]], str], tuple[list[tuple[str, str]], str]
-]
 # (model, prompt) -> digests of growing prefixes of the prompt, shortest first.
 PrefixDigests = Callable[[str, str], tuple[str, ...]]
 # (target, adapter) returns when the adapter is loaded there.
 LoadAdapter = Callable[[str, str], Awaitable[None]]
-# (key digest, function that ends the stream) -> function that forgets the stream.
-RegisterStream = Callable[[str, Callable[[], None]], Callable[[], None]]
+# (key digest, function that ends the stream) -> a block that keeps it registered;
+# raises `key_withdrawn`.
+RegisterStream = Callable[[str, EndStream], AbstractContextManager[None]]
 
 
 class RequestServices(NamedTuple):
@@ -107,8 +95,6 @@
     """
 
     current_document: CurrentDocument
-    authenticate: Authenticate
-    strip_credentials: StripCredentials
     register_stream: RegisterStream
     limiter: Limiter
     acquire_slot: AcquireSlot
--- a/packages/server/tests/request/support.py
+++ b/packages/server/tests/request/support.py
@@ -1,7 +1,7 @@
 """Small fakes for tests of request handling."""
 
-from collections.abc import AsyncIterator, Callable, Mapping
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager, nullcontext
 from typing import Any, NamedTuple
 
 import httpx
@@ -11,6 +11,7 @@
     Adapter,
     ClientAccount,
     Document,
+    Key,
     Model,
     Route,
     Service,
@@ -32,13 +33,13 @@
 from jaytray_server.request.http_api import make_app
 from jaytray_server.request.retry import RetryBudget
 from jaytray_server.request.services import (
-    Caller,
     Lifecycle,
     Phase,
     RequestServices,
     SizeLimits,
     Timeouts,
 )
+from jaytray_server.version.authentication import digest_key
 
 KEY = "k-lakeshore"
 ACCOUNT = ClientAccount("lakeshore", 1000.0, 5000, 1.0)
@@ -55,6 +56,7 @@
     return empty_document("trial")._replace(
         version=1,
         accounts_by_name={ACCOUNT.name: ACCOUNT},
+        keys_by_digest={digest_key(KEY): Key("k1", ACCOUNT.name, digest_key(KEY))},
         models_by_name={MODEL.name: MODEL},
         adapters_by_name={"mare": Adapter("mare", MODEL.name, "1", 10)},
         targets_by_name=targets,
@@ -111,9 +113,7 @@
     lifecycle.phase = Phase.READY
     services = RequestServices(
         current_document=lambda: in_force,
-        authenticate=_authenticate,
-        strip_credentials=_strip_credentials,
-        register_stream=lambda _digest, _end: lambda: None,
+        register_stream=lambda _digest, _end: nullcontext(),
         limiter=_make_limiter(ledger),
         acquire_slot=_make_acquire_slot(ledger),
         router=_make_router(ledger),
@@ -140,23 +140,6 @@
     return Site(services, ledger, client)
 
 
-def _authenticate(
-    _document: Document, headers: Mapping[str, str], _query: str
-) -> Caller:
-    given = headers.get("authorization")
-    if given is None:
-        raise JaytrayError(messages.KEY_MISSING, step=Step.AUTHENTICATE)
-    if given != f"Bearer {KEY}":
-        raise JaytrayError(messages.KEY_UNKNOWN, step=Step.AUTHENTICATE)
-    return Caller(ACCOUNT, "sha256:0")
-
-
-def _strip_credentials(
-    headers: list[tuple[str, str]], query: str
-) -> tuple[list[tuple[str, str]], str]:
-    return [pair for pair in headers if pair[0] != "authorization"], query
-
-
 async def _load_adapter(_target: str, _adapter: str) -> None:
     return
 
--- a/packages/server/tests/request/test_http_api.py
+++ b/packages/server/tests/request/test_http_api.py
@@ -142,7 +142,7 @@
                 "key",
                 "GET",
                 "/v1/models",
-                {"headers": {"authorization": "no"}},
+                {"headers": {"authorization": "Bearer no"}},
                 401,
                 "key_unknown",
             ),
