--- a/packages/core/src/jaytray_core/message_registry.py
+++ b/packages/core/src/jaytray_core/message_registry.py
@@ -68,6 +68,12 @@
     "the key was withdrawn while the request was running",
     "Ask the operator for a new key.",
 )
+OPERATOR_TOKEN_INVALID = MessageTemplate(
+    "operator_token_invalid",
+    403,
+    "this endpoint needs the operator token",
+    "Send 'Authorization: Bearer TOKEN'; the settings hold the token's digest.",
+)
 ROUTE_UNKNOWN = MessageTemplate(
     "route_unknown",
     404,
--- a/packages/server/src/jaytray_server/options.py
+++ b/packages/server/src/jaytray_server/options.py
@@ -4,6 +4,7 @@
 generated from it.
 """
 
+import re
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -39,6 +40,15 @@
     statsd_address: str
     statsd_prefix: str
     balancer_delay_s: float
+    operator_token_digest: str
+
+
+def convert_digest(text: str) -> str:
+    """Return `sha256:` and 64 hex digits, or an empty text."""
+    stripped = text.strip()
+    if stripped and not re.fullmatch(r"sha256:[0-9a-f]{64}", stripped):
+        raise ValueError("a digest is 'sha256:' and 64 lower-case hex digits")
+    return stripped
 
 
 def convert_curve_key(text: str) -> bytes:
@@ -153,6 +163,14 @@
     SettingSpec(
         "metrics", "prefix", convert_name, "jaytray", "", "Prefix of metric names."
     ),
+    SettingSpec(
+        "operators",
+        "token_digest",
+        convert_digest,
+        "",
+        "sha256:HEX",
+        "Digest of the operator token for /admin; empty switches /admin off.",
+    ),
     SettingSpec(
         "shutdown",
         "balancer_delay_s",
@@ -185,4 +203,5 @@
         statsd_address=values["metrics", "statsd_address"],
         statsd_prefix=values["metrics", "prefix"],
         balancer_delay_s=values["shutdown", "balancer_delay_s"],
+        operator_token_digest=values["operators", "token_digest"],
     )
--- a/packages/server/src/jaytray_server/request/http_api.py
+++ b/packages/server/src/jaytray_server/request/http_api.py
@@ -5,6 +5,7 @@
 """
 
 import uuid
+from collections.abc import Sequence
 from typing import Any
 
 from litestar import Litestar, Response, get, post, route
@@ -42,10 +43,19 @@
 _log = get_logger()
 
 
-def make_app(services: RequestServices) -> Litestar:
-    """Return the application that serves callers with `services`."""
+def make_app(
+    services: RequestServices, *, admin_routes: Sequence[HTTPRouteHandler] = ()
+) -> Litestar:
+    """Return the application that serves callers with `services`.
+
+    `admin_routes` are the operators' handlers, which check the operator token.
+    """
     return Litestar(
-        route_handlers=[*_caller_routes(services), *_health_routes(services)],
+        route_handlers=[
+            *_caller_routes(services),
+            *_health_routes(services),
+            *admin_routes,
+        ],
         exception_handlers={Exception: _make_exception_handler(services)},
         request_max_body_size=services.sizes.body_bytes,
         openapi_config=None,
