--- /dev/null
+++ b/packages/core/src/jaytray_core/adapters/event_stream.py
@@ -0,0 +1,158 @@
+"""Decoding of a target's server-sent events into checked pieces.
+
+`EventSplitter` finds the `data:` lines whatever the boundaries of the chunks;
+`PieceChecker` decodes each event once and lets through only the next piece of the
+expected answer.
+"""
+
+from typing import TypedDict
+
+import msgspec
+
+from jaytray_core.targets import StreamPiece
+
+END_MARK = b"[DONE]"
+_MAX_EVENT_BYTES = 1_048_576
+
+
+class StreamFormatError(Exception):
+    """The stream is not a well-formed answer."""
+
+
+class ForeignAnswerError(Exception):
+    """The stream carries the answer to another request."""
+
+
+class EventSplitter:
+    """Splits chunks of bytes into the data of server-sent events."""
+
+    def __init__(self) -> None:
+        self._partial_line = b""
+        self._data_lines: list[bytes] = []
+        self._size = 0
+
+    def feed(self, chunk: bytes) -> list[bytes]:
+        """Return the data of the events that `chunk` completes."""
+        lines = (self._partial_line + chunk).split(b"\n")
+        self._partial_line = lines.pop()
+        events = []
+        for line in lines:
+            line = line.removesuffix(b"\r")
+            if line.startswith(b"data:"):
+                self._add(line[5:].removeprefix(b" "))
+            elif not line and self._data_lines:
+                events.append(b"\n".join(self._data_lines))
+                self._data_lines.clear()
+                self._size = 0
+        if self._size + len(self._partial_line) > _MAX_EVENT_BYTES:
+            raise StreamFormatError("an event is too long")
+        return events
+
+    def _add(self, data: bytes) -> None:
+        self._data_lines.append(data)
+        self._size += len(data)
+        if self._size > _MAX_EVENT_BYTES:
+            raise StreamFormatError("an event is too long")
+
+
+class _Delta(TypedDict, total=False):
+    content: str | None
+
+
+class _Choice(TypedDict, total=False):
+    delta: _Delta
+    text: str
+    finish_reason: str | None
+
+
+class _Event(TypedDict, total=False):
+    id: str
+    choices: list[_Choice]
+    end_index: int
+    tokens: int
+    output_tokens: int
+
+
+_EVENT_DECODER = msgspec.json.Decoder(_Event)
+
+
+class PieceChecker:
+    """Turns events into pieces of one answer, in order and without gaps.
+
+    The last piece is held back until the end mark has come; `finish` raises when it
+    has not.
+    """
+
+    def __init__(self, *, request_id: str, resume_after_tokens: int) -> None:
+        self._request_id = request_id
+        self._end_index = resume_after_tokens
+        self._last: StreamPiece | None = None
+        self.is_finished = False
+
+    def accept(self, data: bytes) -> StreamPiece | None:
+        """Return the piece that `data` holds, or None for the event before the mark.
+
+        Raises `StreamFormatError` or `ForeignAnswerError`.
+        """
+        if self.is_finished:
+            raise StreamFormatError("data after the end mark")
+        if data == END_MARK:
+            return self._finish()
+        if self._last is not None:
+            raise StreamFormatError("data after the last piece")
+        piece = self._decode(data)
+        if piece.is_end:
+            self._last = piece
+            return None
+        return piece
+
+    def finish(self) -> None:
+        """Check that the answer came to its end."""
+        if not self.is_finished:
+            raise StreamFormatError("the stream has no end mark")
+
+    def _finish(self) -> StreamPiece:
+        if self._last is None:
+            raise StreamFormatError("the end mark came before the last piece")
+        self.is_finished = True
+        return self._last
+
+    def _decode(self, data: bytes) -> StreamPiece:
+        try:
+            event = _EVENT_DECODER.decode(data)
+        except (msgspec.DecodeError, UnicodeDecodeError) as err:
+            raise StreamFormatError(f"malformed event: {err}") from err
+        if event.get("id") != self._request_id:
+            raise ForeignAnswerError
+        return self._check(event, data)
+
+    def _check(self, event: _Event, data: bytes) -> StreamPiece:
+        choices = event.get("choices", [])
+        if len(choices) != 1 or "end_index" not in event:
+            raise StreamFormatError("an event needs one choice and its end_index")
+        text = _text_of(choices[0])
+        end_index = event["end_index"]
+        output_tokens = event.get("output_tokens")
+        is_end = output_tokens is not None
+        tokens = event.get("tokens", 1 if text or not is_end else 0)
+        if tokens < 0 or end_index != self._end_index + tokens:
+            raise StreamFormatError(f"tokens up to {end_index} are missing")
+        if is_end and output_tokens != end_index:
+            raise StreamFormatError(f"{end_index} of {output_tokens} tokens came")
+        self._end_index = end_index
+        finish_reason = choices[0].get("finish_reason") or ""
+        return StreamPiece(
+            self._request_id,
+            end_index,
+            text,
+            data,
+            is_end,
+            output_tokens or 0,
+            finish_reason,
+        )
+
+
+def _text_of(choice: _Choice) -> str:
+    if "delta" in choice:
+        return choice["delta"].get("content") or ""
+    return choice.get("text", "")
--- /dev/null
+++ b/packages/core/src/jaytray_core/adapters/http_pool.py
@@ -0,0 +1,184 @@
+"""A pool of HTTP connections to one peer, strict about reuse.
+
+httpx reuses a connection only after a whole exchange; one that failed, timed out or
+was left early is closed. After a timeout all idle connections are dropped as well,
+because whatever lost track of one may have lost track of the others.
+"""
+
+import enum
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from http.cookiejar import CookieJar, DefaultCookiePolicy
+from typing import NamedTuple
+
+import httpx
+
+Headers = list[tuple[str, str]]
+
+DEFAULT_CONNECT_TIMEOUT_S = 0.5
+# Below the time after which servers close idle connections.
+DEFAULT_IDLE_EXPIRY_S = 4.0
+_MAX_IDLE_CONNECTIONS = 256
+
+_NOT_SENT_ERRORS = (
+    httpx.ConnectError,
+    httpx.ConnectTimeout,
+    httpx.PoolTimeout,
+    httpx.LocalProtocolError,
+    httpx.UnsupportedProtocol,
+)
+# Statuses whose answers never have a body.
+_BODILESS_STATUSES = (204, 304)
+
+
+class Progress(enum.Enum):
+    """How far a failed exchange got."""
+
+    NOT_SENT = "not_sent"
+    TIMED_OUT = "timed_out"
+    BROKEN = "broken"
+
+
+class ExchangeError(Exception):
+    """An exchange without a whole answer; its connection was closed."""
+
+    def __init__(self, *, progress: Progress, detail: str) -> None:
+        super().__init__(detail)
+        self.progress = progress
+        self.detail = detail
+
+
+class HttpRequest(NamedTuple):
+    """One request; `raw_path` is path and query as sent.
+
+    `read_timeout_s` is the longest silence while the answer is awaited or read.
+    """
+
+    method: str
+    raw_path: str
+    headers: Headers
+    body: bytes
+    read_timeout_s: float
+
+
+class HttpPool:
+    """Connections to the HTTP server at `address` (`IP:port`)."""
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S,
+        idle_expiry_s: float = DEFAULT_IDLE_EXPIRY_S,
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        self._base = httpx.URL(scheme="http", host=host, port=int(port), path="/")
+        self._connect_timeout_s = connect_timeout_s
+        self._idle_expiry_s = idle_expiry_s
+        self._client = self._make_client()
+        self._users_by_client: dict[httpx.AsyncClient, int] = {}
+
+    @asynccontextmanager
+    async def exchange(self, request: HttpRequest) -> AsyncIterator[httpx.Response]:
+        """Send a request and give its response, the body still unread.
+
+        Raises `ExchangeError`, also for failures while the body is read. Leaving
+        before the body was read to its end closes the connection.
+        """
+        client = self._client
+        self._users_by_client[client] = self._users_by_client.get(client, 0) + 1
+        try:
+            response = await client.send(self._build(client, request), stream=True)
+            try:
+                yield response
+            finally:
+                await response.aclose()
+        except _NOT_SENT_ERRORS as err:
+            raise _exchange_error(Progress.NOT_SENT, err) from err
+        except httpx.TimeoutException as err:
+            self._retire(client)
+            raise _exchange_error(Progress.TIMED_OUT, err) from err
+        except (httpx.TransportError, httpx.StreamError) as err:
+            raise _exchange_error(Progress.BROKEN, err) from err
+        finally:
+            await self._release(client)
+
+    def drop_idle_connections(self) -> None:
+        """Use new connections from now on; those at work finish."""
+        self._retire(self._client)
+
+    async def close(self) -> None:
+        """Close all connections, also those at work."""
+        for client in {self._client, *self._users_by_client}:
+            await client.aclose()
+
+    def _build(self, client: httpx.AsyncClient, request: HttpRequest) -> httpx.Request:
+        return client.build_request(
+            request.method,
+            self._base.copy_with(raw_path=request.raw_path.encode("ascii")),
+            headers=request.headers,
+            content=request.body if request.body else None,
+            timeout=httpx.Timeout(
+                connect=self._connect_timeout_s,
+                read=request.read_timeout_s,
+                write=request.read_timeout_s,
+                pool=self._connect_timeout_s,
+            ),
+        )
+
+    def _make_client(self) -> httpx.AsyncClient:
+        client = httpx.AsyncClient(
+            trust_env=False,
+            cookies=_no_cookies(),
+            limits=httpx.Limits(
+                max_connections=None,
+                max_keepalive_connections=_MAX_IDLE_CONNECTIONS,
+                keepalive_expiry=self._idle_expiry_s,
+            ),
+        )
+        client.headers = httpx.Headers({"accept-encoding": "identity"})
+        return client
+
+    def _retire(self, client: httpx.AsyncClient) -> None:
+        if client is self._client:
+            self._client = self._make_client()
+            self._users_by_client.setdefault(client, 0)
+
+    async def _release(self, client: httpx.AsyncClient) -> None:
+        self._users_by_client[client] -= 1
+        unused = [
+            other
+            for other, users in self._users_by_client.items()
+            if users <= 0 and other is not self._client
+        ]
+        for other in unused:
+            del self._users_by_client[other]
+            await other.aclose()
+
+
+async def read_body(response: httpx.Response, *, limit_bytes: int) -> bytes:
+    """Read the whole body; raises `ExchangeError` when its end cannot be told.
+
+    A body that ends only with the connection may be cut short unseen.
+    """
+    headers = response.headers
+    has_length = "content-length" in headers or "transfer-encoding" in headers
+    if not has_length and response.status_code not in _BODILESS_STATUSES:
+        raise ExchangeError(progress=Progress.BROKEN, detail="body without a length")
+    parts = []
+    size = 0
+    async for part in response.aiter_raw():
+        size += len(part)
+        if size > limit_bytes:
+            raise ExchangeError(progress=Progress.BROKEN, detail="body too long")
+        parts.append(part)
+    return b"".join(parts)
+
+
+def _exchange_error(progress: Progress, err: Exception) -> ExchangeError:
+    return ExchangeError(progress=progress, detail=str(err) or type(err).__name__)
+
+
+def _no_cookies() -> CookieJar:
+    """Return a jar that keeps none, so that callers cannot share a cookie."""
+    return CookieJar(policy=DefaultCookiePolicy(allowed_domains=[]))
--- /dev/null
+++ b/packages/core/src/jaytray_core/adapters/key_value_http.py
@@ -0,0 +1,151 @@
+"""Client of the key-value service over HTTP.
+
+Each function is a POST to `/kv/NAME` with its arguments as a JSON array; bytes are
+base64 strings.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple, TypeVar
+
+from jaytray_core import message_registry as messages
+from jaytray_core.adapters.http_pool import ExchangeError, HttpPool, Progress
+from jaytray_core.adapters.remote_call import RemoteAnswer, remote_call
+from jaytray_core.codec import decode_json
+from jaytray_core.errors import Execution, JaytrayError, Step
+from jaytray_core.keyvalue import (
+    MAX_VALUE_BYTES,
+    KeyValueRecord,
+    KeyValueService,
+    SwapResult,
+    WatchBatch,
+)
+
+T = TypeVar("T")
+_PEER = "kv"
+_READS = ("get", "get_prefix", "watch")
+_STATUS_TOO_LARGE = 413
+_STATUS_OK = 201
+
+
+class KeyValueConnection(NamedTuple):
+    """The service and the function that closes its connections."""
+
+    service: KeyValueService
+    close: Callable[[], Awaitable[None]]
+
+
+def open_key_value(*, address: str, timeout_s: float) -> KeyValueConnection:
+    """Return a connection whose calls wait at most `timeout_s` seconds.
+
+    A watch waits that much longer than it was asked to.
+    """
+    pool = HttpPool(address=address, connect_timeout_s=timeout_s)
+
+    async def call(function: str, *arguments: Any, wait_s: float = 0.0) -> bytes:
+        try:
+            answer = await remote_call(
+                pool, f"/kv/{function}", arguments, timeout_s=timeout_s + wait_s
+            )
+        except ExchangeError as err:
+            raise _failed(function, err) from err
+        _check_status(function, answer)
+        return answer.body
+
+    async def get(key: str) -> KeyValueRecord | None:
+        records = _decode(await call("get", key), list[KeyValueRecord])
+        return records[0] if records else None
+
+    async def get_prefix(prefix: str) -> list[KeyValueRecord]:
+        return _decode(await call("get_prefix", prefix), list[KeyValueRecord])
+
+    async def compare_and_swap(
+        key: str, expected_revision: int, value: bytes | None, lease_id: str
+    ) -> SwapResult:
+        if value is not None and len(value) > MAX_VALUE_BYTES:
+            raise _too_large(key)
+        body = await call("compare_and_swap", key, expected_revision, value, lease_id)
+        return _decode_write("compare_and_swap", body, SwapResult)
+
+    async def grant_lease(ttl_s: float) -> str:
+        return _decode_write("grant_lease", await call("grant_lease", ttl_s), str)
+
+    async def keep_lease(lease_id: str) -> bool:
+        return _decode_write("keep_lease", await call("keep_lease", lease_id), bool)
+
+    async def revoke_lease(lease_id: str) -> None:
+        await call("revoke_lease", lease_id)
+
+    async def watch(prefix: str, after: int, wait_s: float) -> WatchBatch:
+        body = await call("watch", prefix, after, wait_s, wait_s=wait_s)
+        return _decode(body, WatchBatch)
+
+    service = KeyValueService(
+        get=get,
+        get_prefix=get_prefix,
+        compare_and_swap=compare_and_swap,
+        grant_lease=grant_lease,
+        keep_lease=keep_lease,
+        revoke_lease=revoke_lease,
+        watch=watch,
+    )
+    return KeyValueConnection(service, pool.close)
+
+
+def connect_key_value(*, address: str, timeout_s: float) -> KeyValueService:
+    """Return the service alone, for a process that never closes it."""
+    return open_key_value(address=address, timeout_s=timeout_s).service
+
+
+def _decode(body: bytes, message_type: type[T]) -> T:
+    return decode_json(body, message_type, peer=_PEER)
+
+
+def _decode_write(function: str, body: bytes, message_type: type[T]) -> T:
+    try:
+        return _decode(body, message_type)
+    except JaytrayError as err:
+        raise _uncertain(f"{function}: {err.text}") from err
+
+
+def _check_status(function: str, answer: RemoteAnswer) -> None:
+    if answer.status <= _STATUS_OK:
+        return
+    detail = f"{function}: status {answer.status}"
+    if answer.status == _STATUS_TOO_LARGE:
+        raise _too_large(function)
+    if answer.is_not_run or function in _READS:
+        raise _unavailable(detail)
+    raise _uncertain(detail)
+
+
+def _failed(function: str, err: ExchangeError) -> JaytrayError:
+    detail = f"{function}: {err.detail}"
+    if err.progress == Progress.NOT_SENT or function in _READS:
+        return _unavailable(detail)
+    return _uncertain(detail)
+
+
+def _unavailable(detail: str) -> JaytrayError:
+    return JaytrayError(
+        messages.KEY_VALUE_UNAVAILABLE, step=Step.KEY_VALUE, peer=_PEER, detail=detail
+    )
+
+
+def _uncertain(detail: str) -> JaytrayError:
+    return JaytrayError(
+        messages.KEY_VALUE_UNCERTAIN,
+        step=Step.KEY_VALUE,
+        peer=_PEER,
+        execution=Execution.MAY_HAVE_RUN,
+        detail=detail,
+    )
+
+
+def _too_large(key: str) -> JaytrayError:
+    return JaytrayError(
+        messages.KEY_VALUE_TOO_LARGE,
+        step=Step.KEY_VALUE,
+        peer=_PEER,
+        key=key,
+        limit=MAX_VALUE_BYTES,
+    )
--- /dev/null
+++ b/packages/core/src/jaytray_core/adapters/remote_call.py
@@ -0,0 +1,57 @@
+"""Calls with JSON arguments and a JSON answer, for the control interfaces.
+
+The body of a call is the JSON array of its arguments; tuples travel as arrays of
+their fields in order. An error answer has `X-Execution: not_run` when the peer is
+sure that the call had no effect.
+"""
+
+from collections.abc import Sequence
+from typing import Any, NamedTuple
+
+from jaytray_core.adapters.http_pool import (
+    ExchangeError,
+    HttpPool,
+    HttpRequest,
+    Progress,
+    read_body,
+)
+from jaytray_core.codec import encode_json
+
+EXECUTION_HEADER = "x-execution"
+NOT_RUN = "not_run"
+_JSON_TYPE = ("content-type", "application/json")
+_MAX_ANSWER_BYTES = 64_000_000
+
+
+class RemoteAnswer(NamedTuple):
+    """Status and body of a whole answer."""
+
+    status: int
+    is_not_run: bool
+    body: bytes
+
+
+async def remote_call(
+    pool: HttpPool, path: str, arguments: Sequence[Any], *, timeout_s: float
+) -> RemoteAnswer:
+    """POST `arguments`; raises `ExchangeError` without a whole answer."""
+    body = encode_json(list(arguments))
+    request = HttpRequest("POST", path, [_JSON_TYPE], body, timeout_s)
+    return await exchange_whole(pool, request)
+
+
+async def remote_read(pool: HttpPool, path: str, *, timeout_s: float) -> RemoteAnswer:
+    """GET `path`; raises `ExchangeError` for anything but a good answer."""
+    answer = await exchange_whole(pool, HttpRequest("GET", path, [], b"", timeout_s))
+    if answer.status >= 300:
+        detail = f"status {answer.status}"
+        raise ExchangeError(progress=Progress.BROKEN, detail=detail)
+    return answer
+
+
+async def exchange_whole(pool: HttpPool, request: HttpRequest) -> RemoteAnswer:
+    """Send a request and read its whole answer."""
+    async with pool.exchange(request) as response:
+        body = await read_body(response, limit_bytes=_MAX_ANSWER_BYTES)
+        is_not_run = response.headers.get(EXECUTION_HEADER) == NOT_RUN
+        return RemoteAnswer(response.status_code, is_not_run, body)
--- /dev/null
+++ b/packages/core/src/jaytray_core/adapters/target_errors.py
@@ -0,0 +1,80 @@
+"""Errors of one target, with `execution` computed from the exchange."""
+
+from jaytray_core import message_registry as messages
+from jaytray_core.adapters.http_pool import ExchangeError, Progress
+from jaytray_core.errors import Execution, JaytrayError, Step
+
+_ERROR_DETAIL_CHARACTERS = 200
+# Statuses by which an engine says that the request itself is wrong.
+_INVALID_STATUSES = (400, 413, 422)
+
+
+class TargetErrors:
+    """Makes the errors of the target called `name`."""
+
+    def __init__(self, *, name: str) -> None:
+        self._name = name
+
+    def status(self, status: int, is_not_run: bool, body: bytes) -> JaytrayError:
+        """Return the error for an answer with an error status."""
+        text = body.decode(errors="replace")[:_ERROR_DETAIL_CHARACTERS]
+        detail = f"status {status} {text}".strip()
+        if not is_not_run:
+            return self.error(
+                messages.TARGET_FAILED, Execution.MAY_HAVE_RUN, detail=detail
+            )
+        if status in _INVALID_STATUSES:
+            return self.error(
+                messages.INVALID_REQUEST, Execution.NOT_RUN, detail=detail
+            )
+        return self.error(messages.TARGET_REFUSED, Execution.NOT_RUN, detail=detail)
+
+    def failed(self, err: ExchangeError, timeout_s: float) -> JaytrayError:
+        """Return the error for an exchange without a whole answer."""
+        if err.progress == Progress.TIMED_OUT:
+            return self.timed_out(timeout_s)
+        is_sent = err.progress != Progress.NOT_SENT
+        execution = Execution.MAY_HAVE_RUN if is_sent else Execution.NOT_RUN
+        return self.error(messages.TARGET_UNREACHABLE, execution, detail=err.detail)
+
+    def timed_out(self, timeout_s: float) -> JaytrayError:
+        """Return the error for a silence of `timeout_s` seconds."""
+        return self.error(
+            messages.TARGET_TIMEOUT, Execution.MAY_HAVE_RUN, timeout_s=timeout_s
+        )
+
+    def invalid(self, detail: str) -> JaytrayError:
+        """Return the error for a request that cannot be sent."""
+        return self.error(messages.INVALID_REQUEST, Execution.NOT_RUN, detail=detail)
+
+    def mismatch(self) -> JaytrayError:
+        """Return the error for the answer to another request."""
+        return self.error(messages.ANSWER_MISMATCH, Execution.MAY_HAVE_RUN)
+
+    def incomplete(self, detail: str) -> JaytrayError:
+        """Return the error for a stream that is not a whole answer."""
+        return self.error(
+            messages.ANSWER_INCOMPLETE,
+            Execution.MAY_HAVE_RUN,
+            step=Step.STREAM,
+            detail=detail,
+        )
+
+    def error(
+        self,
+        template: messages.MessageTemplate,
+        execution: Execution,
+        *,
+        step: Step = Step.TARGET,
+        detail: str = "",
+        timeout_s: float = 0.0,
+    ) -> JaytrayError:
+        """Return an error of this target."""
+        return JaytrayError(
+            template,
+            step=step,
+            peer=self._name,
+            execution=execution,
+            detail=detail,
+            timeout_s=timeout_s,
+        )
--- /dev/null
+++ b/packages/core/src/jaytray_core/adapters/vm_list_http.py
@@ -0,0 +1,44 @@
+"""Client of the platform's list of VMs over HTTP: GET `/vms`."""
+
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from jaytray_core import message_registry as messages
+from jaytray_core.adapters.http_pool import ExchangeError, HttpPool
+from jaytray_core.adapters.remote_call import remote_read
+from jaytray_core.codec import decode_json
+from jaytray_core.errors import JaytrayError, Step
+from jaytray_core.vm_list import VmEntry, VmList
+
+_PEER = "vm_list"
+
+
+class VmListConnection(NamedTuple):
+    """The list and the function that closes its connections."""
+
+    service: VmList
+    close: Callable[[], Awaitable[None]]
+
+
+def open_vm_list(*, address: str, timeout_s: float) -> VmListConnection:
+    """Return a connection whose calls wait at most `timeout_s` seconds."""
+    pool = HttpPool(address=address, connect_timeout_s=timeout_s)
+
+    async def list_vms() -> list[VmEntry]:
+        try:
+            answer = await remote_read(pool, "/vms", timeout_s=timeout_s)
+        except ExchangeError as err:
+            raise JaytrayError(
+                messages.VM_LIST_UNAVAILABLE,
+                step=Step.VM_LIST,
+                peer=_PEER,
+                detail=err.detail,
+            ) from err
+        return decode_json(answer.body, list[VmEntry], peer=_PEER)
+
+    return VmListConnection(VmList(list_vms=list_vms), pool.close)
+
+
+def connect_vm_list(*, address: str, timeout_s: float) -> VmList:
+    """Return the list alone, for a process that never closes it."""
+    return open_vm_list(address=address, timeout_s=timeout_s).service
--- /dev/null
+++ b/packages/core/src/jaytray_core/adapters/weight_store_http.py
@@ -0,0 +1,44 @@
+"""Client of the weight store over HTTP: GET `/status`."""
+
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from jaytray_core import message_registry as messages
+from jaytray_core.adapters.http_pool import ExchangeError, HttpPool
+from jaytray_core.adapters.remote_call import remote_read
+from jaytray_core.codec import decode_json
+from jaytray_core.errors import JaytrayError, Step
+from jaytray_core.weight_store import WeightStore, WeightStoreStatus
+
+_PEER = "weight_store"
+
+
+class WeightStoreConnection(NamedTuple):
+    """The weight store and the function that closes its connections."""
+
+    service: WeightStore
+    close: Callable[[], Awaitable[None]]
+
+
+def open_weight_store(*, address: str, timeout_s: float) -> WeightStoreConnection:
+    """Return a connection whose calls wait at most `timeout_s` seconds."""
+    pool = HttpPool(address=address, connect_timeout_s=timeout_s)
+
+    async def status() -> WeightStoreStatus:
+        try:
+            answer = await remote_read(pool, "/status", timeout_s=timeout_s)
+        except ExchangeError as err:
+            raise JaytrayError(
+                messages.WEIGHT_STORE_UNAVAILABLE,
+                step=Step.WEIGHT_STORE,
+                peer=_PEER,
+                detail=err.detail,
+            ) from err
+        return decode_json(answer.body, WeightStoreStatus, peer=_PEER)
+
+    return WeightStoreConnection(WeightStore(status=status), pool.close)
+
+
+def connect_weight_store(*, address: str, timeout_s: float) -> WeightStore:
+    """Return the store alone, for a process that never closes it."""
+    return open_weight_store(address=address, timeout_s=timeout_s).service
--- a/packages/standins/src/jaytray_standins/in_process.py
+++ b/packages/standins/src/jaytray_standins/in_process.py
@@ -18,13 +18,13 @@
 from jaytray_core.vm_list import VmEntry, VmList
 from jaytray_core.weight_store import WeightStore, WeightStoreStatus
 from jaytray_standins.faults import (
-    FaultKind,
     FaultSwitches,
     NoAnswerError,
     NotDeliveredError,
     deliver,
 )
 from jaytray_standins.in_process_target import in_process_service, in_process_target
+from jaytray_standins.key_value.reads import read_key, read_prefix
 from jaytray_standins.key_value.store import KeyValueStore, ValueTooLargeError
 from jaytray_standins.vm_list.state import VmListState
 from jaytray_standins.weight_store.state import WeightStoreState
@@ -72,23 +72,10 @@
             raise _key_value_uncertain("no answer") from None
 
     async def get(key: str) -> KeyValueRecord | None:
-        def run() -> KeyValueRecord | None:
-            stale = faults.take(FaultKind.STALE, "get")
-            if stale is None:
-                return store.get(key)
-            records = store.get_as_of(key, stale.revision)
-            return next((r for r in records if r.key == key), None)
-
-        return await call("get", run)
+        return await call("get", lambda: read_key(store, faults, key))
 
     async def get_prefix(prefix: str) -> list[KeyValueRecord]:
-        def run() -> list[KeyValueRecord]:
-            stale = faults.take(FaultKind.STALE, "get_prefix")
-            if stale is None:
-                return store.get_prefix(prefix)
-            return store.get_as_of(prefix, stale.revision)
-
-        return await call("get_prefix", run)
+        return await call("get_prefix", lambda: read_prefix(store, faults, prefix))
 
     async def compare_and_swap(
         key: str, expected_revision: int, value: bytes | None, lease_id: str
--- /dev/null
+++ b/packages/standins/src/jaytray_standins/key_value/reads.py
@@ -0,0 +1,26 @@
+"""Reads of the key-value store under the switch that serves old data."""
+
+from jaytray_core.keyvalue import KeyValueRecord
+from jaytray_standins.faults import FaultKind, FaultSwitches
+from jaytray_standins.key_value.store import KeyValueStore
+
+
+def read_key(
+    store: KeyValueStore, faults: FaultSwitches, key: str
+) -> KeyValueRecord | None:
+    """Return the record of `key`, as of an older revision when switched so."""
+    stale = faults.take(FaultKind.STALE, "get")
+    if stale is None:
+        return store.get(key)
+    records = store.get_as_of(key, stale.revision)
+    return next((record for record in records if record.key == key), None)
+
+
+def read_prefix(
+    store: KeyValueStore, faults: FaultSwitches, prefix: str
+) -> list[KeyValueRecord]:
+    """Return the records under `prefix`, as of an older revision when switched so."""
+    stale = faults.take(FaultKind.STALE, "get_prefix")
+    if stale is None:
+        return store.get_prefix(prefix)
+    return store.get_as_of(prefix, stale.revision)
--- a/packages/standins/src/jaytray_standins/target/accelerators.py
+++ b/packages/standins/src/jaytray_standins/target/accelerators.py
@@ -111,13 +111,12 @@
                 continue
             self._settled_order_ids.append(held.order_id)
 
-    def make_ready(self, name: str, accelerator: int) -> None:
-        """End the load of a resident now, to set up a test."""
-        held = self._held_by_place[(name, accelerator)]
-        self._held_by_place[(name, accelerator)] = held._replace(
-            changes_at_s=self._clock()
-        )
-        self.advance()
+    def put_ready(self, order: Order) -> None:
+        """Hold what `order` would load, ready at once, to set up a test."""
+        resident = _resident(order, ResidentState.READY)
+        place = (order.name, order.accelerator)
+        self._held_by_place[place] = _Held(resident, self._clock(), order.order_id)
+        self._check_memory(order)
 
     def clear(self) -> None:
         """Empty the memory and forget the orders, as a restart does."""
@@ -182,14 +181,7 @@
             base is None or base.resident.state == ResidentState.UNLOADING
         ):
             return f"base model {order.model} is not loaded"
-        resident = Resident(
-            order.name,
-            order.model,
-            order.version,
-            order.accelerator,
-            order.memory_mib,
-            ResidentState.LOADING,
-        )
+        resident = _resident(order, ResidentState.LOADING)
         ready_at_s = self._begin_load(is_adapter, base)
         self._held_by_place[place] = _Held(resident, ready_at_s, order.order_id)
         self._check_memory(order)
@@ -244,3 +236,14 @@
         resident = held.resident._replace(state=ResidentState.UNLOADING)
         self._settled_order_ids.append(held.order_id)
         self._held_by_place[place] = _Held(resident, gone_at_s, order_id)
+
+
+def _resident(order: Order, state: ResidentState) -> Resident:
+    return Resident(
+        order.name,
+        order.model,
+        order.version,
+        order.accelerator,
+        order.memory_mib,
+        state,
+    )
--- a/packages/standins/src/jaytray_standins/target/records.py
+++ b/packages/standins/src/jaytray_standins/target/records.py
@@ -1,14 +1,18 @@
 """What a target stand-in remembers of the requests that reached it."""
 
 import hashlib
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
+import msgspec
+
+_DISPATCH_FIELDS = ("stream", "priority", "resume_after_tokens", "resume_text")
 _KEPT_BODY_BYTES = 65_536
 
 
 class RanRequest(NamedTuple):
     """One request that a target ran.
 
+    `body_digest` is a `completion_digest`, for services a `body_digest`.
     `headers` and `query` are what arrived; `was_leaving` tells that the target had
     announced its leaving. `started_at_s` is the stand-in's clock.
     """
@@ -46,6 +50,17 @@
     return hashlib.blake2b(body, digest_size=12).hexdigest()
 
 
+def completion_digest(body: bytes) -> str:
+    """Return the digest of a completion, without the fields of its dispatch.
+
+    Sent again, resumed or streamed, a caller's request keeps its digest.
+    """
+    fields = msgspec.json.decode(body, type=dict[str, Any])
+    for name in _DISPATCH_FIELDS:
+        fields.pop(name, None)
+    return body_digest(msgspec.json.encode(fields, order="sorted"))
+
+
 def kept_body(body: bytes) -> bytes:
     """Return the part of a body that is kept for the search for secrets."""
     return body[:_KEPT_BODY_BYTES]
--- a/packages/standins/src/jaytray_standins/target/state.py
+++ b/packages/standins/src/jaytray_standins/target/state.py
@@ -26,7 +26,7 @@
     Overcommit,
     OvercommitError,
     RanRequest,
-    body_digest,
+    completion_digest,
     kept_body,
 )
 from jaytray_standins.target.slots import RunningSlots
@@ -147,11 +147,8 @@
         return reply
 
     def place(self, order: Order) -> None:
-        """Apply an order and make its resident ready at once, to set up a test."""
-        reply = self.accelerators.apply(order)
-        if not reply.is_accepted:
-            raise ValueError(reply.detail)
-        self.accelerators.make_ready(order.name, order.accelerator)
+        """Make what an order would load ready at once, to set up a test."""
+        self.accelerators.put_ready(order)
         self._take_report()
 
     def load_report(self) -> LoadReport:
@@ -236,7 +233,7 @@
                 method="POST",
                 path=request.path,
                 query="",
-                body_digest=body_digest(request.body),
+                body_digest=completion_digest(request.body),
                 body=kept_body(request.body),
                 headers=headers,
                 model=request.model,
