--- a/packages/cli/src/jaytray_cli/__init__.py
+++ b/packages/cli/src/jaytray_cli/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder."""
+"""The operators' command line."""
--- /dev/null
+++ b/packages/cli/src/jaytray_cli/document_commands.py
@@ -0,0 +1,242 @@
+"""Commands on whole documents: check, diff, apply, history, rollback."""
+
+import pathlib
+from typing import Any
+
+from jaytray_cli import command
+from jaytray_cli.command import Command, Invocation
+from jaytray_cli.results import ExitCode, Result, UsageError, table
+from jaytray_cli.site import Site
+from jaytray_cli.vms import minimum_version
+from jaytray_core.document import store
+from jaytray_core.document.changes import carry_over, require_valid, restore
+from jaytray_core.document.checker import CheckReport, check_text
+from jaytray_core.document.difference import SectionChange, compare_sections
+from jaytray_core.document.packing import PackingResult, Reachability
+from jaytray_core.document.parts import Head
+from jaytray_core.document.sections import Section
+
+PRODUCTION = "production"
+TRIAL = "trial"
+
+
+async def run_check(invocation: Invocation) -> Result:
+    """Check a file without any connection."""
+    report = check_text(_read_file(invocation.arguments[0]))
+    return _check_result(report, invocation.arguments[0])
+
+
+async def run_diff(invocation: Invocation) -> Result:
+    """Compare a file with the version in force, or production with trial."""
+    async with invocation.open_site(invocation.flags) as site:
+        if not invocation.arguments:
+            production, old = await read_in_force(site, PRODUCTION)
+            trial, new = await read_in_force(site, TRIAL)
+            title = f"{PRODUCTION} {production.version} -> {TRIAL} {trial.version}"
+            return _diff_result(title, production.version, compare_sections(old, new))
+        report = _require_checked(invocation.arguments[0])
+        environment = invocation.flags.environment
+        stored, old = await read_in_force(site, environment)
+        changes = compare_sections(old, carry_over(old, report.parsed.sections))
+        title = f"{environment} {stored.version} -> {invocation.arguments[0]}"
+        return _diff_result(title, stored.version, changes)
+
+
+async def run_apply(invocation: Invocation) -> Result:
+    """Make a file the next version of an environment."""
+    environment = invocation.flags.environment
+    if environment == PRODUCTION:
+        raise UsageError("production changes by 'jaytray promote' only")
+    based_on = command.based_on(invocation)
+    report = check_text(_read_file(invocation.arguments[0]), environment=environment)
+    if report.faults:
+        return _check_result(report, invocation.arguments[0])
+    async with invocation.open_site(invocation.flags) as site:
+        _, old = await read_in_force(site, environment)
+        sections = carry_over(old, report.parsed.sections)
+        require_valid(sections, environment=environment)
+        head = await apply_change(site, invocation, environment, based_on, sections)
+    return applied_result([head], warnings=_warnings(report))
+
+
+async def run_history(invocation: Invocation) -> Result:
+    """List the versions that are kept."""
+    async with invocation.open_site(invocation.flags) as site:
+        heads = await store.history(site.key_value, invocation.flags.environment)
+    rows = [("version", "author", "based on", "body", "summary")]
+    rows += [
+        (str(h.version), h.author, str(h.based_on), h.body_digest[:12], h.summary)
+        for h in heads
+    ]
+    data = {"versions": [head_data(head) for head in heads]}
+    return Result(ExitCode.DONE, data, table(rows))
+
+
+async def run_rollback(invocation: Invocation) -> Result:
+    """Make an old body the next, higher version."""
+    environment = invocation.flags.environment
+    based_on = command.based_on(invocation)
+    version = _version(invocation.arguments[0])
+    async with invocation.open_site(invocation.flags) as site:
+        old_head = await store.read_version(site.key_value, environment, version)
+        old = await store.read_sections(site.key_value, old_head)
+        _, current = await read_in_force(site, environment)
+        sections = restore(current, old)
+        require_valid(sections, environment=environment)
+        head = await apply_change(
+            site,
+            invocation,
+            environment,
+            based_on,
+            sections,
+            summary=f"rollback to version {version}",
+        )
+    is_same = head.body_digest == old_head.body_digest
+    warnings = [] if is_same else ["keys and drained names in force were kept"]
+    return applied_result([head], warnings=warnings)
+
+
+async def read_in_force(
+    site: Site, environment: str
+) -> tuple[store.StoredHead, list[Section]]:
+    """Return the head in force and its sections, none at version 0."""
+    stored = await store.read_head(site.key_value, environment)
+    if stored.head is None:
+        return stored, []
+    return stored, await store.read_sections(site.key_value, stored.head)
+
+
+async def apply_change(
+    site: Site,
+    invocation: Invocation,
+    environment: str,
+    based_on: int,
+    sections: list[Section],
+    *,
+    summary: str = "",
+) -> Head:
+    """Apply sections in the name of the operator."""
+    change = store.Change(
+        environment=environment,
+        based_on=based_on,
+        author=command.author(invocation),
+        summary=invocation.flags.summary or summary,
+        minimum_version=await minimum_version(site, environment),
+    )
+    return await store.apply(site.key_value, change, sections)
+
+
+def applied_result(heads: list[Head], *, warnings: list[str]) -> Result:
+    """Return the result of a change that was accepted."""
+    lines = [f"{h.environment} is now at version {h.version}" for h in heads]
+    data = {"applied": [head_data(head) for head in heads], "warnings": warnings}
+    return Result(ExitCode.DONE, data, lines + [f"warning: {w}" for w in warnings])
+
+
+def head_data(head: Head) -> dict[str, Any]:
+    """Return what `--json` tells of a version."""
+    data = head._asdict()
+    del data["part_digests"]
+    return data
+
+
+def _read_file(path: str) -> str:
+    try:
+        return pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as err:
+        raise UsageError(f"{path} cannot be read: {err}") from err
+
+
+def _require_checked(path: str) -> CheckReport:
+    report = check_text(_read_file(path))
+    require_valid(report.parsed.sections, environment=TRIAL)
+    return report
+
+
+def _version(text: str) -> int:
+    if not text.isdecimal():
+        raise UsageError(f"{text} is not a version")
+    return int(text)
+
+
+def _check_result(report: CheckReport, path: str) -> Result:
+    faults = [fault._asdict() for fault in report.faults]
+    packings = [p for p in [report.all_domains, *report.without_domain] if p]
+    data = {"faults": faults, "reachability": [p._asdict() for p in packings]}
+    lines = [f"{path}:{f.line}: {f.code}: {f.text}" for f in report.faults]
+    lines += map(_packing_line, packings)
+    if report.faults:
+        return Result(ExitCode.FAULTS, data, lines)
+    exit_code = ExitCode.DONE if report.is_proven else ExitCode.UNPROVEN
+    return Result(exit_code, data, [*lines, f"{path}: no faults"])
+
+
+def _packing_line(packing: PackingResult) -> str:
+    place = f"without {packing.lost_domain}" if packing.lost_domain else "all domains"
+    numbers = f"{packing.needed_mib} of {packing.available_mib} MiB"
+    if packing.outcome is Reachability.PROVEN:
+        return f"{place}: every model can be reachable ({numbers})"
+    names = ", ".join(packing.unplaced)
+    if packing.outcome is Reachability.IMPOSSIBLE:
+        return f"{place}: not every model can be reachable ({numbers}): {names}"
+    return f"{place}: cannot prove that every model fits ({numbers}): {names}"
+
+
+def _warnings(report: CheckReport) -> list[str]:
+    packings = [p for p in [report.all_domains, *report.without_domain] if p]
+    return [
+        _packing_line(packing)
+        for packing in packings
+        if packing.outcome is not Reachability.PROVEN
+    ]
+
+
+def _diff_result(title: str, version: int, changes: list[SectionChange]) -> Result:
+    lines = [title]
+    for change in changes:
+        lines.append(f"{change.kind.value} [{change.title}]")
+        lines += [f"    {line}" for line in change.lines]
+    data = {"based_on": version, "changes": [c._asdict() for c in changes]}
+    lines.append(f"{len(changes)} sections differ; apply with --based_on={version}")
+    return Result(ExitCode.DONE, data, lines)
+
+
+COMMANDS = (
+    Command(
+        "check",
+        ("FILE",),
+        "Name each fault of a document with its line, and say whether every model\n"
+        "can be reachable, also with one failure domain gone.",
+        lambda _values: None,
+        run_check,
+    ),
+    Command(
+        "diff",
+        ("[FILE]",),
+        "Compare a file with the version in force; without a file, production\n"
+        "with trial.",
+        command.define_environment_flag,
+        run_diff,
+    ),
+    Command(
+        "apply",
+        ("FILE",),
+        "Make a file the next version. Keys and drained names in force are kept.",
+        command.define_change_flags,
+        run_apply,
+    ),
+    Command(
+        "history",
+        (),
+        "List the versions that are kept, latest first.",
+        command.define_environment_flag,
+        run_history,
+    ),
+    Command(
+        "rollback",
+        ("VERSION",),
+        "Make an old body the next, higher version. Withdrawn keys stay withdrawn.",
+        command.define_change_flags,
+        run_rollback,
+    ),
+)
--- /dev/null
+++ b/packages/cli/src/jaytray_cli/results.py
@@ -0,0 +1,70 @@
+"""What a command gives back, and the exit codes that scripts rely on."""
+
+import enum
+import json
+from typing import Any, NamedTuple
+
+from jaytray_core import message_registry as messages
+from jaytray_core.errors import JaytrayError
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of `jaytray`; docs/operations/document.md explains them."""
+
+    DONE = 0
+    FAULTS = 1
+    USAGE = 2
+    UNPROVEN = 3
+    UNAVAILABLE = 4
+    CONFLICT = 5
+    UNCONFIRMED = 6
+    UNCERTAIN = 7
+    REFUSED = 8
+
+
+class Result(NamedTuple):
+    """Outcome of a command: `data` for scripts, `lines` for people."""
+
+    exit_code: ExitCode
+    data: dict[str, Any]
+    lines: list[str]
+
+
+class UsageError(Exception):
+    """The command line is wrong; the text says how."""
+
+
+_EXIT_CODE_BY_MESSAGE = {
+    messages.DOCUMENT_INVALID.code: ExitCode.FAULTS,
+    messages.KEY_VALUE_UNAVAILABLE.code: ExitCode.UNAVAILABLE,
+    messages.VM_LIST_UNAVAILABLE.code: ExitCode.UNAVAILABLE,
+    messages.KEY_VALUE_UNCERTAIN.code: ExitCode.UNCERTAIN,
+    messages.VERSION_CONFLICT.code: ExitCode.CONFLICT,
+}
+
+
+def result_of_error(error: JaytrayError) -> Result:
+    """Return the result of a command that raised."""
+    exit_code = _EXIT_CODE_BY_MESSAGE.get(error.code, ExitCode.REFUSED)
+    remedy = error.template.remedy
+    data = {"code": error.code, "error": error.text, "remedy": remedy}
+    return Result(exit_code, data, [f"{error.code}: {error.text}", remedy])
+
+
+def format_result(result: Result, *, is_json: bool) -> str:
+    """Return a result as one JSON object or as lines."""
+    if is_json:
+        data = {"exit_code": int(result.exit_code), **result.data}
+        return json.dumps(data, sort_keys=True) + "\n"
+    return "".join(line + "\n" for line in result.lines)
+
+
+def table(rows: list[tuple[str, ...]]) -> list[str]:
+    """Return rows as lines with aligned columns."""
+    if not rows:
+        return []
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    return [
+        "  ".join(cell.ljust(w) for cell, w in zip(row, widths, strict=True)).rstrip()
+        for row in rows
+    ]
--- /dev/null
+++ b/packages/cli/src/jaytray_cli/site.py
@@ -0,0 +1,66 @@
+"""Connections of one command: the key-value service, the list of VMs and the VMs."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from typing import Any, NamedTuple
+
+import httpx
+
+from jaytray_cli.results import UsageError
+from jaytray_core import message_registry as messages
+from jaytray_core.adapters.key_value_http import connect_key_value
+from jaytray_core.adapters.vm_list_http import connect_vm_list
+from jaytray_core.errors import JaytrayError, Step
+from jaytray_core.keyvalue import KeyValueService
+from jaytray_core.vm_list import VmEntry
+
+_TIMEOUT_S = 5.0
+_VM_TIMEOUT_S = 2.0
+
+# (VM, method, path) -> decoded JSON, or None when the VM did not answer with it.
+AskVm = Callable[[VmEntry, str, str], Awaitable[Any]]
+
+
+class Site(NamedTuple):
+    """What a command talks to; `list_vms` raises `vm_list_unavailable`."""
+
+    key_value: KeyValueService
+    list_vms: Callable[[], Awaitable[list[VmEntry]]]
+    ask_vm: AskVm
+
+
+# Takes the flags of the command.
+OpenSite = Callable[[Any], AbstractAsyncContextManager[Site]]
+
+
+@asynccontextmanager
+async def open_site(flags: Any) -> AsyncIterator[Site]:
+    """Connect by `--key_value` and `--vm_list`; connections are made on first use."""
+    if not flags.key_value:
+        raise UsageError("--key_value=IP:PORT is needed")
+    key_value = connect_key_value(address=flags.key_value, timeout_s=_TIMEOUT_S)
+    list_vms = _no_vm_list
+    if flags.vm_list:
+        vm_list = connect_vm_list(address=flags.vm_list, timeout_s=_TIMEOUT_S)
+        list_vms = vm_list.list_vms
+    async with httpx.AsyncClient(timeout=_VM_TIMEOUT_S) as client:
+        yield Site(key_value, list_vms, _make_ask_vm(client))
+
+
+def _make_ask_vm(client: httpx.AsyncClient) -> AskVm:
+    async def ask_vm(vm: VmEntry, method: str, path: str) -> Any:
+        try:
+            answer = await client.request(method, f"http://{vm.http_address}{path}")
+            return answer.json() if answer.is_success else None
+        except (httpx.HTTPError, ValueError):
+            return None
+
+    return ask_vm
+
+
+async def _no_vm_list() -> list[VmEntry]:
+    raise JaytrayError(
+        messages.VM_LIST_UNAVAILABLE,
+        step=Step.VM_LIST,
+        detail="--vm_list=IP:PORT is not given",
+    )
--- /dev/null
+++ b/packages/cli/src/jaytray_cli/site_commands.py
@@ -0,0 +1,178 @@
+"""Commands on the running site: keys and drains."""
+
+import secrets
+from collections.abc import Callable
+
+from jaytray_cli import command
+from jaytray_cli.command import Command, Invocation
+from jaytray_cli.document_commands import applied_result, apply_change, read_in_force
+from jaytray_cli.results import ExitCode, Result, UsageError, table
+from jaytray_cli.site import Site
+from jaytray_cli.vms import wait_until_confirmed
+from jaytray_core import message_registry as messages
+from jaytray_core.document.changes import (
+    create_key,
+    is_withdrawn,
+    key_sections,
+    require_valid,
+    set_drained,
+    withdraw_key,
+)
+from jaytray_core.document.keys import digest_key
+from jaytray_core.document.parts import Head
+from jaytray_core.document.sections import Section
+from jaytray_core.errors import JaytrayError, Step
+
+_SECRET_BYTES = 32
+_SECRET_PREFIX = "jt-"
+_OPTION_BY_WHAT = {"vm": "vms", "target": "targets"}
+
+# Returns the sections of an environment after a change.
+Edit = Callable[[list[Section]], list[Section]]
+
+
+async def run_key_create(invocation: Invocation) -> Result:
+    """Create a key; its secret is shown once and only its digest is stored."""
+    name, account = invocation.arguments[0], invocation.flags.account
+    if not account:
+        raise UsageError("--account=NAME is needed")
+    secret = _SECRET_PREFIX + secrets.token_urlsafe(_SECRET_BYTES)
+    digest = digest_key(secret)
+
+    def edit(sections: list[Section]) -> list[Section]:
+        return create_key(sections, name=name, account=account, digest=digest)
+
+    async with invocation.open_site(invocation.flags) as site:
+        heads = await _change_environments(
+            site, invocation, edit, summary=f"create key {name}"
+        )
+    result = applied_result(heads, warnings=[])
+    lines = [*result.lines, f"key {name} (shown once): {secret}"]
+    return Result(result.exit_code, {**result.data, "secret": secret}, lines)
+
+
+async def run_key_withdraw(invocation: Invocation) -> Result:
+    """Withdraw a key and wait until the listed VMs confirm."""
+    name = invocation.arguments[0]
+
+    def edit(sections: list[Section]) -> list[Section]:
+        return withdraw_key(sections, name=name)
+
+    return await _change_and_wait(invocation, edit, summary=f"withdraw key {name}")
+
+
+async def run_key_list(invocation: Invocation) -> Result:
+    """List the keys of an environment, by digest."""
+    async with invocation.open_site(invocation.flags) as site:
+        _, sections = await read_in_force(site, invocation.flags.environment)
+    rows = [("key", "account", "state", "digest")]
+    rows += [
+        (
+            section.title.partition(" ")[2],
+            section.options["account"],
+            "withdrawn" if is_withdrawn(section) else "valid",
+            section.options["digest"],
+        )
+        for section in key_sections(sections)
+    ]
+    data = {"keys": [dict(zip(rows[0], row, strict=True)) for row in rows[1:]]}
+    return Result(ExitCode.DONE, data, table(rows))
+
+
+async def run_drain(invocation: Invocation) -> Result:
+    """Give a VM or a target no new work, or work again with `--undo`."""
+    what, name = invocation.arguments
+    option = _OPTION_BY_WHAT.get(what)
+    if option is None:
+        raise UsageError("say 'drain vm ID' or 'drain target NAME'")
+    is_drained = not invocation.flags.undo
+
+    def edit(sections: list[Section]) -> list[Section]:
+        changed = set_drained(sections, option=option, name=name, is_drained=is_drained)
+        require_valid(changed, environment="drained")
+        return changed
+
+    summary = f"{'drain' if is_drained else 'undrain'} {what} {name}"
+    return await _change_and_wait(invocation, edit, summary=summary)
+
+
+async def _change_and_wait(
+    invocation: Invocation, edit: Edit, *, summary: str
+) -> Result:
+    async with invocation.open_site(invocation.flags) as site:
+        heads = await _change_environments(site, invocation, edit, summary=summary)
+        result = applied_result(heads, warnings=[])
+        try:
+            confirmation = await wait_until_confirmed(
+                site, heads, wait_s=invocation.flags.wait_s
+            )
+        except JaytrayError as err:
+            lines = [*result.lines, f"no VM could be asked to confirm: {err.text}"]
+            return Result(ExitCode.UNCONFIRMED, result.data, lines)
+    data = {**result.data, **confirmation._asdict()}
+    if not confirmation.unconfirmed:
+        lines = [*result.lines, f"confirmed by {len(confirmation.confirmed)} VMs"]
+        return Result(ExitCode.DONE, data, lines)
+    names = ", ".join(confirmation.unconfirmed)
+    lines = [*result.lines, f"not confirmed by {names}"]
+    return Result(ExitCode.UNCONFIRMED, data, lines)
+
+
+async def _change_environments(
+    site: Site, invocation: Invocation, edit: Edit, *, summary: str
+) -> list[Head]:
+    """Change each environment that has a document, based on what was just read."""
+    heads = []
+    for environment in invocation.flags.environments:
+        stored, sections = await read_in_force(site, environment)
+        if stored.head is None:
+            continue
+        heads.append(
+            await apply_change(
+                site,
+                invocation,
+                environment,
+                stored.version,
+                edit(sections),
+                summary=summary,
+            )
+        )
+    if not heads:
+        names = ", ".join(invocation.flags.environments)
+        raise JaytrayError(
+            messages.NOT_FOUND, step=Step.CONFIGURATION, what="document", name=names
+        )
+    return heads
+
+
+COMMANDS = (
+    Command(
+        "key create",
+        ("NAME",),
+        "Create a key for a client account. The secret is shown once; the document\n"
+        "holds its digest only.",
+        command.define_account_flag,
+        run_key_create,
+    ),
+    Command(
+        "key withdraw",
+        ("NAME",),
+        "Withdraw a key for good and name the listed VMs that have not confirmed.",
+        command.define_environments_flags,
+        run_key_withdraw,
+    ),
+    Command(
+        "key list",
+        (),
+        "List the keys of an environment, withdrawn ones included.",
+        command.define_environment_flag,
+        run_key_list,
+    ),
+    Command(
+        "drain",
+        ("vm|target", "NAME"),
+        "Give a VM or a target no new work; --undo takes it back.",
+        command.define_drain_flags,
+        run_drain,
+    ),
+)
--- /dev/null
+++ b/packages/core/src/jaytray_core/document/keys.py
@@ -0,0 +1,10 @@
+"""Digests of keys, as the document holds them."""
+
+import hashlib
+
+_PREFIX = "sha256:"
+
+
+def digest_key(key: str) -> str:
+    """Return `sha256:` and the hex digest of the key's UTF-8 bytes."""
+    return _PREFIX + hashlib.sha256(key.encode()).hexdigest()
--- a/packages/server/src/jaytray_server/version/authentication.py
+++ b/packages/server/src/jaytray_server/version/authentication.py
@@ -4,18 +4,25 @@
 itself is kept for one request only, to remove it from everything that is sent on.
 """
 
-import hashlib
 import hmac
 from collections.abc import Iterable
 from typing import NamedTuple
 from urllib.parse import quote, quote_plus, unquote, unquote_plus
 
 from jaytray_core import message_registry as messages
+from jaytray_core.document.keys import digest_key
 from jaytray_core.document.model import ClientAccount, Document
 from jaytray_core.errors import JaytrayError, Step
 
+__all__ = [
+    "Caller",
+    "authenticate",
+    "digest_key",
+    "is_key_valid",
+    "strip_credentials",
+]
+
 _SCHEME = "bearer"
-_DIGEST_PREFIX = "sha256:"
 # Headers that carry credentials by their meaning; they never go to a target.
 CREDENTIAL_HEADERS = frozenset(
     {"authorization", "proxy-authorization", "x-api-key", "api-key", "x-auth-token"}
@@ -37,11 +44,6 @@
         return f"Caller({self.account.name})"
 
 
-def digest_key(key: str) -> str:
-    """Return the digest of a key as the document holds it."""
-    return _DIGEST_PREFIX + hashlib.sha256(key.encode()).hexdigest()
-
-
 def authenticate(
     document: Document, headers: Headers, *, is_open: bool = False
 ) -> Caller | None:
