--- /dev/null
+++ b/packages/server/src/jaytray_server/request/completions.py
@@ -0,0 +1,58 @@
+"""Endpoint of chat and text completions, whole and streamed."""
+
+from jaytray_server.request.dispatch import Work, dispatch_whole, make_work
+from jaytray_server.request.endpoint import Exchange, authenticated
+from jaytray_server.request.parsing import parse_completion
+from jaytray_server.request.responses import (
+    StreamEnding,
+    send_stream,
+    send_whole,
+    until_caller_leaves,
+)
+from jaytray_server.request.services import RequestServices
+from jaytray_server.request.stream import dispatch_stream
+from jaytray_server.version.authentication import Caller
+
+
+async def answer_completion(services: RequestServices, exchange: Exchange) -> None:
+    """Answer one completion."""
+    caller = authenticated(services, exchange)
+    call = parse_completion(exchange.path, exchange.body, services.current_document())
+    work = make_work(
+        services, request_id=exchange.request_id, call=call, account=caller.account
+    )
+    if call.is_stream:
+        await _answer_stream(services, exchange, work, caller)
+    else:
+        await _answer_whole(services, exchange, work)
+
+
+async def _answer_whole(
+    services: RequestServices, exchange: Exchange, work: Work
+) -> None:
+    answer = await until_caller_leaves(
+        exchange.receive, dispatch_whole(services, work, exchange.tracker)
+    )
+    await send_whole(
+        exchange.send,
+        request_id=exchange.request_id,
+        status=answer.status,
+        headers=answer.headers,
+        body=answer.body,
+    )
+
+
+async def _answer_stream(
+    services: RequestServices, exchange: Exchange, work: Work, caller: Caller
+) -> None:
+    ending = StreamEnding()
+    sending = send_stream(
+        exchange.send,
+        request_id=exchange.request_id,
+        pieces=dispatch_stream(services, work, exchange.tracker),
+        buffer_bytes=services.sizes.stream_buffer_bytes,
+        slow_caller_s=services.timeouts.slow_caller_s,
+        ending=ending,
+    )
+    with services.register_stream(caller.key_digest, ending.end):
+        await until_caller_leaves(exchange.receive, sending)
