--- a/packages/cli/src/jaytray_cli/main.py
+++ b/packages/cli/src/jaytray_cli/main.py
@@ -20,7 +20,7 @@
 
 _HELP_WORDS = frozenset({"--help", "-h", "-help", "help"})
 
-COMMANDS_BY_NAME = {
+COMMANDS_BY_NAME: dict[str, Command] = {
     command.name: command
     for module in (document_commands, site_commands, vm_commands)
     for command in module.COMMANDS
--- a/packages/cli/src/jaytray_cli/results.py
+++ b/packages/cli/src/jaytray_cli/results.py
@@ -2,6 +2,7 @@
 
 import enum
 import json
+from collections.abc import Sequence
 from typing import Any, NamedTuple
 
 from jaytray_core import message_registry as messages
@@ -59,7 +60,7 @@
     return "".join(line + "\n" for line in result.lines)
 
 
-def table(rows: list[tuple[str, ...]]) -> list[str]:
+def table(rows: Sequence[tuple[str, ...]]) -> list[str]:
     """Return rows as lines with aligned columns."""
     if not rows:
         return []
--- a/packages/cli/src/jaytray_cli/vm_commands.py
+++ b/packages/cli/src/jaytray_cli/vm_commands.py
@@ -30,7 +30,8 @@
     async with invocation.open_site(invocation.flags) as site:
         reports = await read_reports(site)
         version_by_environment = await _versions_in_force(site)
-    rows = [("VM", "domain", "state", "environment", "version", "body", "alarms")]
+    header = ("VM", "domain", "state", "environment", "version", "body", "alarms")
+    rows: list[tuple[str, ...]] = [header]
     rows += [_status_row(report) for report in reports]
     unreachable = _unreachable(reports)
     lines = [f"{e}: version {v}" for e, v in version_by_environment.items()]
--- a/packages/cli/src/jaytray_cli/vms.py
+++ b/packages/cli/src/jaytray_cli/vms.py
@@ -97,7 +97,8 @@
 
 def _confirmation(reports: list[VmReport], heads: list[Head]) -> Confirmation:
     version_by_environment = {head.environment: head.version for head in heads}
-    confirmed, unconfirmed = [], []
+    confirmed: list[str] = []
+    unconfirmed: list[str] = []
     for vm, status in reports:
         if status is None:
             unconfirmed.append(vm.vm_id)
