Divide contracts among VMs by a table of shares and exchange spare tokens

Change: table of shares changed by compare-and-swap, claims of VMs that the platform dropped, hand-over on leaving, and grants between VMs that the giver deducts first. AccountLimits is the entry point.

--- /dev/null
+++ b/packages/server/src/jaytray_server/process/limits/account_limits.py
@@ -0,0 +1,331 @@
+"""Rate and burst of all client accounts on this VM, kept in step with the others.
+
+Puts the limiter, this VM's share and the exchange of tokens together, and keeps the
+share in order from one background task: it registers the process, claims the parts
+of VMs that are gone, and gives parts to VMs that have few. Requests never wait for
+that task or for the key-value service.
+"""
+
+import asyncio
+import random
+from collections.abc import Sequence
+
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.errors import JaytrayError
+from jaytray_core.keyvalue import KeyValueService
+from jaytray_core.logs import get_logger
+from jaytray_core.vm_list import VmEntry
+from jaytray_server.ports import CurrentDocument, Limiter, Metrics, PeerNetwork
+from jaytray_server.process.limits.gifts import GRANT_HOLD_S, GiftExchange
+from jaytray_server.process.limits.limiter import AccountLimiter, limiter_functions
+from jaytray_server.process.limits.membership import Membership
+from jaytray_server.process.limits.message_budget import MessageBudget
+from jaytray_server.process.limits.share_table import ShareTable, spread_parts
+from jaytray_server.process.limits.shares import SHARES_KEY, OwnShare, TableRead
+from jaytray_server.process.metrics import make_null_metrics
+
+CHANGED_TOPIC = "limits.changed"
+# Time between two looks at what is due, in seconds.
+TICK_S = 0.5
+# Shortest time between two reads of the table, and its bytes per second at most.
+SHORTEST_READ_INTERVAL_S = 5.0
+READ_BYTES_PER_S = 200.0
+# Time between reads while something is left to do.
+RETRY_INTERVAL_S = 1.0
+FORGET_INTERVAL_S = 10.0
+# Attempts to record something at once while other VMs write, and pauses between.
+SWAP_ATTEMPTS = 6
+SWAP_PAUSE_S = 0.05
+# A VM with less than an even share by this factor gets parts of others.
+POOR_FACTOR = 4
+
+
+class AccountLimits:
+    """Limits of this VM; `run` is its background task.
+
+    `functions` are for requests. `handle_listed_vms` takes each list of VMs that was
+    read, also an unchanged one. `leave` hands the share over before a planned stop.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm_id: str,
+        key_value: KeyValueService,
+        peers: PeerNetwork,
+        current_document: CurrentDocument,
+        clock: MonotonicClock,
+        rng: random.Random | None = None,
+        metrics: Metrics | None = None,
+        key: str = SHARES_KEY,
+    ) -> None:
+        self._vm_id = vm_id
+        self._peers = peers
+        self._clock = clock
+        self._rng = rng or random.Random()
+        self._metrics = metrics or make_null_metrics()
+        self.budget = MessageBudget(clock=clock)
+        self.limiter = AccountLimiter(
+            current_document=current_document,
+            clock=clock,
+            on_shortage=lambda account: self.exchange.request_tokens(account),
+        )
+        self.exchange = GiftExchange(
+            limiter=self.limiter,
+            peers=peers,
+            clock=clock,
+            rng=self._rng,
+            budget=self.budget,
+            metrics=self._metrics,
+        )
+        self.share = OwnShare(
+            vm_id=vm_id,
+            incarnation=f"{self._rng.getrandbits(48):012x}",
+            key_value=key_value,
+            clock=clock,
+            settle_s=GRANT_HOLD_S,
+            on_parts=self._handle_parts,
+            key=key,
+        )
+        self.membership = Membership(vm_id=vm_id, clock=clock)
+        self._lock = asyncio.Lock()
+        self._wake = asyncio.Event()
+        self._is_leaving = False
+        self._next_read_at = clock()
+        self._next_forget_at = clock() + FORGET_INTERVAL_S
+        peers.set_handler(CHANGED_TOPIC, self._handle_changed)
+
+    @property
+    def functions(self) -> Limiter:
+        """Return the interface that requests use."""
+        return limiter_functions(self.limiter)
+
+    async def run(self) -> None:
+        """Keep this VM's share in order until cancelled."""
+        try:
+            while True:
+                self._do_local_work()
+                if not self._is_leaving and self._clock() >= self._next_read_at:
+                    async with self._lock:
+                        await self._maintain_safely()
+                await self._wait_for_tick()
+        finally:
+            await self.exchange.close()
+
+    def handle_listed_vms(self, entries: Sequence[VmEntry]) -> None:
+        """Take in a list of VMs that was just read."""
+        before = self.membership.live
+        self.membership.handle_list(entries, self._table_vms())
+        if self.membership.is_dropped():
+            self.share.stop_using()
+        has_gone = bool(self.membership.gone(self._table_vms()))
+        if not self.share.is_registered:
+            self._next_read_at = self._clock()
+            self._wake.set()
+        elif has_gone or self.membership.live != before:
+            self._read_soon()
+
+    async def leave(self) -> None:
+        """Hand this VM's share over to the others; what fails is claimed later."""
+        async with self._lock:
+            self._is_leaving = True
+            for attempt in range(SWAP_ATTEMPTS):
+                try:
+                    if await self._hand_over():
+                        return
+                except JaytrayError as err:
+                    self._log_failure(err)
+                await self._pause(attempt)
+
+    def _do_local_work(self) -> None:
+        self.share.apply_due_raise()
+        self.exchange.drop_expired_asks()
+        self.limiter.follow_document()
+        if self._clock() >= self._next_forget_at:
+            self._next_forget_at = self._clock() + FORGET_INTERVAL_S
+            self.limiter.forget_idle()
+            self._metrics.gauge("limits.accounts", self.limiter.accounts_in_memory)
+            self._metrics.gauge("limits.parts", self.limiter.parts)
+
+    async def _wait_for_tick(self) -> None:
+        try:
+            async with asyncio.timeout(TICK_S):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+        self._wake.clear()
+
+    async def _maintain_safely(self) -> None:
+        try:
+            is_settled = await self._maintain()
+        except JaytrayError as err:
+            self._log_failure(err)
+            is_settled = False
+        self._next_read_at = self._clock() + self._read_interval(is_settled)
+
+    async def _maintain(self) -> bool:
+        """Read the table and do what is due; returns whether nothing is left."""
+        if not self.membership.is_listed():
+            return False
+        read = await self._register()
+        if read is None:
+            return False
+        await self.share.settle_giving()
+        await self._claim_gone()
+        await self._give_to_poor()
+        return not self._open_duties()
+
+    async def _register(self) -> TableRead | None:
+        """Read the table until it names this process; None when others are faster."""
+        for attempt in range(SWAP_ATTEMPTS):
+            read = await self.share.read()
+            if read is None:
+                await self.share.create(list(self.membership.live))
+            elif self.share.is_registered:
+                return read
+            await self.share.register()
+            if self.share.is_registered:
+                self._tell_givers()
+                return self.share.last_read
+            await self._pause(attempt)
+        return None
+
+    async def _claim_gone(self) -> None:
+        live = self.membership.live
+        gone = [
+            vm_id
+            for vm_id in self.membership.gone(self._table_vms())
+            if self.membership.has_duty(f"claim {vm_id}", live)
+        ]
+        receivers = [vm for vm in live if self._is_started(vm)]
+        if gone and await self.share.claim(gone, receivers):
+            get_logger().info(
+                "limits_shares_claimed", gone=",".join(gone), receivers=len(receivers)
+            )
+            self._tell(receivers)
+
+    async def _give_to_poor(self) -> None:
+        table = self._table()
+        own = table.entries_by_vm.get(self._vm_id)
+        givers = self._givers()
+        receivers = [
+            vm
+            for vm in self._poor_vms()
+            if self.membership.has_duty(f"give {vm}", givers)
+        ]
+        if own is None or not receivers:
+            return
+        owned = {vm: table.entries_by_vm[vm].parts for vm in receivers}
+        parts_by_receiver = spread_parts(own.parts // 2, owned)
+        if await self.share.give_away(parts_by_receiver):
+            self._log_given(parts_by_receiver, "new_vm")
+
+    async def _hand_over(self) -> bool:
+        await self.share.read()
+        await self.share.settle_giving()
+        table = self._table()
+        own = table.entries_by_vm.get(self._vm_id)
+        if own is None or own.parts == 0 or not self.share.is_registered:
+            return True
+        owned = {
+            vm: table.entries_by_vm[vm].parts
+            for vm in self.membership.live
+            if vm != self._vm_id and self._is_started(vm)
+        }
+        parts_by_receiver = spread_parts(own.parts, owned)
+        if not parts_by_receiver:
+            return True
+        is_recorded = await self.share.give_away(parts_by_receiver)
+        if is_recorded:
+            self._log_given(parts_by_receiver, "leaving")
+        return is_recorded
+
+    def _open_duties(self) -> list[str]:
+        gone = self.membership.gone(self._table_vms())
+        duties = [f"claim {vm}" for vm in gone]
+        duties += [f"give {vm}" for vm in self._poor_vms() if self._givers()]
+        self.membership.forget_duties(duties)
+        return duties
+
+    def _poor_vms(self) -> list[str]:
+        return [
+            vm
+            for vm in self.membership.live
+            if self._is_started(vm)
+            and self._parts_of(vm) * POOR_FACTOR < self._even_share()
+        ]
+
+    def _givers(self) -> list[str]:
+        return [
+            vm
+            for vm in self.membership.live
+            if self._is_started(vm) and self._parts_of(vm) * 2 >= self._even_share()
+        ]
+
+    def _even_share(self) -> float:
+        entries = self._table().entries_by_vm.values()
+        return sum(entry.parts for entry in entries) / max(1, len(self.membership.live))
+
+    def _parts_of(self, vm_id: str) -> int:
+        entry = self._table().entries_by_vm.get(vm_id)
+        return entry.parts if entry is not None else 0
+
+    def _is_started(self, vm_id: str) -> bool:
+        entry = self._table().entries_by_vm.get(vm_id)
+        return entry is not None and entry.incarnation != ""
+
+    def _table(self) -> ShareTable:
+        read = self.share.last_read
+        return read.table if read is not None else ShareTable({})
+
+    def _table_vms(self) -> list[str]:
+        return list(self._table().entries_by_vm)
+
+    def _tell_givers(self) -> None:
+        if self._vm_id in self._poor_vms():
+            self._tell(self._givers())
+
+    def _tell(self, vms: Sequence[str]) -> None:
+        """Hint that the table changed; a lost hint only delays the next read."""
+        for vm_id in vms:
+            if vm_id != self._vm_id and not self.budget.is_spent():
+                self.budget.spend(len(CHANGED_TOPIC))
+                self._peers.send(vm_id, CHANGED_TOPIC, b"")
+
+    def _handle_changed(self, _sender: str, _body: bytes) -> None:
+        self._read_soon()
+
+    def _handle_parts(self, parts: int) -> None:
+        get_logger().info("limits_share_changed", parts=parts, was=self.limiter.parts)
+        self._metrics.gauge("limits.parts", parts)
+        self.limiter.set_parts(parts)
+
+    def _read_soon(self) -> None:
+        soon = self._clock() + self._rng.random() * RETRY_INTERVAL_S
+        self._next_read_at = min(self._next_read_at, soon)
+
+    def _read_interval(self, is_settled: bool) -> float:
+        read = self.share.last_read
+        jitter = 0.8 + 0.4 * self._rng.random()
+        if not is_settled or read is None:
+            return RETRY_INTERVAL_S * jitter
+        by_size = read.size_bytes / READ_BYTES_PER_S
+        return max(SHORTEST_READ_INTERVAL_S, by_size) * jitter
+
+    async def _pause(self, attempt: int) -> None:
+        await asyncio.sleep(self._rng.random() * SWAP_PAUSE_S * 2**attempt)
+
+    def _log_given(self, parts_by_receiver: dict[str, int], reason: str) -> None:
+        get_logger().info(
+            "limits_share_given",
+            parts=sum(parts_by_receiver.values()),
+            receivers=",".join(parts_by_receiver),
+            reason=reason,
+        )
+        self._tell(list(parts_by_receiver))
+
+    def _log_failure(self, err: JaytrayError) -> None:
+        self._metrics.increment("limits.table_failures", 1)
+        get_logger().warning(
+            "limits_table_unavailable", code=err.code, detail=err.text, peer=err.peer
+        )
--- a/packages/server/src/jaytray_server/process/limits/limiter.py
+++ b/packages/server/src/jaytray_server/process/limits/limiter.py
@@ -1,9 +1,9 @@
 """Admission of requests against the rate and burst of their client accounts.
 
-Each account has a token bucket with this VM's part of the contract. A request is
-charged its upper bound when admitted; settling returns what it did not use. When
-the level is too low the request waits in the account's first-in first-out queue for
-refill, for returns, or for tokens of other VMs that the shortage handler asks for.
+A request is charged its upper bound when admitted; settling returns what it did not
+use. When the level is too low the request waits in the account's first-in first-out
+queue for refill, for returns, or for tokens of other VMs that the shortage handler
+asks for. A request that can no longer be admitted in time is refused at once.
 
 Accounts are materialised at their first use and forgotten when their bucket is full
 again: an account without state is one that nobody used since this VM's share last
@@ -12,7 +12,6 @@
 
 import asyncio
 import itertools
-from collections import deque
 from collections.abc import Callable
 
 from jaytray_core import message_registry as messages
@@ -20,11 +19,9 @@
 from jaytray_core.document.model import ClientAccount
 from jaytray_core.errors import JaytrayError, Step
 from jaytray_server.ports import CurrentDocument, Limiter, Reservation
-from jaytray_server.process.limits.bucket import TokenBucket
+from jaytray_server.process.limits.account_state import AccountState, Waiter
 
 MAX_WAITING_PER_ACCOUNT = 256
-# Parts into which every contract is divided among the VMs.
-TOTAL_PARTS = 1 << 20
 # Shortest delay of a refill timer in seconds, against timers that fire early.
 MIN_TIMER_S = 0.001
 
@@ -34,29 +31,6 @@
 _NO_CONTRACT = ClientAccount("", 0.0, 0, 1.0)
 
 
-class Waiter:
-    """One request that waits for tokens."""
-
-    def __init__(self, *, tokens: int, future: asyncio.Future[Reservation]) -> None:
-        self.tokens = tokens
-        self.future = future
-
-
-class AccountState:
-    """Bucket, queue and lendings of one account on this VM."""
-
-    def __init__(self, *, contract: ClientAccount, now: float) -> None:
-        self.contract = contract
-        self.bucket = TokenBucket(now=now)
-        self.waiters: deque[Waiter] = deque()
-        self.timer: asyncio.TimerHandle | None = None
-        self.last_used_at = float("-inf")
-        # Parts borrowed less parts lent, and the same of capacity in tokens.
-        self.parts_balance = 0
-        self.capacity_balance = 0.0
-        self.open_lendings = 0
-
-
 class AccountLimiter:
     """Buckets and queues of all client accounts on this VM.
 
@@ -86,6 +60,11 @@
         """Return this VM's share out of `TOTAL_PARTS`."""
         return self._parts
 
+    @property
+    def accounts_in_memory(self) -> int:
+        """Return the number of accounts that have state."""
+        return len(self._states_by_account)
+
     def set_parts(self, parts: int) -> None:
         """Change this VM's share; a part that is added starts empty."""
         self.follow_document()
@@ -95,8 +74,9 @@
             self.state_of(account)
         self._parts = parts
         self._parts_since = self._clock()
-        for account in list(self._states_by_account):
-            self.refresh(account)
+        for account, state in self._states_by_account.items():
+            state.set_parts(parts, self._parts_since)
+            self.wake(account)
 
     def follow_document(self) -> None:
         """Apply changed rates and bursts of a new document version."""
@@ -107,10 +87,8 @@
         for name in old_accounts.keys() | document.accounts_by_name.keys():
             contract = document.accounts_by_name.get(name, _NO_CONTRACT)
             if old_accounts.get(name, _NO_CONTRACT) != contract:
-                state = self.state_of(name)
-                state.bucket.advance(self._clock())
-                state.contract = contract
-                self.refresh(name)
+                self.state_of(name).set_contract(contract, self._clock())
+                self.wake(name)
         self._document = document
 
     async def reserve(
@@ -122,6 +100,7 @@
         with the refill time.
         """
         self.follow_document()
+        now = self._clock()
         state = self.state_of(account)
         if tokens > state.contract.burst_tokens:
             raise JaytrayError(
@@ -130,9 +109,7 @@
                 tokens=tokens,
                 account=account,
             )
-        now = self._clock()
-        state.last_used_at = now
-        state.bucket.advance(now)
+        state.observe_demand(tokens, now)
         if not state.waiters and state.bucket.can_take(tokens):
             return self._admit(account, state, tokens)
         if max_wait_s <= 0 or len(state.waiters) >= self._max_waiting:
@@ -141,51 +118,40 @@
 
     def settle(self, reservation: Reservation, used_tokens: int) -> None:
         """Return the tokens that were not used; a second call does nothing."""
-        state = self._states_by_account.get(reservation.account)
-        if state is None:
+        if reservation.account not in self._states_by_account:
             return
+        state = self.state_of(reservation.account)
         unused = max(0, reservation.tokens - used_tokens)
-        state.bucket.advance(self._clock())
         state.bucket.give_back(reservation.reservation_id, unused)
         self.wake(reservation.account)
 
     def state_of(self, account: str) -> AccountState:
-        """Return the account's state, materialised as never used when absent."""
+        """Return the account's state as of now, a new one when it has none."""
         state = self._states_by_account.get(account)
         if state is None:
             contract = self._document.accounts_by_name.get(account, _NO_CONTRACT)
-            state = AccountState(contract=contract, now=self._parts_since)
+            state = AccountState(
+                contract=contract, parts=self._parts, now=self._parts_since
+            )
             self._states_by_account[account] = state
-            self.refresh(account)
+        state.advance(self._clock())
         return state
 
-    def refresh(self, account: str) -> None:
-        """Apply the present share, contract and lendings to the account's bucket."""
-        state = self._states_by_account[account]
-        contract = state.contract
-        fraction = self._parts / TOTAL_PARTS
-        rate_fraction = max(0, self._parts + state.parts_balance) / TOTAL_PARTS
-        state.bucket.set_limits(
-            capacity=contract.burst_tokens * fraction + state.capacity_balance,
-            rate=contract.rate_tokens_per_s * rate_fraction,
-            now=self._clock(),
-        )
+    def knows(self, account: str) -> bool:
+        """Return whether the document declares the account."""
+        return account in self._document.accounts_by_name
 
     def tokens_short(self, account: str) -> float:
         """Return what the account's waiting requests need above the level."""
-        state = self._states_by_account.get(account)
-        if state is None or not state.waiters:
+        if account not in self._states_by_account:
             return 0.0
-        state.bucket.advance(self._clock())
-        needed = sum(waiter.tokens for waiter in state.waiters)
-        return max(0.0, needed - state.bucket.level)
+        state = self.state_of(account)
+        needed = state.tokens_waited_for()
+        return max(0.0, needed - max(0.0, state.bucket.level)) if needed else 0.0
 
     def wake(self, account: str) -> None:
         """Admit waiting requests that the level now covers, in order."""
-        state = self._states_by_account.get(account)
-        if state is None:
-            return
-        state.bucket.advance(self._clock())
+        state = self.state_of(account)
         while state.waiters:
             waiter = state.waiters[0]
             if waiter.future.done():
@@ -197,22 +163,30 @@
                 break
         self._set_timer(account, state)
 
+    def refuse_hopeless(self, account: str) -> None:
+        """Refuse waiting requests that this VM's refill alone cannot admit in time."""
+        state = self.state_of(account)
+        now = self._clock()
+        needed = 0
+        for waiter in state.waiters:
+            if waiter.future.done():
+                continue
+            refill_s = state.bucket.seconds_until(needed + waiter.tokens)
+            if refill_s is None or now + refill_s > waiter.deadline_s:
+                error = self._rate_exceeded(account, state, waiter.tokens)
+                waiter.future.set_exception(error)
+            else:
+                needed += waiter.tokens
+        self.wake(account)
+
     def forget_idle(self) -> None:
         """Drop accounts whose state equals that of one never used."""
         now = self._clock()
         for account, state in list(self._states_by_account.items()):
-            state.bucket.advance(now)
-            if self._is_forgettable(state):
+            state.advance(now)
+            if state.is_like_unused():
                 del self._states_by_account[account]
 
-    def _is_forgettable(self, state: AccountState) -> bool:
-        return (
-            not state.waiters
-            and not state.open_lendings
-            and not state.bucket.has_open_charges()
-            and state.bucket.level >= state.bucket.capacity
-        )
-
     def _admit(self, account: str, state: AccountState, tokens: int) -> Reservation:
         reservation = Reservation(next(self._charge_ids), account, tokens)
         state.bucket.charge(reservation.reservation_id, tokens)
@@ -223,25 +197,24 @@
     ) -> Reservation:
         loop = asyncio.get_running_loop()
         future: asyncio.Future[Reservation] = loop.create_future()
-        waiter = Waiter(tokens=tokens, future=future)
-        state.waiters.append(waiter)
+        state.waiters.append(Waiter(tokens, self._clock() + max_wait_s, future))
         self._set_timer(account, state)
         self._on_shortage(account)
         try:
             async with asyncio.timeout(max_wait_s):
-                await asyncio.shield(future)
-            return future.result()
+                await asyncio.wait((future,))
         except TimeoutError:
-            if future.done():
-                return future.result()
-            raise self._rate_exceeded(account, state, tokens) from None
+            if not future.done():
+                raise self._rate_exceeded(account, state, tokens) from None
         except asyncio.CancelledError:
-            if future.done():
+            if future.done() and future.exception() is None:
                 self.settle(future.result(), 0)
             raise
         finally:
-            future.cancel()
-            self.wake(account)
+            if not future.done():
+                future.cancel()
+                self.wake(account)
+        return future.result()
 
     def _set_timer(self, account: str, state: AccountState) -> None:
         if state.timer is not None:
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/limits/share_table.py
@@ -0,0 +1,109 @@
+"""The table of shares: how the contracts of all accounts are divided among the VMs.
+
+One value in the key-value service gives each VM a number of parts out of
+`TOTAL_PARTS`, the same for every account. Its functions return changed copies that
+keep the sum. Who may change what is what makes them safe: a VM lowers only its own
+entry, or that of a VM that the platform's list has dropped; any VM may raise any.
+So what a VM last read of its own entry is never more than the table holds.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from jaytray_core.codec import decode_json, encode_json
+
+TOTAL_PARTS = 1 << 20
+
+
+class ShareEntry(NamedTuple):
+    """One VM's parts.
+
+    `incarnation` names the process that may use them, empty before its first start.
+    """
+
+    parts: int
+    incarnation: str
+
+
+class ShareTable(NamedTuple):
+    """All entries; the parts add up to `TOTAL_PARTS`."""
+
+    entries_by_vm: dict[str, ShareEntry]
+
+
+_NEW_ENTRY = ShareEntry(0, "")
+
+
+def encode_table(table: ShareTable) -> bytes:
+    """Return the table's stored form."""
+    return encode_json(table)
+
+
+def decode_table(value: bytes) -> ShareTable:
+    """Return the table of a stored value; raises `malformed_message`."""
+    return decode_json(value, ShareTable, peer="kv")
+
+
+def create_table(vms: Iterable[str]) -> ShareTable:
+    """Return a table that divides all parts evenly among `vms`."""
+    return raise_entries(
+        ShareTable({}), spread_parts(TOTAL_PARTS, dict.fromkeys(vms, 0))
+    )
+
+
+def register(table: ShareTable, vm_id: str, incarnation: str) -> ShareTable:
+    """Return the table in which the process `incarnation` uses the VM's parts."""
+    entry = table.entries_by_vm.get(vm_id, _NEW_ENTRY)
+    return _replace(table, vm_id, entry._replace(incarnation=incarnation))
+
+
+def give_away(
+    table: ShareTable, vm_id: str, parts_by_receiver: Mapping[str, int]
+) -> ShareTable:
+    """Return the table after the owner `vm_id` gave parts to other VMs."""
+    entry = table.entries_by_vm[vm_id]
+    given = sum(parts_by_receiver.values())
+    if given > entry.parts or vm_id in parts_by_receiver:
+        raise ValueError(f"{vm_id} cannot give {given} of {entry.parts} parts")
+    lowered = entry._replace(parts=entry.parts - given)
+    return raise_entries(_replace(table, vm_id, lowered), parts_by_receiver)
+
+
+def claim(
+    table: ShareTable, gone: Iterable[str], receivers: Iterable[str]
+) -> ShareTable:
+    """Return the table without the VMs `gone`, their parts spread over `receivers`."""
+    kept = dict(table.entries_by_vm)
+    parts = sum(kept.pop(vm_id).parts for vm_id in gone)
+    owned_by_vm = {vm: kept.get(vm, _NEW_ENTRY).parts for vm in receivers}
+    return raise_entries(ShareTable(kept), spread_parts(parts, owned_by_vm))
+
+
+def spread_parts(parts: int, owned_by_vm: Mapping[str, int]) -> dict[str, int]:
+    """Divide `parts` so that the VMs that own least come as close to even as can be."""
+    given = dict.fromkeys(owned_by_vm, 0)
+    ranked = sorted(owned_by_vm, key=lambda vm: (owned_by_vm[vm], vm))
+    total = parts
+    for size, vm_id in enumerate(ranked, start=1):
+        total += owned_by_vm[vm_id]
+        following = owned_by_vm[ranked[size]] if size < len(ranked) else None
+        if following is None or total <= following * size:
+            level, rest = divmod(total, size)
+            for position, receiver in enumerate(ranked[:size]):
+                level_here = level + (1 if position < rest else 0)
+                given[receiver] = level_here - owned_by_vm[receiver]
+            break
+    return {vm: amount for vm, amount in given.items() if amount}
+
+
+def raise_entries(table: ShareTable, parts_by_vm: Mapping[str, int]) -> ShareTable:
+    """Return the table with parts added to some entries."""
+    entries = dict(table.entries_by_vm)
+    for vm_id, parts in parts_by_vm.items():
+        entry = entries.get(vm_id, _NEW_ENTRY)
+        entries[vm_id] = entry._replace(parts=entry.parts + parts)
+    return ShareTable(entries)
+
+
+def _replace(table: ShareTable, vm_id: str, entry: ShareEntry) -> ShareTable:
+    return ShareTable({**table.entries_by_vm, vm_id: entry})
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/limits/shares.py
@@ -0,0 +1,235 @@
+"""This VM's share of all contracts: reads and changes of the table of shares.
+
+The parts in use are never more than the table's entry of this VM. They are lowered
+first and recorded by compare-and-swap afterwards; they are raised only after the
+raised entry was read, and then only after the longest time for which anybody can
+still spend what the former owner lent out.
+
+A starting process writes its incarnation before it uses anything. Then a write of
+an earlier process that is still under way finds another revision and fails.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from jaytray_core import message_registry as messages
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.errors import JaytrayError
+from jaytray_core.keyvalue import ABSENT_REVISION, KeyValueService
+from jaytray_server.process.limits.share_table import (
+    ShareEntry,
+    ShareTable,
+    claim,
+    create_table,
+    decode_table,
+    encode_table,
+    give_away,
+    register,
+)
+
+SHARES_KEY = "limits/shares"
+
+# (parts in use); called when they change.
+PartsHandler = Callable[[int], None]
+
+
+class TableRead(NamedTuple):
+    """The table at one revision."""
+
+    table: ShareTable
+    revision: int
+    size_bytes: int
+
+
+class _OpenGiving(NamedTuple):
+    """Parts that were lowered here and whose write is not settled yet."""
+
+    parts: int
+    base_revision: int
+    value: bytes
+
+
+class OwnShare:
+    """The parts that this process may use, kept at or below the table's entry.
+
+    `incarnation` is the writer id of this process; `settle_s` the delay of a raise.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm_id: str,
+        incarnation: str,
+        key_value: KeyValueService,
+        clock: MonotonicClock,
+        settle_s: float,
+        on_parts: PartsHandler,
+        key: str = SHARES_KEY,
+    ) -> None:
+        self._vm_id = vm_id
+        self._incarnation = incarnation
+        self._key_value = key_value
+        self._clock = clock
+        self._settle_s = settle_s
+        self._on_parts = on_parts
+        self._key = key
+        self._recorded = 0
+        self._usable = 0
+        self._raise_target = 0
+        self._raise_at = float("inf")
+        self._created_revision = ABSENT_REVISION
+        self._giving: _OpenGiving | None = None
+        self.last_read: TableRead | None = None
+
+    @property
+    def parts(self) -> int:
+        """Return the parts in use."""
+        return self._usable
+
+    @property
+    def is_registered(self) -> bool:
+        """Return whether the last table read names this process."""
+        return self._own_entry().incarnation == self._incarnation
+
+    async def read(self) -> TableRead | None:
+        """Read the table, adopt this VM's entry; None when there is no table."""
+        record = await self._key_value.get(self._key)
+        if record is None:
+            return None
+        read = TableRead(decode_table(record.value), record.revision, len(record.value))
+        self._adopt(read)
+        return self.last_read
+
+    async def create(self, vms: list[str]) -> None:
+        """Create the table with even shares, unless there is one."""
+        table = create_table(vms)
+        if await self._swap(encode_table(table), ABSENT_REVISION):
+            assert self.last_read is not None
+            self._created_revision = self.last_read.revision
+
+    async def register(self) -> None:
+        """Record that this process uses the VM's parts from now on."""
+        read = self.last_read
+        if read is None or self.is_registered:
+            return
+        table = register(read.table, self._vm_id, self._incarnation)
+        is_swapped = await self._swap(encode_table(table), read.revision)
+        if is_swapped and read.revision == self._created_revision:
+            # Nobody can have lent anything out of a table that is new.
+            self._raise_at = self._clock()
+            self.apply_due_raise()
+
+    async def claim(self, gone: list[str], receivers: list[str]) -> bool:
+        """Spread the parts of VMs that the platform dropped over `receivers`."""
+        read = self.last_read
+        if read is None or not receivers:
+            return False
+        table = claim(read.table, gone, receivers)
+        return await self._swap(encode_table(table), read.revision)
+
+    async def give_away(self, parts_by_receiver: dict[str, int]) -> bool:
+        """Lower this VM's share, then record what others get of it.
+
+        Returns whether it was recorded. When the answer is lost the parts stay
+        lowered until `settle_giving` has learned the outcome.
+        """
+        read = self.last_read
+        given = sum(parts_by_receiver.values())
+        is_possible = 0 < given <= self._own_entry().parts
+        if read is None or self._giving is not None or not is_possible:
+            return False
+        table = give_away(read.table, self._vm_id, parts_by_receiver)
+        self._giving = _OpenGiving(given, read.revision, encode_table(table))
+        self._refresh()
+        try:
+            return await self.settle_giving()
+        except JaytrayError as err:
+            if err.template is messages.KEY_VALUE_UNAVAILABLE:
+                self._giving = None
+                self._refresh()
+            raise
+
+    async def settle_giving(self) -> bool:
+        """Try the open giving until it is surely recorded or surely failed.
+
+        Writing it again is harmless: its base revision lets one writing succeed.
+        """
+        giving = self._giving
+        if giving is None:
+            return False
+        is_recorded = await self._swap(giving.value, giving.base_revision)
+        if self._giving is giving:
+            # The write was refused for good, so a read shows whether it or another
+            # one was first.
+            await self.read()
+        return is_recorded
+
+    def apply_due_raise(self) -> None:
+        """Use parts that were recorded for this VM long enough ago."""
+        if self._clock() >= self._raise_at:
+            self._raise_at = float("inf")
+            self._set_usable(self._target())
+
+    def stop_using(self) -> None:
+        """Use nothing until the entry is read again; for a VM that was dropped."""
+        self._recorded = 0
+        self.last_read = None
+        self._refresh()
+
+    async def _swap(self, value: bytes, revision: int) -> bool:
+        result = await self._key_value.compare_and_swap(self._key, revision, value, "")
+        if result.is_swapped:
+            self._adopt(TableRead(decode_table(value), result.revision, len(value)))
+        return result.is_swapped
+
+    def _adopt(self, read: TableRead) -> None:
+        if self.last_read is not None and read.revision < self.last_read.revision:
+            return
+        self.last_read = read
+        giving = self._giving
+        if giving is not None and read.revision > giving.base_revision:
+            # Recorded in the entry just read, or refused for good.
+            self._giving = None
+        self._recorded = self._own_entry().parts if self.is_registered else 0
+        self._refresh()
+
+    def _own_entry(self) -> ShareEntry:
+        if self.last_read is None:
+            return ShareEntry(0, "")
+        entries = self.last_read.table.entries_by_vm
+        return entries.get(self._vm_id, ShareEntry(0, ""))
+
+    def _target(self) -> int:
+        return max(0, self._recorded - (self._giving.parts if self._giving else 0))
+
+    def _refresh(self) -> None:
+        target = self._target()
+        if target < self._usable:
+            self._set_usable(target)
+        if target <= self._usable:
+            self._raise_at = float("inf")
+        elif self._raise_at == float("inf") or target > self._raise_target:
+            self._raise_at = self._clock() + self._settle_s
+        self._raise_target = target
+
+    def _set_usable(self, parts: int) -> None:
+        if parts != self._usable:
+            self._usable = parts
+            self._on_parts(parts)
+
+
+async def ignore_unavailable(call: Awaitable[object]) -> bool:
+    """Await a call to the key-value service; False when it did not answer.
+
+    An uncertain write needs no settling here: what matters is read back later.
+    """
+    try:
+        await call
+    except JaytrayError as err:
+        if err.template not in (
+            messages.KEY_VALUE_UNAVAILABLE,
+            messages.KEY_VALUE_UNCERTAIN,
+        ):
+            raise
+        return False
+    return True
--- a/packages/server/tests/process/limits/test_limiter.py
+++ b/packages/server/tests/process/limits/test_limiter.py
@@ -8,7 +8,8 @@
 
 from jaytray_core.document.model import ClientAccount, Document, empty_document
 from jaytray_core.errors import JaytrayError
-from jaytray_server.process.limits.limiter import TOTAL_PARTS, AccountLimiter
+from jaytray_server.process.limits.limiter import AccountLimiter
+from jaytray_server.process.limits.share_table import TOTAL_PARTS
 
 
 def document_with(rate: float, burst: int) -> Document:
