Serve the whole path from two commands: make demo

Cause: ruled out the VMs and targets; a service call waited 10 s and was refused because an address that is no declared target had no running slots. Conclusion: the thin whole path stands; subsystems grow from here.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src)):$(CURDIR)
 
-.PHONY: setup test check format lint types unit demo serve faults bench-path \
+.PHONY: pages setup test check format lint types unit demo serve faults bench-path \
 	bench-limits bench-policy capacity
 
 setup: $(VENV)/.installed
@@ -44,6 +44,9 @@
 unit:
 	$(PYTHON) -m pytest
 
+pages:
+	$(PYTHON) -m tools.make_pages
+
 demo: setup
 	$(PYTHON) -m tools.demo
 
--- a/packages/cli/src/jaytray_cli/site.py
+++ b/packages/cli/src/jaytray_cli/site.py
@@ -1,5 +1,6 @@
 """Connections of one command: the key-value service, the list of VMs and the VMs."""
 
+import os
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from typing import Any, NamedTuple
@@ -12,10 +13,12 @@
 from jaytray_core.adapters.vm_list_http import connect_vm_list
 from jaytray_core.errors import JaytrayError, Step
 from jaytray_core.keyvalue import KeyValueService
-from jaytray_core.vm_list import VmEntry
+from jaytray_core.vm_list import ListVmsFunction, VmEntry
 
 _TIMEOUT_S = 5.0
 _VM_TIMEOUT_S = 2.0
+# Environment variable that holds the operator token for the VMs.
+OPERATOR_TOKEN_VARIABLE = "JAYTRAY_OPERATOR_TOKEN"
 
 # (VM, method, path) -> decoded JSON, or None when the VM did not answer with it.
 AskVm = Callable[[VmEntry, str, str], Awaitable[Any]]
@@ -25,7 +28,7 @@
     """What a command talks to; `list_vms` raises `vm_list_unavailable`."""
 
     key_value: KeyValueService
-    list_vms: Callable[[], Awaitable[list[VmEntry]]]
+    list_vms: ListVmsFunction
     ask_vm: AskVm
 
 
@@ -39,11 +42,14 @@
     if not flags.key_value:
         raise UsageError("--key_value=IP:PORT is needed")
     key_value = connect_key_value(address=flags.key_value, timeout_s=_TIMEOUT_S)
-    list_vms = _no_vm_list
+    list_vms: ListVmsFunction = _no_vm_list
     if flags.vm_list:
         vm_list = connect_vm_list(address=flags.vm_list, timeout_s=_TIMEOUT_S)
         list_vms = vm_list.list_vms
-    async with httpx.AsyncClient(timeout=_VM_TIMEOUT_S) as client:
+    # The token is a secret, which a command line would show to other users.
+    token = os.environ.get(OPERATOR_TOKEN_VARIABLE, "")
+    headers = {"Authorization": f"Bearer {token}"} if token else {}
+    async with httpx.AsyncClient(timeout=_VM_TIMEOUT_S, headers=headers) as client:
         yield Site(key_value, list_vms, _make_ask_vm(client))
 
 
--- a/packages/server/src/jaytray_server/process/limits/slots.py
+++ b/packages/server/src/jaytray_server/process/limits/slots.py
@@ -23,6 +23,8 @@
 from jaytray_core.errors import JaytrayError, Step
 from jaytray_server.ports import CurrentDocument, SlotRequest
 
+# Running calls of a plain service's address, which the document does not bound.
+SERVICE_RUNNING_CALLS = 64
 MAX_WAITING_PER_TARGET = 512
 MAX_WAITING_PER_ACCOUNT = 128
 # One start in this many goes to a waiting deferred request.
@@ -186,7 +188,7 @@
 
     def _slots(self, target: str) -> int:
         declared = self._current_document().targets_by_name.get(target)
-        return declared.max_running_requests if declared is not None else 0
+        return declared.max_running_requests if declared else SERVICE_RUNNING_CALLS
 
     def _wait_estimate(self, queue: _TargetQueue, request: SlotRequest) -> float:
         """Return the expected wait in seconds, 0 while nothing is known."""
--- a/packages/server/src/jaytray_server/process/runtime.py
+++ b/packages/server/src/jaytray_server/process/runtime.py
@@ -184,7 +184,7 @@
     services = RequestServices(
         current_document=follower.current,
         register_stream=streams.register,
-        limiter=limits.limiter(),
+        limiter=limits.functions,
         acquire_slot=slots.acquire,
         router=make_router(
             table=table,
@@ -261,7 +261,7 @@
 
     def on_vm_list(vms: list[VmEntry], chosen: frozenset[str]) -> None:
         parts.hub.update_vms(vms, chosen=chosen)
-        parts.limits.handle_listed_vms([vm.vm_id for vm in vms])
+        parts.limits.handle_listed_vms(vms)
 
     def set_isolated(value: bool) -> None:
         parts.lifecycle.is_isolated = value
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,257 @@
+"""`make demo`: the main job of a small site, from the document to a planned stop.
+
+Starts stand-ins and three VMs, applies a document through `jaytray`, waits until
+orders have loaded the models, sends requests as a caller, prints each answer with
+the log line of the decision behind it, and stops everything.
+"""
+
+import asyncio
+import json
+import logging
+import sys
+
+import httpx
+from absl import app, flags
+
+from tools.site import (
+    Site,
+    Vm,
+    make_key,
+    run_jaytray,
+    running_site,
+    site_flags,
+    stop_vm,
+    until_ready,
+)
+
+VM_IDS = ("vm-1", "vm-2", "vm-3")
+REQUEST_TIMEOUT_S = 20.0
+MAX_ATTEMPTS = 12
+STAND_IN_ARGUMENTS = (
+    "--targets=2",
+    "--services=rounds",
+    "--model_load_s=0.3",
+    "--memory_mib=24000",
+)
+
+_KEEP_RUNNING = flags.DEFINE_bool(
+    "keep_running", False, "Keep the site up until interrupted (make serve)."
+)
+
+_DOCUMENT_HEAD = """\
+[account barns]
+rate_tokens_per_s = 600
+burst_tokens = 3000
+
+[account kiosk]
+rate_tokens_per_s = 20
+burst_tokens = 80
+
+[key barns-1]
+account = barns
+digest = {barns_digest}
+
+[key kiosk-1]
+account = kiosk
+digest = {kiosk_digest}
+
+[model assistant]
+version = 1
+memory_mib = 10000
+min_replicas = 2
+max_replicas = 2
+max_output_tokens = 64
+
+[model notes]
+version = 1
+memory_mib = 9000
+min_replicas = 1
+max_replicas = 2
+max_output_tokens = 64
+
+[adapter notes-farrier]
+model = notes
+version = 1
+memory_mib = 200
+
+[service rounds]
+addresses = {rounds_address}
+
+[route bookings]
+service = rounds
+path_prefix = /
+methods = GET, POST
+"""
+
+_DOCUMENT_TARGET = """
+[target {name}]
+address = {address}
+failure_domain = {failure_domain}
+accelerators = 2
+accelerator_memory_mib = 24000
+checks_fencing = yes
+max_running_requests = 16
+"""
+
+
+def main(_arguments: list[str]) -> None:
+    """Run the demo; exit code 0 when every step did what it should."""
+    sys.exit(asyncio.run(_run(keep_running=_KEEP_RUNNING.value)))
+
+
+async def _run(*, keep_running: bool) -> int:
+    logging.getLogger("httpx").setLevel(logging.WARNING)
+    barns_key, barns_digest = make_key()
+    kiosk_key, kiosk_digest = make_key()
+    async with running_site(
+        vm_ids=VM_IDS, stand_in_arguments=STAND_IN_ARGUMENTS
+    ) as site:
+        _print_site(site)
+        document = site.folder / "demo.ini"
+        document.write_text(_make_document(site, barns_digest, kiosk_digest))
+        print(await run_jaytray("check", str(document)))
+        print(await _apply(site, str(document)))
+        await until_ready(site)
+        print(await run_jaytray("status", *site_flags(site)))
+        if keep_running:
+            await _keep_running(site, barns_key)
+            return 0
+        failures = await _send_requests(site, barns_key, kiosk_key)
+        failures += await _stop(site)
+    print("\nAll steps did what they should." if not failures else "\nFAILED:")
+    print("\n".join(failures))
+    return 1 if failures else 0
+
+
+async def _apply(site: Site, path: str) -> str:
+    return await run_jaytray(
+        "apply",
+        path,
+        "--environment=trial",
+        "--based_on=0",
+        "--author=demo",
+        *site_flags(site),
+    )
+
+
+async def _send_requests(site: Site, barns_key: str, kiosk_key: str) -> list[str]:
+    """Send each kind of request; return what went wrong."""
+    vms = list(site.vms_by_id.values())
+    chat = {
+        "model": "assistant",
+        "messages": [{"role": "user", "content": "The bay mare is lame."}],
+        "max_tokens": 16,
+    }
+    failures: list[str] = []
+    async with httpx.AsyncClient(timeout=REQUEST_TIMEOUT_S) as client:
+
+        async def send(
+            title: str, vm: Vm, path: str, key: str, body: object, expected: int
+        ) -> None:
+            answer = await client.post(
+                f"http://{vm.callers_address}{path}",
+                headers={"Authorization": f"Bearer {key}"},
+                json=body,
+            )
+            _print_answer(title, vm, answer)
+            if answer.status_code != expected:
+                failures.append(f"{title}: status {answer.status_code}")
+
+        path = "/v1/chat/completions"
+        await send("a chat completion", vms[0], path, barns_key, chat, 200)
+        streamed = {**chat, "stream": True}
+        await send("a streamed one, other VM", vms[1], path, barns_key, streamed, 200)
+        adapted = {**chat, "model": "notes-farrier"}
+        await send("a completion by an adapter", vms[2], path, barns_key, adapted, 200)
+        booking = {"barn": 7}
+        service = "/services/rounds/bookings"
+        await send("a plain service call", vms[2], service, barns_key, booking, 200)
+        await send("a bad key", vms[0], path, "no-such-key", chat, 401)
+        long = {**chat, "max_tokens": 30}
+        for expected in (200, 429):
+            url = f"http://{vms[1].callers_address}{path}"
+            answer = await _send_until(client, url, kiosk_key, long, expected)
+            _print_answer(f"kiosk account until {expected}", vms[1], answer)
+            if answer.status_code != expected:
+                failures.append(f"kiosk account: no status {expected}")
+    return failures
+
+
+async def _send_until(
+    client: httpx.AsyncClient, url: str, key: str, body: object, expected: int
+) -> httpx.Response:
+    """Repeat a request until its status is `expected`, a bounded number of times."""
+    for _attempt in range(MAX_ATTEMPTS):
+        answer = await client.post(
+            url, headers={"Authorization": f"Bearer {key}"}, json=body
+        )
+        if answer.status_code == expected:
+            break
+        await asyncio.sleep(float(answer.headers.get("retry-after", 0)))
+    return answer
+
+
+def _print_answer(title: str, vm: Vm, answer: httpx.Response) -> None:
+    request_id = answer.headers.get("x-request-id", "")
+    print(f"\n--- {title} through {vm.vm_id}: HTTP {answer.status_code}")
+    for name in ("retry-after", "x-request-id"):
+        if name in answer.headers:
+            print(f"{name}: {answer.headers[name]}")
+    print(_shorten(answer.text.strip()))
+    for line in vm.log_lines(request_id) if request_id else []:
+        print(f"log: {line}")
+
+
+def _shorten(text: str, limit: int = 600) -> str:
+    return text if len(text) <= limit else f"{text[: limit // 2]} ... {text[-200:]}"
+
+
+async def _stop(site: Site) -> list[str]:
+    print("\n--- planned stop of all VMs")
+    codes = {vm.vm_id: await stop_vm(vm) for vm in site.vms_by_id.values()}
+    print(f"exit codes: {json.dumps(codes)}")
+    return [f"{vm_id}: exit code {code}" for vm_id, code in codes.items() if code]
+
+
+async def _keep_running(site: Site, key: str) -> None:
+    vm = next(iter(site.vms_by_id.values()))
+    base = f"http://{vm.callers_address}"
+    print("Try, and stop with Ctrl-C:")
+    print(f"  curl -H 'Authorization: Bearer {key}' {base}/v1/models")
+    body = json.dumps(
+        {"model": "assistant", "messages": [{"role": "user", "content": "Hello"}]}
+    )
+    print(
+        f"  curl -N -H 'Authorization: Bearer {key}' "
+        f"-H 'Content-Type: application/json' -d '{body}' {base}/v1/chat/completions"
+    )
+    print(f"  curl -H 'Authorization: Bearer {key}' {base}/services/rounds/bookings")
+    try:
+        await asyncio.Event().wait()
+    except asyncio.CancelledError:
+        print("stopping")
+
+
+def _print_site(site: Site) -> None:
+    for vm in site.vms_by_id.values():
+        print(f"{vm.vm_id}: callers at {vm.callers_address}")
+    for name, address in site.stand_ins.targets_by_name.items():
+        print(f"{name}: stand-in at {address}")
+
+
+def _make_document(site: Site, barns_digest: str, kiosk_digest: str) -> str:
+    text = _DOCUMENT_HEAD.format(
+        barns_digest=barns_digest,
+        kiosk_digest=kiosk_digest,
+        rounds_address=site.stand_ins.services_by_name["rounds"],
+    )
+    for position, (name, address) in enumerate(site.stand_ins.targets_by_name.items()):
+        failure_domain = f"zone-{'ab'[position % 2]}"
+        text += _DOCUMENT_TARGET.format(
+            name=name, address=address, failure_domain=failure_domain
+        )
+    return text
+
+
+if __name__ == "__main__":
+    app.run(main)
