Test the whole site under a planned stop, a withdrawn key, an outage and lost VMs

Cause: nothing yet ran real processes under failure. Change: four tests over separate processes; /admin/status shows the share of limits, for which the tests wait, since new shares start empty. Result: before the wait two tests met 429 from a VM whose share was not in force yet (it lived on gifts of the VM that then left); ruled out: a cut stream.

--- a/packages/server/src/jaytray_server/process/runtime.py
+++ b/packages/server/src/jaytray_server/process/runtime.py
@@ -239,6 +239,7 @@
         "running_answers": parts.lifecycle.running_answers,
         "neighbours": parts.hub.neighbours(),
         "listed_vms": parts.hub.listed_vms(),
+        "limit_parts": parts.limits.limiter.parts,
         "placement_groups": parts.duties.held_groups(),
         "unreachable_models": _unreachable_models(parts),
         "peer_bytes_sent": parts.hub.bytes_sent,
--- /dev/null
+++ b/tests/system/test_site.py
@@ -0,0 +1,207 @@
+"""Whole-system tests: separate processes on loopback, killed, frozen and cut off.
+
+Waiting has generous limits and no test asserts how long something takes.
+"""
+
+import asyncio
+import functools
+import json
+import signal
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any, NamedTuple
+
+import httpx
+from testtools import TestCase
+
+from tools.site import (
+    OPERATOR_TOKEN,
+    Site,
+    Vm,
+    make_key,
+    run_jaytray,
+    running_site,
+    running_vm,
+    set_fault,
+    site_flags,
+    until_ready,
+)
+from tools.site_document import make_document
+
+WAIT_S = 40.0
+CHAT_PATH = "/v1/chat/completions"
+STAND_IN_ARGUMENTS = (
+    "--targets=2",
+    "--services=rounds",
+    "--model_load_s=0.1",
+    "--memory_mib=24000",
+    "--token_interval_s=0.02",
+)
+
+
+class Running(NamedTuple):
+    """A site that serves a document, with a caller's key."""
+
+    site: Site
+    key: str
+    client: httpx.AsyncClient
+
+    def vm(self, vm_id: str) -> Vm:
+        return self.site.vms_by_id[vm_id]
+
+    async def chat(self, vm: Vm, tokens: int = 4, **extra: Any) -> httpx.Response:
+        return await self.client.post(
+            f"http://{vm.callers_address}{CHAT_PATH}",
+            headers={"Authorization": f"Bearer {self.key}"},
+            json=chat_body(tokens, **extra),
+        )
+
+    async def has_share(self, vm: Vm) -> bool:
+        """Return whether the VM has its own share of rates and bursts."""
+        return bool((await self.status(vm))["limit_parts"] > 0)
+
+    async def is_admitted(self, vm: Vm) -> bool:
+        return (await self.chat(vm)).status_code == 200
+
+    async def status(self, vm: Vm) -> dict[str, Any]:
+        headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+        url = f"http://{vm.callers_address}/admin/status"
+        answer: dict[str, Any] = (await self.client.get(url, headers=headers)).json()
+        return answer
+
+
+def chat_body(tokens: int, **extra: Any) -> dict[str, Any]:
+    message = {"role": "user", "content": "The grey gelding lost a shoe."}
+    body = {"model": "assistant", "messages": [message], "max_tokens": tokens}
+    return {**body, **extra}
+
+
+@asynccontextmanager
+async def serving_site(*vm_ids: str) -> AsyncIterator[Running]:
+    key, digest = make_key()
+    _, kiosk_digest = make_key()
+    async with (
+        running_site(vm_ids=vm_ids, stand_in_arguments=STAND_IN_ARGUMENTS) as site,
+        httpx.AsyncClient(timeout=WAIT_S) as client,
+    ):
+        path = site.folder / "document.ini"
+        path.write_text(
+            make_document(
+                site.stand_ins, barns_digest=digest, kiosk_digest=kiosk_digest
+            )
+        )
+        await run_jaytray("apply", str(path), "--based_on=0", *site_flags(site))
+        await until_ready(site)
+        running = Running(site, key, client)
+        for vm in site.vms_by_id.values():
+            await until(functools.partial(running.has_share, vm))
+            await until(functools.partial(running.is_admitted, vm))
+        yield running
+
+
+async def until(condition: Callable[[], Awaitable[bool]]) -> None:
+    async with asyncio.timeout(WAIT_S):
+        while not await condition():
+            await asyncio.sleep(0.1)
+
+
+async def read_stream(running: Running, vm: Vm, started: asyncio.Event) -> list[str]:
+    """Return the data lines of a long streamed answer; set `started` at the first."""
+    lines: list[str] = []
+    async with running.client.stream(
+        "POST",
+        f"http://{vm.callers_address}{CHAT_PATH}",
+        headers={"Authorization": f"Bearer {running.key}"},
+        json=chat_body(300, stream=True, min_tokens=300),
+    ) as answer:
+        async for line in answer.aiter_lines():
+            if line.startswith("data: "):
+                lines.append(line.removeprefix("data: "))
+                started.set()
+    return lines
+
+
+class SiteTests(TestCase):
+    def test_planned_stop_cuts_no_stream(self) -> None:
+        async def scenario() -> None:
+            async with serving_site("vm-1", "vm-2") as running:
+                vm = running.vm("vm-1")
+                started = asyncio.Event()
+                stream = asyncio.create_task(read_stream(running, vm, started))
+                await started.wait()
+                vm.process.send_signal(signal.SIGTERM)
+                lines = await stream
+                self.assertEqual("[DONE]", lines[-1])
+                pieces = [json.loads(line) for line in lines[:-1]]
+                self.assertEqual(
+                    pieces[-1]["usage"]["completion_tokens"], pieces[-1]["end_index"]
+                )
+                self.assertEqual(0, await asyncio.wait_for(vm.process.wait(), WAIT_S))
+                other = await running.chat(running.vm("vm-2"))
+                self.assertEqual(200, other.status_code)
+
+        asyncio.run(scenario())
+
+    def test_withdrawn_key_ends_streams_and_is_refused_everywhere(self) -> None:
+        async def scenario() -> None:
+            async with serving_site("vm-1", "vm-2") as running:
+                started = asyncio.Event()
+                stream = asyncio.create_task(
+                    read_stream(running, running.vm("vm-1"), started)
+                )
+                await started.wait()
+                await run_jaytray(
+                    "key",
+                    "withdraw",
+                    "barns-1",
+                    "--environments=trial",
+                    *site_flags(running.site),
+                )
+                lines = await stream
+                self.assertNotEqual("[DONE]", lines[-1])
+                self.assertIn("key_withdrawn", lines[-1])
+                for vm in running.site.vms_by_id.values():
+                    self.assertEqual(401, (await running.chat(vm)).status_code)
+
+        asyncio.run(scenario())
+
+    def test_outage_of_the_key_value_service(self) -> None:
+        """Serving goes on, and a VM that starts takes the document from peers."""
+
+        async def scenario() -> None:
+            async with serving_site("vm-1", "vm-2") as running:
+                site = running.site
+                await set_fault(site.stand_ins.key_value, {"kind": "down"})
+                answer = await running.chat(running.vm("vm-1"))
+                self.assertEqual(200, answer.status_code)
+                async with running_vm(
+                    site.folder,
+                    site.stand_ins,
+                    "vm-3",
+                    curve_keys=site.curve_keys,
+                ) as late:
+                    await until(lambda: self._has_version(running, late))
+                    first = running.vm("vm-1")
+                    self.assertEqual(
+                        (await running.status(first))["body_digest"],
+                        (await running.status(late))["body_digest"],
+                    )
+
+        asyncio.run(scenario())
+
+    def test_killed_and_frozen_vms_harm_no_other(self) -> None:
+        async def scenario() -> None:
+            async with serving_site("vm-1", "vm-2", "vm-3") as running:
+                running.vm("vm-1").process.kill()
+                frozen = running.vm("vm-2").process
+                frozen.send_signal(signal.SIGSTOP)
+                for _request in range(5):
+                    answer = await running.chat(running.vm("vm-3"))
+                    self.assertEqual(200, answer.status_code)
+                frozen.send_signal(signal.SIGCONT)
+                await until(functools.partial(running.is_admitted, running.vm("vm-2")))
+
+        asyncio.run(scenario())
+
+    async def _has_version(self, running: Running, vm: Vm) -> bool:
+        return bool((await running.status(vm))["document_version"] > 0)
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -23,6 +23,7 @@
     stop_vm,
     until_ready,
 )
+from tools.site_document import make_document
 
 VM_IDS = ("vm-1", "vm-2", "vm-3")
 REQUEST_TIMEOUT_S = 20.0
@@ -38,61 +39,6 @@
     "keep_running", False, "Keep the site up until interrupted (make serve)."
 )
 
-_DOCUMENT_HEAD = """\
-[account barns]
-rate_tokens_per_s = 600
-burst_tokens = 3000
-
-[account kiosk]
-rate_tokens_per_s = 20
-burst_tokens = 80
-
-[key barns-1]
-account = barns
-digest = {barns_digest}
-
-[key kiosk-1]
-account = kiosk
-digest = {kiosk_digest}
-
-[model assistant]
-version = 1
-memory_mib = 10000
-min_replicas = 2
-max_replicas = 2
-max_output_tokens = 64
-
-[model notes]
-version = 1
-memory_mib = 9000
-min_replicas = 1
-max_replicas = 2
-max_output_tokens = 64
-
-[adapter notes-farrier]
-model = notes
-version = 1
-memory_mib = 200
-
-[service rounds]
-addresses = {rounds_address}
-
-[route bookings]
-service = rounds
-path_prefix = /
-methods = GET, POST
-"""
-
-_DOCUMENT_TARGET = """
-[target {name}]
-address = {address}
-failure_domain = {failure_domain}
-accelerators = 2
-accelerator_memory_mib = 24000
-checks_fencing = yes
-max_running_requests = 16
-"""
-
 
 def main(_arguments: list[str]) -> None:
     """Run the demo; exit code 0 when every step did what it should."""
@@ -108,7 +54,11 @@
     ) as site:
         _print_site(site)
         document = site.folder / "demo.ini"
-        document.write_text(_make_document(site, barns_digest, kiosk_digest))
+        document.write_text(
+            make_document(
+                site.stand_ins, barns_digest=barns_digest, kiosk_digest=kiosk_digest
+            )
+        )
         print(await run_jaytray("check", str(document)))
         print(await _apply(site, str(document)))
         await until_ready(site)
@@ -239,19 +189,5 @@
         print(f"{name}: stand-in at {address}")
 
 
-def _make_document(site: Site, barns_digest: str, kiosk_digest: str) -> str:
-    text = _DOCUMENT_HEAD.format(
-        barns_digest=barns_digest,
-        kiosk_digest=kiosk_digest,
-        rounds_address=site.stand_ins.services_by_name["rounds"],
-    )
-    for position, (name, address) in enumerate(site.stand_ins.targets_by_name.items()):
-        failure_domain = f"zone-{'ab'[position % 2]}"
-        text += _DOCUMENT_TARGET.format(
-            name=name, address=address, failure_domain=failure_domain
-        )
-    return text
-
-
 if __name__ == "__main__":
     app.run(main)
--- a/tools/site.py
+++ b/tools/site.py
@@ -68,6 +68,7 @@
     folder: Path
     stand_ins: StandIns
     vms_by_id: dict[str, Vm]
+    curve_keys: tuple[bytes, bytes]
 
 
 @asynccontextmanager
@@ -146,7 +147,7 @@
             for position, vm_id in enumerate(vm_ids)
         ]
         vms = [await stack.enter_async_context(start) for start in starts]
-        yield Site(folder, stand_ins, {vm.vm_id: vm for vm in vms})
+        yield Site(folder, stand_ins, {vm.vm_id: vm for vm in vms}, keys)
 
 
 async def put_vm(
@@ -157,6 +158,13 @@
     await admin_action(stand_ins.vm_list, "put", ",".join(entry))
 
 
+async def set_fault(address: str, fault: dict[str, object]) -> None:
+    """Switch a fault of a stand-in on; see `jaytray_standins.admin`."""
+    async with httpx.AsyncClient() as client:
+        answer = await client.post(f"http://{address}/admin/faults", json=fault)
+        answer.raise_for_status()
+
+
 async def admin_action(address: str, action: str, argument: str) -> None:
     """Run an action of a stand-in."""
     async with httpx.AsyncClient() as client:
