Put every implementation of the outside interfaces through contracts

Adds one table-driven contract per interface with fault cases, run against the in-process stand-ins and the HTTP adapters on a virtual clock, and two broken implementations that the contracts must catch. Cause of three changes found by them: a switched-down stand-in did not echo the request id, so the refusal counted as a foreign answer; late calls over HTTP passed in real time; a malformed body was refused with another code in process. Stand-ins stop without uvicorn's waits.

--- a/packages/core/src/jaytray_core/adapters/http_pool.py
+++ b/packages/core/src/jaytray_core/adapters/http_pool.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import ssl
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from http.cookiejar import CookieJar, DefaultCookiePolicy
@@ -27,6 +28,9 @@
     httpx.LocalProtocolError,
     httpx.UnsupportedProtocol,
 )
+# Given to each client, because making a default one blocks for tens of milliseconds;
+# peers are reached by plain HTTP, so it is never used.
+_UNUSED_TLS_CONTEXT = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
 # Statuses whose answers never have a body.
 _BODILESS_STATUSES = (204, 304)
 
@@ -129,6 +133,7 @@
     def _make_client(self) -> httpx.AsyncClient:
         client = httpx.AsyncClient(
             trust_env=False,
+            verify=_UNUSED_TLS_CONTEXT,
             cookies=_no_cookies(),
             limits=httpx.Limits(
                 max_connections=None,
--- a/packages/standins/src/jaytray_standins/admin.py
+++ b/packages/standins/src/jaytray_standins/admin.py
@@ -5,6 +5,7 @@
 
 import msgspec
 from litestar import Response, delete, get, post
+from litestar.params import FromPath
 from litestar.types import ControllerRouterHandler
 
 from jaytray_core.codec import encode_json
@@ -55,7 +56,7 @@
         return json_response(encode_json(records()))
 
     @post("/admin/actions/{name:str}")
-    async def run_action(request: AnyRequest, name: str) -> Response[Any]:
+    async def run_action(request: AnyRequest, name: FromPath[str]) -> Response[Any]:
         if name not in actions:
             return Response(b"unknown action", status_code=404)
         actions[name](str(request.query_params.get("argument", "")))
--- a/packages/standins/src/jaytray_standins/in_process_target.py
+++ b/packages/standins/src/jaytray_standins/in_process_target.py
@@ -197,7 +197,7 @@
         except RequestRefusedError as err:
             raise self.refused(str(err)) from None
         except msgspec.DecodeError as err:
-            raise self.refused(str(err)) from None
+            raise self.invalid(str(err)) from None
 
     def check_refused(self, operation: str) -> None:
         """Refuse the call when the switch is on."""
@@ -224,6 +224,10 @@
         """Return the error of a request that the target did not run."""
         return self.error(messages.TARGET_REFUSED, Execution.NOT_RUN, detail=detail)
 
+    def invalid(self, detail: str) -> JaytrayError:
+        """Return the error of a request that the target cannot read."""
+        return self.error(messages.INVALID_REQUEST, Execution.NOT_RUN, detail=detail)
+
     def refuse(self, detail: str) -> None:
         """Raise the error of `refused`."""
         raise self.refused(detail)
@@ -316,7 +320,7 @@
     except RequestRefusedError as err:
         raise link.refused(str(err)) from None
     except msgspec.DecodeError as err:
-        raise link.refused(str(err)) from None
+        raise link.invalid(str(err)) from None
     raise link.incomplete("the stream has no end mark")
 
 
--- a/packages/standins/src/jaytray_standins/key_value/server.py
+++ b/packages/standins/src/jaytray_standins/key_value/server.py
@@ -9,6 +9,7 @@
 
 import msgspec
 from litestar import Response, post
+from litestar.params import FromPath
 
 from jaytray_core.codec import encode_json
 from jaytray_standins.admin import admin_handlers
@@ -43,7 +44,7 @@
     functions = _functions(store, faults)
 
     @post("/kv/{function:str}")
-    async def call(request: AnyRequest, function: str) -> Response[Any]:
+    async def call(request: AnyRequest, function: FromPath[str]) -> Response[Any]:
         try:
             arguments = msgspec.json.decode(
                 await request.body(), type=_ARGUMENTS_BY_FUNCTION[function]
@@ -58,7 +59,7 @@
                 return not_run(413, "value too large")
             return json_response(encode_json(result))
 
-        return await respond(request, function, faults, run)
+        return await respond(request, function, faults, run, store.sleep)
 
     def records() -> dict[str, Any]:
         return {
--- a/packages/standins/src/jaytray_standins/listener.py
+++ b/packages/standins/src/jaytray_standins/listener.py
@@ -1,10 +1,13 @@
-"""HTTP listeners of the stand-ins: litestar on uvicorn, many in one process."""
+"""HTTP listeners of the stand-ins: litestar on uvicorn, many in one process.
+
+Signals stay with the process, so each server is started and stopped directly.
+"""
 
 import asyncio
 import math
 import socket
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
-from contextlib import asynccontextmanager, contextmanager
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 from typing import Any, TypeVar
 
 import uvicorn
@@ -18,6 +21,7 @@
     NotDeliveredError,
     deliver,
 )
+from jaytray_standins.virtual_time import Sleep
 
 T = TypeVar("T")
 AnyRequest = Request[Any, Any, Any]
@@ -25,16 +29,6 @@
 NOT_RUN_HEADERS = {"x-execution": "not_run"}
 
 _KEEP_ALIVE_S = 75
-_SHUTDOWN_S = 1
-_START_POLL_S = 0.005
-
-
-class _Server(uvicorn.Server):
-    """A server that leaves signals to the process."""
-
-    @contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        yield
 
 
 class ConnectionAborter:
@@ -73,20 +67,18 @@
         access_log=False,
         log_level="critical",
         timeout_keep_alive=_KEEP_ALIVE_S,
-        timeout_graceful_shutdown=_SHUTDOWN_S,
     )
-    server = _Server(config)
+    config.load()
+    server = uvicorn.Server(config)
+    server.lifespan = config.lifespan_class(config)
     aborter.server = server
     listening_socket = socket.create_server((host, port))
     bound_port = listening_socket.getsockname()[1]
-    task = asyncio.ensure_future(server.serve(sockets=[listening_socket]))
+    await server.startup(sockets=[listening_socket])
     try:
-        while not server.started and not task.done():
-            await asyncio.sleep(_START_POLL_S)
         yield f"{host}:{bound_port}"
     finally:
-        server.should_exit = True
-        await task
+        await _stop(server)
 
 
 async def respond(
@@ -94,25 +86,27 @@
     operation: str,
     faults: FaultSwitches,
     run: Callable[[], Awaitable[Response[Any]]],
+    sleep: Sleep = asyncio.sleep,
 ) -> Response[Any]:
-    """Answer a request through the fault switches.
+    """Answer a request through the fault switches, whose delays pass by `sleep`.
 
     A lost request or answer leaves the connection open without an answer until the
     caller closes it.
     """
 
-    async def sleep(seconds: float) -> None:
+    async def wait(seconds: float) -> None:
         if math.isinf(seconds):
             await _wait_for_disconnect(request)
         else:
-            await asyncio.sleep(seconds)
+            await sleep(seconds)
 
     try:
         return await deliver(
-            run, operation=operation, faults=faults, sleep=sleep, timeout_s=math.inf
+            run, operation=operation, faults=faults, sleep=wait, timeout_s=math.inf
         )
     except NotDeliveredError:
-        return not_run(503, "down")
+        echo = {"x-request-id": request.headers.get("x-request-id", "")}
+        return not_run(503, "down", echo)
     except NoAnswerError:
         return Response(b"", status_code=500)
 
@@ -136,6 +130,19 @@
     )
 
 
+async def _stop(server: uvicorn.Server) -> None:
+    """Close everything at once; a stand-in need not stop gracefully."""
+    for listening in server.servers:
+        listening.close()
+    for connection in list(server.server_state.connections):
+        if isinstance(connection, H11Protocol):
+            connection.transport.abort()
+    tasks = list(server.server_state.tasks)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 async def _wait_for_disconnect(request: AnyRequest) -> None:
     while True:
         message = await request.receive()
--- a/packages/standins/src/jaytray_standins/target/server.py
+++ b/packages/standins/src/jaytray_standins/target/server.py
@@ -12,6 +12,7 @@
 
 import msgspec
 from litestar import Response, get, post
+from litestar.params import FromPath, FromQuery
 from litestar.response import Stream
 from litestar.types import ControllerRouterHandler
 
@@ -69,7 +70,7 @@
         async def run() -> Response[Any]:
             return await exchange.run(infer_request, operation)
 
-        return await respond(request, operation, faults, run)
+        return await respond(request, operation, faults, run, state.sleep)
 
     def records() -> dict[str, Any]:
         return target_records(state)
@@ -216,10 +217,10 @@
                 return not_run(503, "restarting")
             return json_response(encode_json(run()))
 
-        return await respond(request, operation, faults, run_if_up)
+        return await respond(request, operation, faults, run_if_up, state.sleep)
 
     @post("/cancel/{request_id:str}", status_code=200)
-    async def cancel(request: AnyRequest, request_id: str) -> Response[Any]:
+    async def cancel(request: AnyRequest, request_id: FromPath[str]) -> Response[Any]:
         return await answer(request, "cancel", lambda: state.cancel(request_id))
 
     @post("/orders", status_code=200)
@@ -235,7 +236,7 @@
         return await answer(request, "load_report", state.load_report)
 
     @get("/cache-events")
-    async def cache_events(request: AnyRequest, after: int) -> Response[Any]:
+    async def cache_events(request: AnyRequest, after: FromQuery[int]) -> Response[Any]:
         return await answer(request, "cache_events", lambda: state.cache_events(after))
 
     return [cancel, order, load, cache_events]
--- a/packages/standins/src/jaytray_standins/target/service_server.py
+++ b/packages/standins/src/jaytray_standins/target/service_server.py
@@ -57,7 +57,7 @@
                 headers["x-request-id"] = FOREIGN_REQUEST_ID
             return json_response(answer.body, status=status, headers=headers)
 
-        return await respond(request, "call_service", faults, run)
+        return await respond(request, "call_service", faults, run, state.sleep)
 
     def records() -> dict[str, Any]:
         return {"ran_requests": [r._asdict() for r in state.ran_requests]}
--- /dev/null
+++ b/tests/contracts/__init__.py
@@ -0,0 +1,1 @@
+"""Contracts that every implementation of an outside interface must keep."""
--- /dev/null
+++ b/tests/contracts/key_value_contract.py
@@ -0,0 +1,246 @@
+"""Contract of `KeyValueService`."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from contextlib import AbstractAsyncContextManager
+from typing import Any, NamedTuple
+
+from jaytray_core.errors import Execution
+from jaytray_core.keyvalue import ABSENT_REVISION, MAX_VALUE_BYTES, KeyValueService
+from jaytray_standins.faults import Fault, FaultKind
+from tests.contracts.bench import KeyValueBench, Outcome, equal, failure, finish
+
+MakeBench = Callable[[], AbstractAsyncContextManager[KeyValueBench]]
+Case = Callable[[KeyValueBench], Awaitable[None]]
+_TTL_S = 4.0
+_UNAVAILABLE = Outcome("key_value_unavailable", Execution.NOT_RUN)
+_UNCERTAIN = Outcome("key_value_uncertain", Execution.MAY_HAVE_RUN)
+
+
+async def check_key_value_contract(make_bench: MakeBench) -> None:
+    """Run every case on a fresh bench; raises `AssertionError`."""
+    for case in [*CASES_BY_NAME.values(), *map(fault_case, FAULT_CASES)]:
+        async with make_bench() as bench:
+            await case(bench)
+
+
+async def create_read_delete(bench: KeyValueBench) -> None:
+    kv = bench.service
+    equal(None, await kv.get("a"))
+    created = await kv.compare_and_swap("a", ABSENT_REVISION, b"\x00one", "")
+    equal(True, created.is_swapped)
+    equal(("a", b"\x00one", created.revision), await kv.get("a"))
+    deleted = await kv.compare_and_swap("a", created.revision, None, "")
+    equal((True, ABSENT_REVISION), deleted)
+    equal(None, await kv.get("a"))
+
+
+async def conflict_reports_found_revision(bench: KeyValueBench) -> None:
+    kv = bench.service
+    first = await kv.compare_and_swap("a", ABSENT_REVISION, b"1", "")
+    for expected in (ABSENT_REVISION, first.revision + 5):
+        result = await kv.compare_and_swap("a", expected, b"2", "")
+        equal((False, first.revision), result)
+    equal((False, 0), await kv.compare_and_swap("b", first.revision, b"2", ""))
+    equal(("a", b"1", first.revision), await kv.get("a"))
+
+
+async def revisions_grow_across_keys(bench: KeyValueBench) -> None:
+    kv = bench.service
+    results = [await kv.compare_and_swap(key, 0, b"x", "") for key in "bca"]
+    revisions = [result.revision for result in results]
+    equal(sorted(set(revisions)), revisions)
+
+
+async def prefix_is_in_key_order(bench: KeyValueBench) -> None:
+    kv = bench.service
+    for key in ("p/2", "q/1", "p/1", "p"):
+        await kv.compare_and_swap(key, 0, key.encode(), "")
+    records = await kv.get_prefix("p/")
+    equal(["p/1", "p/2"], [record.key for record in records])
+    equal([b"p/1", b"p/2"], [record.value for record in records])
+
+
+async def one_of_racing_swaps_wins(bench: KeyValueBench) -> None:
+    kv = bench.service
+    calls = [kv.compare_and_swap("a", 0, bytes([n]), "") for n in range(8)]
+    results = await finish(bench.pass_time, asyncio.gather(*calls))
+    equal(1, sum(result.is_swapped for result in results))
+
+
+async def lease_end_deletes_its_keys(bench: KeyValueBench) -> None:
+    kv = bench.service
+    lease_id = await kv.grant_lease(_TTL_S)
+    written = await kv.compare_and_swap("a", 0, b"1", lease_id)
+    await bench.pass_time(_TTL_S / 2)
+    equal(True, await kv.keep_lease(lease_id))
+    await bench.pass_time(_TTL_S * 3 / 4)
+    equal(b"1", getattr(await kv.get("a"), "value", None))
+    await bench.pass_time(_TTL_S / 2)
+    equal(None, await kv.get("a"))
+    equal(False, await kv.keep_lease(lease_id))
+    equal((False, 0), await kv.compare_and_swap("a", 0, b"2", lease_id))
+    batch = await kv.watch("a", written.revision, 0.0)
+    equal([("a", b"")], [(r.key, r.value) for r in batch.records])
+
+
+async def revoked_lease_deletes_its_keys(bench: KeyValueBench) -> None:
+    kv = bench.service
+    lease_id = await kv.grant_lease(_TTL_S)
+    await kv.compare_and_swap("a", 0, b"1", lease_id)
+    await kv.compare_and_swap("b", 0, b"1", "")
+    await kv.revoke_lease(lease_id)
+    equal(["b"], [record.key for record in await kv.get_prefix("")])
+
+
+async def write_without_lease_detaches_key(bench: KeyValueBench) -> None:
+    kv = bench.service
+    lease_id = await kv.grant_lease(_TTL_S)
+    written = await kv.compare_and_swap("a", 0, b"1", lease_id)
+    await kv.compare_and_swap("a", written.revision, b"2", "")
+    await kv.revoke_lease(lease_id)
+    equal(b"2", getattr(await kv.get("a"), "value", None))
+
+
+async def watch_returns_changes_at_once(bench: KeyValueBench) -> None:
+    kv = bench.service
+    first = await kv.compare_and_swap("a/1", 0, b"1", "")
+    await kv.compare_and_swap("b/1", 0, b"1", "")
+    last = await kv.compare_and_swap("a/2", 0, b"2", "")
+    batch = await kv.watch("a/", first.revision, _TTL_S)
+    equal([("a/2", b"2", last.revision)], list(batch.records))
+    equal(last.revision, batch.revision)
+
+
+async def watch_waits_for_a_change(bench: KeyValueBench) -> None:
+    kv = bench.service
+    waiting = asyncio.ensure_future(kv.watch("a", 0, 60.0))
+    await bench.pass_time(1.0)
+    equal(False, waiting.done())
+    await bench.plain.compare_and_swap("a", 0, b"1", "")
+    batch = await finish(bench.pass_time, waiting)
+    equal(["a"], [record.key for record in batch.records])
+
+
+async def watch_sees_a_lease_end(bench: KeyValueBench) -> None:
+    kv = bench.service
+    lease_id = await kv.grant_lease(_TTL_S)
+    written = await kv.compare_and_swap("a", 0, b"1", lease_id)
+    waiting = asyncio.ensure_future(kv.watch("a", written.revision, 60.0))
+    await bench.pass_time(0.1)
+    batch = await finish(bench.pass_time, waiting)
+    equal([("a", b"")], [(r.key, r.value) for r in batch.records])
+
+
+async def watch_ends_empty_after_its_wait(bench: KeyValueBench) -> None:
+    kv = bench.service
+    written = await kv.compare_and_swap("b", 0, b"1", "")
+    batch = await finish(bench.pass_time, kv.watch("a", written.revision, 1.0))
+    equal(([], written.revision), batch)
+
+
+async def too_large_value_is_refused(bench: KeyValueBench) -> None:
+    value = b"x" * (MAX_VALUE_BYTES + 1)
+    call = bench.service.compare_and_swap("a", 0, value, "")
+    outcome = await failure(bench.pass_time, call)
+    equal(Outcome("key_value_too_large", Execution.NOT_RUN), outcome)
+    equal(None, await bench.service.get("a"))
+    limit = await bench.service.compare_and_swap("a", 0, value[1:], "")
+    equal(True, limit.is_swapped)
+
+
+class FaultCase(NamedTuple):
+    """A fault on one call, how the call ends and whether it takes effect."""
+
+    name: str
+    fault: Fault
+    operation: str
+    outcome: Outcome | None
+    takes_effect: bool
+
+
+def _faults(
+    kind: FaultKind, outcome: Outcome | None, takes_effect: bool, delay_s: float = 0.0
+) -> list[FaultCase]:
+    """Return the cases of one fault for a write, a lease and the reads."""
+    cases = []
+    for operation in ("compare_and_swap", "grant_lease", "get", "get_prefix", "watch"):
+        is_write = operation in ("compare_and_swap", "grant_lease")
+        is_uncertain = outcome == _UNCERTAIN
+        expected = _UNAVAILABLE if is_uncertain and not is_write else outcome
+        fault = Fault(kind, operation, times=1, delay_s=delay_s)
+        name = f"{kind}_{operation}"
+        cases.append(FaultCase(name, fault, operation, expected, takes_effect))
+    return cases
+
+
+# Longer than any bench lets pass while it waits for an answer.
+_TOO_LATE_S = 1e6
+FAULT_CASES = [
+    *_faults(FaultKind.DOWN, _UNAVAILABLE, False),
+    *_faults(FaultKind.REQUEST_LOST, _UNCERTAIN, False),
+    *_faults(FaultKind.SILENT, _UNCERTAIN, False),
+    *_faults(FaultKind.ANSWER_LOST, _UNCERTAIN, True),
+    *_faults(FaultKind.LATE, _UNCERTAIN, True, delay_s=_TOO_LATE_S),
+    *_faults(FaultKind.SLOW, None, True, delay_s=0.01),
+    *_faults(FaultKind.DOUBLED, None, True),
+]
+
+
+def fault_case(case: FaultCase) -> Case:
+    """Return the check of one fault."""
+
+    async def check(bench: KeyValueBench) -> None:
+        bench.set_fault(case.fault)
+        call = _call(bench.service, case.operation)
+        if case.outcome is None:
+            await finish(bench.pass_time, call)
+        else:
+            equal(case.outcome, await failure(bench.pass_time, call))
+        await bench.pass_time(2 * _TOO_LATE_S)
+        if case.operation == "compare_and_swap":
+            record = await bench.plain.get("a")
+            equal(case.takes_effect, record is not None)
+        await finish(bench.pass_time, _call(bench.service, "get"))
+
+    return check
+
+
+def _call(kv: KeyValueService, operation: str) -> Awaitable[Any]:
+    if operation == "compare_and_swap":
+        return kv.compare_and_swap("a", 0, b"1", "")
+    if operation == "grant_lease":
+        return kv.grant_lease(_TTL_S)
+    if operation == "watch":
+        return kv.watch("a", 0, 0.0)
+    return kv.get("a") if operation == "get" else kv.get_prefix("a")
+
+
+async def stale_reads_show_an_older_revision(bench: KeyValueBench) -> None:
+    kv = bench.service
+    first = await kv.compare_and_swap("a", 0, b"1", "")
+    await kv.compare_and_swap("a", first.revision, b"2", "")
+    bench.set_fault(Fault(FaultKind.STALE, "get", 1, revision=first.revision))
+    equal(("a", b"1", first.revision), await kv.get("a"))
+    equal(b"2", getattr(await kv.get("a"), "value", None))
+
+
+CASES_BY_NAME: dict[str, Case] = {
+    case.__name__: case
+    for case in (
+        create_read_delete,
+        conflict_reports_found_revision,
+        revisions_grow_across_keys,
+        prefix_is_in_key_order,
+        one_of_racing_swaps_wins,
+        lease_end_deletes_its_keys,
+        revoked_lease_deletes_its_keys,
+        write_without_lease_detaches_key,
+        watch_returns_changes_at_once,
+        watch_waits_for_a_change,
+        watch_sees_a_lease_end,
+        watch_ends_empty_after_its_wait,
+        too_large_value_is_refused,
+        stale_reads_show_an_older_revision,
+    )
+}
--- /dev/null
+++ b/tests/contracts/platform_contract.py
@@ -0,0 +1,70 @@
+"""Contracts of `WeightStore` and `VmList`."""
+
+from collections.abc import Awaitable, Callable
+from contextlib import AbstractAsyncContextManager
+
+from jaytray_core.errors import JaytrayError
+from jaytray_core.vm_list import VmEntry, VmState
+from jaytray_standins.faults import Fault, FaultKind
+from tests.contracts.bench import PlatformBench, equal
+
+MakeBench = Callable[[], AbstractAsyncContextManager[PlatformBench]]
+Case = Callable[[PlatformBench], Awaitable[None]]
+FAULT_KINDS = [
+    FaultKind.DOWN,
+    FaultKind.REQUEST_LOST,
+    FaultKind.ANSWER_LOST,
+    FaultKind.SILENT,
+]
+
+
+async def check_platform_contract(make_bench: MakeBench) -> None:
+    """Run every case on a fresh bench; raises `AssertionError`."""
+    for case in [*CASES_BY_NAME.values(), *map(fault_case, FAULT_KINDS)]:
+        async with make_bench() as bench:
+            await case(bench)
+
+
+async def store_shows_its_limits(bench: PlatformBench) -> None:
+    status = await bench.weight_store.status()
+    equal(True, status.loads_per_second > 0 and status.concurrent_loads > 0)
+    equal(0, status.loads_in_flight)
+
+
+async def list_shows_changes(bench: PlatformBench) -> None:
+    equal([], await bench.vm_list.list_vms())
+    live = VmEntry("vm-1", "10.0.0.1:1", "10.0.0.1:2", "ahd-a", VmState.LIVE)
+    bench.put_vm(live)
+    equal([live], await bench.vm_list.list_vms())
+    leaving = live._replace(state=VmState.LEAVING)
+    bench.put_vm(leaving)
+    equal([leaving], await bench.vm_list.list_vms())
+    bench.remove_vm("vm-1")
+    equal([], await bench.vm_list.list_vms())
+
+
+def fault_case(kind: FaultKind) -> Case:
+    """Return the check that a fault gives a typed error and then passes."""
+
+    async def check(bench: PlatformBench) -> None:
+        bench.set_weight_store_fault(Fault(kind, times=1))
+        equal("weight_store_unavailable", await _code(bench.weight_store.status()))
+        await bench.weight_store.status()
+        bench.set_vm_list_fault(Fault(kind, times=1))
+        equal("vm_list_unavailable", await _code(bench.vm_list.list_vms()))
+        await bench.vm_list.list_vms()
+
+    return check
+
+
+async def _code(call: Awaitable[object]) -> str:
+    try:
+        await call
+    except JaytrayError as err:
+        return err.code
+    return "succeeded"
+
+
+CASES_BY_NAME: dict[str, Case] = {
+    case.__name__: case for case in (store_shows_its_limits, list_shows_changes)
+}
--- /dev/null
+++ b/tests/contracts/service_contract.py
@@ -0,0 +1,88 @@
+"""Contract of `TargetConnection` for plain services."""
+
+from collections.abc import Awaitable, Callable
+from contextlib import AbstractAsyncContextManager
+from typing import NamedTuple
+
+from jaytray_core.errors import Execution
+from jaytray_core.targets import ServiceCall
+from jaytray_standins.faults import Fault, FaultKind
+from tests.contracts.bench import Outcome, ServiceBench, equal, failure, finish
+
+MakeBench = Callable[[], AbstractAsyncContextManager[ServiceBench]]
+Case = Callable[[ServiceBench], Awaitable[None]]
+_MAY = Execution.MAY_HAVE_RUN
+_NOT_RUN = Execution.NOT_RUN
+_TIMEOUT_S = 0.2
+
+
+async def check_service_contract(make_bench: MakeBench) -> None:
+    """Run every case on a fresh bench; raises `AssertionError`."""
+    for case in [*CASES_BY_NAME.values(), *map(fault_case, FAULT_CASES)]:
+        async with make_bench() as bench:
+            await case(bench)
+
+
+def call_for(body: bytes = b"{}", *, method: str = "POST") -> ServiceCall:
+    """Return a call of a service."""
+    headers = [("content-type", "application/json"), ("x-barn", "7")]
+    path = "/visits/barn%207"
+    return ServiceCall("request-1", method, path, "day=2", headers, body, _TIMEOUT_S)
+
+
+async def call_arrives_as_sent(bench: ServiceBench) -> None:
+    for method in ("GET", "POST", "PUT", "DELETE"):
+        body = b"" if method == "GET" else b'{"confirm": true}'
+        call = call_for(body, method=method)
+        answer = await finish(bench.pass_time, bench.connection.call_service(call))
+        equal(("request-1", 200), (answer.request_id, answer.status))
+        ran = bench.ran()[-1]
+        equal((method, call.path, call.query), (ran.method, ran.path, ran.query))
+        equal(body, ran.body)
+        equal(True, ("x-barn", "7") in ran.headers)
+    equal(4, len(bench.ran()))
+
+
+async def error_status_is_an_answer(bench: ServiceBench) -> None:
+    bench.set_fault(Fault(FaultKind.FAILED, "call_service", 1))
+    call = bench.connection.call_service(call_for())
+    answer = await finish(bench.pass_time, call)
+    equal(500, answer.status)
+
+
+class FaultCase(NamedTuple):
+    """A fault on one call, how the call ends, and how often it ran."""
+
+    kind: FaultKind
+    outcome: Outcome
+    runs: int
+
+
+FAULT_CASES = [
+    FaultCase(FaultKind.DOWN, Outcome("*", _NOT_RUN), 0),
+    FaultCase(FaultKind.REFUSED, Outcome("target_refused", _NOT_RUN), 0),
+    FaultCase(FaultKind.REQUEST_LOST, Outcome("target_timeout", _MAY), 0),
+    FaultCase(FaultKind.SILENT, Outcome("target_timeout", _MAY), 0),
+    FaultCase(FaultKind.ANSWER_LOST, Outcome("target_timeout", _MAY), 1),
+    FaultCase(FaultKind.CROSSED, Outcome("answer_mismatch", _MAY), 1),
+]
+
+
+def fault_case(case: FaultCase) -> Case:
+    """Return the check of one fault."""
+
+    async def check(bench: ServiceBench) -> None:
+        bench.set_fault(Fault(case.kind, "call_service", 1))
+        call = bench.connection.call_service(call_for())
+        outcome = await failure(bench.pass_time, call)
+        code = outcome.code if case.outcome.code == "*" else case.outcome.code
+        equal(case.outcome._replace(code=code), outcome)
+        await bench.pass_time(1.0)
+        equal(case.runs, len(bench.ran()))
+
+    return check
+
+
+CASES_BY_NAME: dict[str, Case] = {
+    case.__name__: case for case in (call_arrives_as_sent, error_status_is_an_answer)
+}
--- /dev/null
+++ b/tests/contracts/target_contract.py
@@ -0,0 +1,351 @@
+"""Contract of `TargetConnection` for model engines."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from contextlib import AbstractAsyncContextManager
+from typing import NamedTuple
+
+import msgspec
+
+from jaytray_core.codec import encode_json
+from jaytray_core.errors import Execution, JaytrayError
+from jaytray_core.targets import (
+    InferRequest,
+    Order,
+    OrderKind,
+    Resident,
+    ResidentState,
+    StreamPiece,
+    TargetConnection,
+    WholeAnswer,
+)
+from jaytray_standins.faults import Fault, FaultKind
+from jaytray_standins.target.state import CRASH_MARKER
+from tests.contracts.bench import Outcome, TargetBench, equal, failure, finish
+
+MakeBench = Callable[[], AbstractAsyncContextManager[TargetBench]]
+Case = Callable[[TargetBench], Awaitable[None]]
+_MAY = Execution.MAY_HAVE_RUN
+_NOT_RUN = Execution.NOT_RUN
+# Longer than any bench lets pass while it waits for an answer.
+_TOO_LATE_S = 1e6
+
+
+async def check_target_contract(make_bench: MakeBench) -> None:
+    """Run every case on a fresh bench; raises `AssertionError`."""
+    for case in [*CASES_BY_NAME.values(), *map(fault_case, FAULT_CASES)]:
+        async with make_bench() as bench:
+            await case(bench)
+
+
+def request_for(
+    prompt: str = "hello", *, model: str = "alpha", request_id: str = "request-1"
+) -> InferRequest:
+    """Return a chat completion."""
+    message = {"role": "user", "content": prompt}
+    body = encode_json({"model": model, "messages": [message], "max_tokens": 12})
+    return InferRequest(request_id, "/v1/chat/completions", model, body, 0, "", 0, 10.0)
+
+
+def order_for(
+    order_id: str,
+    name: str,
+    *,
+    kind: OrderKind = OrderKind.LOAD_MODEL,
+    model: str = "",
+    fencing_number: int = 1,
+) -> Order:
+    """Return an order for accelerator 0 of 40 MiB."""
+    return Order(order_id, kind, name, model or name, "1", 0, 40, fencing_number)
+
+
+async def read_stream(
+    connection: TargetConnection, request: InferRequest
+) -> list[StreamPiece]:
+    """Return all pieces of a streamed answer."""
+    async with connection.stream(request) as pieces:
+        return [piece async for piece in pieces]
+
+
+async def whole_answer_is_the_expected_one(bench: TargetBench) -> None:
+    request = request_for("a lame mare")
+    answer = await finish(bench.pass_time, bench.connection.infer(request))
+    equal((request.request_id, 200), (answer.request_id, answer.status))
+    equal(bench.expected_text(request.body), _text_of(answer))
+
+
+async def stream_is_the_expected_answer(bench: TargetBench) -> None:
+    request = request_for("a loose shoe")
+    pieces = await finish(bench.pass_time, read_stream(bench.connection, request))
+    equal(bench.expected_text(request.body), "".join(p.text for p in pieces))
+    equal([False] * (len(pieces) - 1) + [True], [p.is_end for p in pieces])
+    equal(list(range(1, len(pieces))), [p.end_index for p in pieces[:-1]])
+    equal(pieces[-1].end_index, pieces[-1].output_tokens)
+
+
+async def resumed_stream_continues(bench: TargetBench) -> None:
+    request = request_for("resume")
+    pieces = await finish(bench.pass_time, read_stream(bench.connection, request))
+    head = "".join(piece.text for piece in pieces[:4])
+    resumed = request._replace(
+        request_id="request-2", resume_after_tokens=4, resume_text=head
+    )
+    rest = await finish(bench.pass_time, read_stream(bench.connection, resumed))
+    equal([p.text for p in pieces[4:]], [p.text for p in rest])
+    equal([p.end_index for p in pieces[4:]], [p.end_index for p in rest])
+    answer = await finish(bench.pass_time, bench.connection.infer(resumed))
+    equal(bench.expected_text(request.body), _text_of(answer))
+
+
+async def concurrent_answers_are_not_mixed(bench: TargetBench) -> None:
+    requests = [
+        request_for(f"prompt {n}", request_id=f"request-{n}") for n in range(10)
+    ]
+    calls = [read_stream(bench.connection, request) for request in requests]
+    answers = await finish(bench.pass_time, asyncio.gather(*calls))
+    texts = ["".join(piece.text for piece in pieces) for pieces in answers]
+    equal([bench.expected_text(request.body) for request in requests], texts)
+
+
+async def cancelled_stream_ends_without_an_end(bench: TargetBench) -> None:
+    request = request_for("cancel")
+    seen: list[StreamPiece] = []
+
+    async def read_and_cancel() -> None:
+        async with bench.connection.stream(request) as pieces:
+            async for piece in pieces:
+                seen.append(piece)
+                if len(seen) == 2:
+                    await bench.connection.cancel(request.request_id)
+
+    outcome = await failure(bench.pass_time, read_and_cancel())
+    equal(Outcome("answer_incomplete", _MAY), outcome)
+    equal(False, any(piece.is_end for piece in seen))
+
+
+async def unknown_model_does_not_run(bench: TargetBench) -> None:
+    request = request_for(model="missing")
+    for call in (
+        bench.connection.infer(request),
+        read_stream(bench.connection, request),
+    ):
+        outcome = await failure(bench.pass_time, call)
+        equal(Outcome("target_refused", _NOT_RUN), outcome)
+    equal([], bench.ran())
+
+
+async def malformed_body_does_not_run(bench: TargetBench) -> None:
+    request = request_for()._replace(body=b'{"messages": 5}')
+    outcome = await failure(bench.pass_time, bench.connection.infer(request))
+    equal(Outcome("invalid_request", _NOT_RUN), outcome)
+    equal([], bench.ran())
+
+
+async def orders_load_and_unload(bench: TargetBench) -> None:
+    connection = bench.connection
+    loaded = await connection.order(order_for("o1", "beta"))
+    equal((True, ""), loaded[1:])
+    report = await connection.load_report()
+    equal(ResidentState.LOADING, _state_of(report.residents, "beta"))
+    await bench.pass_time(10.0)
+    report = await connection.load_report()
+    equal(ResidentState.READY, _state_of(report.residents, "beta"))
+    equal(True, "o1" in report.settled_order_ids)
+    adapter = order_for("o2", "gamma", kind=OrderKind.LOAD_ADAPTER, model="beta")
+    await connection.order(adapter._replace(memory_mib=5))
+    await bench.pass_time(10.0)
+    await connection.order(order_for("o3", "beta", kind=OrderKind.UNLOAD_MODEL))
+    await bench.pass_time(10.0)
+    report = await connection.load_report()
+    equal(["alpha"], [resident.name for resident in report.residents])
+    equal(True, "o3" in report.settled_order_ids)
+
+
+async def same_order_takes_effect_once(bench: TargetBench) -> None:
+    order = order_for("o1", "beta")
+    first = await bench.connection.order(order)
+    await bench.pass_time(10.0)
+    await bench.connection.order(order_for("o2", "beta", kind=OrderKind.UNLOAD_MODEL))
+    await bench.pass_time(10.0)
+    equal(first, await bench.connection.order(order))
+    report = await bench.connection.load_report()
+    equal(["alpha"], [resident.name for resident in report.residents])
+
+
+async def impossible_orders_are_refused(bench: TargetBench) -> None:
+    for order in (
+        order_for("o1", "missing", kind=OrderKind.UNLOAD_MODEL),
+        order_for("o2", "gamma", kind=OrderKind.LOAD_ADAPTER, model="missing"),
+        order_for("o3", "beta")._replace(accelerator=99),
+    ):
+        reply = await bench.connection.order(order)
+        equal((order.order_id, False), reply[:2])
+
+
+async def old_fencing_number_is_handled_as_declared(bench: TargetBench) -> None:
+    await bench.connection.order(order_for("o1", "beta", fencing_number=7))
+    old = order_for("o2", "delta", fencing_number=6)._replace(memory_mib=1)
+    reply = await bench.connection.order(old)
+    equal(not bench.checks_fencing, reply.is_accepted)
+    report = await bench.connection.load_report()
+    equal(7, report.highest_fencing_number)
+
+
+async def crash_empties_the_memory(bench: TargetBench) -> None:
+    before = await bench.connection.load_report()
+    bench.crash()
+    outcome = await failure(bench.pass_time, bench.connection.infer(request_for()))
+    equal(_NOT_RUN, outcome.execution)
+    await bench.pass_time(60.0)
+    after = await bench.connection.load_report()
+    equal([], after.residents)
+    equal(False, before.boot_id == after.boot_id)
+
+
+async def cache_events_are_ordered(bench: TargetBench) -> None:
+    for number in range(3):
+        request = request_for(f"{number}" * 2_000, request_id=f"request-{number}")
+        await finish(bench.pass_time, bench.connection.infer(request))
+    await bench.pass_time(10.0)
+    events = await bench.connection.cache_events(0)
+    sequences = [event.sequence for event in events]
+    equal(sorted(set(sequences)), sequences)
+    equal(True, len(sequences) > 5)
+    equal(events[5:], await bench.connection.cache_events(sequences[4]))
+
+
+class FaultCase(NamedTuple):
+    """A fault on one call and how the call ends."""
+
+    name: str
+    operation: str
+    fault: Fault | None
+    prompt: str
+    outcome: Outcome
+
+
+def _case(
+    operation: str, kind: FaultKind, code: str, execution: Execution, pieces: int = 2
+) -> FaultCase:
+    fault = Fault(kind, operation, times=1, delay_s=_TOO_LATE_S, pieces=pieces)
+    outcome = Outcome(code, execution)
+    return FaultCase(f"{kind}_{operation}", operation, fault, "hello", outcome)
+
+
+_CRASH = CRASH_MARKER.decode()
+FAULT_CASES = [
+    *(_case(op, FaultKind.DOWN, "*", _NOT_RUN) for op in ("infer", "stream", "order")),
+    *(
+        _case(operation, kind, "target_timeout", _MAY)
+        for operation in ("infer", "order")
+        for kind in (
+            FaultKind.REQUEST_LOST,
+            FaultKind.SILENT,
+            FaultKind.ANSWER_LOST,
+            FaultKind.LATE,
+        )
+    ),
+    _case("stream", FaultKind.SILENT, "target_timeout", _MAY),
+    _case("infer", FaultKind.REFUSED, "target_refused", _NOT_RUN),
+    _case("stream", FaultKind.REFUSED, "target_refused", _NOT_RUN),
+    _case("infer", FaultKind.FAILED, "target_failed", _MAY),
+    _case("infer", FaultKind.CROSSED, "answer_mismatch", _MAY),
+    _case("stream", FaultKind.CROSSED, "answer_mismatch", _MAY),
+    _case("stream", FaultKind.CUT, "answer_incomplete", _MAY, 0),
+    _case("stream", FaultKind.CUT, "answer_incomplete", _MAY, 3),
+    _case("stream", FaultKind.CUT, "answer_incomplete", _MAY, 12),
+    _case("stream", FaultKind.STALLED, "target_timeout", _MAY),
+    _case("stream", FaultKind.SHORT, "answer_incomplete", _MAY, 3),
+    _case("stream", FaultKind.SHORT, "answer_incomplete", _MAY, 12),
+    FaultCase("crash_infer", "infer", None, _CRASH, Outcome("*", _MAY)),
+    FaultCase("crash_stream", "stream", None, _CRASH, Outcome("*", _MAY)),
+]
+
+
+def fault_case(case: FaultCase) -> Case:
+    """Return the check of one fault; "not run" must be true of what ran."""
+
+    async def check(bench: TargetBench) -> None:
+        if case.fault is not None:
+            bench.set_fault(case.fault)
+        request = request_for(case.prompt)
+        outcome = await failure(
+            bench.pass_time, _call(bench.connection, case.operation, request)
+        )
+        code = outcome.code if case.outcome.code == "*" else case.outcome.code
+        equal(case.outcome._replace(code=code), outcome)
+        await bench.pass_time(2 * _TOO_LATE_S)
+        equal(True, len(bench.ran()) <= 1)
+        if outcome.execution == _NOT_RUN:
+            equal([], bench.ran())
+
+    return check
+
+
+async def doubled_and_late_orders_take_effect_once(bench: TargetBench) -> None:
+    bench.set_fault(Fault(FaultKind.DOUBLED, "order", 1, delay_s=1.0))
+    await finish(bench.pass_time, bench.connection.order(order_for("o1", "beta")))
+    await bench.pass_time(5.0)
+    bench.set_fault(Fault(FaultKind.REORDERED, "order", 1))
+    late = order_for("o2", "delta", fencing_number=1)._replace(memory_mib=1)
+    await failure(bench.pass_time, bench.connection.order(late))
+    newer = order_for("o3", "beta", kind=OrderKind.UNLOAD_MODEL, fencing_number=2)
+    await finish(bench.pass_time, bench.connection.order(newer))
+    await bench.pass_time(60.0)
+    report = await bench.connection.load_report()
+    names = sorted(resident.name for resident in report.residents)
+    equal(["alpha"] if bench.checks_fencing else ["alpha", "delta"], names)
+
+
+def _call(
+    connection: TargetConnection, operation: str, request: InferRequest
+) -> Awaitable[object]:
+    if operation == "infer":
+        return connection.infer(request)
+    if operation == "stream":
+        return read_stream(connection, request)
+    return connection.order(order_for("o1", "beta"))
+
+
+def _text_of(answer: WholeAnswer) -> str:
+    body = msgspec.json.decode(answer.body)
+    return str(body["choices"][0]["message"]["content"])
+
+
+def _state_of(residents: list[Resident], name: str) -> ResidentState | None:
+    states = [r.state for r in residents if r.name == name]
+    return states[0] if states else None
+
+
+def always_not_run(connection: TargetConnection) -> TargetConnection:
+    """Return a broken connection that calls every failure "not run"."""
+
+    async def infer(request: InferRequest) -> WholeAnswer:
+        try:
+            return await connection.infer(request)
+        except JaytrayError as err:
+            err.execution = _NOT_RUN
+            raise
+
+    return connection._replace(infer=infer)
+
+
+CASES_BY_NAME: dict[str, Case] = {
+    case.__name__: case
+    for case in (
+        whole_answer_is_the_expected_one,
+        stream_is_the_expected_answer,
+        resumed_stream_continues,
+        concurrent_answers_are_not_mixed,
+        cancelled_stream_ends_without_an_end,
+        unknown_model_does_not_run,
+        malformed_body_does_not_run,
+        orders_load_and_unload,
+        same_order_takes_effect_once,
+        impossible_orders_are_refused,
+        old_fencing_number_is_handled_as_declared,
+        crash_empties_the_memory,
+        cache_events_are_ordered,
+        doubled_and_late_orders_take_effect_once,
+    )
+}
--- /dev/null
+++ b/tests/contracts/test_platform.py
@@ -0,0 +1,24 @@
+"""Every connection to the weight store and the VM list put through the contract."""
+
+from typing import Any
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from tests.contracts import implementations, platform_contract
+from tests.contracts.running import MakeBench, cross, fault_cases, run_case
+
+_PLATFORMS = {
+    "in_process": implementations.in_process_platform_bench,
+    "http": implementations.http_platform_bench,
+}
+
+
+class PlatformContractTests(TestCase):
+    @parameterized.expand(cross(_PLATFORMS, platform_contract.CASES_BY_NAME))
+    def test_case(self, _name: str, make_bench: MakeBench, case: Any) -> None:
+        run_case(case, make_bench)
+
+    @parameterized.expand(cross(_PLATFORMS, fault_cases(platform_contract, str)))
+    def test_fault(self, _name: str, make_bench: MakeBench, case: Any) -> None:
+        run_case(case, make_bench)
