--- a/packages/cli/src/jaytray_cli/site.py
+++ b/packages/cli/src/jaytray_cli/site.py
@@ -1,18 +1,18 @@
 """Connections of one command: the key-value service, the list of VMs and the VMs."""
 
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from contextlib import AbstractAsyncContextManager, AsyncExitStack, asynccontextmanager
 from typing import Any, NamedTuple
 
 import httpx
 
 from jaytray_cli.results import UsageError
 from jaytray_core import message_registry as messages
-from jaytray_core.adapters.key_value_http import connect_key_value
-from jaytray_core.adapters.vm_list_http import connect_vm_list
+from jaytray_core.adapters.key_value_http import open_key_value
+from jaytray_core.adapters.vm_list_http import open_vm_list
 from jaytray_core.errors import JaytrayError, Step
 from jaytray_core.keyvalue import KeyValueService
-from jaytray_core.vm_list import VmEntry
+from jaytray_core.vm_list import ListVmsFunction, VmEntry
 
 _TIMEOUT_S = 5.0
 _VM_TIMEOUT_S = 2.0
@@ -25,7 +25,7 @@
     """What a command talks to; `list_vms` raises `vm_list_unavailable`."""
 
     key_value: KeyValueService
-    list_vms: Callable[[], Awaitable[list[VmEntry]]]
+    list_vms: ListVmsFunction
     ask_vm: AskVm
 
 
@@ -38,13 +38,17 @@
     """Connect by `--key_value` and `--vm_list`; connections are made on first use."""
     if not flags.key_value:
         raise UsageError("--key_value=IP:PORT is needed")
-    key_value = connect_key_value(address=flags.key_value, timeout_s=_TIMEOUT_S)
-    list_vms = _no_vm_list
-    if flags.vm_list:
-        vm_list = connect_vm_list(address=flags.vm_list, timeout_s=_TIMEOUT_S)
-        list_vms = vm_list.list_vms
-    async with httpx.AsyncClient(timeout=_VM_TIMEOUT_S) as client:
-        yield Site(key_value, list_vms, _make_ask_vm(client))
+    async with AsyncExitStack() as stack:
+        key_value = open_key_value(address=flags.key_value, timeout_s=_TIMEOUT_S)
+        stack.push_async_callback(key_value.close)
+        list_vms: ListVmsFunction = _no_vm_list
+        if flags.vm_list:
+            vm_list = open_vm_list(address=flags.vm_list, timeout_s=_TIMEOUT_S)
+            stack.push_async_callback(vm_list.close)
+            list_vms = vm_list.service.list_vms
+        client = httpx.AsyncClient(timeout=_VM_TIMEOUT_S)
+        await stack.enter_async_context(client)
+        yield Site(key_value.service, list_vms, _make_ask_vm(client))
 
 
 def _make_ask_vm(client: httpx.AsyncClient) -> AskVm:
--- a/packages/core/src/jaytray_core/document/part_store.py
+++ b/packages/core/src/jaytray_core/document/part_store.py
@@ -5,11 +5,12 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 from jaytray_core import message_registry as messages
 from jaytray_core.clock import WallClock
 from jaytray_core.document.parts import Body, Head
-from jaytray_core.errors import JaytrayError
+from jaytray_core.errors import JaytrayError, Step
 from jaytray_core.keyvalue import ABSENT_REVISION, KeyValueService, SwapResult
 
 PARTS_PREFIX = "documents/parts/"
@@ -48,15 +49,45 @@
 async def _write_part(
     key_value: KeyValueService, key: str, data: bytes, clock: WallClock
 ) -> None:
+    await write_surely(
+        key_value,
+        key,
+        make_value=lambda: _stamp_time(data, clock()),
+        is_kept=lambda value: not _is_near_removal(value, clock()),
+    )
+
+
+async def write_surely(
+    key_value: KeyValueService,
+    key: str,
+    *,
+    make_value: Callable[[], bytes],
+    is_kept: Callable[[bytes], bool],
+) -> None:
+    """Write a value unless one is stored that `is_kept` accepts.
+
+    A lost answer is settled by reading. Raises `key_value_unavailable` when the value
+    cannot be written; the caller has changed nothing that is in force by then.
+    """
     for _ in range(_WRITE_ATTEMPTS):
         record = await key_value.get(key)
-        if record is not None and not _is_near_removal(record.value, clock()):
+        if record is not None and is_kept(record.value):
             return
         revision = record.revision if record else ABSENT_REVISION
-        stamped = _stamp_time(data, clock())
-        result = await swap_surely(key_value, key, revision, stamped)
+        try:
+            result = await key_value.compare_and_swap(key, revision, make_value(), "")
+        except JaytrayError as err:
+            if err.code != messages.KEY_VALUE_UNCERTAIN.code:
+                raise
+            continue
         if result.is_swapped:
             return
+    raise JaytrayError(
+        messages.KEY_VALUE_UNAVAILABLE,
+        step=Step.CONFIGURATION,
+        peer="kv",
+        detail=f"{key} could not be written",
+    )
 
 
 async def swap_surely(
--- a/packages/core/src/jaytray_core/document/sections.py
+++ b/packages/core/src/jaytray_core/document/sections.py
@@ -97,34 +97,29 @@
     lines = SourceLines({}, {})
     faults: list[Fault] = []
     title = ""
+    line_by_option: dict[str, int] = {}
     for number, line in enumerate(io.StringIO(text), start=1):
         if not line.strip() or line[0] in "#;" or line[0].isspace():
             continue
         header = configparser.RawConfigParser.SECTCRE.match(line)
         if header is not None:
-            title = _normalize(header["header"])
+            title, line_by_option = _normalize(header["header"]), {}
             first = lines.by_title.setdefault(title, number)
-            if first != number:
-                faults.append(
-                    make_fault(
-                        messages.NAME_DOUBLED, number, name=f"[{title}]", first=first
-                    )
-                )
+            faults += _doubled(f"[{title}]", number, first)
             continue
         option = line.split("=", 1)[0].strip()
-        first = lines.by_option.setdefault((title, option), number)
-        if first != number and title:
-            faults.append(
-                make_fault(
-                    messages.NAME_DOUBLED,
-                    number,
-                    name=f"option {option} of [{title}]",
-                    first=first,
-                )
-            )
+        lines.by_option.setdefault((title, option), number)
+        first = line_by_option.setdefault(option, number)
+        faults += _doubled(f"option {option} of [{title}]", number, first)
     return lines, faults
 
 
+def _doubled(name: str, line: int, first: int) -> list[Fault]:
+    if line == first:
+        return []
+    return [make_fault(messages.NAME_DOUBLED, line, name=name, first=first)]
+
+
 def _syntax_fault(err: configparser.Error) -> Fault:
     line = getattr(err, "lineno", 0)
     errors = getattr(err, "errors", None)
--- a/packages/core/src/jaytray_core/document/store.py
+++ b/packages/core/src/jaytray_core/document/store.py
@@ -19,6 +19,7 @@
     read_parts,
     swap_surely,
     write_parts,
+    write_surely,
 )
 from jaytray_core.document.parts import (
     Body,
@@ -148,13 +149,7 @@
         async with asyncio.timeout(CHANGE_TIMEOUT_S):
             yield
     except TimeoutError as err:
-        raise JaytrayError(
-            messages.KEY_VALUE_UNCERTAIN,
-            step=Step.CONFIGURATION,
-            peer="kv",
-            execution=Execution.MAY_HAVE_RUN,
-            detail=f"no end within {CHANGE_TIMEOUT_S:g} s",
-        ) from err
+        raise _uncertain(f"no end within {CHANGE_TIMEOUT_S:g} s") from err
 
 
 async def _swap_head(
@@ -163,20 +158,35 @@
     key = head_key(change.environment)
     try:
         result = await swap_surely(key_value, key, stored.revision, encode_head(head))
-        is_swapped = result.is_swapped
+        is_swapped, lost_answer = result.is_swapped, None
     except JaytrayError as err:
         if err.code != messages.KEY_VALUE_UNCERTAIN.code:
             raise
-        if not await _is_in_force(key_value, head):
-            raise
-        is_swapped = True
-    if not is_swapped and not await _is_in_force(key_value, head):
-        current = await read_head(key_value, change.environment)
-        raise _conflict(change, current.head)
+        is_swapped, lost_answer = False, err
+    if not is_swapped:
+        await _settle(key_value, change, head, lost_answer)
     await _trim_history(key_value, head)
     return head
 
 
+async def _settle(
+    key_value: KeyValueService,
+    change: Change,
+    head: Head,
+    lost_answer: JaytrayError | None,
+) -> None:
+    """Return if `head` became a version; raise what is known otherwise."""
+    try:
+        if await _is_in_force(key_value, head):
+            return
+        current = await read_head(key_value, change.environment)
+    except JaytrayError as err:
+        raise _uncertain("the version could not be read back") from err
+    if current.version == change.based_on and lost_answer is not None:
+        raise lost_answer
+    raise _conflict(change, current.head)
+
+
 async def _is_in_force(key_value: KeyValueService, head: Head) -> bool:
     """Return whether `head` became a version, even if a later one followed it."""
     try:
@@ -189,9 +199,14 @@
 
 
 async def _copy_to_history(key_value: KeyValueService, stored: StoredHead) -> None:
-    if stored.head is not None:
-        key = _history_key(stored.head.environment, stored.head.version)
-        await swap_surely(key_value, key, ABSENT_REVISION, encode_head(stored.head))
+    head = stored.head
+    if head is not None:
+        await write_surely(
+            key_value,
+            _history_key(head.environment, head.version),
+            make_value=lambda: encode_head(head),
+            is_kept=lambda value: value == encode_head(head),
+        )
 
 
 async def _trim_history(key_value: KeyValueService, head: Head) -> None:
@@ -231,5 +246,15 @@
     )
 
 
+def _uncertain(detail: str) -> JaytrayError:
+    return JaytrayError(
+        messages.KEY_VALUE_UNCERTAIN,
+        step=Step.CONFIGURATION,
+        peer="kv",
+        execution=Execution.MAY_HAVE_RUN,
+        detail=detail,
+    )
+
+
 def _history_key(environment: str, version: int) -> str:
     return f"{HISTORY_PREFIX}{environment}/{version:0{_VERSION_DIGITS}d}"
--- a/packages/server/src/jaytray_server/version/follower.py
+++ b/packages/server/src/jaytray_server/version/follower.py
@@ -12,8 +12,7 @@
 from jaytray_core import message_registry as messages
 from jaytray_core.clock import MonotonicClock, monotonic_clock
 from jaytray_core.document.model import Document
-from jaytray_core.document.part_store import part_key, strip_time
-from jaytray_core.document.parts import Head, digest_of
+from jaytray_core.document.parts import Head
 from jaytray_core.document.status import DocumentStatus
 from jaytray_core.errors import JaytrayError
 from jaytray_core.keyvalue import KeyValueService
@@ -21,16 +20,12 @@
 from jaytray_server.ports import Metrics, PeerNetwork
 from jaytray_server.process.metrics import make_null_metrics
 from jaytray_server.version.held import HeldVersion, Verdict
+from jaytray_server.version.part_collector import SERVICE, PartCollector
 from jaytray_server.version.peer_exchange import PeerExchange
 from jaytray_server.version.service_reader import ServiceReader
 
 # Period at which one neighbour is told the version in force.
 ANNOUNCE_PERIOD_S = 2.0
-# How long asked peers may take to send parts.
-PEER_PARTS_TIMEOUT_S = 0.5
-# Pauses before parts that nobody could give are asked for again, doubled each time.
-FETCH_PAUSE_S = 0.25
-MAX_FETCH_PAUSE_S = 2.0
 
 # Takes the new document, after it is in force.
 ChangeCallback = Callable[[Document], None]
@@ -60,9 +55,6 @@
         self._held = HeldVersion(environment=environment)
         self._wanted: tuple[Head, str] | None = None
         self._wanted_changed = asyncio.Event()
-        self._missing: set[str] = set()
-        self._new_parts: dict[str, bytes] = {}
-        self._parts_changed = asyncio.Event()
         self._callbacks: list[ChangeCallback] = []
         self._rejected: tuple[int, str] = (0, "")
         self._alarms = 0
@@ -80,6 +72,13 @@
             report_contradiction=self._report_contradiction,
             accept_part=self._accept_part,
         )
+        self._collector = PartCollector(
+            held=self._held,
+            ask_parts=self._exchange.ask_parts,
+            read_part=self._reader.read_part,
+            neighbours=peers.neighbours,
+            rng=self._rng,
+        )
 
     def current(self) -> Document:
         """Return the document in force; version 0 when there is none yet."""
@@ -126,89 +125,53 @@
         while True:
             await self._wanted_changed.wait()
             self._wanted_changed.clear()
-            pause = FETCH_PAUSE_S
-            while self._wanted is not None:
-                head, peer = self._wanted
-                if await self._fetch_parts(head, peer):
-                    self._adopt(head, peer)
-                elif self._wanted == (head, peer):
-                    await asyncio.sleep(pause)
-                    pause = min(2 * pause, MAX_FETCH_PAUSE_S)
-
-    def _offer(self, head: Head, peer: str) -> None:
-        """Consider a head that was found at `peer`."""
+            if self._wanted is not None:
+                await self._fetch(*self._wanted)
+
+    async def _fetch(self, head: Head, source: str) -> None:
+        """Collect and adopt `head`, unless a newer head is wanted meanwhile."""
+        self._collector.begin(head, source)
+        collecting = asyncio.ensure_future(self._collector.run())
+        newer = asyncio.ensure_future(self._wanted_changed.wait())
+        try:
+            await asyncio.wait((collecting, newer), return_when=asyncio.FIRST_COMPLETED)
+            if collecting.done():
+                collecting.result()
+                self._adopt(head, source)
+        finally:
+            collecting.cancel()
+            newer.cancel()
+
+    def _offer(self, head: Head, source: str) -> None:
+        """Consider a head that was found at `source`."""
         verdict = self._held.judge(head.version, head.body_digest)
         if verdict is Verdict.CONTRADICTORY:
-            self._report_contradiction(head.version, peer)
+            self._report_contradiction(head.version, source)
         if verdict is Verdict.OLDER:
             self._metrics.increment("document.older_head", 1)
         if verdict is not Verdict.NEWER or self._is_rejected(head):
             return
-        if self._wanted is not None and self._wanted[0].version >= head.version:
-            return
-        self._wanted = (head, peer)
-        self._wanted_changed.set()
-
-    async def _fetch_parts(self, head: Head, peer: str) -> bool:
-        """Collect the parts that `head` needs; returns whether all are here."""
-        self._missing = self._held.missing_parts(head)
-        self._new_parts = {
-            digest: data
-            for digest, data in self._new_parts.items()
-            if digest in self._missing
-        }
-        self._missing -= self._new_parts.keys()
-        steps = [self._ask_peers, self._read_service]
-        for step in steps if peer != "kv" else reversed(steps):
-            if self._missing:
-                await step(peer)
-        return not self._missing
-
-    async def _read_service(self, _peer: str) -> None:
-        for digest in sorted(self._missing):
-            try:
-                value = await self._reader.read_part(part_key(digest))
-            except JaytrayError as err:
-                get_logger().warning("document_part_failed", peer="kv", code=err.code)
-                return
-            self._accept_part(digest_of(strip_time(value)), strip_time(value))
-
-    async def _ask_peers(self, peer: str) -> None:
-        candidates = [vm for vm in self._peers.neighbours() if vm != peer]
-        self._rng.shuffle(candidates)
-        if peer != "kv":
-            candidates.insert(0, peer)
-        for vm_id in candidates:
-            if not self._missing:
-                return
-            if self._exchange.ask_parts(vm_id, self._missing):
-                await self._wait_for_parts()
-
-    async def _wait_for_parts(self) -> None:
-        """Wait until nothing is missing or nothing more arrives."""
-        while self._missing:
-            self._parts_changed.clear()
-            try:
-                async with asyncio.timeout(PEER_PARTS_TIMEOUT_S):
-                    await self._parts_changed.wait()
-            except TimeoutError:
-                return
-
-    def _accept_part(self, digest: str, data: bytes) -> None:
-        if digest in self._missing:
-            self._missing.discard(digest)
-            self._new_parts[digest] = data
-            self._parts_changed.set()
+        wanted = self._wanted[0] if self._wanted is not None else None
+        if wanted is None or head.version > wanted.version:
+            self._wanted = (head, source)
+            self._wanted_changed.set()
+        elif head.version == wanted.version:
+            if head.body_digest != wanted.body_digest:
+                self._report_contradiction(head.version, source)
+            elif source != SERVICE:
+                self._collector.add_holder(source)
+
+    def _accept_part(self, data: bytes) -> None:
+        self._collector.accept(data)
 
     def _adopt(self, head: Head, peer: str) -> None:
         if self._wanted is not None and self._wanted[0].version <= head.version:
             self._wanted = None
         try:
-            self._held.adopt(head, self._new_parts, peer=peer)
+            self._held.adopt(head, self._collector.parts_by_digest, peer=peer)
         except JaytrayError as err:
             self._reject(head, peer, err)
             return
-        self._new_parts = {}
         get_logger().info(
             "document_in_force",
             environment=head.environment,
--- /dev/null
+++ b/packages/server/src/jaytray_server/version/part_collector.py
@@ -0,0 +1,133 @@
+"""Collects the parts that a new head needs, from the service and from other VMs.
+
+VMs known to run the version are asked first. Only parts that were asked for are kept,
+and only under the digest of their bytes.
+"""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+from jaytray_core.document.part_store import part_key, strip_time
+from jaytray_core.document.parts import Head, digest_of
+from jaytray_core.errors import JaytrayError
+from jaytray_core.logs import get_logger
+from jaytray_server.version.held import HeldVersion
+
+SERVICE = "kv"
+# How long an asked VM may be silent before the next one is asked.
+PEER_PARTS_TIMEOUT_S = 0.25
+# Pauses before parts that nobody could give are asked for again, doubled each time.
+FIRST_PAUSE_S = 0.25
+MAX_PAUSE_S = 2.0
+
+# (VM id, digests) -> False when the VM is surely not reachable.
+AskParts = Callable[[str, set[str]], bool]
+# (key) -> value; raises `JaytrayError`.
+ReadPart = Callable[[str], Awaitable[bytes]]
+
+
+class PartCollector:
+    """The parts of the head that is being fetched."""
+
+    def __init__(
+        self,
+        *,
+        held: HeldVersion,
+        ask_parts: AskParts,
+        read_part: ReadPart,
+        neighbours: Callable[[], list[str]],
+        rng: random.Random,
+    ) -> None:
+        self._held = held
+        self._ask_parts = ask_parts
+        self._read_part = read_part
+        self._neighbours = neighbours
+        self._rng = rng
+        self._missing: set[str] = set()
+        self._holders: list[str] = []
+        self._changed = asyncio.Event()
+        self.parts_by_digest: dict[str, bytes] = {}
+
+    def begin(self, head: Head, source: str) -> None:
+        """Start to collect for `head`; parts that were found before stay useful."""
+        needed = self._held.missing_parts(head)
+        self.parts_by_digest = {
+            digest: data
+            for digest, data in self.parts_by_digest.items()
+            if digest in needed
+        }
+        self._missing = needed - self.parts_by_digest.keys()
+        self._holders = [] if source == SERVICE else [source]
+        self._changed.set()
+
+    def add_holder(self, vm_id: str) -> None:
+        """Note that a VM runs the version that is being fetched."""
+        if vm_id not in self._holders:
+            self._holders.append(vm_id)
+            self._changed.set()
+
+    def accept(self, data: bytes) -> None:
+        """Keep a part if it is missing; anything else is ignored."""
+        digest = digest_of(data)
+        if digest in self._missing:
+            self._missing.discard(digest)
+            self.parts_by_digest[digest] = data
+            self._changed.set()
+
+    async def run(self) -> None:
+        """Return when nothing is missing any more."""
+        pause_s = FIRST_PAUSE_S
+        while self._missing:
+            if not self._holders:
+                await self._read_service()
+            await self._ask_vms()
+            if self._holders:
+                await self._read_service()
+            if self._missing:
+                await self._wait(pause_s)
+                pause_s = min(2 * pause_s, MAX_PAUSE_S)
+
+    async def _read_service(self) -> None:
+        for digest in sorted(self._missing):
+            try:
+                value = await self._read_part(part_key(digest))
+            except JaytrayError as err:
+                get_logger().warning(
+                    "document_part_failed", peer=SERVICE, code=err.code
+                )
+                return
+            self.accept(strip_time(value))
+
+    async def _ask_vms(self) -> None:
+        asked: set[str] = set()
+        while self._missing:
+            vm_id = self._next_vm(asked)
+            if vm_id is None:
+                return
+            asked.add(vm_id)
+            if self._ask_parts(vm_id, self._missing):
+                await self._wait_while_answering()
+
+    def _next_vm(self, asked: set[str]) -> str | None:
+        holders = [vm for vm in self._holders if vm not in asked]
+        if holders:
+            return holders[0]
+        others = [vm for vm in self._neighbours() if vm not in asked]
+        return self._rng.choice(others) if others else None
+
+    async def _wait_while_answering(self) -> None:
+        """Wait until nothing is missing, nothing more comes, or a holder is found."""
+        holders = len(self._holders)
+        while self._missing and len(self._holders) == holders:
+            if not await self._wait(PEER_PARTS_TIMEOUT_S):
+                return
+
+    async def _wait(self, longest_s: float) -> bool:
+        """Wait for a part or a holder; returns False when none came."""
+        self._changed.clear()
+        try:
+            async with asyncio.timeout(longest_s):
+                return await self._changed.wait()
+        except TimeoutError:
+            return False
--- a/packages/server/src/jaytray_server/version/peer_exchange.py
+++ b/packages/server/src/jaytray_server/version/peer_exchange.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from jaytray_core import codec
-from jaytray_core.document.parts import Head, digest_of, is_consistent
+from jaytray_core.document.parts import Head, is_consistent
 from jaytray_core.errors import JaytrayError
 from jaytray_core.logs import get_logger
 from jaytray_server.ports import PeerHandler, PeerNetwork
@@ -18,8 +18,8 @@
 OfferHead = Callable[[Head, str], None]
 # Takes (version, peer) whose body contradicts the one in force.
 ReportContradiction = Callable[[int, str], None]
-# Takes (digest, data) of a part whose digest was checked.
-AcceptPart = Callable[[str, bytes], None]
+# Takes a part, whose digest tells whether it was asked for.
+AcceptPart = Callable[[bytes], None]
 
 
 class PeerExchange:
@@ -102,7 +102,7 @@
     def _on_part(self, sender: str, body: bytes) -> None:
         part = wire.decode_part(body, peer=sender)
         if part.environment == self._held.environment:
-            self._accept_part(digest_of(part.data), part.data)
+            self._accept_part(part.data)
 
 
 def _ignoring_malformed(topic: str, handler: PeerHandler) -> PeerHandler:
