--- a/packages/cli/src/jaytray_cli/site.py
+++ b/packages/cli/src/jaytray_cli/site.py
@@ -1,5 +1,6 @@
 """Connections of one command: the key-value service, the list of VMs and the VMs."""
 
+import os
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AbstractAsyncContextManager, AsyncExitStack, asynccontextmanager
 from typing import Any, NamedTuple
@@ -16,6 +17,8 @@
 
 _TIMEOUT_S = 5.0
 _VM_TIMEOUT_S = 2.0
+# Environment variable that holds the operator token for the VMs.
+OPERATOR_TOKEN_VARIABLE = "JAYTRAY_OPERATOR_TOKEN"
 
 # (VM, method, path) -> decoded JSON, or None when the VM did not answer with it.
 AskVm = Callable[[VmEntry, str, str], Awaitable[Any]]
@@ -46,7 +49,10 @@
             vm_list = open_vm_list(address=flags.vm_list, timeout_s=_TIMEOUT_S)
             stack.push_async_callback(vm_list.close)
             list_vms = vm_list.service.list_vms
-        client = httpx.AsyncClient(timeout=_VM_TIMEOUT_S)
+        # The token is a secret, which a command line would show to other users.
+        token = os.environ.get(OPERATOR_TOKEN_VARIABLE, "")
+        headers = {"Authorization": f"Bearer {token}"} if token else {}
+        client = httpx.AsyncClient(timeout=_VM_TIMEOUT_S, headers=headers)
         await stack.enter_async_context(client)
         yield Site(key_value.service, list_vms, _make_ask_vm(client))
 
