--- a/packages/cli/src/jaytray_cli/vm_commands.py
+++ b/packages/cli/src/jaytray_cli/vm_commands.py
@@ -134,7 +134,7 @@
     names: set[str] = set()
     for report in reports:
         if report.status is not None:
-            names.update(report.status.get("unreachable", []))
+            names.update(report.status.get("unreachable_models", []))
     return sorted(names)
 
 
