--- a/packages/server/src/jaytray_server/process/limits/limiter.py
+++ b/packages/server/src/jaytray_server/process/limits/limiter.py
@@ -84,12 +84,16 @@
         if document is self._document:
             return
         old_accounts = self._document.accounts_by_name
+        changed: list[tuple[str, ClientAccount]] = []
         for name in old_accounts.keys() | document.accounts_by_name.keys():
             contract = document.accounts_by_name.get(name, _NO_CONTRACT)
             if old_accounts.get(name, _NO_CONTRACT) != contract:
-                self.state_of(name).set_contract(contract, self._clock())
-                self.wake(name)
+                changed.append((name, contract))
+                self._materialise(name)
         self._document = document
+        for name, contract in changed:
+            self._states_by_account[name].set_contract(contract, self._clock())
+            self.wake(name)
 
     async def reserve(
         self, account: str, tokens: int, max_wait_s: float
@@ -99,7 +103,6 @@
         Raises `request_above_burst` when no wait would help, else `rate_exceeded`
         with the refill time.
         """
-        self.follow_document()
         now = self._clock()
         state = self.state_of(account)
         if tokens > state.contract.burst_tokens:
@@ -127,13 +130,8 @@
 
     def state_of(self, account: str) -> AccountState:
         """Return the account's state as of now, a new one when it has none."""
-        state = self._states_by_account.get(account)
-        if state is None:
-            contract = self._document.accounts_by_name.get(account, _NO_CONTRACT)
-            state = AccountState(
-                contract=contract, parts=self._parts, now=self._parts_since
-            )
-            self._states_by_account[account] = state
+        self.follow_document()
+        state = self._materialise(account)
         state.advance(self._clock())
         return state
 
@@ -187,6 +185,16 @@
             if state.is_like_unused():
                 del self._states_by_account[account]
 
+    def _materialise(self, account: str) -> AccountState:
+        state = self._states_by_account.get(account)
+        if state is None:
+            contract = self._document.accounts_by_name.get(account, _NO_CONTRACT)
+            state = AccountState(
+                contract=contract, parts=self._parts, now=self._parts_since
+            )
+            self._states_by_account[account] = state
+        return state
+
     def _admit(self, account: str, state: AccountState, tokens: int) -> Reservation:
         reservation = Reservation(next(self._charge_ids), account, tokens)
         state.bucket.charge(reservation.reservation_id, tokens)
--- /dev/null
+++ b/tools/limits_model/fleet.py
@@ -0,0 +1,249 @@
+"""A fleet of VMs, each with the real `AccountLimits` in an event loop of its own."""
+
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.document.model import ClientAccount, Document, empty_document
+from jaytray_core.errors import JaytrayError
+from jaytray_core.keyvalue import KeyValueService
+from jaytray_core.vm_list import VmEntry, VmState
+from jaytray_server.ports import CurrentDocument, PeerHandler, PeerNetwork
+from jaytray_server.process.limits.account_limits import AccountLimits
+from jaytray_standins.key_value.store import KeyValueStore
+from tools.limits_model.network import KeyValueLink, PeerLinks
+from tools.limits_model.virtual_loop import Schedule, VirtualLoop
+
+LIST_INTERVAL_S = 2.0
+NEIGHBOURS = 6
+
+
+class LimitsSetup(NamedTuple):
+    """What a process of the fleet is built from."""
+
+    vm_id: str
+    key_value: KeyValueService
+    peers: PeerNetwork
+    current_document: CurrentDocument
+    clock: MonotonicClock
+    rng: random.Random
+
+
+class Admission(NamedTuple):
+    """One admitted request."""
+
+    time_s: float
+    account: str
+    vm_id: str
+    tokens: int
+
+
+class Outcome:
+    """What became of one request; `used` is the charge until it is settled."""
+
+    def __init__(self, *, account: str, vm_id: str, offered_at: float) -> None:
+        self.account = account
+        self.vm_id = vm_id
+        self.offered_at = offered_at
+        self.admitted_at: float | None = None
+        self.used = 0
+        self.refusal = ""
+        self.retry_after_s: float | None = None
+
+
+def make_limits(setup: LimitsSetup) -> AccountLimits:
+    """Return the limits as the server builds them."""
+    return AccountLimits(
+        vm_id=setup.vm_id,
+        key_value=setup.key_value,
+        peers=setup.peers,
+        current_document=setup.current_document,
+        clock=setup.clock,
+        rng=setup.rng,
+    )
+
+
+class Process:
+    """One run of the server's process on a VM."""
+
+    def __init__(self, *, fleet: "Fleet", vm_id: str, document: Document) -> None:
+        self._fleet = fleet
+        self.vm_id = vm_id
+        self.document = document
+        self.loop = VirtualLoop(schedule=fleet.schedule)
+        self.is_leaving = False
+        self.handlers: dict[str, PeerHandler] = {}
+        rng = random.Random(fleet.rng.getrandbits(64))
+        self.link = KeyValueLink(
+            store=fleet.store, schedule=fleet.schedule, loop=self.loop, rng=rng
+        )
+        self.limits = fleet.make(
+            LimitsSetup(
+                vm_id,
+                self.link.service(),
+                fleet.peer_network(vm_id, self.handlers),
+                lambda: self.document,
+                fleet.schedule.clock,
+                rng,
+            )
+        )
+        self.loop.create_task(self.limits.run())
+
+    def deliver(self, sender: str, topic: str, body: bytes) -> None:
+        """Hand a message to the process's handler, in its own loop."""
+        handler = self.handlers.get(topic)
+        if handler is not None:
+            self.loop.call_soon(handler, sender, body)
+
+    def adopt_document(self, document: Document) -> None:
+        """Bring a newer document into force in this process."""
+        if document.version > self.document.version:
+            self.document = document
+            self.limits.limiter.follow_document()
+
+
+class Fleet:
+    """Processes by VM, the platform's list, links and the key-value store."""
+
+    def __init__(
+        self,
+        *,
+        accounts: list[ClientAccount],
+        seed: int,
+        make: Callable[[LimitsSetup], AccountLimits] = make_limits,
+    ) -> None:
+        self.schedule = Schedule()
+        self.rng = random.Random(seed)
+        self.make = make
+        self.store = KeyValueStore(clock=self.schedule.clock)
+        self.links = PeerLinks(schedule=self.schedule, rng=self.rng)
+        self.links.deliver = self._deliver
+        self.document = document_of(accounts, version=1)
+        self.processes_by_vm: dict[str, Process] = {}
+        self.listed: dict[str, VmState] = {}
+        self.outcomes: list[Outcome] = []
+        self.kv_calls = 0
+        self._publish_list()
+
+    def start(self, vm_id: str) -> None:
+        """Start a process on a VM that the platform lists from now on."""
+        self.listed[vm_id] = VmState.LIVE
+        document = max(
+            (p.document for p in self.processes_by_vm.values()),
+            key=lambda d: d.version,
+            default=self.document,
+        )
+        self.processes_by_vm[vm_id] = Process(
+            fleet=self, vm_id=vm_id, document=document
+        )
+
+    def kill(self, vm_id: str) -> None:
+        """End the process on a VM at once; the list does not change."""
+        process = self.processes_by_vm.pop(vm_id, None)
+        if process is not None:
+            self.kv_calls += process.link.calls
+            process.loop.shut_down()
+
+    def drop(self, vm_id: str) -> None:
+        """Remove a VM from the platform's list."""
+        self.listed.pop(vm_id, None)
+
+    def leave(self, vm_id: str) -> None:
+        """Start a planned stop of the process on a VM."""
+        process = self.processes_by_vm[vm_id]
+        self.listed[vm_id] = VmState.LEAVING
+        process.is_leaving = True
+        process.loop.create_task(process.limits.leave())
+
+    def request(
+        self,
+        vm_id: str,
+        account: str,
+        tokens: int,
+        *,
+        used: int,
+        run_s: float,
+        wait_s: float,
+    ) -> Outcome:
+        """Offer a request to a VM, to be settled `run_s` after its admission."""
+        outcome = Outcome(account=account, vm_id=vm_id, offered_at=self.schedule.now)
+        self.outcomes.append(outcome)
+        process = self.processes_by_vm.get(vm_id)
+        if process is None:
+            outcome.refusal = "vm_dead"
+            return outcome
+
+        async def run() -> None:
+            functions = process.limits.functions
+            try:
+                reservation = await functions.reserve(account, tokens, wait_s)
+            except JaytrayError as err:
+                outcome.refusal = err.code
+                outcome.retry_after_s = err.retry_after_s
+                return
+            outcome.admitted_at = self.schedule.now
+            outcome.used = reservation.tokens
+
+            def settle() -> None:
+                functions.settle(reservation, used)
+                outcome.used = min(used, reservation.tokens)
+
+            process.loop.call_later(run_s, settle)
+
+        process.loop.create_task(run())
+        return outcome
+
+    def peer_network(self, vm_id: str, handlers: dict[str, PeerHandler]) -> PeerNetwork:
+        """Return the network as one VM sees it."""
+
+        def listed_vms() -> list[str]:
+            return [vm for vm, state in self.listed.items() if state == VmState.LIVE]
+
+        def neighbours() -> list[str]:
+            others = [vm for vm in listed_vms() if vm != vm_id]
+            start = sum(vm < vm_id for vm in others)
+            ring = others[start:] + others[:start]
+            return [v for v in ring[:NEIGHBOURS] if not self.links.is_cut(v, vm_id)]
+
+        def set_handler(topic: str, handler: PeerHandler) -> None:
+            handlers[topic] = handler
+
+        def send(receiver: str, topic: str, body: bytes) -> bool:
+            return self.links.send(vm_id, receiver, topic, body)
+
+        def broadcast(topic: str, body: bytes) -> None:
+            for receiver in listed_vms():
+                send(receiver, topic, body)
+
+        return PeerNetwork(
+            vm_id=vm_id,
+            send=send,
+            broadcast=broadcast,
+            set_handler=set_handler,
+            neighbours=neighbours,
+            listed_vms=listed_vms,
+        )
+
+    def close(self) -> None:
+        """End all processes."""
+        for vm_id in list(self.processes_by_vm):
+            self.kill(vm_id)
+
+    def _deliver(self, receiver: str, sender: str, topic: str, body: bytes) -> None:
+        process = self.processes_by_vm.get(receiver)
+        if process is not None:
+            process.deliver(sender, topic, body)
+
+    def _publish_list(self) -> None:
+        entries = [VmEntry(vm, "", "", "", state) for vm, state in self.listed.items()]
+        for process in self.processes_by_vm.values():
+            process.loop.call_soon(process.limits.handle_listed_vms, entries)
+        self.schedule.after(LIST_INTERVAL_S, self._publish_list)
+
+
+def document_of(accounts: list[ClientAccount], *, version: int) -> Document:
+    """Return a document that declares only accounts."""
+    accounts_by_name = {account.name: account for account in accounts}
+    document = empty_document("trial")
+    return document._replace(version=version, accounts_by_name=accounts_by_name)
--- /dev/null
+++ b/tools/limits_model/network.py
@@ -0,0 +1,175 @@
+"""Fakes at the interfaces: messages between VMs and the key-value service.
+
+Both deliver through the schedule with delay, and lose, double or cut as told.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import TypeVar
+
+from jaytray_core import message_registry as messages
+from jaytray_core.errors import Execution, JaytrayError, Step
+from jaytray_core.keyvalue import (
+    KeyValueRecord,
+    KeyValueService,
+    SwapResult,
+    WatchBatch,
+)
+from jaytray_standins.key_value.store import KeyValueStore
+from tools.limits_model.virtual_loop import Schedule, VirtualLoop
+
+T = TypeVar("T")
+# Delivers one message: (receiver, sender, topic, body).
+Delivery = Callable[[str, str, str, bytes], None]
+
+ONE_WAY_DELAY_S = 0.0008
+KEY_VALUE_DELAY_S = 0.002
+KEY_VALUE_TIMEOUT_S = 1.0
+LATE_MESSAGE_S = 6.0
+
+
+class PeerLinks:
+    """Message links between VMs with faults of their own."""
+
+    def __init__(self, *, schedule: Schedule, rng: random.Random) -> None:
+        self._schedule = schedule
+        self._rng = rng
+        self.loss = 0.0
+        self.doubling = 0.0
+        self.lateness = 0.0
+        self.deliver: Delivery = lambda *_message: None
+        self._island: frozenset[str] = frozenset()
+
+    def split(self, island: frozenset[str]) -> None:
+        """Cut the VMs of `island` off from all others; an empty one heals."""
+        self._island = island
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Return whether two VMs cannot reach each other."""
+        return (one in self._island) != (other in self._island)
+
+    def send(self, sender: str, receiver: str, topic: str, body: bytes) -> bool:
+        """Deliver a message later, perhaps twice or not at all."""
+        if self.is_cut(sender, receiver):
+            return False
+        copies = 0 if self._rng.random() < self.loss else 1
+        copies += self._rng.random() < self.doubling
+        for _ in range(copies):
+            delay = ONE_WAY_DELAY_S * (0.5 + self._rng.random())
+            if self._rng.random() < self.lateness:
+                delay += self._rng.random() * LATE_MESSAGE_S
+            self._schedule.after(
+                delay, lambda: self.deliver(receiver, sender, topic, body)
+            )
+        return True
+
+
+class KeyValueLink:
+    """One process's connection to the key-value service."""
+
+    def __init__(
+        self,
+        *,
+        store: KeyValueStore,
+        schedule: Schedule,
+        loop: VirtualLoop,
+        rng: random.Random,
+    ) -> None:
+        self._store = store
+        self._schedule = schedule
+        self._loop = loop
+        self._rng = rng
+        self.is_down = False
+        self.lost_requests = 0.0
+        self.lost_answers = 0.0
+        self.late_requests = 0.0
+        self.calls = 0
+        self.bytes = 0
+
+    def service(self) -> KeyValueService:
+        """Return the functions that the limits use; the others fail."""
+
+        async def get(key: str) -> KeyValueRecord | None:
+            record = await self._call(lambda: self._store.get(key))
+            self.bytes += len(record.value) if record else 0
+            return record
+
+        async def compare_and_swap(
+            key: str, revision: int, value: bytes | None, lease_id: str
+        ) -> SwapResult:
+            self.bytes += len(value or b"")
+            return await self._call(
+                lambda: self._store.compare_and_swap(key, revision, value, lease_id)
+            )
+
+        async def get_prefix(_prefix: str) -> list[KeyValueRecord]:
+            raise NotImplementedError
+
+        async def grant_lease(_ttl_s: float) -> str:
+            raise NotImplementedError
+
+        async def keep_lease(_lease_id: str) -> bool:
+            raise NotImplementedError
+
+        async def revoke_lease(_lease_id: str) -> None:
+            raise NotImplementedError
+
+        async def watch(_prefix: str, _after: int, _wait_s: float) -> WatchBatch:
+            raise NotImplementedError
+
+        return KeyValueService(
+            get=get,
+            get_prefix=get_prefix,
+            compare_and_swap=compare_and_swap,
+            grant_lease=grant_lease,
+            keep_lease=keep_lease,
+            revoke_lease=revoke_lease,
+            watch=watch,
+        )
+
+    async def _call(self, run: Callable[[], T]) -> T:
+        self.calls += 1
+        if self.is_down:
+            await asyncio.sleep(KEY_VALUE_DELAY_S)
+            raise _unavailable()
+        answer: asyncio.Future[T] = self._loop.create_future()
+        if self._rng.random() >= self.lost_requests:
+            delay = KEY_VALUE_DELAY_S * (0.5 + self._rng.random())
+            if self._rng.random() < self.late_requests:
+                delay += self._rng.random() * LATE_MESSAGE_S
+            is_lost = self._rng.random() < self.lost_answers
+            self._schedule.after(delay, lambda: self._apply(run, answer, is_lost))
+        try:
+            async with asyncio.timeout(KEY_VALUE_TIMEOUT_S):
+                return await answer
+        except TimeoutError:
+            raise _uncertain() from None
+
+    def _apply(
+        self, run: Callable[[], T], answer: asyncio.Future[T], is_lost: bool
+    ) -> None:
+        result = run()
+
+        def finish() -> None:
+            if not answer.done() and not self._loop.is_closed():
+                answer.set_result(result)
+
+        if not is_lost:
+            self._schedule.after(KEY_VALUE_DELAY_S, finish)
+
+
+def _unavailable() -> JaytrayError:
+    return JaytrayError(
+        messages.KEY_VALUE_UNAVAILABLE, step=Step.KEY_VALUE, peer="kv", detail="down"
+    )
+
+
+def _uncertain() -> JaytrayError:
+    return JaytrayError(
+        messages.KEY_VALUE_UNCERTAIN,
+        step=Step.KEY_VALUE,
+        peer="kv",
+        execution=Execution.MAY_HAVE_RUN,
+        detail="no answer",
+    )
