--- a/packages/server/src/jaytray_server/process/limits/account_state.py
+++ b/packages/server/src/jaytray_server/process/limits/account_state.py
@@ -23,7 +23,10 @@
 
 
 class Lending(NamedTuple):
-    """Parts and tokens lent (`sign` -1) or borrowed (1) until `until_s`."""
+    """What is lent (`sign` -1) or borrowed (1) until `until_s`.
+
+    `tokens` are of the level and of the capacity, `parts` of the rate.
+    """
 
     until_s: float
     sign: int
@@ -125,10 +128,7 @@
 
     def _apply_limits(self, now: float) -> None:
         burst = self.contract.burst_tokens
-        balance = sum(
-            lending.sign * max(lending.tokens, burst * lending.parts / TOTAL_PARTS)
-            for lending in self._lendings
-        )
+        balance = sum(lending.sign * lending.tokens for lending in self._lendings)
         self.bucket.set_limits(
             capacity=burst * self._parts / TOTAL_PARTS + balance,
             rate=self.contract.rate_tokens_per_s * self._parts_at_hand() / TOTAL_PARTS,
--- a/packages/server/src/jaytray_server/process/limits/gifts.py
+++ b/packages/server/src/jaytray_server/process/limits/gifts.py
@@ -5,8 +5,8 @@
 taker cannot spend it any more; the taker counts the lifetime from the moment it
 asked, by its own clock. A lost, late or doubled message can thus only lose tokens.
 
-A grant carries tokens for the requests that wait, and parts of the giver's share
-that its own demand leaves unused. Those spare the messages of further requests.
+A grant carries tokens for the requests that wait, and parts of the giver's rate that
+its own demand leaves unused. Those spare the messages of further requests.
 """
 
 import asyncio
@@ -43,7 +43,10 @@
 
 
 class Ask(NamedTuple):
-    """Request for tokens and parts; an urgent one may take all that is spare."""
+    """Request for tokens and for parts of the rate out of `TOTAL_PARTS`.
+
+    An urgent one may take all tokens that are spare.
+    """
 
     ask_id: int
     account: str
--- a/tools/limits_model/fleet.py
+++ b/tools/limits_model/fleet.py
@@ -30,15 +30,6 @@
     rng: random.Random
 
 
-class Admission(NamedTuple):
-    """One admitted request."""
-
-    time_s: float
-    account: str
-    vm_id: str
-    tokens: int
-
-
 class Outcome:
     """What became of one request; `used` is the charge until it is settled."""
 
@@ -122,7 +113,10 @@
         self.document = document_of(accounts, version=1)
         self.processes_by_vm: dict[str, Process] = {}
         self.listed: dict[str, VmState] = {}
+        # VMs that no other VM hears from.
+        self.silent: set[str] = set()
         self.outcomes: list[Outcome] = []
+        self.on_admission: Callable[[str], None] = lambda _account: None
         self.kv_calls = 0
         self._publish_list()
 
@@ -184,6 +178,7 @@
                 return
             outcome.admitted_at = self.schedule.now
             outcome.used = reservation.tokens
+            self.on_admission(account)
 
             def settle() -> None:
                 functions.settle(reservation, used)
@@ -191,6 +186,10 @@
 
             process.loop.call_later(run_s, settle)
 
+        if process.loop.is_closed():
+            outcome.refusal = "vm_dead"
+            return outcome
+
         process.loop.create_task(run())
         return outcome
 
