--- /dev/null
+++ b/packages/server/src/jaytray_server/process/placement/adapter_loader.py
@@ -0,0 +1,57 @@
+"""Waiting for an adapter that a request needs and that is not loaded yet."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from jaytray_core import message_registry as messages
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.errors import JaytrayError, Step
+from jaytray_server.process.target_table import TargetTable
+
+MAX_WAIT_S = 5.0
+POLL_S = 0.02
+
+Sleep = Callable[[float], Awaitable[None]]
+# (target, adapter); returns when the adapter is ready at the target.
+LoadAdapter = Callable[[str, str], Awaitable[None]]
+# (adapter, target); tells the planners.
+WantAdapter = Callable[[str, str], None]
+
+
+def make_adapter_loader(
+    *,
+    want_adapter: WantAdapter,
+    table: TargetTable,
+    clock: MonotonicClock,
+    sleep: Sleep = asyncio.sleep,
+) -> LoadAdapter:
+    """Return the function by which a request has its adapter loaded.
+
+    It raises `target_refused`, which is `not_run` and may be retried at once, when
+    the adapter got ready elsewhere, and `no_replica` after `MAX_WAIT_S`.
+    """
+
+    async def load_adapter(target: str, adapter: str) -> None:
+        deadline_s = clock() + MAX_WAIT_S
+        want_adapter(adapter, target)
+        while clock() < deadline_s:
+            replicas = table.ready_replicas(adapter)
+            if target in replicas:
+                return
+            if replicas:
+                raise JaytrayError(
+                    messages.TARGET_REFUSED,
+                    step=Step.PLACEMENT,
+                    peer=target,
+                    detail=f"adapter {adapter} is ready elsewhere",
+                )
+            await sleep(POLL_S)
+        raise JaytrayError(
+            messages.NO_REPLICA,
+            step=Step.PLACEMENT,
+            peer=target,
+            name=adapter,
+            retry_after_s=1.0,
+        )
+
+    return load_adapter
--- a/packages/server/src/jaytray_server/process/placement/adapters.py
+++ b/packages/server/src/jaytray_server/process/placement/adapters.py
@@ -29,6 +29,7 @@
     models: list[Model],
     demand_by_name: Mapping[str, Demand],
     settings: PlanSettings,
+    wanted_targets_by_adapter: Mapping[str, str],
 ) -> list[PlannedChange]:
     """Return loads and unloads of adapters whose models have their home here."""
     homed = {model.name: model for model in models}
@@ -38,9 +39,13 @@
         key=lambda a: -demand_by_name.get(a.name, NO_DEMAND).peak_tokens_per_s
     )
     for adapter in adapters:
-        demand = demand_by_name.get(adapter.name, NO_DEMAND)
         changes += _place(
-            board, adapter, homed[adapter.model], demand, demand_by_name, settings
+            board,
+            adapter,
+            homed[adapter.model],
+            demand_by_name,
+            settings,
+            wanted_targets_by_adapter.get(adapter.name),
         )
     return changes
 
@@ -49,17 +54,19 @@
     board: PlanBoard,
     adapter: Adapter,
     model: Model,
-    demand: Demand,
     demand_by_name: Mapping[str, Demand],
     settings: PlanSettings,
+    wanted_target: str | None,
 ) -> list[PlannedChange]:
     loaded = board.replicas(adapter.name)
     current = [r for r in loaded if r.version == adapter.version]
-    is_wanted = demand.tokens_per_s > settings.idle_tokens_per_s
+    demand = demand_by_name.get(adapter.name, NO_DEMAND)
+    is_asked_for = demand.tokens_per_s > settings.idle_tokens_per_s
+    is_wanted = is_asked_for or wanted_target is not None
     changes: list[PlannedChange] = []
     if len(current) < _wanted_copies(model, demand, settings, current):
         urgency = Urgency.ADAPTER_WANTED if is_wanted else Urgency.ADAPTER_PRELOAD
-        changes += _load(board, adapter, urgency, demand_by_name)
+        changes += _load(board, adapter, urgency, demand_by_name, wanted_target)
     if any(r.is_ready for r in current) or (not current and not changes):
         # The name can be held only once beside a replica, so when every replica
         # holds the old version, one of them gives it up first.
@@ -85,6 +92,7 @@
     adapter: Adapter,
     urgency: Urgency,
     demand_by_name: Mapping[str, Demand],
+    wanted_target: str | None,
 ) -> list[PlannedChange]:
     hosts = [
         replica.accelerator
@@ -94,7 +102,10 @@
     ]
     fitting = [a for a in hosts if _fits(a, adapter, urgency)]
     if fitting:
-        best = min(fitting, key=lambda a: (a.tokens_per_s, -a.free_mib))
+        best = min(
+            fitting,
+            key=lambda a: (a.target.name != wanted_target, a.tokens_per_s, -a.free_mib),
+        )
         board.add_planned(
             best,
             name=adapter.name,
--- a/packages/server/src/jaytray_server/process/placement/duties.py
+++ b/packages/server/src/jaytray_server/process/placement/duties.py
@@ -7,8 +7,10 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import NamedTuple
 
 from jaytray_core.clock import MonotonicClock
+from jaytray_core.codec import decode_msgpack, encode_msgpack
 from jaytray_core.document.model import Document
 from jaytray_core.errors import JaytrayError
 from jaytray_core.keyvalue import KeyValueService
@@ -31,12 +33,19 @@
 Sleep = Callable[[float], Awaitable[None]]
 
 
+class WantedAdapter(NamedTuple):
+    """An adapter that a request waits for, and the target chosen for it."""
+
+    group: str
+    adapter: str
+    target: str
+
+
 class PlacementDuties:
     """Runs a `PlacementGroup` for each group that this VM is a candidate for.
 
     Run `run()` as one task for the life of the process; cancel it first when the VM
-    leaves, which gives its leases up. `want` asks the planners of a model's or an
-    adapter's group to act at once.
+    leaves, which gives its leases up.
     """
 
     def __init__(
@@ -96,22 +105,24 @@
             if planner.lease.is_valid()
         ]
 
-    def want(self, name: str) -> None:
-        """Ask the planners of a model's or an adapter's group to act at once.
+    def want_adapter(self, adapter: str, target: str) -> None:
+        """Ask the planners of an adapter's group to load it, best at `target`.
 
-        A lost message only delays the change until the planner's next pass.
+        A lost message only delays the load until the demand makes it needed.
         """
         document = self._current_document()
-        adapter = document.adapters_by_name.get(name)
-        model = adapter.model if adapter else name
+        declared = document.adapters_by_name.get(adapter)
+        if declared is None:
+            return
         for group in self._groups().values():
-            if model not in group.models:
+            if declared.model not in group.models:
                 continue
+            message = WantedAdapter(group.name, adapter, target)
             for vm_id in candidates(group.name, self._members()):
                 if vm_id == self._vm_id:
-                    self._wake(group.name)
+                    self._take_wanted(message)
                 else:
-                    self._peers.send(vm_id, TOPIC, group.name.encode())
+                    self._peers.send(vm_id, TOPIC, encode_msgpack(message))
 
     def adjust(self) -> None:
         """Start and stop planners so that they match the groups and the VMs."""
@@ -165,13 +176,18 @@
     def _members(self) -> list[str]:
         return sorted({*self._peers.listed_vms(), self._vm_id})
 
-    def _wake(self, group: str) -> None:
-        planner = self._planners_by_group.get(group)
+    def _take_wanted(self, message: WantedAdapter) -> None:
+        planner = self._planners_by_group.get(message.group)
         if planner is not None:
-            planner.wake()
+            planner.want_adapter(message.adapter, message.target)
 
-    def _handle_wanted(self, _sender: str, body: bytes) -> None:
-        self._wake(body.decode(errors="replace"))
+    def _handle_wanted(self, sender: str, body: bytes) -> None:
+        try:
+            message = decode_msgpack(body, WantedAdapter, peer=sender)
+        except JaytrayError as err:
+            get_logger().warning("wanted_adapter_dropped", peer=sender, code=err.code)
+            return
+        self._take_wanted(message)
 
     async def _read_limits(self) -> None:
         if self._clock() - self._limits_read_at_s < STATUS_PERIOD_S:
--- a/packages/server/src/jaytray_server/process/placement/executor.py
+++ b/packages/server/src/jaytray_server/process/placement/executor.py
@@ -64,7 +64,7 @@
     """Plans one group whenever this VM holds its lease.
 
     Run `run()` as one task; cancelling it gives the lease up. `duty` returns the
-    group as the document in force has it. `wake` makes the next pass come at once.
+    group as the document in force has it.
     """
 
     def __init__(
@@ -101,6 +101,7 @@
         self._new_order_id = new_order_id
         self._pacer = LoadPacer(clock=clock, limits=duty().limits)
         self._wake = asyncio.Event()
+        self._wanted_targets_by_adapter: dict[str, str] = {}
         self._tenure = 0
         self._taken_over_at_s = float("-inf")
         self._ledgers_by_target: dict[str, TargetLedger] = {}
@@ -123,8 +124,9 @@
         finally:
             await self.lease.release()
 
-    def wake(self) -> None:
-        """Let the next pass begin now, as for an adapter that a request needs."""
+    def want_adapter(self, adapter: str, target: str) -> None:
+        """Load an adapter that a request waits for in a pass that begins now."""
+        self._wanted_targets_by_adapter[adapter] = target
         self._wake.set()
 
     async def step(self) -> int:
@@ -148,12 +150,14 @@
         await self._read_records(targets)
         await asyncio.gather(*(self._read_report(t, len(targets)) for t in targets))
         states = [self._state(target) for target in targets]
+        wanted, self._wanted_targets_by_adapter = self._wanted_targets_by_adapter, {}
         changes = plan(
             document=document,
             states=states,
             demand_by_name=self._demand.total_demand(),
             settings=self._settings,
             models=duty.group.models,
+            wanted_targets_by_adapter=wanted,
         )
         sent = await self._carry_out(document, changes, states)
         await asyncio.gather(*(self._resend(t, states) for t in targets))
@@ -334,7 +338,6 @@
         )
 
     async def _pause(self) -> None:
-        self._wake.clear()
         waits = {
             asyncio.ensure_future(self._sleep(PASS_PERIOD_S)),
             asyncio.ensure_future(self._wake.wait()),
@@ -344,6 +347,7 @@
         finally:
             for wait in waits:
                 wait.cancel()
+            self._wake.clear()
 
 
 def _new_order(change: PlannedChange, order_id: str) -> Order:
--- a/packages/server/src/jaytray_server/process/placement/ledger.py
+++ b/packages/server/src/jaytray_server/process/placement/ledger.py
@@ -118,7 +118,8 @@
         if target.checks_fencing or not self._rules.successor_waits:
             return False
         return any(
-            not self.was_sent(order.order_id) for order in self.unsettled_orders(target)
+            order.order_id not in self._own_order_ids
+            for order in self.unsettled_orders(target)
         )
 
     def allows(self, order: Order, target: Target) -> bool:
--- a/packages/server/src/jaytray_server/process/placement/planner.py
+++ b/packages/server/src/jaytray_server/process/placement/planner.py
@@ -40,9 +40,11 @@
     demand_by_name: Mapping[str, Demand],
     settings: PlanSettings = PlanSettings(),
     models: frozenset[str] | None = None,
+    wanted_targets_by_adapter: Mapping[str, str] | None = None,
 ) -> list[PlannedChange]:
     """Return the changes to order next, the most urgent first.
 
+    `wanted_targets_by_adapter` names adapters that requests wait for, and where.
     `models` are those that have their home in this group; None means all. Changes
     are independent of each other: each fits into memory by itself and together.
     """
@@ -58,7 +60,14 @@
     for need in sorted(_needs(board, homed, total_by_name, settings)):
         changes += _meet(board, document, need, total_by_name, settings)
     changes += _remove_unwanted(board, document, frozenset(m.name for m in homed))
-    changes += plan_adapters(board, document, homed, total_by_name, settings)
+    changes += plan_adapters(
+        board,
+        document,
+        homed,
+        total_by_name,
+        settings,
+        wanted_targets_by_adapter or {},
+    )
     return sorted(changes, key=lambda change: change.urgency)
 
 
--- a/packages/server/src/jaytray_server/process/target_table.py
+++ b/packages/server/src/jaytray_server/process/target_table.py
@@ -21,10 +21,14 @@
 
 
 class OwnRequest(NamedTuple):
-    """A request of this VM at a target; `tokens` are those still expected."""
+    """A request of this VM at a target; `tokens` are those still expected.
+
+    `progressed_at_s` is when the last piece came, None before the first one.
+    """
 
     tokens: int
     started_at_s: float
+    progressed_at_s: float | None
 
 
 class TargetLoad(NamedTuple):
@@ -150,7 +154,7 @@
         """Count an own request that was sent to the target."""
         entry = self._entry(target)
         self.finished(target, request_id)
-        entry.own_by_request_id[request_id] = OwnRequest(tokens, self._clock())
+        entry.own_by_request_id[request_id] = OwnRequest(tokens, self._clock(), None)
         entry.own_tokens += tokens
 
     def progressed(self, target: str, request_id: str, tokens: int) -> None:
@@ -160,7 +164,9 @@
         if own is None:
             return
         entry.own_tokens += tokens - own.tokens
-        entry.own_by_request_id[request_id] = own._replace(tokens=tokens)
+        entry.own_by_request_id[request_id] = own._replace(
+            tokens=tokens, progressed_at_s=self._clock()
+        )
         entry.failures_in_a_row = 0
 
     def own_request(self, target: str, request_id: str) -> OwnRequest | None:
--- a/packages/server/src/jaytray_server/request/routing.py
+++ b/packages/server/src/jaytray_server/request/routing.py
@@ -11,7 +11,6 @@
 deadline is refused at once. Each decision is one log line.
 """
 
-from collections import OrderedDict
 from collections.abc import Mapping
 from random import Random
 from typing import NamedTuple
@@ -31,11 +30,16 @@
 from jaytray_server.process.cache_index import CacheIndex
 from jaytray_server.process.decision_log import DecisionLog, DecisionRecord
 from jaytray_server.process.demand import DemandMeter
-from jaytray_server.process.target_table import TargetLoad, TargetTable
+from jaytray_server.process.target_table import (
+    OwnRequest,
+    TargetLoad,
+    TargetTable,
+)
 
 NO_REPLICA_RETRY_S = 2.0
 MIN_RETRY_S = 0.5
-MAX_WATCHED_REQUESTS = 10_000
+# Times the inter-token deadline after which a piece marks its target as slow.
+LATE_PIECE_FACTOR = 3.0
 
 
 class RoutingPolicy(NamedTuple):
@@ -88,11 +92,11 @@
     """Return the router of this VM; it needs no task of its own.
 
     `choose` raises `model_unknown`, `no_replica` or `deadline_unreachable`, all of
-    them `not_run`. `progressed` takes the tokens that are still expected; a first
-    progress after the request's deadline marks the target as slow.
+    them `not_run`. The deadline of a request is a time on `clock`. `progressed`
+    takes the tokens that are still expected; a late first or later piece marks the
+    target as slow.
     """
     decision_log = decisions if decisions is not None else DecisionLog()
-    deadline_by_request_id: OrderedDict[str, float] = OrderedDict()
 
     def choose(request: RoutingRequest) -> RoutingDecision:
         document = current_document()
@@ -104,7 +108,10 @@
                 request, document, table, cache_index, random, policy, vm_failure_domain
             )
             if policy.refuses_unreachable_deadlines:
-                _refuse_unreachable_deadline(request, model, scored.candidate)
+                remaining_s = request.deadline_s - clock()
+                _refuse_unreachable_deadline(
+                    request, model, scored.candidate, remaining_s
+                )
         except JaytrayError as err:
             _record(request, "", err.code, 0.0, 0)
             raise
@@ -112,9 +119,6 @@
         target = scored.candidate.target.name
         _record(request, target, reason, scored.cost, drawn)
         cache_index.record_dispatch(target, request.prefix_digests)
-        deadline_by_request_id[request.request_id] = request.deadline_s
-        if len(deadline_by_request_id) > MAX_WATCHED_REQUESTS:
-            deadline_by_request_id.popitem(last=False)
         return RoutingDecision(
             target, reason, scored.cost, drawn, scored.candidate.needs_adapter_load
         )
@@ -138,21 +142,18 @@
         )
 
     def progressed(target: str, request_id: str, tokens: int) -> None:
-        deadline_s = deadline_by_request_id.pop(request_id, None)
         own = table.own_request(target, request_id)
-        if own and deadline_s and clock() - own.started_at_s > deadline_s:
+        if own is not None and _is_late(
+            own, tokens, clock(), _slowest_model(target, table, current_document())
+        ):
             table.slow(target)
         table.progressed(target, request_id, tokens)
 
-    def finished(target: str, request_id: str) -> None:
-        deadline_by_request_id.pop(request_id, None)
-        table.finished(target, request_id)
-
     return Router(
         choose=choose,
         started=table.started,
         progressed=progressed,
-        finished=finished,
+        finished=table.finished,
         failed=table.failed,
     )
 
@@ -278,18 +279,18 @@
 
 
 def _refuse_unreachable_deadline(
-    request: RoutingRequest, model: Model, candidate: _Candidate
+    request: RoutingRequest, model: Model, candidate: _Candidate, remaining_s: float
 ) -> None:
     """Raise when the best replica cannot start the request before its deadline."""
     if request.traffic_class is TrafficClass.DEFERRED:
         return
     wait_s = estimate_wait_s(candidate.target, candidate.load, model)
-    if wait_s > request.deadline_s:
+    if wait_s > remaining_s:
         raise JaytrayError(
             messages.DEADLINE_UNREACHABLE,
             step=Step.ADMIT,
             peer=candidate.target.name,
-            retry_after_s=max(MIN_RETRY_S, wait_s - request.deadline_s),
+            retry_after_s=max(MIN_RETRY_S, wait_s - remaining_s),
         )
 
 
@@ -308,6 +309,28 @@
     return waiting * tokens_each / tokens_per_s
 
 
+def _slowest_model(target: str, table: TargetTable, document: Document) -> Model | None:
+    """Return the model with the longest deadlines that the target holds."""
+    report = table.report_of(target)
+    models = [
+        model
+        for resident in (report.residents if report else ())
+        if (model := document.models_by_name.get(resident.model)) is not None
+    ]
+    return max(models, key=lambda model: model.first_token_deadline_s, default=None)
+
+
+def _is_late(own: OwnRequest, tokens: int, now: float, model: Model | None) -> bool:
+    """Return whether a piece came later than the model's deadlines allow."""
+    if model is None:
+        return False
+    if own.progressed_at_s is None:
+        return now - own.started_at_s > model.first_token_deadline_s
+    produced = max(1, own.tokens - tokens)
+    allowed_s = LATE_PIECE_FACTOR * model.inter_token_deadline_s * produced
+    return now - own.progressed_at_s > allowed_s
+
+
 def _reason(scored: _Scored, drawn: int) -> str:
     if scored.candidate.needs_adapter_load:
         return "adapter_load_needed"
