--- a/packages/core/src/jaytray_core/message_registry.py
+++ b/packages/core/src/jaytray_core/message_registry.py
@@ -184,6 +184,44 @@
     "Send the whole body without pauses.",
 )
 
+# Idempotent calls.
+IDEMPOTENCY_UNAVAILABLE = MessageTemplate(
+    "idempotency_unavailable",
+    503,
+    "the call was not sent, as its Idempotency-Key could not be recorded: {detail}",
+    "Send the call again with the same key after Retry-After.",
+)
+IDEMPOTENCY_RUNNING = MessageTemplate(
+    "idempotency_running",
+    409,
+    "a call with this Idempotency-Key is still running",
+    "Send the call again with the same key after Retry-After.",
+)
+IDEMPOTENCY_UNKNOWN = MessageTemplate(
+    "idempotency_unknown",
+    409,
+    "the outcome of the call with this Idempotency-Key is unknown; it may have run",
+    "Check at the service whether the call took effect, then use a new key.",
+)
+IDEMPOTENCY_KEY_REUSED = MessageTemplate(
+    "idempotency_key_reused",
+    422,
+    "this Idempotency-Key was used for another request",
+    "Use a new key for each distinct request.",
+)
+IDEMPOTENCY_ANSWER_NOT_KEPT = MessageTemplate(
+    "idempotency_answer_not_kept",
+    409,
+    "the call with this Idempotency-Key has run; its answer was too long to be kept",
+    "Read the result from the service.",
+)
+IDEMPOTENCY_UNREADABLE = MessageTemplate(
+    "idempotency_unreadable",
+    503,
+    "the call with this Idempotency-Key has run; its answer cannot be read now",
+    "Send the call again with the same key after Retry-After.",
+)
+
 # Outside systems.
 KEY_VALUE_UNAVAILABLE = MessageTemplate(
     "key_value_unavailable",
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/idempotency/idempotency.py
@@ -0,0 +1,293 @@
+"""At most one run for each Idempotency-Key, whichever VM its calls reach.
+
+A call is claimed in the key-value service before it is sent. Later calls get the
+first one's answer, or learn that it still runs, or that its outcome is unknown.
+"""
+
+import asyncio
+import uuid
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from jaytray_core import message_registry as messages
+from jaytray_core.clock import MonotonicClock, WallClock
+from jaytray_core.errors import Execution, JaytrayError, Step
+from jaytray_core.logs import get_logger
+from jaytray_core.targets import WholeAnswer
+from jaytray_server.process.idempotency.commits import Commits
+from jaytray_server.process.idempotency.records import (
+    KEEP_S,
+    MAX_KEPT_ANSWER_BYTES,
+    Entry,
+    EntryKind,
+    KeptAnswer,
+    Record,
+    digest_key,
+    digest_request,
+    shard_of,
+)
+
+# Waits for the key-value service, in seconds.
+CLAIM_TIMEOUT_S = 2.0
+OUTCOME_TIMEOUT_S = 1.0
+OUTCOME_RETRY_S = 2.0
+EXPIRY_INTERVAL_S = 600.0
+# Added to a call's own time before its outcome counts as unknown.
+RUNNING_MARGIN_S = 5.0
+MAX_KEY_CHARACTERS = 255
+REPLAYED_HEADER = ("idempotent-replayed", "true")
+_RUNNING_RETRY_AFTER_S = 1.0
+_OUTAGE_RETRY_AFTER_S = 5.0
+
+_log = get_logger()
+
+
+class IdempotentCall(NamedTuple):
+    """What a key of a client account stands for; `runs_s` bounds its run."""
+
+    key_digest: str
+    request_digest: str
+    runs_s: float
+
+
+class Claim(NamedTuple):
+    """The right to run a call; void after `valid_until_s` on the own clock."""
+
+    call: IdempotentCall
+    claim_id: str
+    claimed_at_s: float
+    valid_until_s: float
+
+
+def make_call(
+    *,
+    account: str,
+    key: str,
+    method: str,
+    path: str,
+    query: str,
+    body: bytes,
+    runs_s: float,
+) -> IdempotentCall:
+    """Return the call that `key` of `account` stands for."""
+    return IdempotentCall(
+        key_digest=digest_key(account, key),
+        request_digest=digest_request(method, path, query, body),
+        runs_s=runs_s,
+    )
+
+
+class Idempotency:
+    """Claims and outcomes of idempotent calls on this VM."""
+
+    def __init__(
+        self, *, commits: Commits, clock: MonotonicClock, wall_clock: WallClock
+    ) -> None:
+        self._commits = commits
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._recordings: set[asyncio.Task[None]] = set()
+
+    async def claim(self, call: IdempotentCall) -> Claim | WholeAnswer:
+        """Return the right to run `call`, or the answer that it already got.
+
+        Raises `idempotency_running`, `idempotency_unknown`, `idempotency_key_reused`
+        or, when no record could be made, `idempotency_unavailable`.
+        """
+        began_s = self._clock()
+        claim = Claim(
+            call=call,
+            claim_id=uuid.uuid4().hex,
+            claimed_at_s=self._wall_clock(),
+            valid_until_s=began_s + call.runs_s,
+        )
+        record = await self._commit_claim(claim)
+        if record is not None and record.claim_id == claim.claim_id:
+            if self._clock() - began_s > CLAIM_TIMEOUT_S:
+                self.record_release(claim)
+                raise _unavailable("the claim came too late")
+            return claim
+        return await self._earlier_outcome(call, record)
+
+    def check_valid(self, claim: Claim) -> None:
+        """Raise `idempotency_unavailable` if this VM paused past its claim."""
+        if self._clock() > claim.valid_until_s:
+            raise _unavailable("the claim has expired")
+
+    async def record_answer(self, claim: Claim, answer: WholeAnswer) -> None:
+        """Record the answer; waits a bounded time, then goes on in the background."""
+        is_whole = len(answer.body) <= MAX_KEPT_ANSWER_BYTES
+        kept = KeptAnswer(
+            status=answer.status,
+            headers=answer.headers,
+            body=answer.body if is_whole else b"",
+            is_whole=is_whole,
+        )
+        task = self._record(claim, EntryKind.DONE, kept)
+        await asyncio.wait((task,), timeout=OUTCOME_TIMEOUT_S)
+
+    def record_unknown(self, claim: Claim) -> None:
+        """Record in the background that the call may have run without an answer."""
+        self._record(claim, EntryKind.UNKNOWN)
+
+    def record_release(self, claim: Claim) -> None:
+        """Record in the background that the call surely did not run."""
+        self._record(claim, EntryKind.RELEASED)
+
+    async def expire_forever(self) -> None:
+        """Delete expired segments of the shards that this VM owns."""
+        while True:
+            await asyncio.sleep(EXPIRY_INTERVAL_S)
+            for log in self._commits.logs:
+                if not self._commits.is_owner(log.shard):
+                    continue
+                try:
+                    await log.delete_expired()
+                except JaytrayError as err:
+                    _log.info("idempotency_expiry_failed", error=str(err))
+
+    async def close(self, *, max_wait_s: float) -> None:
+        """Give outstanding outcomes up to `max_wait_s` to be recorded."""
+        if self._recordings:
+            await asyncio.wait(set(self._recordings), timeout=max_wait_s)
+        for task in self._recordings:
+            task.cancel()
+
+    async def _commit_claim(self, claim: Claim) -> Record | None:
+        entry = self._entry(claim, EntryKind.CLAIMED)
+        try:
+            async with asyncio.timeout(CLAIM_TIMEOUT_S):
+                return await self._commits.commit(entry)
+        except (TimeoutError, JaytrayError) as err:
+            self.record_release(claim)
+            raise _unavailable(str(err) or "no answer in time") from err
+        except asyncio.CancelledError:
+            self.record_release(claim)
+            raise
+
+    async def _earlier_outcome(
+        self, call: IdempotentCall, record: Record | None
+    ) -> WholeAnswer:
+        if record is None:
+            raise _unavailable("the claim was released")
+        if record.request_digest != call.request_digest:
+            raise _refusal(messages.IDEMPOTENCY_KEY_REUSED)
+        if record.kind is EntryKind.DONE:
+            return await self._replay(call, record)
+        if record.kind is EntryKind.CLAIMED:
+            if self._wall_clock() <= record.running_until_s:
+                raise _refusal(
+                    messages.IDEMPOTENCY_RUNNING,
+                    execution=Execution.MAY_HAVE_RUN,
+                    retry_after_s=_RUNNING_RETRY_AFTER_S,
+                )
+        raise _refusal(messages.IDEMPOTENCY_UNKNOWN, execution=Execution.MAY_HAVE_RUN)
+
+    async def _replay(self, call: IdempotentCall, record: Record) -> WholeAnswer:
+        log = self._commits.logs[shard_of(call.key_digest)]
+        try:
+            async with asyncio.timeout(CLAIM_TIMEOUT_S):
+                kept = await log.read_answer(record)
+        except (TimeoutError, JaytrayError) as err:
+            raise _refusal(
+                messages.IDEMPOTENCY_UNREADABLE,
+                execution=Execution.MAY_HAVE_RUN,
+                retry_after_s=_OUTAGE_RETRY_AFTER_S,
+            ) from err
+        if kept is None or not kept.is_whole:
+            raise _refusal(
+                messages.IDEMPOTENCY_ANSWER_NOT_KEPT, execution=Execution.MAY_HAVE_RUN
+            )
+        headers = [*kept.headers, REPLAYED_HEADER]
+        return WholeAnswer("", kept.status, headers, kept.body)
+
+    def _record(
+        self, claim: Claim, kind: EntryKind, answer: KeptAnswer | None = None
+    ) -> asyncio.Task[None]:
+        entry = self._entry(claim, kind, answer)
+        task = asyncio.create_task(self._record_until_done(entry))
+        self._recordings.add(task)
+        task.add_done_callback(self._recordings.discard)
+        return task
+
+    async def _record_until_done(self, entry: Entry) -> None:
+        while self._wall_clock() < entry.at_s + KEEP_S:
+            try:
+                await self._commits.commit(entry)
+                return
+            except JaytrayError as err:
+                _log.info("idempotency_outcome_delayed", error=str(err))
+            await asyncio.sleep(OUTCOME_RETRY_S)
+
+    def _entry(
+        self, claim: Claim, kind: EntryKind, answer: KeptAnswer | None = None
+    ) -> Entry:
+        running_until_s = claim.claimed_at_s + claim.call.runs_s + RUNNING_MARGIN_S
+        return Entry(
+            kind=kind,
+            key_digest=claim.call.key_digest,
+            request_digest=claim.call.request_digest,
+            claim_id=claim.claim_id,
+            at_s=claim.claimed_at_s,
+            running_until_s=running_until_s,
+            answer=answer,
+        )
+
+
+async def run_once(
+    idempotency: Idempotency,
+    call: IdempotentCall,
+    run: Callable[[Claim], Awaitable[WholeAnswer]],
+    execution: Callable[[], Execution],
+) -> WholeAnswer:
+    """Return the answer of `run`, or the one that `call` already got.
+
+    `execution` tells after a failure whether the run may have had an effect.
+    """
+    claim = await idempotency.claim(call)
+    if isinstance(claim, WholeAnswer):
+        return claim
+    try:
+        answer = await run(claim)
+    except BaseException:
+        if execution() is Execution.NOT_RUN:
+            idempotency.record_release(claim)
+        else:
+            idempotency.record_unknown(claim)
+        raise
+    await idempotency.record_answer(claim, answer)
+    return answer
+
+
+def check_key(key: str) -> None:
+    """Raise `invalid_request` unless `key` may serve as an Idempotency-Key."""
+    if not key or len(key) > MAX_KEY_CHARACTERS or not key.isascii():
+        raise JaytrayError(
+            messages.INVALID_REQUEST,
+            step=Step.IDEMPOTENCY,
+            detail=f"Idempotency-Key: 1 to {MAX_KEY_CHARACTERS} ASCII characters",
+        )
+
+
+def _unavailable(detail: str) -> JaytrayError:
+    return JaytrayError(
+        messages.IDEMPOTENCY_UNAVAILABLE,
+        step=Step.IDEMPOTENCY,
+        peer="kv",
+        retry_after_s=_OUTAGE_RETRY_AFTER_S,
+        detail=detail,
+    )
+
+
+def _refusal(
+    template: messages.MessageTemplate,
+    *,
+    execution: Execution = Execution.NOT_RUN,
+    retry_after_s: float | None = None,
+) -> JaytrayError:
+    return JaytrayError(
+        template,
+        step=Step.IDEMPOTENCY,
+        execution=execution,
+        retry_after_s=retry_after_s,
+    )
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/idempotency/messages.py
@@ -0,0 +1,26 @@
+"""Messages by which a VM has the owner of a shard commit an entry."""
+
+from typing import NamedTuple
+
+from jaytray_server.process.idempotency.records import Entry, Record
+
+COMMIT_TOPIC = "idempotency.commit"
+COMMITTED_TOPIC = "idempotency.committed"
+
+
+class CommitMessage(NamedTuple):
+    """Asks the owner to commit `entry`; the answer carries `number`."""
+
+    number: int
+    entry: Entry
+
+
+class CommittedMessage(NamedTuple):
+    """Answer to a `CommitMessage`.
+
+    `record` is the state of the key after the commit, None when it has no record.
+    """
+
+    number: int
+    is_committed: bool
+    record: Record | None
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/idempotency/records.py
@@ -0,0 +1,110 @@
+"""Records of idempotent calls and the segments that hold them.
+
+The records of one shard are a log, cut into segments of the key-value service. A
+segment that has grown large is sealed by the write that filled it, and its
+successor begins; whole segments expire with their records.
+"""
+
+import enum
+import hashlib
+from typing import NamedTuple
+
+SHARDS = 32
+# Seconds for which a record is kept after the call was claimed.
+KEEP_S = 3600.0
+MAX_SEGMENT_BYTES = 32_000
+# An answer with a longer body is recorded as done without its body.
+MAX_KEPT_ANSWER_BYTES = 64_000
+PREFIX = "idempotency/"
+
+
+class EntryKind(enum.StrEnum):
+    """What an entry says of a call."""
+
+    CLAIMED = "claimed"
+    DONE = "done"
+    UNKNOWN = "unknown"
+    RELEASED = "released"
+
+
+class KeptAnswer(NamedTuple):
+    """The answer of a call; `is_whole` is False when its body was too long."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+    is_whole: bool
+
+
+class Entry(NamedTuple):
+    """One line of a shard's log.
+
+    `key_digest` stands for the client account and its Idempotency-Key,
+    `request_digest` for method, path and body. `claim_id` is the unique writer id of
+    the call. Times are seconds since the Unix epoch; after `running_until_s` a
+    call without an outcome has an unknown one.
+    """
+
+    kind: EntryKind
+    key_digest: str
+    request_digest: str
+    claim_id: str
+    at_s: float
+    running_until_s: float
+    answer: KeptAnswer | None = None
+
+
+class Segment(NamedTuple):
+    """Value of one segment; nothing is added to a sealed one."""
+
+    is_sealed: bool
+    entries: list[Entry]
+
+
+class Record(NamedTuple):
+    """State of one idempotent call; `segment` holds its last entry."""
+
+    kind: EntryKind
+    request_digest: str
+    claim_id: str
+    claimed_at_s: float
+    running_until_s: float
+    segment: int
+
+
+def digest_key(account: str, key: str) -> str:
+    """Return the digest of an Idempotency-Key within its client account."""
+    return _digest(account.encode(), key.encode())
+
+
+def digest_request(method: str, path: str, query: str, body: bytes) -> str:
+    """Return the digest of what an Idempotency-Key is bound to."""
+    return _digest(method.encode(), path.encode(), query.encode(), body)
+
+
+def shard_of(key_digest: str) -> int:
+    """Return the shard that holds the records of `key_digest`."""
+    return int(key_digest[:8], 16) % SHARDS
+
+
+def shard_prefix(shard: int) -> str:
+    """Return the prefix of all segments of `shard`."""
+    return f"{PREFIX}{shard:02d}/"
+
+
+def segment_key(shard: int, number: int) -> str:
+    """Return the key of a segment; keys sort by their number."""
+    return f"{shard_prefix(shard)}{number:010d}"
+
+
+def segment_number(key: str) -> int:
+    """Return the number of the segment at `key`."""
+    return int(key.rsplit("/", 1)[1])
+
+
+def _digest(*parts: bytes) -> str:
+    digest = hashlib.blake2b(digest_size=16)
+    for part in parts:
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/idempotency/shard_log.py
@@ -0,0 +1,232 @@
+"""One shard's log in the key-value service, read and extended by compare-and-swap.
+
+Any VM may append at any time: the revision of the last segment lets one writer win,
+and the others read what it wrote and decide again. That makes an owner that was
+paused, or two VMs that both take themselves for the owner, harmless.
+"""
+
+from collections.abc import Iterable
+
+from jaytray_core import message_registry as messages
+from jaytray_core.clock import MonotonicClock, WallClock
+from jaytray_core.codec import decode_json, encode_json
+from jaytray_core.errors import JaytrayError, Step
+from jaytray_core.keyvalue import ABSENT_REVISION, KeyValueRecord, KeyValueService
+from jaytray_server.process.idempotency.records import (
+    KEEP_S,
+    MAX_SEGMENT_BYTES,
+    Entry,
+    EntryKind,
+    KeptAnswer,
+    Record,
+    Segment,
+    segment_key,
+    segment_number,
+    shard_prefix,
+)
+
+MAX_APPEND_TRIES = 8
+# A cached position older than this is read anew, as its segments may have expired.
+MAX_POSITION_AGE_S = KEEP_S / 4
+_FIRST_SEGMENT = 1
+
+
+class ShardLog:
+    """This VM's view of one shard: its records and the end of its log."""
+
+    def __init__(
+        self,
+        *,
+        shard: int,
+        key_value: KeyValueService,
+        clock: MonotonicClock,
+        wall_clock: WallClock,
+    ) -> None:
+        self.shard = shard
+        self.records_by_key: dict[str, Record] = {}
+        self._key_value = key_value
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._number = 0
+        self._revision = ABSENT_REVISION
+        self._segment = Segment(False, [])
+        self._folded = 0
+        self._read_at_s = -float("inf")
+
+    async def append(self, entries: Iterable[Entry]) -> None:
+        """Append those of `entries` that still change something.
+
+        Afterwards `records_by_key` shows them and whatever was there before. Raises
+        `key_value_unavailable` when nothing can have been written in this call, else
+        `key_value_uncertain`.
+        """
+        wanted = list(entries)
+        uncertain: JaytrayError | None = None
+        for _ in range(MAX_APPEND_TRIES):
+            try:
+                await self._catch_up()
+                missing = [e for e in wanted if self._is_missing(e)]
+                if not missing or await self._try_append(missing):
+                    return
+            except JaytrayError as err:
+                if err.code == messages.KEY_VALUE_UNCERTAIN.code:
+                    uncertain = err
+                    self._read_at_s = -float("inf")
+                    continue
+                raise uncertain or err from err
+        raise uncertain or _too_busy(self.shard)
+
+    async def refresh(self) -> None:
+        """Read what other VMs appended."""
+        self._read_at_s = -float("inf")
+        await self._catch_up()
+
+    async def read_answer(self, record: Record) -> KeptAnswer | None:
+        """Return the answer that `record` refers to, or None if it is gone."""
+        found = await self._key_value.get(segment_key(self.shard, record.segment))
+        if found is None:
+            return None
+        for entry in _decode(found).entries:
+            is_same = entry.claim_id == record.claim_id
+            if is_same and entry.kind is EntryKind.DONE:
+                return entry.answer
+        return None
+
+    async def delete_expired(self) -> int:
+        """Delete segments whose records have all expired; return how many.
+
+        The last segment stays, so that numbers never start again.
+        """
+        found = await self._key_value.get_prefix(shard_prefix(self.shard))
+        oldest_kept_s = self._wall_clock() - KEEP_S
+        deleted = 0
+        for record in found[:-1]:
+            segment = _decode(record)
+            if any(e.at_s >= oldest_kept_s for e in segment.entries):
+                break
+            await self._key_value.compare_and_swap(
+                record.key, record.revision, None, ""
+            )
+            deleted += 1
+        self._drop_expired_records(oldest_kept_s)
+        return deleted
+
+    def live_record(self, key_digest: str) -> Record | None:
+        """Return the record of a key unless there is none or it has expired."""
+        record = self.records_by_key.get(key_digest)
+        if record is None or record.claimed_at_s < self._wall_clock() - KEEP_S:
+            return None
+        return record
+
+    def _is_missing(self, entry: Entry) -> bool:
+        record = self.live_record(entry.key_digest)
+        if entry.kind is EntryKind.CLAIMED:
+            return record is None
+        if record is None or record.claim_id != entry.claim_id:
+            return False
+        return record.kind is EntryKind.CLAIMED
+
+    async def _try_append(self, entries: list[Entry]) -> bool:
+        number, revision = self._number, self._revision
+        held = self._segment.entries
+        if self._segment.is_sealed:
+            number, revision, held = number + 1, ABSENT_REVISION, []
+        joined = [*held, *entries]
+        value = encode_json(Segment(False, joined))
+        is_full = len(value) > MAX_SEGMENT_BYTES
+        if is_full:
+            value = encode_json(Segment(True, joined))
+        result = await self._key_value.compare_and_swap(
+            segment_key(self.shard, number), revision, value, ""
+        )
+        if not result.is_swapped:
+            self._read_at_s = -float("inf")
+            return False
+        self._enter(number, result.revision, Segment(is_full, joined))
+        return True
+
+    async def _catch_up(self) -> None:
+        """Read the log's end unless this VM knows it."""
+        age_s = self._clock() - self._read_at_s
+        if age_s <= MAX_POSITION_AGE_S:
+            return
+        if age_s == float("inf") and self._number:
+            if await self._read_forward():
+                return
+        await self._read_all()
+
+    async def _read_forward(self) -> bool:
+        number = self._number
+        while True:
+            found = await self._key_value.get(segment_key(self.shard, number))
+            if found is None:
+                break
+            self._enter(number, found.revision, _decode(found))
+            if not self._segment.is_sealed:
+                return True
+            number += 1
+        is_at_end = number == self._number + 1
+        return is_at_end and self._segment.is_sealed
+
+    async def _read_all(self) -> None:
+        self.records_by_key.clear()
+        self._number, self._folded = 0, 0
+        found = await self._key_value.get_prefix(shard_prefix(self.shard))
+        if not found:
+            self._enter(_FIRST_SEGMENT, ABSENT_REVISION, Segment(False, []))
+        for record in found:
+            number = segment_number(record.key)
+            self._enter(number, record.revision, _decode(record))
+
+    def _enter(self, number: int, revision: int, segment: Segment) -> None:
+        if number != self._number:
+            self._folded = 0
+        for entry in segment.entries[self._folded :]:
+            self._fold(entry, number)
+        self._number, self._revision, self._segment = number, revision, segment
+        self._folded = len(segment.entries)
+        self._read_at_s = self._clock()
+
+    def _fold(self, entry: Entry, number: int) -> None:
+        record = self.records_by_key.get(entry.key_digest)
+        if entry.kind is EntryKind.CLAIMED:
+            if record is None or record.claimed_at_s < entry.at_s - KEEP_S:
+                self.records_by_key[entry.key_digest] = _claimed(entry, number)
+            return
+        if record is None or record.claim_id != entry.claim_id:
+            return
+        if entry.kind is EntryKind.RELEASED:
+            del self.records_by_key[entry.key_digest]
+            return
+        self.records_by_key[entry.key_digest] = record._replace(
+            kind=entry.kind, segment=number
+        )
+
+    def _drop_expired_records(self, oldest_kept_s: float) -> None:
+        for key, record in list(self.records_by_key.items()):
+            if record.claimed_at_s < oldest_kept_s:
+                del self.records_by_key[key]
+
+
+def _claimed(entry: Entry, number: int) -> Record:
+    return Record(
+        kind=EntryKind.CLAIMED,
+        request_digest=entry.request_digest,
+        claim_id=entry.claim_id,
+        claimed_at_s=entry.at_s,
+        running_until_s=entry.running_until_s,
+        segment=number,
+    )
+
+
+def _decode(record: KeyValueRecord) -> Segment:
+    return decode_json(record.value, Segment, peer="kv")
+
+
+def _too_busy(shard: int) -> JaytrayError:
+    return JaytrayError(
+        messages.KEY_VALUE_UNAVAILABLE,
+        step=Step.IDEMPOTENCY,
+        peer="kv",
+        detail=f"shard {shard} changed at every try",
+    )
--- a/packages/server/src/jaytray_server/request/services.py
+++ b/packages/server/src/jaytray_server/request/services.py
@@ -18,6 +18,7 @@
     Metrics,
     Router,
 )
+from jaytray_server.process.idempotency.idempotency import Idempotency
 from jaytray_server.request.retry import RetryBudget
 from jaytray_server.version.running_streams import EndStream
 
@@ -107,5 +108,6 @@
     clock: MonotonicClock
     lifecycle: Lifecycle
     retry_budget: RetryBudget
+    idempotency: Idempotency
     timeouts: Timeouts
     sizes: SizeLimits
--- a/packages/server/src/jaytray_server/request/tracker.py
+++ b/packages/server/src/jaytray_server/request/tracker.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+from collections.abc import Callable
 
 from jaytray_core.errors import Execution, JaytrayError
 
@@ -20,6 +21,8 @@
     def __init__(self) -> None:
         self.attempts = 0
         self.failed_targets: list[str] = []
+        # Raises when the request must not be sent any more.
+        self.before_send: Callable[[], None] = lambda: None
         self._progress = _Progress.UNSENT
         self._may_have_run = False
 
@@ -32,6 +35,7 @@
 
     def begin(self) -> None:
         """Record that bytes of a new dispatch may leave from now on."""
+        self.before_send()
         self.attempts += 1
         self._progress = _Progress.MAY_HAVE_LEFT
 
