Record idempotent calls in the key-value service before they are sent

Cause: a call that may not be repeated must run at most once, whichever VM its caller tries. Change: a log per shard in segments extended by compare-and-swap; the shard's owner groups the entries of all VMs in one write, and is passed over when silent; the second call gets the first answer, or running, unknown, key reused. RequestServices gets the field idempotency.

--- a/packages/server/tests/request/support.py
+++ b/packages/server/tests/request/support.py
@@ -7,6 +7,7 @@
 import httpx
 
 from jaytray_core import message_registry as messages
+from jaytray_core.clock import monotonic_clock, wall_clock
 from jaytray_core.document.model import (
     Adapter,
     ClientAccount,
@@ -29,6 +30,8 @@
     RoutingRequest,
     SlotRequest,
 )
+from jaytray_server.process.idempotency.commits import Commits
+from jaytray_server.process.idempotency.idempotency import Idempotency
 from jaytray_server.process.metrics import make_null_metrics
 from jaytray_server.request.http_api import make_app
 from jaytray_server.request.retry import RetryBudget
@@ -40,6 +43,10 @@
     Timeouts,
 )
 from jaytray_server.version.authentication import digest_key
+from jaytray_standins.faults import FaultSwitches
+from jaytray_standins.in_process import in_process_key_value
+from jaytray_standins.key_value.store import KeyValueStore
+from packages.server.tests.request.peers import FakeNetwork
 
 KEY = "k-lakeshore"
 ACCOUNT = ClientAccount("lakeshore", 1000.0, 5000, 1.0)
@@ -125,6 +132,7 @@
         clock=lambda: 0.0,
         lifecycle=lifecycle,
         retry_budget=RetryBudget(),
+        idempotency=make_idempotency(),
         timeouts=timeouts or Timeouts(),
         sizes=SizeLimits(),
     )._replace(**changes)
@@ -140,6 +148,29 @@
     return Site(services, ledger, client)
 
 
+def make_idempotency(
+    store: KeyValueStore | None = None,
+    faults: FaultSwitches | None = None,
+    network: FakeNetwork | None = None,
+    vm_id: str = "vm1",
+) -> Idempotency:
+    """Return the idempotency of one VM on an in-process key-value service."""
+    key_value = in_process_key_value(
+        store or KeyValueStore(clock=monotonic_clock),
+        faults or FaultSwitches(),
+        timeout_s=0.05,
+    )
+    commits = Commits(
+        key_value=key_value,
+        peers=(network or FakeNetwork(vm_ids=(vm_id,))).of(vm_id),
+        clock=monotonic_clock,
+        wall_clock=wall_clock,
+        owner_timeout_s=0.1,
+    )
+    commits.listen()
+    return Idempotency(commits=commits, clock=monotonic_clock, wall_clock=wall_clock)
+
+
 async def _load_adapter(_target: str, _adapter: str) -> None:
     return
 
