--- a/packages/core/src/jaytray_core/message_registry.py
+++ b/packages/core/src/jaytray_core/message_registry.py
@@ -228,6 +228,20 @@
     "Send the call again with the same key after Retry-After.",
 )
 
+# Crashing requests.
+REQUEST_QUARANTINED = MessageTemplate(
+    "request_quarantined",
+    422,
+    "this request was running at each of {crashes} targets when they crashed",
+    "Change the request; operators see 'jaytray quarantine list' and may lift it.",
+)
+REQUEST_SUSPECTED = MessageTemplate(
+    "request_suspected",
+    503,
+    "a target crashed while this request was running; it runs alone at one place",
+    "Send the request again after Retry-After.",
+)
+
 # Outside systems.
 KEY_VALUE_UNAVAILABLE = MessageTemplate(
     "key_value_unavailable",
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash targets: suspicion, runs alone, quarantine on all VMs."""
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/quarantine/in_flight.py
@@ -0,0 +1,30 @@
+"""Requests that this VM has in flight at each target."""
+
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+
+class InFlight:
+    """Digests in flight by target; one digest may be in flight several times."""
+
+    def __init__(self) -> None:
+        self._digests_by_target: dict[str, Counter[str]] = {}
+
+    @contextmanager
+    def running(self, target: str, digest: str) -> Iterator[None]:
+        """Count `digest` as in flight at `target` for the length of the block."""
+        digests = self._digests_by_target.setdefault(target, Counter())
+        digests[digest] += 1
+        try:
+            yield
+        finally:
+            digests[digest] -= 1
+            if not digests[digest]:
+                del digests[digest]
+            if not digests:
+                self._digests_by_target.pop(target, None)
+
+    def at(self, target: str) -> list[str]:
+        """Return the digests in flight at `target`."""
+        return sorted(self._digests_by_target.get(target, ()))
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/quarantine/quarantine.py
@@ -0,0 +1,211 @@
+"""Protection of targets from requests that crash them.
+
+Suspicion travels to all VMs, and into the key-value service, before the failed
+answer goes to the caller, since the caller sends again at once through another VM.
+"""
+
+import asyncio
+import hashlib
+from collections.abc import Callable, Iterator
+from contextlib import AbstractAsyncContextManager, contextmanager
+
+from jaytray_core import message_registry as messages
+from jaytray_core.clock import WallClock
+from jaytray_core.codec import decode_msgpack, encode_msgpack
+from jaytray_core.errors import JaytrayError, Step
+from jaytray_core.keyvalue import KeyValueService
+from jaytray_core.logs import get_logger
+from jaytray_core.targets import TargetConnection
+from jaytray_server.ports import PeerNetwork
+from jaytray_server.process.quarantine.crash_detection import (
+    has_crashed,
+    is_broken_connection,
+)
+from jaytray_server.process.quarantine.evidence import CrashReport, Evidence, Suspect
+from jaytray_server.process.quarantine.in_flight import InFlight
+from jaytray_server.process.quarantine.messages import (
+    CLEAR_TOPIC,
+    CRASH_TOPIC,
+    ClearMessage,
+)
+from jaytray_server.process.quarantine.solo_runs import SoloRuns
+from jaytray_server.process.quarantine.store import (
+    delete_suspect,
+    read_suspects,
+    write_suspects,
+)
+
+SYNC_INTERVAL_S = 10.0
+REBROADCAST_S = 0.5
+# Failures at one target within this time belong to one crash, in seconds.
+SAME_CRASH_S = 3.0
+
+_log = get_logger()
+
+
+def digest_request(path: str, body: bytes) -> str:
+    """Return the digest by which a request is known; empty without a body."""
+    if not body:
+        return ""
+    hasher = hashlib.blake2b(path.encode() + b"\0", digest_size=16)
+    hasher.update(body)
+    return hasher.hexdigest()
+
+
+class Quarantine:
+    """Suspects and quarantined requests, as this VM knows them."""
+
+    def __init__(
+        self,
+        *,
+        peers: PeerNetwork,
+        key_value: KeyValueService,
+        wall_clock: WallClock,
+        boot_id_of: Callable[[str], str],
+    ) -> None:
+        self._peers = peers
+        self._key_value = key_value
+        self._wall_clock = wall_clock
+        self._boot_id_of = boot_id_of
+        self._evidence = Evidence(wall_clock=wall_clock)
+        self._in_flight = InFlight()
+        self._solo_runs = SoloRuns(key_value=key_value, vm_id=peers.vm_id)
+        self._own_crashes: set[str] = set()
+        self._checks_by_target: dict[str, asyncio.Task[bool]] = {}
+        self._last_crash_by_target: dict[str, tuple[str, float]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def listen(self) -> None:
+        """Take the messages of other VMs."""
+        self._peers.set_handler(CRASH_TOPIC, self._on_crash)
+        self._peers.set_handler(CLEAR_TOPIC, self._on_clear)
+
+    def check(self, digest: str) -> bool:
+        """Return whether `digest` is suspect; raises `request_quarantined`."""
+        suspect = self._evidence.find(digest) if digest else None
+        if suspect is None:
+            return False
+        if suspect.is_quarantined:
+            raise JaytrayError(
+                messages.REQUEST_QUARANTINED,
+                step=Step.DISPATCH,
+                retry_after_s=max(1.0, suspect.until_s - self._wall_clock()),
+                crashes=len(suspect.crash_ids),
+            )
+        return True
+
+    def alone(self, digest: str, target: str) -> AbstractAsyncContextManager[None]:
+        """Return the block in which the suspect may run; see `SoloRuns.alone`."""
+        saw_crash = digest in self._own_crashes
+        return self._solo_runs.alone(digest, target, saw_crash=saw_crash)
+
+    @contextmanager
+    def in_flight(self, target: str, digest: str) -> Iterator[None]:
+        """Count a request as in flight at `target` for the length of the block."""
+        if not digest:
+            yield
+            return
+        with self._in_flight.running(target, digest):
+            yield
+
+    async def dispatch_failed(
+        self, connection: TargetConnection, error: JaytrayError, boot_id: str
+    ) -> None:
+        """Find out whether the target crashed, and tell everyone if so.
+
+        Call it within `in_flight`, before the failure is passed on. `boot_id` is
+        what `boot_id_of` gave before the dispatch.
+        """
+        if not is_broken_connection(error):
+            return
+        target = connection.target
+        check = self._checks_by_target.get(target)
+        if check is None:
+            digests = self._in_flight.at(target)
+            check = asyncio.create_task(self._check(connection, boot_id, digests))
+            self._checks_by_target[target] = check
+            check.add_done_callback(lambda _: self._checks_by_target.pop(target, None))
+        await asyncio.shield(check)
+
+    def boot_id_of(self, target: str) -> str:
+        """Return the last known boot id of `target`, or an empty string."""
+        return self._boot_id_of(target)
+
+    async def ran_whole(self, digest: str) -> None:
+        """Clear a suspect that got a whole answer."""
+        if digest and self._evidence.find(digest) is not None:
+            _log.info("suspect_cleared", digest=digest)
+            await self.lift(digest)
+
+    async def lift(self, digest: str) -> None:
+        """Drop the evidence against `digest` on all VMs."""
+        self._own_crashes.discard(digest)
+        self._evidence.clear(digest)
+        try:
+            await delete_suspect(self._key_value, digest)
+        except JaytrayError as err:
+            _log.warning("quarantine_not_deleted", digest=digest, error=str(err))
+        self._broadcast(CLEAR_TOPIC, encode_msgpack(ClearMessage(digest)))
+
+    def list_suspects(self) -> list[Suspect]:
+        """Return all suspects and quarantined requests by digest."""
+        return self._evidence.list_suspects()
+
+    async def run(self) -> None:
+        """Read the stored suspects now and then, until cancelled."""
+        while True:
+            try:
+                for suspect in await read_suspects(self._key_value):
+                    self._evidence.merge(suspect)
+            except JaytrayError as err:
+                _log.info("quarantine_not_read", error=str(err))
+            await asyncio.sleep(SYNC_INTERVAL_S)
+
+    async def _check(
+        self, connection: TargetConnection, boot_id: str, digests: list[str]
+    ) -> bool:
+        if not await has_crashed(connection, boot_id):
+            return False
+        crash_id = self._crash_id(connection.target, boot_id)
+        report = self._evidence.report_crash(crash_id, digests)
+        self._own_crashes.update(report.blamed)
+        _log.warning(
+            "target_crashed",
+            target=connection.target,
+            crash_id=crash_id,
+            blamed=",".join(report.blamed),
+            exonerated=len(report.exonerated),
+        )
+        self._broadcast(CRASH_TOPIC, encode_msgpack(report))
+        found = [self._evidence.find(digest) for digest in report.blamed]
+        await write_suspects(self._key_value, [s for s in found if s is not None])
+        return True
+
+    def _crash_id(self, target: str, boot_id: str) -> str:
+        now_s = self._wall_clock()
+        crash_id = f"{target}/{boot_id}"
+        last_id, last_s = self._last_crash_by_target.get(target, ("", 0.0))
+        if last_id and now_s - last_s < SAME_CRASH_S:
+            return last_id
+        if not boot_id or last_id == crash_id:
+            crash_id = f"{target}/{boot_id}/{now_s:.0f}"
+        self._last_crash_by_target[target] = (crash_id, now_s)
+        return crash_id
+
+    def _broadcast(self, topic: str, body: bytes) -> None:
+        self._peers.broadcast(topic, body)
+        task = asyncio.create_task(self._broadcast_later(topic, body))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _broadcast_later(self, topic: str, body: bytes) -> None:
+        await asyncio.sleep(REBROADCAST_S)
+        self._peers.broadcast(topic, body)
+
+    def _on_crash(self, sender: str, body: bytes) -> None:
+        self._evidence.apply(decode_msgpack(body, CrashReport, peer=sender))
+
+    def _on_clear(self, sender: str, body: bytes) -> None:
+        message = decode_msgpack(body, ClearMessage, peer=sender)
+        self._own_crashes.discard(message.digest)
+        self._evidence.clear(message.digest)
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/quarantine/solo_runs.py
@@ -0,0 +1,124 @@
+"""Runs of suspects alone: one of each digest and one at each target in the fleet.
+
+Both are locks in the key-value service under a lease. While the service is down, a
+suspect runs only at a VM that saw the crash, once at a time there.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from jaytray_core import message_registry as messages
+from jaytray_core.errors import JaytrayError, Step
+from jaytray_core.keyvalue import ABSENT_REVISION, KeyValueService
+from jaytray_core.logs import get_logger
+
+LOCK_PREFIX = "quarantine/solo/"
+LEASE_S = 15.0
+_RETRY_AFTER_S = 1.0
+
+_log = get_logger()
+
+
+class TargetTakenError(Exception):
+    """Another suspect is running alone at the target."""
+
+
+class SoloRuns:
+    """Locks of suspects that run on this VM."""
+
+    def __init__(self, *, key_value: KeyValueService, vm_id: str) -> None:
+        self._key_value = key_value
+        self._vm_id = vm_id
+        self._held: set[str] = set()
+
+    @asynccontextmanager
+    async def alone(
+        self, digest: str, target: str, *, saw_crash: bool
+    ) -> AsyncIterator[None]:
+        """Hold the locks of `digest` and `target` for the length of the block.
+
+        Raises `request_suspected` when the digest runs elsewhere, `TargetTakenError`
+        when another suspect is at the target.
+        """
+        names = (f"digests/{digest}", f"targets/{target}")
+        if names[0] in self._held:
+            raise request_suspected()
+        if names[1] in self._held:
+            raise TargetTakenError
+        self._held.update(names)
+        try:
+            async with self._locked(names, saw_crash=saw_crash):
+                yield
+        finally:
+            self._held.difference_update(names)
+
+    @asynccontextmanager
+    async def _locked(
+        self, names: tuple[str, str], *, saw_crash: bool
+    ) -> AsyncIterator[None]:
+        lease_id = await self._lock(names, saw_crash=saw_crash)
+        if not lease_id:
+            yield
+            return
+        keeping = asyncio.create_task(self._keep(lease_id))
+        try:
+            yield
+        finally:
+            keeping.cancel()
+            await asyncio.gather(keeping, return_exceptions=True)
+            await self._revoke(lease_id)
+
+    async def _lock(self, names: tuple[str, str], *, saw_crash: bool) -> str:
+        """Return the lease of the locks, empty when the service is down."""
+        lease_id = ""
+        try:
+            lease_id = await self._key_value.grant_lease(LEASE_S)
+            has_digest = await self._take(names[0], lease_id)
+            has_target = has_digest and await self._take(names[1], lease_id)
+        except JaytrayError as err:
+            _log.warning("solo_lock_failed", error=str(err))
+            if saw_crash:
+                return lease_id
+            raise request_suspected() from err
+        if has_digest and has_target:
+            return lease_id
+        await self._revoke(lease_id)
+        if has_digest:
+            raise TargetTakenError
+        raise request_suspected()
+
+    async def _take(self, name: str, lease_id: str) -> bool:
+        key = LOCK_PREFIX + name
+        value = f"{self._vm_id} {lease_id}".encode()
+        try:
+            result = await self._key_value.compare_and_swap(
+                key, ABSENT_REVISION, value, lease_id
+            )
+        except JaytrayError as err:
+            if err.code != messages.KEY_VALUE_UNCERTAIN.code:
+                raise
+            found = await self._key_value.get(key)
+            return found is not None and found.value == value
+        return result.is_swapped
+
+    async def _keep(self, lease_id: str) -> None:
+        while True:
+            await asyncio.sleep(LEASE_S / 3)
+            try:
+                await self._key_value.keep_lease(lease_id)
+            except JaytrayError as err:
+                _log.warning("solo_lease_not_kept", error=str(err))
+
+    async def _revoke(self, lease_id: str) -> None:
+        try:
+            await self._key_value.revoke_lease(lease_id)
+        except JaytrayError as err:
+            _log.info("solo_lease_left_to_expire", error=str(err))
+
+
+def request_suspected() -> JaytrayError:
+    """Return the refusal of a suspect that may not run here now."""
+    return JaytrayError(
+        messages.REQUEST_SUSPECTED, step=Step.DISPATCH, retry_after_s=_RETRY_AFTER_S
+    )
--- a/packages/server/src/jaytray_server/request/completions.py
+++ b/packages/server/src/jaytray_server/request/completions.py
@@ -1,6 +1,6 @@
 """Endpoint of chat and text completions, whole and streamed."""
 
-from jaytray_server.request.dispatch import Work, dispatch_whole, make_work
+from jaytray_server.request.dispatch import dispatch_whole
 from jaytray_server.request.endpoint import Exchange, authenticated
 from jaytray_server.request.parsing import parse_completion
 from jaytray_server.request.responses import (
@@ -11,6 +11,7 @@
 )
 from jaytray_server.request.services import RequestServices
 from jaytray_server.request.stream import dispatch_stream
+from jaytray_server.request.work import Work, make_work
 from jaytray_server.version.authentication import Caller
 
 
--- /dev/null
+++ b/packages/server/src/jaytray_server/request/exchange.py
@@ -0,0 +1,57 @@
+"""What whole and streamed exchanges with targets share: checks, timeouts, cancel."""
+
+import asyncio
+
+from jaytray_core import message_registry as messages
+from jaytray_core.errors import Execution, JaytrayError, Step
+from jaytray_core.logs import get_logger
+from jaytray_core.targets import TargetConnection, WholeAnswer
+from jaytray_server.request.services import RequestServices
+
+_log = get_logger()
+
+
+def check_echo(request_id: str, dispatch_id: str, target: str) -> None:
+    """Raise `answer_mismatch` unless the answer echoes the dispatch's id."""
+    if request_id != dispatch_id:
+        raise target_error(messages.ANSWER_MISMATCH, target)
+
+
+def check_completion_answer(
+    answer: WholeAnswer, dispatch_id: str, target: str
+) -> WholeAnswer:
+    """Return `answer` if it belongs to the dispatch and tells no server error."""
+    check_echo(answer.request_id, dispatch_id, target)
+    if answer.status >= 500:
+        detail = f"status {answer.status}"
+        raise target_error(messages.TARGET_FAILED, target, detail=detail)
+    return answer
+
+
+def target_timeout(target: str, timeout_s: float) -> JaytrayError:
+    """Return the error for a target that was silent for `timeout_s`."""
+    return target_error(messages.TARGET_TIMEOUT, target, timeout_s=timeout_s)
+
+
+def target_error(
+    template: messages.MessageTemplate, target: str, **details: object
+) -> JaytrayError:
+    """Return the error of a dispatch whose request has left."""
+    return JaytrayError(
+        template,
+        step=Step.DISPATCH,
+        peer=target,
+        execution=Execution.MAY_HAVE_RUN,
+        **details,
+    )
+
+
+async def cancel_at_target(
+    services: RequestServices, connection: TargetConnection, dispatch_id: str
+) -> None:
+    """Ask the target to stop; a target that does not listen is left alone."""
+    try:
+        async with asyncio.timeout(services.timeouts.cancel_s):
+            await connection.cancel(dispatch_id)
+    except (JaytrayError, TimeoutError) as err:
+        _log.info("cancel_failed", target=connection.target, error=str(err))
--- a/packages/server/src/jaytray_server/request/service_call.py
+++ b/packages/server/src/jaytray_server/request/service_call.py
@@ -6,6 +6,8 @@
 
 import asyncio
 import zlib
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from typing import NamedTuple
 
 from jaytray_core import message_registry as messages
@@ -14,16 +16,16 @@
 from jaytray_core.logs import get_logger
 from jaytray_core.targets import ServiceCall, TargetConnection, WholeAnswer
 from jaytray_server.ports import SlotRequest
-from jaytray_server.request.dispatch import (
-    LONGEST_ADMISSION_WAIT_S,
-    cancel_at_target,
-    check_answer,
-    new_dispatch_id,
-    target_timeout,
+from jaytray_server.process.quarantine.quarantine import digest_request
+from jaytray_server.process.quarantine.solo_runs import (
+    TargetTakenError,
+    request_suspected,
 )
+from jaytray_server.request.exchange import check_echo, target_timeout
 from jaytray_server.request.retry import MAX_ATTEMPTS, backoff_s, is_retryable
 from jaytray_server.request.services import RequestServices
 from jaytray_server.request.tracker import DispatchTracker
+from jaytray_server.request.work import LONGEST_ADMISSION_WAIT_S, new_dispatch_id
 from jaytray_server.version.authentication import Caller, strip_credentials
 
 SERVICE_PREFIX = "/services/"
@@ -190,13 +192,37 @@
         traffic_class=route.traffic_class,
         max_wait_s=max(0.0, deadline_s - services.clock()),
     )
-    async with services.acquire_slot(slot):
-        tracker.begin()
-        try:
-            return await _send(services, call, caller, connection, deadline_s)
-        except JaytrayError as err:
-            tracker.fail(address, err)
-            raise
+    digest = digest_request(f"{call.service}{call.path}?{call.query}", call.body)
+    quarantine = services.quarantine
+    async with (
+        services.acquire_slot(slot),
+        _alone_if_suspect(services, digest, address),
+    ):
+        with quarantine.in_flight(address, digest):
+            tracker.begin()
+            try:
+                answer = await _send(services, call, caller, connection, deadline_s)
+            except JaytrayError as err:
+                tracker.fail(address, err)
+                await quarantine.dispatch_failed(connection, err, "")
+                raise
+    await quarantine.ran_whole(digest)
+    return answer
+
+
+@asynccontextmanager
+async def _alone_if_suspect(
+    services: RequestServices, digest: str, address: str
+) -> AsyncIterator[None]:
+    """Run a suspect alone; raises `request_quarantined` or `request_suspected`."""
+    if not services.quarantine.check(digest):
+        yield
+        return
+    try:
+        async with services.quarantine.alone(digest, address):
+            yield
+    except TargetTakenError as err:
+        raise request_suspected() from err
 
 
 async def _send(
@@ -223,9 +249,6 @@
         async with asyncio.timeout(timeout_s):
             answer = await connection.call_service(message)
     except TimeoutError as err:
-        await cancel_at_target(services, connection, dispatch_id)
         raise target_timeout(connection.target, round(timeout_s, 3)) from err
-    except asyncio.CancelledError:
-        await cancel_at_target(services, connection, dispatch_id)
-        raise
-    return check_answer(answer, dispatch_id, connection.target)
+    check_echo(answer.request_id, dispatch_id, connection.target)
+    return answer
--- a/packages/server/src/jaytray_server/request/services.py
+++ b/packages/server/src/jaytray_server/request/services.py
@@ -19,6 +19,7 @@
     Router,
 )
 from jaytray_server.process.idempotency.idempotency import Idempotency
+from jaytray_server.process.quarantine.quarantine import Quarantine
 from jaytray_server.request.retry import RetryBudget
 from jaytray_server.version.running_streams import EndStream
 
@@ -109,5 +110,6 @@
     lifecycle: Lifecycle
     retry_budget: RetryBudget
     idempotency: Idempotency
+    quarantine: Quarantine
     timeouts: Timeouts
     sizes: SizeLimits
--- a/packages/server/src/jaytray_server/request/stream.py
+++ b/packages/server/src/jaytray_server/request/stream.py
@@ -8,25 +8,21 @@
 import asyncio
 from collections.abc import AsyncGenerator, AsyncIterator
 from contextlib import aclosing, asynccontextmanager
-from typing import NamedTuple
 
 from jaytray_core import message_registry as messages
-from jaytray_core.errors import Execution, JaytrayError, Step
+from jaytray_core.errors import JaytrayError
 from jaytray_core.targets import InferRequest, StreamPiece, TargetConnection
-from jaytray_server.request.dispatch import (
-    Charge,
-    Work,
+from jaytray_server.request.dispatch import wait_before_retry
+from jaytray_server.request.exchange import (
     cancel_at_target,
-    choose_target,
-    infer_request,
-    new_dispatch_id,
-    reserved_tokens,
-    running_at,
+    check_echo,
+    target_error,
     target_timeout,
-    wait_before_retry,
 )
 from jaytray_server.request.services import RequestServices
+from jaytray_server.request.target_run import Dispatch, dispatched
 from jaytray_server.request.tracker import DispatchTracker
+from jaytray_server.request.work import Charge, Work, infer_request, reserved_tokens
 
 
 class Delivered:
@@ -44,11 +40,6 @@
         self.is_complete = piece.is_end
 
 
-class _Source(NamedTuple):
-    connection: TargetConnection
-    dispatch_id: str
-
-
 async def dispatch_stream(
     services: RequestServices, work: Work, tracker: DispatchTracker
 ) -> AsyncGenerator[StreamPiece, None]:
@@ -81,29 +72,17 @@
     tracker: DispatchTracker,
     delivered: Delivered,
 ) -> AsyncGenerator[StreamPiece, None]:
-    decision = choose_target(services, work, tracker)
-    dispatch_id = new_dispatch_id()
-    async with running_at(services, work, decision, dispatch_id) as connection:
-        tracker.begin()
+    async with dispatched(services, work, tracker) as dispatch:
+        connection, dispatch_id = dispatch
         request = infer_request(services, work, dispatch_id)._replace(
             resume_after_tokens=delivered.tokens,
             resume_text="".join(delivered.texts),
         )
-        try:
-            async with _cancelled_unless_complete(
-                services, _Source(connection, dispatch_id), delivered
-            ):
-                async for piece in _checked(services, connection, request, delivered):
-                    services.router.progressed(
-                        decision.target,
-                        dispatch_id,
-                        max(0, work.call.output_tokens - piece.end_index),
-                    )
-                    yield piece
-        except JaytrayError as err:
-            tracker.fail(decision.target, err)
-            services.router.failed(decision.target)
-            raise
+        async with _cancelled_unless_complete(services, dispatch, delivered):
+            async for piece in _checked(services, connection, request, delivered):
+                expected = max(0, work.call.output_tokens - piece.end_index)
+                services.router.progressed(connection.target, dispatch_id, expected)
+                yield piece
 
 
 async def _checked(
@@ -132,13 +111,7 @@
 def _check_piece(
     piece: StreamPiece, dispatch_id: str, delivered: Delivered, target: str
 ) -> None:
-    if piece.request_id != dispatch_id:
-        raise JaytrayError(
-            messages.ANSWER_MISMATCH,
-            step=Step.STREAM,
-            peer=target,
-            execution=Execution.MAY_HAVE_RUN,
-        )
+    check_echo(piece.request_id, dispatch_id, target)
     if piece.end_index < delivered.tokens:
         raise _incomplete(target, "pieces out of order")
     if piece.end_index == delivered.tokens and piece.text:
@@ -150,21 +123,15 @@
 
 
 def _incomplete(target: str, detail: str) -> JaytrayError:
-    return JaytrayError(
-        messages.ANSWER_INCOMPLETE,
-        step=Step.STREAM,
-        peer=target,
-        execution=Execution.MAY_HAVE_RUN,
-        detail=detail,
-    )
+    return target_error(messages.ANSWER_INCOMPLETE, target, detail=detail)
 
 
 @asynccontextmanager
 async def _cancelled_unless_complete(
-    services: RequestServices, source: _Source, delivered: Delivered
+    services: RequestServices, dispatch: Dispatch, delivered: Delivered
 ) -> AsyncIterator[None]:
     try:
         yield
     finally:
         if not delivered.is_complete:
-            await cancel_at_target(services, source.connection, source.dispatch_id)
+            await cancel_at_target(services, dispatch.connection, dispatch.dispatch_id)
--- /dev/null
+++ b/packages/server/src/jaytray_server/request/target_run.py
@@ -0,0 +1,179 @@
+"""One dispatch of a completion: replica, slot, crash evidence, and its record.
+
+Everything around the exchange with the target stands here, the same for whole and
+streamed answers. A suspect of a crash runs alone.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from typing import NamedTuple
+
+from jaytray_core import message_registry as messages
+from jaytray_core.errors import JaytrayError, Step
+from jaytray_core.logs import get_logger
+from jaytray_core.targets import TargetConnection
+from jaytray_server.ports import RoutingDecision, RoutingRequest, SlotRequest
+from jaytray_server.process.quarantine.solo_runs import TargetTakenError
+from jaytray_server.request.services import RequestServices
+from jaytray_server.request.tracker import DispatchTracker
+from jaytray_server.request.work import Work, new_dispatch_id
+
+SOLO_WAIT_S = 0.1
+_FAILED_CODES = frozenset(
+    template.code
+    for template in (
+        messages.TARGET_UNREACHABLE,
+        messages.TARGET_TIMEOUT,
+        messages.ANSWER_MISMATCH,
+        messages.ANSWER_INCOMPLETE,
+    )
+)
+
+_log = get_logger()
+
+
+class Dispatch(NamedTuple):
+    """A dispatch that may be sent now under the fresh id `dispatch_id`."""
+
+    connection: TargetConnection
+    dispatch_id: str
+
+
+@asynccontextmanager
+async def dispatched(
+    services: RequestServices, work: Work, tracker: DispatchTracker
+) -> AsyncIterator[Dispatch]:
+    """Yield a dispatch at the chosen replica and record how it ended."""
+    async with AsyncExitStack() as stack:
+        connection = await _hold_place(services, work, tracker, stack)
+        target, dispatch_id = connection.target, new_dispatch_id()
+        boot_id = services.quarantine.boot_id_of(target)
+        stack.enter_context(services.quarantine.in_flight(target, work.digest))
+        tracker.begin()
+        services.router.started(target, dispatch_id, work.call.output_tokens)
+        try:
+            yield Dispatch(connection, dispatch_id)
+        except JaytrayError as err:
+            tracker.fail(target, err)
+            if err.code in _FAILED_CODES:
+                services.router.failed(target)
+            await services.quarantine.dispatch_failed(connection, err, boot_id)
+            raise
+        finally:
+            services.router.finished(target, dispatch_id)
+    await services.quarantine.ran_whole(work.digest)
+
+
+async def _hold_place(
+    services: RequestServices,
+    work: Work,
+    tracker: DispatchTracker,
+    stack: AsyncExitStack,
+) -> TargetConnection:
+    """Return the connection to a replica whose slot `stack` holds."""
+    while True:
+        place = await stack.enter_async_context(AsyncExitStack())
+        is_suspect = services.quarantine.check(work.digest)
+        if is_suspect:
+            decision = await _choose_alone(services, work, tracker, place)
+        else:
+            decision = _choose(services, work, tracker, frozenset())
+        connection = await _take_slot(services, work, decision, place)
+        if is_suspect or not services.quarantine.check(work.digest):
+            return connection
+        # It became suspect while it waited for the slot.
+        await place.aclose()
+
+
+async def _choose_alone(
+    services: RequestServices,
+    work: Work,
+    tracker: DispatchTracker,
+    place: AsyncExitStack,
+) -> RoutingDecision:
+    """Choose a replica where no other suspect runs; waits until the deadline."""
+    taken: set[str] = set()
+    while True:
+        decision = _choose(services, work, tracker, frozenset(taken))
+        if decision.target not in taken:
+            try:
+                alone = services.quarantine.alone(work.digest, decision.target)
+                await place.enter_async_context(alone)
+                return decision
+            except TargetTakenError:
+                taken.add(decision.target)
+                continue
+        if services.clock() >= work.deadline_s:
+            raise JaytrayError(
+                messages.DEADLINE_UNREACHABLE, step=Step.QUEUE, retry_after_s=1.0
+            )
+        taken.clear()
+        await asyncio.sleep(SOLO_WAIT_S)
+
+
+def _choose(
+    services: RequestServices,
+    work: Work,
+    tracker: DispatchTracker,
+    avoided: frozenset[str],
+) -> RoutingDecision:
+    """Choose a replica, failed ones only when there is no other; log the choice."""
+    call = work.call
+    excluded = frozenset(tracker.failed_targets) | avoided
+    request = RoutingRequest(
+        request_id=work.request_id,
+        name=call.name,
+        account=work.account.name,
+        traffic_class=work.traffic_class,
+        prompt_tokens=call.prompt_tokens,
+        output_tokens=call.output_tokens,
+        prefix_digests=services.prefix_digests(call.name, call.prompt),
+        excluded_targets=excluded,
+        deadline_s=work.deadline_s,
+    )
+    try:
+        decision = services.router.choose(request)
+    except JaytrayError as err:
+        if err.code != messages.NO_REPLICA.code or not excluded:
+            raise
+        decision = services.router.choose(
+            request._replace(excluded_targets=frozenset())
+        )
+    _log.info(
+        "routing_decision",
+        request_id=work.request_id,
+        name=call.name,
+        account=work.account.name,
+        target=decision.target,
+        reason=decision.reason,
+        score=round(decision.score, 4),
+        candidates=decision.candidates,
+        attempt=tracker.attempts + 1,
+    )
+    return decision
+
+
+async def _take_slot(
+    services: RequestServices,
+    work: Work,
+    decision: RoutingDecision,
+    place: AsyncExitStack,
+) -> TargetConnection:
+    connection = services.connection_to(decision.target)
+    if connection is None:
+        raise JaytrayError(
+            messages.NO_REPLICA, step=Step.ROUTE, name=work.call.name, retry_after_s=1.0
+        )
+    slot = SlotRequest(
+        target=decision.target,
+        account=work.account.name,
+        weight=work.account.weight,
+        tokens=work.call.prompt_tokens + work.call.output_tokens,
+        traffic_class=work.traffic_class,
+        max_wait_s=max(0.0, work.deadline_s - services.clock()),
+    )
+    await place.enter_async_context(services.acquire_slot(slot))
+    if decision.needs_adapter_load:
+        await services.load_adapter(decision.target, work.call.name)
+    return connection
--- /dev/null
+++ b/packages/server/src/jaytray_server/request/work.py
@@ -0,0 +1,126 @@
+"""One admitted completion, its message to a target, and its charge."""
+
+import uuid
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import NamedTuple, TypedDict
+
+import msgspec
+
+from jaytray_core.document.model import ClientAccount, TrafficClass
+from jaytray_core.errors import Execution, JaytrayError
+from jaytray_core.targets import InferRequest, WholeAnswer
+from jaytray_server.process.quarantine.quarantine import digest_request
+from jaytray_server.request.parsing import CompletionCall
+from jaytray_server.request.services import RequestServices
+
+PRIORITY_BY_CLASS = {TrafficClass.INTERACTIVE: 0, TrafficClass.DEFERRED: 10}
+LONGEST_ADMISSION_WAIT_S = 0.2
+
+
+class Work(NamedTuple):
+    """One completion to run.
+
+    `digest` is that of the body, for crash evidence; `deadline_s` is the monotonic
+    time by which its first token should come.
+    """
+
+    request_id: str
+    call: CompletionCall
+    account: ClientAccount
+    traffic_class: TrafficClass
+    digest: str
+    deadline_s: float
+
+
+class Usage(TypedDict, total=False):
+    """Token counts in a whole answer."""
+
+    prompt_tokens: int
+    completion_tokens: int
+
+
+class _AnswerFields(TypedDict, total=False):
+    usage: Usage
+
+
+class Charge:
+    """Tokens to settle for a request when it ends."""
+
+    def __init__(self, *, reserved_tokens: int) -> None:
+        self.used_tokens = reserved_tokens
+
+
+def make_work(
+    services: RequestServices,
+    *,
+    request_id: str,
+    call: CompletionCall,
+    account: ClientAccount,
+    traffic_class: TrafficClass = TrafficClass.INTERACTIVE,
+) -> Work:
+    """Return the work for `call` with the deadline of its model."""
+    return Work(
+        request_id=request_id,
+        call=call,
+        account=account,
+        traffic_class=traffic_class,
+        digest=digest_request(call.path, call.body),
+        deadline_s=services.clock() + call.model.first_token_deadline_s,
+    )
+
+
+def infer_request(
+    services: RequestServices, work: Work, dispatch_id: str
+) -> InferRequest:
+    """Return the message that starts `work` at a target."""
+    return InferRequest(
+        request_id=dispatch_id,
+        path=work.call.path,
+        model=work.call.name,
+        body=work.call.body,
+        resume_after_tokens=0,
+        resume_text="",
+        priority=PRIORITY_BY_CLASS[work.traffic_class],
+        deadline_s=max(0.0, work.deadline_s - services.clock()),
+    )
+
+
+def new_dispatch_id() -> str:
+    """Return a request id that no other dispatch has."""
+    return uuid.uuid4().hex
+
+
+@asynccontextmanager
+async def reserved_tokens(
+    services: RequestServices, work: Work
+) -> AsyncIterator[Charge]:
+    """Reserve the upper bound of `work` and settle what it used.
+
+    A request that surely did not run is not charged.
+    """
+    tokens = work.call.prompt_tokens + work.call.output_tokens
+    reservation = await services.limiter.reserve(
+        work.account.name, tokens, LONGEST_ADMISSION_WAIT_S
+    )
+    charge = Charge(reserved_tokens=tokens)
+    try:
+        yield charge
+    except JaytrayError as err:
+        if err.execution is Execution.NOT_RUN:
+            charge.used_tokens = 0
+        raise
+    finally:
+        services.limiter.settle(reservation, min(tokens, charge.used_tokens))
+
+
+def used_tokens(answer: WholeAnswer, call: CompletionCall) -> int:
+    """Return the tokens that `answer` used, or the upper bound if it tells none."""
+    if answer.status >= 400:
+        return 0
+    try:
+        usage = msgspec.json.decode(answer.body, type=_AnswerFields).get("usage", {})
+    except msgspec.DecodeError:
+        usage = {}
+    prompt_tokens = usage.get("prompt_tokens", call.prompt_tokens)
+    return prompt_tokens + usage.get("completion_tokens", call.output_tokens)
--- a/packages/server/tests/request/support.py
+++ b/packages/server/tests/request/support.py
@@ -33,6 +33,7 @@
 from jaytray_server.process.idempotency.commits import Commits
 from jaytray_server.process.idempotency.idempotency import Idempotency
 from jaytray_server.process.metrics import make_null_metrics
+from jaytray_server.process.quarantine.quarantine import Quarantine
 from jaytray_server.request.http_api import make_app
 from jaytray_server.request.retry import RetryBudget
 from jaytray_server.request.services import (
@@ -133,6 +134,7 @@
         lifecycle=lifecycle,
         retry_budget=RetryBudget(),
         idempotency=make_idempotency(),
+        quarantine=make_quarantine(),
         timeouts=timeouts or Timeouts(),
         sizes=SizeLimits(),
     )._replace(**changes)
@@ -171,6 +173,28 @@
     return Idempotency(commits=commits, clock=monotonic_clock, wall_clock=wall_clock)
 
 
+def make_quarantine(
+    store: KeyValueStore | None = None,
+    faults: FaultSwitches | None = None,
+    network: FakeNetwork | None = None,
+    vm_id: str = "vm1",
+    boot_id_of: Callable[[str], str] = lambda _target: "",
+) -> Quarantine:
+    """Return the quarantine of one VM on an in-process key-value service."""
+    quarantine = Quarantine(
+        peers=(network or FakeNetwork(vm_ids=(vm_id,))).of(vm_id),
+        key_value=in_process_key_value(
+            store or KeyValueStore(clock=monotonic_clock),
+            faults or FaultSwitches(),
+            timeout_s=0.05,
+        ),
+        wall_clock=wall_clock,
+        boot_id_of=boot_id_of,
+    )
+    quarantine.listen()
+    return quarantine
+
+
 async def _load_adapter(_target: str, _adapter: str) -> None:
     return
 
