Quarantine requests that crash targets on all VMs after their second crash

Cause: a single request may crash each target that runs it, and its caller sends it again. Change: digests in flight at a crash are suspects; a suspect runs alone under locks in the key-value service; a second crash quarantines it, neighbours beside a known suspect are exonerated; suspicion is broadcast and stored before the failed answer; /admin/quarantine lists and lifts. make_request_state wires idempotency and quarantine; runtime.py uses it.

--- a/packages/server/src/jaytray_server/process/runtime.py
+++ b/packages/server/src/jaytray_server/process/runtime.py
@@ -16,7 +16,7 @@
 from jaytray_core.adapters.target_http import connect_target
 from jaytray_core.adapters.vm_list_http import open_vm_list
 from jaytray_core.adapters.weight_store_http import open_weight_store
-from jaytray_core.clock import monotonic_clock
+from jaytray_core.clock import monotonic_clock, wall_clock
 from jaytray_core.keyvalue import KeyValueService
 from jaytray_core.logs import get_logger
 from jaytray_core.vm_list import VmEntry, VmList
@@ -43,6 +43,7 @@
 from jaytray_server.process.membership import follow_vm_list
 from jaytray_server.process.metrics import make_null_metrics, make_statsd_metrics
 from jaytray_server.process.placement.duties import PlacementDuties
+from jaytray_server.process.quarantine.admin_routes import make_quarantine_routes
 from jaytray_server.process.shutdown import drain, install_stop_signals
 from jaytray_server.process.supervision import supervise
 from jaytray_server.process.target_observer import TargetObserver
@@ -58,6 +59,7 @@
     SizeLimits,
     Timeouts,
 )
+from jaytray_server.request.state import RequestState, make_request_state
 from jaytray_server.version.follower import DocumentFollower
 from jaytray_server.version.running_streams import RunningStreams
 
@@ -86,6 +88,7 @@
     decisions: DecisionLog
     pools: TargetPools
     services: RequestServices
+    request_state: RequestState
 
 
 async def run_server(options: Options) -> None:
@@ -181,6 +184,13 @@
     )
     slots = TargetSlots(current_document=follower.current, clock=monotonic_clock)
     lifecycle = Lifecycle()
+    request_state = make_request_state(
+        key_value=outside.key_value,
+        peers=peers,
+        clock=monotonic_clock,
+        wall_clock=wall_clock,
+        boot_id_of=lambda target: _boot_id(table, target),
+    )
     services = RequestServices(
         current_document=follower.current,
         register_stream=streams.register,
@@ -204,6 +214,8 @@
         clock=monotonic_clock,
         lifecycle=lifecycle,
         retry_budget=RetryBudget(),
+        idempotency=request_state.idempotency,
+        quarantine=request_state.quarantine,
         timeouts=Timeouts(),
         sizes=SizeLimits(body_bytes=options.max_body_bytes),
     )
@@ -218,16 +230,26 @@
         decisions=decisions,
         pools=pools,
         services=services,
+        request_state=request_state,
     )
 
 
+def _boot_id(table: TargetTable, target: str) -> str:
+    report = table.report_of(target)
+    return report.boot_id if report is not None else ""
+
+
 def _make_app(options: Options, parts: Subsystems) -> Any:
+    check_operator = make_operator_check(options.operator_token_digest)
     admin_routes = make_admin_routes(
-        check_operator=make_operator_check(options.operator_token_digest),
+        check_operator=check_operator,
         status=lambda: _status(options, parts),
         decisions=parts.decisions,
     )
-    return make_app(parts.services, admin_routes=admin_routes)
+    quarantine_routes = make_quarantine_routes(
+        parts.request_state.quarantine, check_operator=check_operator
+    )
+    return make_app(parts.services, admin_routes=[*admin_routes, *quarantine_routes])
 
 
 def _status(options: Options, parts: Subsystems) -> dict[str, Any]:
@@ -284,6 +306,7 @@
         "limits": parts.limits.run,
         "observer": parts.observer.run,
         "placement": parts.duties.run,
+        **parts.request_state.duties_by_name(),
     }
     return {
         name: asyncio.create_task(supervise(name, run))
@@ -293,6 +316,7 @@
 
 async def _hand_off(parts: Subsystems, tasks: dict[str, asyncio.Task[None]]) -> None:
     """Give leases up and shares away, then end the remaining duties."""
+    await parts.request_state.close()
     await _cancel(tasks.pop("placement"))
     await _cancel(tasks.pop("limits"))
     await parts.limits.leave()
--- a/packages/server/src/jaytray_server/request/exchange.py
+++ b/packages/server/src/jaytray_server/request/exchange.py
@@ -34,7 +34,11 @@
 
 
 def target_error(
-    template: messages.MessageTemplate, target: str, **details: object
+    template: messages.MessageTemplate,
+    target: str,
+    *,
+    detail: str = "",
+    timeout_s: float = 0.0,
 ) -> JaytrayError:
     """Return the error of a dispatch whose request has left."""
     return JaytrayError(
@@ -42,7 +46,8 @@
         step=Step.DISPATCH,
         peer=target,
         execution=Execution.MAY_HAVE_RUN,
-        **details,
+        detail=detail,
+        timeout_s=timeout_s,
     )
 
 
--- a/packages/server/tests/request/support.py
+++ b/packages/server/tests/request/support.py
@@ -21,7 +21,7 @@
     empty_document,
 )
 from jaytray_core.errors import JaytrayError, Step
-from jaytray_core.targets import TargetConnection
+from jaytray_core.targets import Order, OrderKind, TargetConnection
 from jaytray_server.ports import (
     Limiter,
     Reservation,
@@ -45,8 +45,9 @@
 )
 from jaytray_server.version.authentication import digest_key
 from jaytray_standins.faults import FaultSwitches
-from jaytray_standins.in_process import in_process_key_value
+from jaytray_standins.in_process import in_process_key_value, in_process_target
 from jaytray_standins.key_value.store import KeyValueStore
+from jaytray_standins.target.state import TargetState
 from packages.server.tests.request.peers import FakeNetwork
 
 KEY = "k-lakeshore"
@@ -81,6 +82,66 @@
     return route._replace(**fields)
 
 
+def chat_body(text: str, **fields: object) -> dict[str, object]:
+    """Return the body of a chat completion."""
+    return {
+        "model": MODEL.name,
+        "messages": [{"role": "user", "content": text}],
+        **fields,
+    }
+
+
+class Targets(NamedTuple):
+    """Stand-in targets with their fault switches."""
+
+    states: dict[str, TargetState]
+    faults: dict[str, FaultSwitches]
+
+    def connection_to(self, name: str) -> TargetConnection:
+        """Return a connection to one of the targets."""
+        return in_process_target(self.states[name], self.faults[name], timeout_s=0.3)
+
+    def boot_id_of(self, name: str) -> str:
+        """Return the boot id that the target would report."""
+        return self.states[name].boot_id
+
+
+def make_targets(*, restart_s: float = 0.0, token_interval_s: float = 0.001) -> Targets:
+    """Return three targets on which the model and its adapter are ready.
+
+    A target that restarts is ready again at once.
+    """
+    states: dict[str, TargetState] = {}
+    for name in TARGETS:
+        states[name] = RestartingTarget(
+            name=name,
+            accelerators=1,
+            accelerator_memory_mib=1000,
+            checks_fencing=True,
+            clock=monotonic_clock,
+            first_token_s=0.01,
+            token_interval_s=token_interval_s,
+            restart_s=restart_s,
+        )
+        place_model(states[name])
+    return Targets(states, {name: FaultSwitches() for name in TARGETS})
+
+
+class RestartingTarget(TargetState):
+    """A target that has its model again as soon as it is back."""
+
+    def crash(self) -> None:
+        """Restart with the model in memory."""
+        super().crash()
+        place_model(self)
+
+
+def place_model(state: TargetState) -> None:
+    """Make the model ready on a target."""
+    order = Order("o", OrderKind.LOAD_MODEL, MODEL.name, MODEL.name, "1", 0, 100, 1)
+    state.place(order)
+
+
 DEFAULT_ROUTES = (
     make_route("all", "/"),
     make_route("open", "/menu", is_open=True, methods=("GET",)),
