--- a/packages/core/src/jaytray_core/message_registry.py
+++ b/packages/core/src/jaytray_core/message_registry.py
@@ -242,6 +242,32 @@
     "Send the request again after Retry-After.",
 )
 
+# Deferred requests.
+DEFERRED_UNAVAILABLE = MessageTemplate(
+    "deferred_unavailable",
+    503,
+    "the deferred request could not be stored: {detail}",
+    "Send the request again after Retry-After.",
+)
+DEFERRED_UNCERTAIN = MessageTemplate(
+    "deferred_uncertain",
+    503,
+    "the deferred request {job_id} may have been stored",
+    "Look it up at GET /v1/deferred/ID, or send it again with an Idempotency-Key.",
+)
+DEFERRED_NEEDS_KEY = MessageTemplate(
+    "deferred_needs_key",
+    422,
+    "a call that may not be repeated is deferred only with an Idempotency-Key",
+    "Send the request again with an Idempotency-Key header.",
+)
+DEFERRED_EXPIRED = MessageTemplate(
+    "deferred_expired",
+    504,
+    "the deferred request got no answer in {hours} hours; last failure: {detail}",
+    "Check the model or service, then submit the request again.",
+)
+
 # Outside systems.
 KEY_VALUE_UNAVAILABLE = MessageTemplate(
     "key_value_unavailable",
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/deferred/__init__.py
@@ -0,0 +1,1 @@
+"""Requests whose answers are fetched later."""
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/deferred/records.py
@@ -0,0 +1,77 @@
+"""Deferred jobs and their results as they stand in the key-value service."""
+
+import hashlib
+import uuid
+from typing import NamedTuple
+
+SHARDS = 32
+JOB_PREFIX = "deferred/jobs/"
+RESULT_PREFIX = "deferred/results/"
+LOCK_PREFIX = "deferred/locks/"
+MAX_JOB_BODY_BYTES = 256_000
+MAX_RESULT_BODY_BYTES = 900_000
+# Seconds for which a job is tried and its result is kept.
+JOB_KEEP_S = 24 * 3600.0
+RESULT_KEEP_S = 24 * 3600.0
+_ID_CHARACTERS = 32
+
+
+class Job(NamedTuple):
+    """One accepted request.
+
+    `key_digest` is that of the key it came with; `idempotency_key` may be empty.
+    `submitted_at_s` is in seconds since the Unix epoch.
+    """
+
+    job_id: str
+    account: str
+    key_digest: str
+    method: str
+    path: str
+    idempotency_key: str
+    body: bytes
+    submitted_at_s: float
+
+
+class JobResult(NamedTuple):
+    """The answer of a job; with `is_refusal` the body is the refusal's JSON."""
+
+    job_id: str
+    account: str
+    status: int
+    body: bytes
+    is_refusal: bool
+    finished_at_s: float
+
+
+def make_job_id(account: str, idempotency_key: str) -> str:
+    """Return a new id, or the one that belongs to an Idempotency-Key."""
+    if not idempotency_key:
+        return uuid.uuid4().hex
+    text = f"{len(account)}:{account}{idempotency_key}"
+    return hashlib.blake2b(text.encode(), digest_size=16).hexdigest()
+
+
+def is_job_id(text: str) -> bool:
+    """Return whether `text` has the shape of a job id."""
+    return len(text) == _ID_CHARACTERS and all(c in "0123456789abcdef" for c in text)
+
+
+def shard_of(job_id: str) -> int:
+    """Return the shard of a job."""
+    return int(job_id[:8], 16) % SHARDS
+
+
+def job_key(job_id: str) -> str:
+    """Return the key of a job."""
+    return f"{JOB_PREFIX}{shard_of(job_id):02d}/{job_id}"
+
+
+def result_key(job_id: str) -> str:
+    """Return the key of a job's result."""
+    return f"{RESULT_PREFIX}{shard_of(job_id):02d}/{job_id}"
+
+
+def lock_key(shard: int) -> str:
+    """Return the key that the VM running a shard's jobs holds."""
+    return f"{LOCK_PREFIX}{shard:02d}"
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/deferred/runner.py
@@ -0,0 +1,209 @@
+"""Runs the deferred jobs of the shards that this VM holds.
+
+A job is tried until it has an answer, a failure that another try cannot change, or
+its time is over. After the death of its runner another VM takes the shard and runs
+the job again; one that may not be repeated is kept to one run by its
+Idempotency-Key.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from jaytray_core import message_registry as messages
+from jaytray_core.clock import MonotonicClock, WallClock
+from jaytray_core.errors import Execution, JaytrayError, Step
+from jaytray_core.logs import get_logger
+from jaytray_core.targets import WholeAnswer
+from jaytray_server.process.deferred.leases import ShardLeases
+from jaytray_server.process.deferred.records import (
+    JOB_KEEP_S,
+    MAX_RESULT_BODY_BYTES,
+    Job,
+    JobResult,
+)
+from jaytray_server.process.deferred.store import DeferredStore
+from jaytray_server.request.refusals import encode_refusal, internal_error
+
+POLL_INTERVAL_S = 2.0
+RUNNING_JOBS = 8
+FIRST_RETRY_S = 2.0
+LONGEST_RETRY_S = 60.0
+EXPIRY_EVERY_POLLS = 300
+
+# Runs one job; raises `JaytrayError`.
+RunJob = Callable[[Job], Awaitable[WholeAnswer]]
+
+_log = get_logger()
+
+
+class Retry(NamedTuple):
+    """When a job may be tried again, on the monotonic clock, and the next pause."""
+
+    at_s: float
+    pause_s: float
+    last_failure: str
+
+
+class DeferredRunner:
+    """The jobs that run on this VM."""
+
+    def __init__(
+        self,
+        *,
+        store: DeferredStore,
+        leases: ShardLeases,
+        run_job: RunJob,
+        may_start: Callable[[], bool],
+        clock: MonotonicClock,
+        wall_clock: WallClock,
+        poll_interval_s: float = POLL_INTERVAL_S,
+    ) -> None:
+        self._store = store
+        self._leases = leases
+        self._run_job = run_job
+        self._may_start = may_start
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._poll_interval_s = poll_interval_s
+        self._tasks_by_job_id: dict[str, asyncio.Task[None]] = {}
+        self._retries_by_job_id: dict[str, Retry] = {}
+
+    async def run(self) -> None:
+        """Take shards and run their jobs until cancelled."""
+        polls = 0
+        try:
+            while True:
+                polls += 1
+                await self._poll(expire=polls % EXPIRY_EVERY_POLLS == 0)
+                await asyncio.sleep(self._poll_interval_s)
+        finally:
+            for task in self._tasks_by_job_id.values():
+                task.cancel()
+
+    async def stop(self) -> None:
+        """Finish running jobs and give the shards up, at a planned stop."""
+        tasks = list(self._tasks_by_job_id.values())
+        await asyncio.gather(*tasks, return_exceptions=True)
+        try:
+            await self._leases.release()
+        except JaytrayError as err:
+            _log.info("deferred_lease_left_to_expire", error=str(err))
+
+    async def _poll(self, *, expire: bool) -> None:
+        if not self._may_start():
+            return
+        try:
+            await self._leases.renew()
+            for shard in self._leases.held_shards():
+                await self._start_jobs(await self._store.list_jobs(shard))
+                if expire:
+                    await self._store.delete_expired_results(shard)
+        except JaytrayError as err:
+            _log.info("deferred_poll_failed", error=str(err))
+
+    async def _start_jobs(self, jobs: list[Job]) -> None:
+        for job in jobs:
+            if len(self._tasks_by_job_id) >= RUNNING_JOBS:
+                return
+            if not self._may_start() or not self._leases.is_valid:
+                return
+            if not self._is_due(job) or await self._store.has_result(job.job_id):
+                continue
+            task = asyncio.create_task(self._run(job))
+            self._tasks_by_job_id[job.job_id] = task
+
+    def _is_due(self, job: Job) -> bool:
+        if job.job_id in self._tasks_by_job_id:
+            return False
+        retry = self._retries_by_job_id.get(job.job_id)
+        return retry is None or retry.at_s <= self._clock()
+
+    async def _run(self, job: Job) -> None:
+        try:
+            result = await self._result(job)
+            if result is not None:
+                await self._store.finish(result)
+                self._retries_by_job_id.pop(job.job_id, None)
+                _log.info("deferred_finished", job=job.job_id, status=result.status)
+        except JaytrayError as err:
+            self._retry_later(job, err)
+        finally:
+            self._tasks_by_job_id.pop(job.job_id, None)
+
+    async def _result(self, job: Job) -> JobResult | None:
+        try:
+            if self._store.is_expired(job):
+                raise self._expired(job)
+            answer = await self._run_job(job)
+        except JaytrayError as err:
+            if not is_final(err):
+                self._retry_later(job, err)
+                return None
+            return self._refused(job, err)
+        except Exception:
+            _log.exception("internal_error", job=job.job_id)
+            return self._refused(job, internal_error(Execution.MAY_HAVE_RUN))
+        if len(answer.body) > MAX_RESULT_BODY_BYTES:
+            return self._refused(job, _too_long(len(answer.body)))
+        return self._job_result(job, answer.status, answer.body, is_refusal=False)
+
+    def _refused(self, job: Job, error: JaytrayError) -> JobResult:
+        body = encode_refusal(error)
+        return self._job_result(job, error.status, body, is_refusal=True)
+
+    def _job_result(
+        self, job: Job, status: int, body: bytes, *, is_refusal: bool
+    ) -> JobResult:
+        return JobResult(
+            job_id=job.job_id,
+            account=job.account,
+            status=status,
+            body=body,
+            is_refusal=is_refusal,
+            finished_at_s=self._wall_clock(),
+        )
+
+    def _retry_later(self, job: Job, error: JaytrayError) -> None:
+        known = self._retries_by_job_id.get(job.job_id)
+        pause_s = min(LONGEST_RETRY_S, known.pause_s * 2 if known else FIRST_RETRY_S)
+        wait_s = max(pause_s, error.retry_after_s or 0.0)
+        self._retries_by_job_id[job.job_id] = Retry(
+            self._clock() + wait_s, pause_s, error.text
+        )
+        _log.info("deferred_retry", job=job.job_id, code=error.code, wait_s=wait_s)
+
+    def _expired(self, job: Job) -> JaytrayError:
+        retry = self._retries_by_job_id.get(job.job_id)
+        return JaytrayError(
+            messages.DEFERRED_EXPIRED,
+            step=Step.DEFERRED,
+            execution=Execution.MAY_HAVE_RUN,
+            hours=round(JOB_KEEP_S / 3600),
+            detail=retry.last_failure if retry else "none",
+        )
+
+
+def is_final(error: JaytrayError) -> bool:
+    """Return whether another try of a job would fail in the same way.
+
+    Client errors are final but for those that pass with time. A job that may have
+    run is final when its Idempotency-Key says that its outcome is unknown.
+    """
+    if error.code in _PASSING_CODES:
+        return False
+    return error.status < 500 or error.code == messages.DEFERRED_EXPIRED.code
+
+
+_PASSING_CODES = frozenset(
+    template.code for template in (messages.RATE_EXCEEDED, messages.IDEMPOTENCY_RUNNING)
+)
+
+
+def _too_long(length: int) -> JaytrayError:
+    return JaytrayError(
+        messages.TARGET_FAILED,
+        step=Step.DEFERRED,
+        execution=Execution.MAY_HAVE_RUN,
+        detail=f"its answer of {length} bytes is too long to be kept",
+    )
--- a/packages/server/src/jaytray_server/process/runtime.py
+++ b/packages/server/src/jaytray_server/process/runtime.py
@@ -36,6 +36,7 @@
 from jaytray_server.process.admin_api import make_admin_routes, make_operator_check
 from jaytray_server.process.cache_index import CacheIndex
 from jaytray_server.process.decision_log import DecisionLog
+from jaytray_server.process.deferred.runner import DeferredRunner
 from jaytray_server.process.demand import DemandMeter
 from jaytray_server.process.isolation import watch_isolation
 from jaytray_server.process.limits.account_limits import AccountLimits
@@ -89,6 +90,7 @@
     pools: TargetPools
     services: RequestServices
     request_state: RequestState
+    deferred_runner: DeferredRunner
 
 
 async def run_server(options: Options) -> None:
@@ -212,10 +214,12 @@
         load_adapter=make_load_adapter(table=table, duties=duties),
         metrics=metrics,
         clock=monotonic_clock,
+        wall_clock=wall_clock,
         lifecycle=lifecycle,
         retry_budget=RetryBudget(),
         idempotency=request_state.idempotency,
         quarantine=request_state.quarantine,
+        deferred=request_state.deferred,
         timeouts=Timeouts(),
         sizes=SizeLimits(body_bytes=options.max_body_bytes),
     )
@@ -231,6 +235,7 @@
         pools=pools,
         services=services,
         request_state=request_state,
+        deferred_runner=request_state.make_runner(services),
     )
 
 
@@ -306,6 +311,7 @@
         "limits": parts.limits.run,
         "observer": parts.observer.run,
         "placement": parts.duties.run,
+        "deferred": parts.deferred_runner.run,
         **parts.request_state.duties_by_name(),
     }
     return {
@@ -316,6 +322,7 @@
 
 async def _hand_off(parts: Subsystems, tasks: dict[str, asyncio.Task[None]]) -> None:
     """Give leases up and shares away, then end the remaining duties."""
+    await parts.deferred_runner.stop()
     await parts.request_state.close()
     await _cancel(tasks.pop("placement"))
     await _cancel(tasks.pop("limits"))
--- /dev/null
+++ b/packages/server/src/jaytray_server/request/deferred_routes.py
@@ -0,0 +1,247 @@
+"""Endpoints of deferred requests, and how a deferred job is run."""
+
+from typing import Any, NotRequired, TypedDict
+
+import msgspec
+
+from jaytray_core import message_registry as messages
+from jaytray_core.codec import encode_json
+from jaytray_core.document.model import TrafficClass
+from jaytray_core.errors import JaytrayError, Step
+from jaytray_core.targets import WholeAnswer
+from jaytray_server.process.deferred.records import (
+    MAX_JOB_BODY_BYTES,
+    Job,
+    JobResult,
+    is_job_id,
+    make_job_id,
+)
+from jaytray_server.process.idempotency.idempotency import check_key
+from jaytray_server.request.dispatch import dispatch_whole
+from jaytray_server.request.endpoint import Exchange, authenticated
+from jaytray_server.request.parsing import (
+    CHAT_PATH,
+    COMPLETIONS_PATH,
+    CompletionCall,
+    parse_completion,
+)
+from jaytray_server.request.refusals import invalid_request
+from jaytray_server.request.responses import send_whole
+from jaytray_server.request.service_call import (
+    SERVICE_PREFIX,
+    IncomingCall,
+    find_route,
+    is_repeatable,
+)
+from jaytray_server.request.service_routes import (
+    IDEMPOTENCY_HEADER,
+    run_service_call,
+    split_service_path,
+)
+from jaytray_server.request.services import RequestServices
+from jaytray_server.request.tracker import DispatchTracker
+from jaytray_server.request.work import make_work
+from jaytray_server.version.authentication import Caller
+
+DEFERRED_PATH = "/v1/deferred"
+_JSON_HEADERS = [("content-type", "application/json")]
+
+
+class DeferredBody(TypedDict):
+    """Body of a submission: the request to run later."""
+
+    path: str
+    method: NotRequired[str]
+    body: Any
+
+
+class DeferredStatus(TypedDict):
+    """Answer to a submission and to a look-up.
+
+    `answer` is the JSON answer of a finished job, or its text; `refusal` has the
+    shape of a refusal.
+    """
+
+    id: str
+    status: str
+    answer_status: NotRequired[int]
+    answer: NotRequired[msgspec.Raw | str]
+    refusal: NotRequired[msgspec.Raw]
+
+
+async def answer_submission(services: RequestServices, exchange: Exchange) -> None:
+    """Answer `POST /v1/deferred` once the request is durable."""
+    caller = authenticated(services, exchange)
+    key = dict(exchange.headers).get(IDEMPOTENCY_HEADER, "")
+    if key:
+        check_key(key)
+    job = _parse_job(services, exchange, caller, key)
+    check_job(services, job)
+    await services.deferred.submit(job)
+    services.metrics.increment("deferred.accepted", 1)
+    await _send(exchange, 202, DeferredStatus(id=job.job_id, status="queued"))
+
+
+async def answer_lookup(services: RequestServices, exchange: Exchange) -> None:
+    """Answer `GET /v1/deferred/ID` for the account that submitted it."""
+    caller = authenticated(services, exchange)
+    job_id = exchange.path.rsplit("/", 1)[1]
+    if not is_job_id(job_id):
+        raise JaytrayError(
+            messages.NOT_FOUND,
+            step=Step.DEFERRED,
+            what="deferred job",
+            name=job_id[:64],
+        )
+    status = await services.deferred.find(job_id, caller.account.name)
+    if status.result is None:
+        await _send(exchange, 202, DeferredStatus(id=job_id, status="queued"))
+    else:
+        await _send(exchange, 200, _finished(status.result))
+
+
+def check_job(services: RequestServices, job: Job) -> None:
+    """Raise a refusal for a job that can never run."""
+    document = services.current_document()
+    if job.path in (CHAT_PATH, COMPLETIONS_PATH):
+        if job.method != "POST":
+            raise invalid_request("method: a completion needs POST")
+        parse_completion(job.path, job.body, document)
+        return
+    if not job.path.startswith(SERVICE_PREFIX):
+        raise invalid_request(
+            f"path: {CHAT_PATH}, {COMPLETIONS_PATH} or {SERVICE_PREFIX}NAME/..."
+        )
+    route = find_route(document, _service_call(job))
+    if not is_repeatable(route, job.method) and not job.idempotency_key:
+        raise JaytrayError(messages.DEFERRED_NEEDS_KEY, step=Step.DEFERRED)
+
+
+async def run_job(services: RequestServices, job: Job) -> WholeAnswer:
+    """Run a job for the account that submitted it; raises `JaytrayError`."""
+    caller = _caller_of(services, job)
+    document = services.current_document()
+    tracker = DispatchTracker()
+    with services.lifecycle.running_answer():
+        if job.path in (CHAT_PATH, COMPLETIONS_PATH):
+            call = parse_completion(job.path, job.body, document)
+            return await _run_completion(services, job, call, caller, tracker)
+        call_to_service = _service_call(job)
+        route = find_route(document, call_to_service)
+        deferred_route = route._replace(traffic_class=TrafficClass.DEFERRED)
+        return await run_service_call(
+            services, deferred_route, call_to_service, caller, tracker
+        )
+
+
+async def _run_completion(
+    services: RequestServices,
+    job: Job,
+    call: CompletionCall,
+    caller: Caller,
+    tracker: DispatchTracker,
+) -> WholeAnswer:
+    work = make_work(
+        services,
+        request_id=job.job_id,
+        call=call,
+        account=caller.account,
+        traffic_class=TrafficClass.DEFERRED,
+    )
+    wait_s = services.timeouts.deferred_start_s
+    patient = work._replace(deadline_s=services.clock() + wait_s)
+    return await dispatch_whole(services, patient, tracker)
+
+
+def _parse_job(
+    services: RequestServices, exchange: Exchange, caller: Caller, key: str
+) -> Job:
+    try:
+        fields = msgspec.json.decode(exchange.body, type=DeferredBody)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as err:
+        raise invalid_request(f"the body is not a deferred request: {err}") from err
+    body = encode_json(_unstreamed(fields))
+    if len(body) > MAX_JOB_BODY_BYTES:
+        raise JaytrayError(
+            messages.REQUEST_TOO_LARGE, step=Step.DEFERRED, limit=MAX_JOB_BODY_BYTES
+        )
+    return Job(
+        job_id=make_job_id(caller.account.name, key),
+        account=caller.account.name,
+        key_digest=caller.key_digest,
+        method=fields.get("method", "POST").upper(),
+        path=fields["path"],
+        idempotency_key=key,
+        body=body,
+        submitted_at_s=services.wall_clock(),
+    )
+
+
+def _unstreamed(fields: DeferredBody) -> Any:
+    """Return the body with the stream of a completion switched off."""
+    body = fields["body"]
+    is_completion = fields["path"] in (CHAT_PATH, COMPLETIONS_PATH)
+    if not is_completion or not isinstance(body, dict):
+        return body
+    dropped = ("stream", "stream_options")
+    return {name: value for name, value in body.items() if name not in dropped}
+
+
+def _caller_of(services: RequestServices, job: Job) -> Caller:
+    document = services.current_document()
+    key = document.keys_by_digest.get(job.key_digest)
+    account = document.accounts_by_name.get(job.account)
+    if key is None or account is None or key.account != job.account:
+        raise JaytrayError(messages.KEY_WITHDRAWN, step=Step.DEFERRED)
+    return Caller(account=account, key_digest=job.key_digest, key="")
+
+
+def _service_call(job: Job) -> IncomingCall:
+    path, _, query = job.path.partition("?")
+    name, rest = split_service_path(path)
+    headers = [("content-type", "application/json")]
+    if job.idempotency_key:
+        headers.append((IDEMPOTENCY_HEADER, job.idempotency_key))
+    return IncomingCall(
+        request_id=job.job_id,
+        method=job.method,
+        service=name,
+        path=rest,
+        query=query,
+        headers=headers,
+        body=job.body,
+    )
+
+
+def _finished(result: JobResult) -> DeferredStatus:
+    if result.is_refusal:
+        return DeferredStatus(
+            id=result.job_id,
+            status="failed",
+            answer_status=result.status,
+            refusal=msgspec.Raw(result.body),
+        )
+    return DeferredStatus(
+        id=result.job_id,
+        status="done",
+        answer_status=result.status,
+        answer=_as_json(result.body),
+    )
+
+
+def _as_json(body: bytes) -> msgspec.Raw | str:
+    try:
+        msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return body.decode("utf-8", errors="replace")
+    return msgspec.Raw(body)
+
+
+async def _send(exchange: Exchange, status: int, body: DeferredStatus) -> None:
+    await send_whole(
+        exchange.send,
+        request_id=exchange.request_id,
+        status=status,
+        headers=list(_JSON_HEADERS),
+        body=encode_json(body),
+    )
--- a/packages/server/src/jaytray_server/request/http_api.py
+++ b/packages/server/src/jaytray_server/request/http_api.py
@@ -17,6 +17,11 @@
 from jaytray_core.errors import JaytrayError
 from jaytray_core.logs import get_logger
 from jaytray_server.request.completions import answer_completion
+from jaytray_server.request.deferred_routes import (
+    DEFERRED_PATH,
+    answer_lookup,
+    answer_submission,
+)
 from jaytray_server.request.endpoint import AnyRequest, log_refusal, run_endpoint
 from jaytray_server.request.models_list import answer_models
 from jaytray_server.request.parsing import CHAT_PATH, COMPLETIONS_PATH
@@ -73,11 +78,19 @@
     async def models(request: AnyRequest) -> ASGIApp:
         return await run_endpoint(services, request, answer_models)
 
+    @post(DEFERRED_PATH)
+    async def defer(request: AnyRequest) -> ASGIApp:
+        return await run_endpoint(services, request, answer_submission)
+
+    @get(DEFERRED_PATH + "/{job_id:str}")
+    async def deferred(request: AnyRequest) -> ASGIApp:
+        return await run_endpoint(services, request, answer_lookup)
+
     @route(["/services/{path:path}"], http_method=SERVICE_METHODS)
     async def service(request: AnyRequest) -> ASGIApp:
         return await run_endpoint(services, request, answer_service_call)
 
-    return [complete, models, service]
+    return [complete, models, defer, deferred, service]
 
 
 def _health_routes(services: RequestServices) -> list[HTTPRouteHandler]:
--- a/packages/server/src/jaytray_server/request/service_routes.py
+++ b/packages/server/src/jaytray_server/request/service_routes.py
@@ -30,7 +30,8 @@
     route = find_route(services.current_document(), call)
     caller = None if route.is_open else authenticated(services, exchange)
     answer = await until_caller_leaves(
-        exchange.receive, _run(services, route, call, caller, exchange.tracker)
+        exchange.receive,
+        run_service_call(services, route, call, caller, exchange.tracker),
     )
     await send_whole(
         exchange.send,
@@ -41,7 +42,7 @@
     )
 
 
-async def _run(
+async def run_service_call(
     services: RequestServices,
     route: Route,
     call: IncomingCall,
@@ -73,13 +74,19 @@
 
 def incoming_call(exchange: Exchange) -> IncomingCall:
     """Return the service, its path and the rest of the call."""
-    name, _, rest = exchange.path.removeprefix(SERVICE_PREFIX).partition("/")
+    name, path = split_service_path(exchange.path)
     return IncomingCall(
         request_id=exchange.request_id,
         method=exchange.method,
         service=name,
-        path=f"/{rest}",
+        path=path,
         query=exchange.query,
         headers=exchange.headers,
         body=exchange.body,
     )
+
+
+def split_service_path(path: str) -> tuple[str, str]:
+    """Return the name of the service and the service's own path."""
+    name, _, rest = path.removeprefix(SERVICE_PREFIX).partition("/")
+    return name, f"/{rest}"
--- a/packages/server/src/jaytray_server/request/services.py
+++ b/packages/server/src/jaytray_server/request/services.py
@@ -9,7 +9,7 @@
 from contextlib import AbstractContextManager, contextmanager
 from typing import NamedTuple
 
-from jaytray_core.clock import MonotonicClock
+from jaytray_core.clock import MonotonicClock, WallClock
 from jaytray_server.ports import (
     AcquireSlot,
     ConnectionTo,
@@ -18,6 +18,7 @@
     Metrics,
     Router,
 )
+from jaytray_server.process.deferred.store import DeferredStore
 from jaytray_server.process.idempotency.idempotency import Idempotency
 from jaytray_server.process.quarantine.quarantine import Quarantine
 from jaytray_server.request.retry import RetryBudget
@@ -69,6 +70,7 @@
     whole_answer_s: float = 600.0
     slow_caller_s: float = 60.0
     cancel_s: float = 2.0
+    deferred_start_s: float = 30.0
 
 
 class SizeLimits(NamedTuple):
@@ -107,9 +109,11 @@
     load_adapter: LoadAdapter
     metrics: Metrics
     clock: MonotonicClock
+    wall_clock: WallClock
     lifecycle: Lifecycle
     retry_budget: RetryBudget
     idempotency: Idempotency
     quarantine: Quarantine
+    deferred: DeferredStore
     timeouts: Timeouts
     sizes: SizeLimits
--- a/packages/server/src/jaytray_server/request/state.py
+++ b/packages/server/src/jaytray_server/request/state.py
@@ -6,19 +6,37 @@
 from jaytray_core.clock import MonotonicClock, WallClock
 from jaytray_core.keyvalue import KeyValueService
 from jaytray_server.ports import PeerNetwork
+from jaytray_server.process.deferred.leases import ShardLeases
+from jaytray_server.process.deferred.runner import DeferredRunner
+from jaytray_server.process.deferred.store import DeferredStore
 from jaytray_server.process.idempotency.commits import Commits
 from jaytray_server.process.idempotency.idempotency import Idempotency
 from jaytray_server.process.quarantine.quarantine import Quarantine
+from jaytray_server.request.deferred_routes import run_job
+from jaytray_server.request.services import RequestServices
 
 # Longest wait for outcomes of idempotent calls to be recorded at a planned stop.
 STOP_WAIT_S = 5.0
 
 
 class RequestState(NamedTuple):
-    """Idempotent calls and crash evidence of this VM."""
+    """Idempotent calls, crash evidence and deferred jobs of this VM."""
 
     idempotency: Idempotency
     quarantine: Quarantine
+    deferred: DeferredStore
+    shard_leases: ShardLeases
+
+    def make_runner(self, services: RequestServices) -> DeferredRunner:
+        """Return the runner of deferred jobs, which needs the whole request path."""
+        return DeferredRunner(
+            store=self.deferred,
+            leases=self.shard_leases,
+            run_job=lambda job: run_job(services, job),
+            may_start=lambda: services.lifecycle.is_ready,
+            clock=services.clock,
+            wall_clock=services.wall_clock,
+        )
 
     def duties_by_name(self) -> dict[str, Callable[[], Awaitable[None]]]:
         """Return the background tasks to run for the life of the process."""
@@ -58,4 +76,6 @@
     return RequestState(
         idempotency=Idempotency(commits=commits, clock=clock, wall_clock=wall_clock),
         quarantine=quarantine,
+        deferred=DeferredStore(key_value=key_value, wall_clock=wall_clock),
+        shard_leases=ShardLeases(key_value=key_value, peers=peers, clock=clock),
     )
--- a/packages/server/tests/request/support.py
+++ b/packages/server/tests/request/support.py
@@ -30,6 +30,7 @@
     RoutingRequest,
     SlotRequest,
 )
+from jaytray_server.process.deferred.store import DeferredStore
 from jaytray_server.process.idempotency.commits import Commits
 from jaytray_server.process.idempotency.idempotency import Idempotency
 from jaytray_server.process.metrics import make_null_metrics
@@ -191,11 +192,13 @@
         prefix_digests=lambda _model, _prompt: (),
         load_adapter=_load_adapter,
         metrics=make_null_metrics(),
-        clock=lambda: 0.0,
+        clock=monotonic_clock,
+        wall_clock=wall_clock,
         lifecycle=lifecycle,
         retry_budget=RetryBudget(),
         idempotency=make_idempotency(),
         quarantine=make_quarantine(),
+        deferred=make_deferred(),
         timeouts=timeouts or Timeouts(),
         sizes=SizeLimits(),
     )._replace(**changes)
@@ -256,6 +259,18 @@
     return quarantine
 
 
+def make_deferred(
+    store: KeyValueStore | None = None, faults: FaultSwitches | None = None
+) -> DeferredStore:
+    """Return the deferred jobs on an in-process key-value service."""
+    key_value = in_process_key_value(
+        store or KeyValueStore(clock=monotonic_clock),
+        faults or FaultSwitches(),
+        timeout_s=0.05,
+    )
+    return DeferredStore(key_value=key_value, wall_clock=wall_clock)
+
+
 async def _load_adapter(_target: str, _adapter: str) -> None:
     return
 
