Retry unsent requests until their deadline; run the tests on virtual time

Cause: on virtual time one of six neighbours of a crash failed, since attempts at targets that refused the connection used up its four tries. Change: only attempts that may have had an effect count; others end at the deadline.

--- a/packages/server/src/jaytray_server/request/dispatch.py
+++ b/packages/server/src/jaytray_server/request/dispatch.py
@@ -13,7 +13,7 @@
     check_completion_answer,
     target_timeout,
 )
-from jaytray_server.request.retry import MAX_ATTEMPTS, backoff_s, is_retryable
+from jaytray_server.request.retry import MAX_ATTEMPTS_SENT, backoff_s, is_retryable
 from jaytray_server.request.services import RequestServices
 from jaytray_server.request.target_run import Dispatch, dispatched
 from jaytray_server.request.tracker import DispatchTracker
@@ -36,18 +36,29 @@
                 async with dispatched(services, work, tracker) as dispatch:
                     answer = await _send(services, work, dispatch)
             except JaytrayError as err:
-                await wait_before_retry(services, tracker, err)
+                await wait_before_retry(services, work, tracker, err)
                 continue
             charge.used_tokens = used_tokens(answer, work.call)
             return answer
 
 
 async def wait_before_retry(
-    services: RequestServices, tracker: DispatchTracker, error: JaytrayError
+    services: RequestServices,
+    work: Work,
+    tracker: DispatchTracker,
+    error: JaytrayError,
 ) -> None:
-    """Wait for the backoff, or raise `error` when there is to be no retry."""
+    """Wait for the backoff, or raise `error` when there is to be no retry.
+
+    Attempts that surely had no effect end at the deadline of the first token, the
+    others after a number of attempts.
+    """
     tracker.apply_to(error)
-    if tracker.attempts >= MAX_ATTEMPTS:
+    wait_s = backoff_s(tracker.attempts, error.retry_after_s)
+    is_late = services.clock() + wait_s > work.deadline_s
+    if tracker.attempts_sent >= MAX_ATTEMPTS_SENT:
+        raise error
+    if is_late and tracker.attempts >= MAX_ATTEMPTS_SENT:
         raise error
     if not is_retryable(error, is_repeatable=True):
         raise error
@@ -55,7 +66,7 @@
         services.metrics.increment("request.retry_budget_empty", 1)
         raise error
     services.metrics.increment("request.retries", 1)
-    await asyncio.sleep(backoff_s(tracker.attempts, error.retry_after_s))
+    await asyncio.sleep(wait_s)
 
 
 async def _send(
--- a/packages/server/src/jaytray_server/request/retry.py
+++ b/packages/server/src/jaytray_server/request/retry.py
@@ -9,7 +9,8 @@
 from jaytray_core import message_registry as messages
 from jaytray_core.errors import Execution, JaytrayError
 
-MAX_ATTEMPTS = 4
+# Attempts that may have had an effect.
+MAX_ATTEMPTS_SENT = 4
 BACKOFF_BASE_S = 0.02
 BACKOFF_MAX_S = 1.0
 # A longer Retry-After is passed on to the caller instead of being waited for.
--- a/packages/server/src/jaytray_server/request/service_call.py
+++ b/packages/server/src/jaytray_server/request/service_call.py
@@ -22,7 +22,7 @@
     request_suspected,
 )
 from jaytray_server.request.exchange import check_echo, target_timeout
-from jaytray_server.request.retry import MAX_ATTEMPTS, backoff_s, is_retryable
+from jaytray_server.request.retry import MAX_ATTEMPTS_SENT, backoff_s, is_retryable
 from jaytray_server.request.services import RequestServices
 from jaytray_server.request.tracker import DispatchTracker
 from jaytray_server.request.work import LONGEST_ADMISSION_WAIT_S, new_dispatch_id
@@ -132,7 +132,7 @@
             repeatable = is_repeatable(route, call.method)
             wait_s = backoff_s(tracker.attempts, err.retry_after_s)
             if (
-                tracker.attempts >= MAX_ATTEMPTS
+                tracker.attempts_sent >= MAX_ATTEMPTS_SENT
                 or not is_retryable(err, is_repeatable=repeatable)
                 or services.clock() + wait_s >= deadline_s
                 or not services.retry_budget.take()
--- a/packages/server/src/jaytray_server/request/stream.py
+++ b/packages/server/src/jaytray_server/request/stream.py
@@ -58,7 +58,7 @@
                         _charge_delivered(charge, work, piece)
                         yield piece
             except JaytrayError as err:
-                await wait_before_retry(services, tracker, err)
+                await wait_before_retry(services, work, tracker, err)
                 services.metrics.increment("request.stream_resumed", 1)
 
 
--- a/packages/server/src/jaytray_server/request/tracker.py
+++ b/packages/server/src/jaytray_server/request/tracker.py
@@ -20,6 +20,8 @@
 
     def __init__(self) -> None:
         self.attempts = 0
+        # Attempts after which the request may have had an effect.
+        self.attempts_sent = 0
         self.failed_targets: list[str] = []
         # Raises when the request must not be sent any more.
         self.before_send: Callable[[], None] = lambda: None
@@ -48,6 +50,7 @@
         self.failed_targets.append(target)
         if error.execution is Execution.MAY_HAVE_RUN:
             self._may_have_run = True
+            self.attempts_sent += 1
         self._progress = _Progress.UNSENT
 
     def apply_to(self, error: JaytrayError) -> JaytrayError:
--- a/packages/server/tests/process/deferred/test_deferred.py
+++ b/packages/server/tests/process/deferred/test_deferred.py
@@ -8,7 +8,6 @@
 from parameterized import parameterized
 from testtools import TestCase
 
-from jaytray_core.clock import monotonic_clock, wall_clock
 from jaytray_core.targets import TargetConnection
 from jaytray_server.process.deferred.leases import ShardLeases
 from jaytray_server.process.deferred.records import SHARDS
@@ -27,6 +26,11 @@
     make_site,
     make_targets,
 )
+from packages.server.tests.request.virtual_loop import (
+    loop_clock,
+    loop_wall_clock,
+    run_virtual,
+)
 
 CHAT = {"path": "/v1/chat/completions", "body": chat_body("note")}
 BOOKING = {"path": "/services/rounds/book", "body": {"barn": 7}}
@@ -36,11 +40,11 @@
     """VMs that share a key-value service, targets and one plain service."""
 
     def __init__(self, *, vm_ids: tuple[str, ...] = ("vm1",)) -> None:
-        self.store = KeyValueStore(clock=monotonic_clock)
+        self.store = KeyValueStore(clock=loop_clock)
         self.network = FakeNetwork(vm_ids=vm_ids)
         self.faults = FaultSwitches()
         self.targets = make_targets()
-        self.service = ServiceState(name="s", clock=monotonic_clock)
+        self.service = ServiceState(name="s", clock=loop_clock)
         self.sites = {vm: self._site(vm) for vm in vm_ids}
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
@@ -61,15 +65,15 @@
         leases = ShardLeases(
             key_value=in_process_key_value(self.store, self.faults, timeout_s=0.05),
             peers=self.network.of(vm),
-            clock=monotonic_clock,
+            clock=loop_clock,
         )
         runner = DeferredRunner(
             store=services.deferred,
             leases=leases,
             run_job=lambda job: run_job(services, job),
             may_start=lambda: services.lifecycle.is_ready,
-            clock=monotonic_clock,
-            wall_clock=wall_clock,
+            clock=loop_clock,
+            wall_clock=loop_wall_clock,
             poll_interval_s=0.01,
         )
         self._tasks[vm] = asyncio.create_task(runner.run())
@@ -109,7 +113,7 @@
     async def run() -> None:
         await test()
 
-    asyncio.run(run())
+    run_virtual(run())
 
 
 class DeferredTests(TestCase):
--- a/packages/server/tests/process/idempotency/test_idempotency.py
+++ b/packages/server/tests/process/idempotency/test_idempotency.py
@@ -10,7 +10,6 @@
 from parameterized import parameterized
 from testtools import TestCase
 
-from jaytray_core.clock import monotonic_clock
 from jaytray_core.errors import Execution, JaytrayError
 from jaytray_core.targets import WholeAnswer
 from jaytray_server.process.idempotency.idempotency import (
@@ -25,6 +24,7 @@
 from jaytray_standins.key_value.store import KeyValueStore
 from packages.server.tests.request.peers import FakeNetwork
 from packages.server.tests.request.support import make_idempotency
+from packages.server.tests.request.virtual_loop import loop_clock, run_virtual
 
 T = TypeVar("T")
 VMS = ("vm1", "vm2", "vm3")
@@ -34,7 +34,7 @@
     """Three VMs on one key-value service, and the runs of each key."""
 
     def __init__(self) -> None:
-        self.store = KeyValueStore(clock=monotonic_clock)
+        self.store = KeyValueStore(clock=loop_clock)
         self.network = FakeNetwork(vm_ids=VMS)
         self.faults_by_vm = {vm: FaultSwitches() for vm in VMS}
         self.by_vm = {
@@ -93,7 +93,7 @@
         finally:
             await fleet.close()
 
-    return asyncio.run(run())
+    return run_virtual(run())
 
 
 class IdempotencyTests(TestCase):
--- a/packages/server/tests/process/quarantine/test_quarantine.py
+++ b/packages/server/tests/process/quarantine/test_quarantine.py
@@ -8,7 +8,6 @@
 import httpx
 from testtools import TestCase
 
-from jaytray_core.clock import monotonic_clock
 from jaytray_server.process.quarantine.evidence import Evidence
 from jaytray_standins.faults import Fault, FaultKind, FaultSwitches
 from jaytray_standins.key_value.store import KeyValueStore
@@ -21,6 +20,7 @@
     make_site,
     make_targets,
 )
+from packages.server.tests.request.virtual_loop import loop_clock, run_virtual
 
 VMS = ("vm1", "vm2", "vm3")
 CRASHING = chat_body("crash-the-target")
@@ -31,7 +31,7 @@
 
     def __init__(self) -> None:
         self.targets = make_targets(restart_s=0.05)
-        self.store = KeyValueStore(clock=monotonic_clock)
+        self.store = KeyValueStore(clock=loop_clock)
         self.network = FakeNetwork(vm_ids=VMS)
         self.faults = FaultSwitches()
         self.sites = {vm: self._site(vm) for vm in VMS}
@@ -63,7 +63,7 @@
     async def run() -> None:
         await test(Fleet())
 
-    asyncio.run(run())
+    run_virtual(run())
 
 
 @contextmanager
--- a/packages/server/tests/request/support.py
+++ b/packages/server/tests/request/support.py
@@ -7,7 +7,6 @@
 import httpx
 
 from jaytray_core import message_registry as messages
-from jaytray_core.clock import monotonic_clock, wall_clock
 from jaytray_core.document.model import (
     Adapter,
     ClientAccount,
@@ -50,6 +49,7 @@
 from jaytray_standins.key_value.store import KeyValueStore
 from jaytray_standins.target.state import TargetState
 from packages.server.tests.request.peers import FakeNetwork
+from packages.server.tests.request.virtual_loop import loop_clock, loop_wall_clock
 
 KEY = "k-lakeshore"
 ACCOUNT = ClientAccount("lakeshore", 1000.0, 5000, 1.0)
@@ -119,7 +119,7 @@
             accelerators=1,
             accelerator_memory_mib=1000,
             checks_fencing=True,
-            clock=monotonic_clock,
+            clock=loop_clock,
             first_token_s=0.01,
             token_interval_s=token_interval_s,
             restart_s=restart_s,
@@ -192,8 +192,8 @@
         prefix_digests=lambda _model, _prompt: (),
         load_adapter=_load_adapter,
         metrics=make_null_metrics(),
-        clock=monotonic_clock,
-        wall_clock=wall_clock,
+        clock=loop_clock,
+        wall_clock=loop_wall_clock,
         lifecycle=lifecycle,
         retry_budget=RetryBudget(),
         idempotency=make_idempotency(),
@@ -222,19 +222,19 @@
 ) -> Idempotency:
     """Return the idempotency of one VM on an in-process key-value service."""
     key_value = in_process_key_value(
-        store or KeyValueStore(clock=monotonic_clock),
+        store or KeyValueStore(clock=loop_clock),
         faults or FaultSwitches(),
         timeout_s=0.05,
     )
     commits = Commits(
         key_value=key_value,
         peers=(network or FakeNetwork(vm_ids=(vm_id,))).of(vm_id),
-        clock=monotonic_clock,
-        wall_clock=wall_clock,
+        clock=loop_clock,
+        wall_clock=loop_wall_clock,
         owner_timeout_s=0.1,
     )
     commits.listen()
-    return Idempotency(commits=commits, clock=monotonic_clock, wall_clock=wall_clock)
+    return Idempotency(commits=commits, clock=loop_clock, wall_clock=loop_wall_clock)
 
 
 def make_quarantine(
@@ -248,11 +248,11 @@
     quarantine = Quarantine(
         peers=(network or FakeNetwork(vm_ids=(vm_id,))).of(vm_id),
         key_value=in_process_key_value(
-            store or KeyValueStore(clock=monotonic_clock),
+            store or KeyValueStore(clock=loop_clock),
             faults or FaultSwitches(),
             timeout_s=0.05,
         ),
-        wall_clock=wall_clock,
+        wall_clock=loop_wall_clock,
         boot_id_of=boot_id_of,
     )
     quarantine.listen()
@@ -264,11 +264,11 @@
 ) -> DeferredStore:
     """Return the deferred jobs on an in-process key-value service."""
     key_value = in_process_key_value(
-        store or KeyValueStore(clock=monotonic_clock),
+        store or KeyValueStore(clock=loop_clock),
         faults or FaultSwitches(),
         timeout_s=0.05,
     )
-    return DeferredStore(key_value=key_value, wall_clock=wall_clock)
+    return DeferredStore(key_value=key_value, wall_clock=loop_wall_clock)
 
 
 async def _load_adapter(_target: str, _adapter: str) -> None:
