--- a/packages/server/src/jaytray_server/process/runtime.py
+++ b/packages/server/src/jaytray_server/process/runtime.py
@@ -16,7 +16,7 @@
 from jaytray_core.adapters.target_http import connect_target
 from jaytray_core.adapters.vm_list_http import open_vm_list
 from jaytray_core.adapters.weight_store_http import open_weight_store
-from jaytray_core.clock import monotonic_clock
+from jaytray_core.clock import monotonic_clock, wall_clock
 from jaytray_core.keyvalue import KeyValueService
 from jaytray_core.logs import get_logger
 from jaytray_core.vm_list import VmEntry, VmList
@@ -36,6 +36,7 @@
 from jaytray_server.process.admin_api import make_admin_routes, make_operator_check
 from jaytray_server.process.cache_index import CacheIndex
 from jaytray_server.process.decision_log import DecisionLog
+from jaytray_server.process.deferred.runner import DeferredRunner
 from jaytray_server.process.demand import DemandMeter
 from jaytray_server.process.isolation import watch_isolation
 from jaytray_server.process.limits.account_limits import AccountLimits
@@ -43,6 +44,7 @@
 from jaytray_server.process.membership import follow_vm_list
 from jaytray_server.process.metrics import make_null_metrics, make_statsd_metrics
 from jaytray_server.process.placement.duties import PlacementDuties
+from jaytray_server.process.quarantine.admin_routes import make_quarantine_routes
 from jaytray_server.process.shutdown import drain, install_stop_signals
 from jaytray_server.process.supervision import supervise
 from jaytray_server.process.target_observer import TargetObserver
@@ -58,6 +60,7 @@
     SizeLimits,
     Timeouts,
 )
+from jaytray_server.request.state import RequestState, make_request_state
 from jaytray_server.version.follower import DocumentFollower
 from jaytray_server.version.running_streams import RunningStreams
 
@@ -86,6 +89,8 @@
     decisions: DecisionLog
     pools: TargetPools
     services: RequestServices
+    request_state: RequestState
+    deferred_runner: DeferredRunner
 
 
 async def run_server(options: Options) -> None:
@@ -181,6 +186,13 @@
     )
     slots = TargetSlots(current_document=follower.current, clock=monotonic_clock)
     lifecycle = Lifecycle()
+    request_state = make_request_state(
+        key_value=outside.key_value,
+        peers=peers,
+        clock=monotonic_clock,
+        wall_clock=wall_clock,
+        boot_id_of=lambda target: _boot_id(table, target),
+    )
     services = RequestServices(
         current_document=follower.current,
         register_stream=streams.register,
@@ -202,8 +214,12 @@
         load_adapter=make_load_adapter(table=table, duties=duties),
         metrics=metrics,
         clock=monotonic_clock,
+        wall_clock=wall_clock,
         lifecycle=lifecycle,
         retry_budget=RetryBudget(),
+        idempotency=request_state.idempotency,
+        quarantine=request_state.quarantine,
+        deferred=request_state.deferred,
         timeouts=Timeouts(),
         sizes=SizeLimits(body_bytes=options.max_body_bytes),
     )
@@ -218,16 +234,27 @@
         decisions=decisions,
         pools=pools,
         services=services,
+        request_state=request_state,
+        deferred_runner=request_state.make_runner(services),
     )
 
 
+def _boot_id(table: TargetTable, target: str) -> str:
+    report = table.report_of(target)
+    return report.boot_id if report is not None else ""
+
+
 def _make_app(options: Options, parts: Subsystems) -> Any:
+    check_operator = make_operator_check(options.operator_token_digest)
     admin_routes = make_admin_routes(
-        check_operator=make_operator_check(options.operator_token_digest),
+        check_operator=check_operator,
         status=lambda: _status(options, parts),
         decisions=parts.decisions,
     )
-    return make_app(parts.services, admin_routes=admin_routes)
+    quarantine_routes = make_quarantine_routes(
+        parts.request_state.quarantine, check_operator=check_operator
+    )
+    return make_app(parts.services, admin_routes=[*admin_routes, *quarantine_routes])
 
 
 def _status(options: Options, parts: Subsystems) -> dict[str, Any]:
@@ -285,6 +312,8 @@
         "limits": parts.limits.run,
         "observer": parts.observer.run,
         "placement": parts.duties.run,
+        "deferred": parts.deferred_runner.run,
+        **parts.request_state.duties_by_name(),
     }
     return {
         name: asyncio.create_task(supervise(name, run))
@@ -294,6 +323,8 @@
 
 async def _hand_off(parts: Subsystems, tasks: dict[str, asyncio.Task[None]]) -> None:
     """Give leases up and shares away, then end the remaining duties."""
+    await parts.deferred_runner.stop()
+    await parts.request_state.close()
     await _cancel(tasks.pop("placement"))
     await _cancel(tasks.pop("limits"))
     await parts.limits.leave()
--- a/packages/server/tests/request/support.py
+++ b/packages/server/tests/request/support.py
@@ -20,7 +20,7 @@
     empty_document,
 )
 from jaytray_core.errors import JaytrayError, Step
-from jaytray_core.targets import TargetConnection
+from jaytray_core.targets import Order, OrderKind, TargetConnection
 from jaytray_server.ports import (
     Limiter,
     Reservation,
@@ -29,7 +29,11 @@
     RoutingRequest,
     SlotRequest,
 )
+from jaytray_server.process.deferred.store import DeferredStore
+from jaytray_server.process.idempotency.commits import Commits
+from jaytray_server.process.idempotency.idempotency import Idempotency
 from jaytray_server.process.metrics import make_null_metrics
+from jaytray_server.process.quarantine.quarantine import Quarantine
 from jaytray_server.request.http_api import make_app
 from jaytray_server.request.retry import RetryBudget
 from jaytray_server.request.services import (
@@ -40,6 +44,12 @@
     Timeouts,
 )
 from jaytray_server.version.authentication import digest_key
+from jaytray_standins.faults import FaultSwitches
+from jaytray_standins.in_process import in_process_key_value, in_process_target
+from jaytray_standins.key_value.store import KeyValueStore
+from jaytray_standins.target.state import TargetState
+from packages.server.tests.request.peers import FakeNetwork
+from packages.server.tests.request.virtual_loop import loop_clock, loop_wall_clock
 
 KEY = "k-lakeshore"
 ACCOUNT = ClientAccount("lakeshore", 1000.0, 5000, 1.0)
@@ -73,6 +83,66 @@
     return route._replace(**fields)
 
 
+def chat_body(text: str, **fields: object) -> dict[str, object]:
+    """Return the body of a chat completion."""
+    return {
+        "model": MODEL.name,
+        "messages": [{"role": "user", "content": text}],
+        **fields,
+    }
+
+
+class Targets(NamedTuple):
+    """Stand-in targets with their fault switches."""
+
+    states: dict[str, TargetState]
+    faults: dict[str, FaultSwitches]
+
+    def connection_to(self, name: str) -> TargetConnection:
+        """Return a connection to one of the targets."""
+        return in_process_target(self.states[name], self.faults[name], timeout_s=0.3)
+
+    def boot_id_of(self, name: str) -> str:
+        """Return the boot id that the target would report."""
+        return self.states[name].boot_id
+
+
+def make_targets(*, restart_s: float = 0.0, token_interval_s: float = 0.001) -> Targets:
+    """Return three targets on which the model and its adapter are ready.
+
+    A target that restarts is ready again at once.
+    """
+    states: dict[str, TargetState] = {}
+    for name in TARGETS:
+        states[name] = RestartingTarget(
+            name=name,
+            accelerators=1,
+            accelerator_memory_mib=1000,
+            checks_fencing=True,
+            clock=loop_clock,
+            first_token_s=0.01,
+            token_interval_s=token_interval_s,
+            restart_s=restart_s,
+        )
+        place_model(states[name])
+    return Targets(states, {name: FaultSwitches() for name in TARGETS})
+
+
+class RestartingTarget(TargetState):
+    """A target that has its model again as soon as it is back."""
+
+    def crash(self) -> None:
+        """Restart with the model in memory."""
+        super().crash()
+        place_model(self)
+
+
+def place_model(state: TargetState) -> None:
+    """Make the model ready on a target."""
+    order = Order("o", OrderKind.LOAD_MODEL, MODEL.name, MODEL.name, "1", 0, 100, 1)
+    state.place(order)
+
+
 DEFAULT_ROUTES = (
     make_route("all", "/"),
     make_route("open", "/menu", is_open=True, methods=("GET",)),
@@ -122,9 +192,13 @@
         prefix_digests=lambda _model, _prompt: (),
         load_adapter=_load_adapter,
         metrics=make_null_metrics(),
-        clock=lambda: 0.0,
+        clock=loop_clock,
+        wall_clock=loop_wall_clock,
         lifecycle=lifecycle,
         retry_budget=RetryBudget(),
+        idempotency=make_idempotency(),
+        quarantine=make_quarantine(),
+        deferred=make_deferred(),
         timeouts=timeouts or Timeouts(),
         sizes=SizeLimits(),
     )._replace(**changes)
@@ -140,6 +214,63 @@
     return Site(services, ledger, client)
 
 
+def make_idempotency(
+    store: KeyValueStore | None = None,
+    faults: FaultSwitches | None = None,
+    network: FakeNetwork | None = None,
+    vm_id: str = "vm1",
+) -> Idempotency:
+    """Return the idempotency of one VM on an in-process key-value service."""
+    key_value = in_process_key_value(
+        store or KeyValueStore(clock=loop_clock),
+        faults or FaultSwitches(),
+        timeout_s=0.05,
+    )
+    commits = Commits(
+        key_value=key_value,
+        peers=(network or FakeNetwork(vm_ids=(vm_id,))).of(vm_id),
+        clock=loop_clock,
+        wall_clock=loop_wall_clock,
+        owner_timeout_s=0.1,
+    )
+    commits.listen()
+    return Idempotency(commits=commits, clock=loop_clock, wall_clock=loop_wall_clock)
+
+
+def make_quarantine(
+    store: KeyValueStore | None = None,
+    faults: FaultSwitches | None = None,
+    network: FakeNetwork | None = None,
+    vm_id: str = "vm1",
+    boot_id_of: Callable[[str], str] = lambda _target: "",
+) -> Quarantine:
+    """Return the quarantine of one VM on an in-process key-value service."""
+    quarantine = Quarantine(
+        peers=(network or FakeNetwork(vm_ids=(vm_id,))).of(vm_id),
+        key_value=in_process_key_value(
+            store or KeyValueStore(clock=loop_clock),
+            faults or FaultSwitches(),
+            timeout_s=0.05,
+        ),
+        wall_clock=loop_wall_clock,
+        boot_id_of=boot_id_of,
+    )
+    quarantine.listen()
+    return quarantine
+
+
+def make_deferred(
+    store: KeyValueStore | None = None, faults: FaultSwitches | None = None
+) -> DeferredStore:
+    """Return the deferred jobs on an in-process key-value service."""
+    key_value = in_process_key_value(
+        store or KeyValueStore(clock=loop_clock),
+        faults or FaultSwitches(),
+        timeout_s=0.05,
+    )
+    return DeferredStore(key_value=key_value, wall_clock=loop_wall_clock)
+
+
 async def _load_adapter(_target: str, _adapter: str) -> None:
     return
 
