--- a/packages/server/src/jaytray_server/process/runtime.py
+++ b/packages/server/src/jaytray_server/process/runtime.py
@@ -19,6 +19,7 @@
 from jaytray_core.clock import monotonic_clock, wall_clock
 from jaytray_core.keyvalue import KeyValueService
 from jaytray_core.logs import get_logger
+from jaytray_core.prefix_digests import prefix_digests
 from jaytray_core.vm_list import VmEntry, VmList
 from jaytray_core.weight_store import WeightStore
 from jaytray_server.connection.callers import (
@@ -32,7 +33,6 @@
 from jaytray_server.connection.target_pool import TargetPools
 from jaytray_server.options import Options
 from jaytray_server.ports import Metrics
-from jaytray_server.process.adapter_loads import make_load_adapter
 from jaytray_server.process.admin_api import make_admin_routes, make_operator_check
 from jaytray_server.process.cache_index import CacheIndex
 from jaytray_server.process.decision_log import DecisionLog
@@ -43,6 +43,7 @@
 from jaytray_server.process.limits.slots import TargetSlots
 from jaytray_server.process.membership import follow_vm_list
 from jaytray_server.process.metrics import make_null_metrics, make_statsd_metrics
+from jaytray_server.process.placement.adapter_loader import make_adapter_loader
 from jaytray_server.process.placement.duties import PlacementDuties
 from jaytray_server.process.quarantine.admin_routes import make_quarantine_routes
 from jaytray_server.process.shutdown import drain, install_stop_signals
@@ -50,7 +51,6 @@
 from jaytray_server.process.target_observer import TargetObserver
 from jaytray_server.process.target_table import TargetTable
 from jaytray_server.request.http_api import make_app
-from jaytray_server.request.prefix import prefix_digests
 from jaytray_server.request.retry import RetryBudget
 from jaytray_server.request.routing import make_router
 from jaytray_server.request.services import (
@@ -211,7 +211,9 @@
         connection_to=pools.to_target,
         connection_to_address=pools.to_address,
         prefix_digests=prefix_digests,
-        load_adapter=make_load_adapter(table=table, duties=duties),
+        load_adapter=make_adapter_loader(
+            want_adapter=duties.want_adapter, table=table, clock=monotonic_clock
+        ),
         metrics=metrics,
         clock=monotonic_clock,
         wall_clock=wall_clock,
