--- a/packages/cli/src/jaytray_cli/document_commands.py
+++ b/packages/cli/src/jaytray_cli/document_commands.py
@@ -52,7 +52,8 @@
     if report.faults:
         return _check_result(report, invocation.arguments[0])
     async with invocation.open_site(invocation.flags) as site:
-        _, old = await read_in_force(site, environment)
+        stored, old = await read_in_force(site, environment)
+        store.require_based_on(stored, environment, based_on)
         sections = carry_over(old, report.parsed.sections)
         require_valid(sections, environment=environment)
         head = await apply_change(site, invocation, environment, based_on, sections)
@@ -80,7 +81,8 @@
     async with invocation.open_site(invocation.flags) as site:
         old_head = await store.read_version(site.key_value, environment, version)
         old = await store.read_sections(site.key_value, old_head)
-        _, current = await read_in_force(site, environment)
+        stored, current = await read_in_force(site, environment)
+        store.require_based_on(stored, environment, based_on)
         sections = restore(current, old)
         require_valid(sections, environment=environment)
         head = await apply_change(
--- a/packages/cli/src/jaytray_cli/vm_commands.py
+++ b/packages/cli/src/jaytray_cli/vm_commands.py
@@ -18,7 +18,7 @@
 from jaytray_cli.vms import VmReport, read_reports, require_running
 from jaytray_core import message_registry as messages
 from jaytray_core.document.changes import refuse_unsafe_promotion, require_valid
-from jaytray_core.document.store import read_head
+from jaytray_core.document.store import read_head, require_based_on
 from jaytray_core.errors import JaytrayError, Step
 
 QUARANTINE_PATH = "/admin/quarantine"
@@ -59,7 +59,8 @@
                 detail="it has no document",
             )
         require_running(await read_reports(site), trial.head)
-        _, production = await read_in_force(site, PRODUCTION)
+        stored, production = await read_in_force(site, PRODUCTION)
+        require_based_on(stored, PRODUCTION, based_on)
         refuse_unsafe_promotion(production, sections)
         require_valid(sections, environment=PRODUCTION)
         head = await apply_change(
--- a/packages/core/src/jaytray_core/document/store.py
+++ b/packages/core/src/jaytray_core/document/store.py
@@ -106,8 +106,7 @@
     """
     async with _change_timeout():
         stored = await read_head(key_value, change.environment)
-        if stored.version != change.based_on:
-            raise _conflict(change, stored.head)
+        require_based_on(stored, change.environment, change.based_on)
         body = make_body(sections)
         await write_parts(key_value, body, stored.head, clock)
         await _copy_to_history(key_value, stored)
@@ -115,6 +114,12 @@
         return await _swap_head(key_value, change, stored, head)
 
 
+def require_based_on(stored: StoredHead, environment: str, based_on: int) -> None:
+    """Raise `version_conflict` unless the environment is at version `based_on`."""
+    if stored.version != based_on:
+        raise _conflict(environment, based_on, stored.head)
+
+
 async def history(key_value: KeyValueService, environment: str) -> list[Head]:
     """Return the versions that are kept, latest first, with the one in force."""
     stored = await read_head(key_value, environment)
@@ -184,7 +189,7 @@
         raise _uncertain("the version could not be read back") from err
     if current.version == change.based_on and lost_answer is not None:
         raise lost_answer
-    raise _conflict(change, current.head)
+    raise _conflict(change.environment, change.based_on, current.head)
 
 
 async def _is_in_force(key_value: KeyValueService, head: Head) -> bool:
@@ -234,15 +239,15 @@
     )
 
 
-def _conflict(change: Change, current: Head | None) -> JaytrayError:
+def _conflict(environment: str, based_on: int, current: Head | None) -> JaytrayError:
     return JaytrayError(
         messages.VERSION_CONFLICT,
         step=Step.CONFIGURATION,
         peer="kv",
-        environment=change.environment,
+        environment=environment,
         version=current.version if current else 0,
         author=current.author if current else "nobody",
-        based_on=change.based_on,
+        based_on=based_on,
     )
 
 
--- a/packages/server/src/jaytray_server/version/follower.py
+++ b/packages/server/src/jaytray_server/version/follower.py
@@ -153,13 +153,25 @@
             return
         wanted = self._wanted[0] if self._wanted is not None else None
         if wanted is None or head.version > wanted.version:
-            self._wanted = (head, source)
-            self._wanted_changed.set()
+            self._want(head, source)
         elif head.version == wanted.version:
-            if head.body_digest != wanted.body_digest:
-                self._report_contradiction(head.version, source)
-            elif source != SERVICE:
-                self._collector.add_holder(source)
+            self._offer_again(wanted, head, source)
+
+    def _offer_again(self, wanted: Head, head: Head, source: str) -> None:
+        """Consider another source of the wanted version, which is not in force yet.
+
+        Where bodies differ the service decides.
+        """
+        if head.body_digest != wanted.body_digest:
+            self._report_contradiction(head.version, source)
+            if source == SERVICE:
+                self._want(head, source)
+        elif source != SERVICE:
+            self._collector.add_holder(source)
+
+    def _want(self, head: Head, source: str) -> None:
+        self._wanted = (head, source)
+        self._wanted_changed.set()
 
     def _accept_part(self, data: bytes) -> None:
         self._collector.accept(data)
