--- a/packages/server/src/jaytray_server/process/limits/account_limits.py
+++ b/packages/server/src/jaytray_server/process/limits/account_limits.py
@@ -16,7 +16,7 @@
 from jaytray_core.logs import get_logger
 from jaytray_core.vm_list import VmEntry
 from jaytray_server.ports import CurrentDocument, Limiter, Metrics, PeerNetwork
-from jaytray_server.process.limits.gifts import GRANT_HOLD_S, GiftExchange
+from jaytray_server.process.limits.gifts import PARTS_HOLD_S, GiftExchange
 from jaytray_server.process.limits.limiter import AccountLimiter, limiter_functions
 from jaytray_server.process.limits.membership import Membership
 from jaytray_server.process.limits.message_budget import MessageBudget
@@ -83,7 +83,7 @@
             incarnation=f"{self._rng.getrandbits(48):012x}",
             key_value=key_value,
             clock=clock,
-            settle_s=GRANT_HOLD_S,
+            settle_s=PARTS_HOLD_S,
             on_parts=self._handle_parts,
             key=key,
         )
@@ -125,6 +125,10 @@
         elif has_gone or self.membership.live != before:
             self._read_soon()
 
+    def follow_document(self) -> None:
+        """Apply a new document now; else the next request or tick does."""
+        self.limiter.follow_document()
+
     async def leave(self) -> None:
         """Hand this VM's share over to the others; what fails is claimed later."""
         async with self._lock:
--- a/packages/server/src/jaytray_server/process/limits/account_state.py
+++ b/packages/server/src/jaytray_server/process/limits/account_state.py
@@ -75,21 +75,29 @@
         self.contract = contract
         self._apply_limits(now)
 
-    def lend(self, *, parts: int, tokens: int, until_s: float, now: float) -> None:
+    def lend_tokens(self, tokens: int, *, until_s: float, now: float) -> None:
         """Deduct what another VM may spend; the capacity lacks it until `until_s`."""
         self.advance(now)
         self.bucket.withdraw(tokens)
-        heapq.heappush(self._lendings, Lending(until_s, -1, parts, tokens))
-        self._apply_limits(now)
+        self._add_lending(Lending(until_s, -1, 0, tokens), now)
 
-    def borrow(self, *, parts: int, tokens: int, until_s: float, now: float) -> None:
-        """Add what another VM has deducted, for use until `until_s`."""
+    def lend_parts(self, parts: int, *, until_s: float, now: float) -> None:
+        """Refill more slowly until `until_s`, by parts that another VM refills by."""
         self.advance(now)
-        if until_s <= now:
-            return
-        heapq.heappush(self._lendings, Lending(until_s, 1, parts, tokens))
-        self._apply_limits(now)
-        self.bucket.deposit(tokens)
+        self._add_lending(Lending(until_s, -1, parts, 0), now)
+
+    def borrow_tokens(self, tokens: int, *, until_s: float, now: float) -> None:
+        """Add tokens that another VM has deducted, for use until `until_s`."""
+        self.advance(now)
+        if until_s > now:
+            self._add_lending(Lending(until_s, 1, 0, tokens), now)
+            self.bucket.deposit(tokens)
+
+    def borrow_parts(self, parts: int, *, until_s: float, now: float) -> None:
+        """Refill faster until `until_s`, by parts that another VM has lent."""
+        self.advance(now)
+        if until_s > now:
+            self._add_lending(Lending(until_s, 1, parts, 0), now)
 
     def observe_demand(self, tokens: int, now: float) -> None:
         """Count tokens that were asked for into the mean demand."""
@@ -107,7 +115,12 @@
         if rate <= 0:
             return 0
         wanted = self.demand(now) * DEMAND_MARGIN / rate * TOTAL_PARTS
-        return math.ceil(min(wanted, TOTAL_PARTS)) - self._parts_at_hand()
+        return math.ceil(min(wanted, TOTAL_PARTS)) - self.parts_at_hand()
+
+    def parts_at_hand(self) -> int:
+        """Return the parts by which the bucket refills now."""
+        balance = sum(lending.sign * lending.parts for lending in self._lendings)
+        return max(0, self._parts + balance)
 
     def tokens_waited_for(self) -> int:
         """Return the tokens that waiting requests need."""
@@ -122,15 +135,16 @@
             and self.bucket.level >= self.bucket.capacity
         )
 
-    def _parts_at_hand(self) -> int:
-        balance = sum(lending.sign * lending.parts for lending in self._lendings)
-        return max(0, self._parts + balance)
+    def _add_lending(self, lending: Lending, now: float) -> None:
+        if lending.tokens or lending.parts:
+            heapq.heappush(self._lendings, lending)
+            self._apply_limits(now)
 
     def _apply_limits(self, now: float) -> None:
         burst = self.contract.burst_tokens
         balance = sum(lending.sign * lending.tokens for lending in self._lendings)
         self.bucket.set_limits(
             capacity=burst * self._parts / TOTAL_PARTS + balance,
-            rate=self.contract.rate_tokens_per_s * self._parts_at_hand() / TOTAL_PARTS,
+            rate=self.contract.rate_tokens_per_s * self.parts_at_hand() / TOTAL_PARTS,
             now=now,
         )
--- a/packages/server/src/jaytray_server/process/limits/gifts.py
+++ b/packages/server/src/jaytray_server/process/limits/gifts.py
@@ -25,21 +25,27 @@
 
 ASK_TOPIC = "limits.ask"
 GRANT_TOPIC = "limits.grant"
-# How long a taker may use a grant, from the moment it asked.
-GRANT_LIFETIME_S = 5.0
-# How long the giver leaves it out; the clocks may differ by 5 in 100.
-GRANT_HOLD_S = 5.25
+# How long a taker may use granted tokens and parts, from the moment it asked.
+TOKENS_LIFETIME_S = 5.0
+PARTS_LIFETIME_S = 20.0
+# How long the giver leaves them out; the clocks may differ by 5 in 100.
+TOKENS_HOLD_S = 5.25
+PARTS_HOLD_S = 21.0
 # Peers asked at first; each further batch is twice as large.
-FIRST_BATCH = 4
+FIRST_BATCH = 8
+# Peers asked in one go after all had nothing to spare.
+PROBE_BATCH = 2
+# Seconds of its demand for which a VM asks beyond its waiting requests.
+LOOKAHEAD_S = 1.0
 # How long a batch may take to answer.
 REPLY_TIMEOUT_S = 0.05
-# Pause after all peers were asked in vain, doubled each time up to the largest.
-SMALLEST_PAUSE_S = 0.5
-LARGEST_PAUSE_S = 8.0
+# Pause after peers were asked in vain.
+PAUSE_S = 1.0
 # Part of its spare tokens that a VM with demand of its own gives at once.
 SHARED_FRACTION = 0.5
-# Accounts whose helpful peers and pauses are remembered.
+# Accounts whose last exchange is remembered, and peers of each.
 MAX_REMEMBERED_ACCOUNTS = 1000
+MAX_REMEMBERED_PEERS = 16
 
 
 class Ask(NamedTuple):
@@ -56,29 +62,36 @@
 
 
 class Grant(NamedTuple):
-    """Answer to an ask; zeros when there is nothing to spare."""
+    """Answer to an ask; zeros when there is nothing to give.
+
+    `spare_tokens` is what is left at the giver.
+    """
 
     ask_id: int
     tokens: int
     parts: int
+    spare_tokens: int
 
 
 class _OpenAsk(NamedTuple):
     account: str
     peer: str
     asked_at: float
-    answered: asyncio.Future[bool]
+    answered: asyncio.Future[None]
 
 
 class _Memory(NamedTuple):
-    """What the last exchange for an account taught."""
+    """What the last exchange for an account taught.
+
+    `spare_by_peer` holds the peers that had something left, the latest last.
+    """
 
-    helpful_peers: tuple[str, ...]
-    pause_s: float
+    spare_by_peer: dict[str, int]
+    is_exhausted: bool
     paused_until: float
 
 
-_NO_MEMORY = _Memory((), 0.0, float("-inf"))
+_NO_MEMORY = _Memory({}, False, float("-inf"))
 
 
 class GiftExchange:
@@ -143,19 +156,18 @@
         """Take what can be spared for `ask` out of this VM's bucket."""
         self._limiter.follow_document()
         if not self._limiter.knows(ask.account):
-            return Grant(ask.ask_id, 0, 0)
+            return Grant(ask.ask_id, 0, 0, 0)
         now = self._clock()
         state = self._limiter.state_of(ask.account)
         spare = max(0.0, state.bucket.level - state.tokens_waited_for())
-        parts_missing = state.parts_missing(now)
-        parts = max(0, min(ask.parts, -parts_missing))
-        has_demand = parts_missing > -self._limiter.parts
-        if has_demand and not ask.is_urgent:
-            spare *= SHARED_FRACTION
-        tokens = min(ask.tokens, math.floor(spare))
-        if tokens or parts:
-            state.lend(parts=parts, tokens=tokens, until_s=now + GRANT_HOLD_S, now=now)
-        return Grant(ask.ask_id, tokens, parts)
+        unused_parts = max(0, -state.parts_missing(now))
+        parts = max(0, min(ask.parts, unused_parts))
+        has_demand = unused_parts < state.parts_at_hand()
+        part = SHARED_FRACTION if has_demand and not ask.is_urgent else 1.0
+        tokens = max(0, min(ask.tokens, math.floor(spare * part)))
+        state.lend_tokens(tokens, until_s=now + TOKENS_HOLD_S, now=now)
+        state.lend_parts(parts, until_s=now + PARTS_HOLD_S, now=now)
+        return Grant(ask.ask_id, tokens, parts, math.floor(spare * part) - tokens)
 
     def handle_grant(self, sender: str, body: bytes) -> None:
         """Add a grant that was asked for to the account's bucket, once."""
@@ -167,27 +179,24 @@
         ask = self._open_asks_by_id.pop(grant.ask_id, None)
         if ask is None or ask.peer != sender:
             return
-        is_helpful = grant.tokens > 0 or grant.parts > 0
-        if is_helpful:
+        self._remember_spare(ask.account, sender, grant)
+        if grant.tokens > 0 or grant.parts > 0:
             self.use_grant(ask.account, grant, ask.asked_at)
-            self._remember_helper(ask.account, sender)
             self._limiter.wake(ask.account)
         if not ask.answered.done():
-            ask.answered.set_result(is_helpful)
+            ask.answered.set_result(None)
 
     def use_grant(self, account: str, grant: Grant, asked_at: float) -> None:
         """Borrow a grant until its lifetime is over."""
         self._metrics.increment("limits.tokens_received", grant.tokens)
-        self._limiter.state_of(account).borrow(
-            parts=grant.parts,
-            tokens=grant.tokens,
-            until_s=asked_at + GRANT_LIFETIME_S,
-            now=self._clock(),
-        )
+        state = self._limiter.state_of(account)
+        now = self._clock()
+        state.borrow_tokens(grant.tokens, until_s=asked_at + TOKENS_LIFETIME_S, now=now)
+        state.borrow_parts(grant.parts, until_s=asked_at + PARTS_LIFETIME_S, now=now)
 
     def drop_expired_asks(self) -> None:
         """Forget asks whose answer could not be used any more."""
-        oldest = self._clock() - GRANT_LIFETIME_S
+        oldest = self._clock() - PARTS_LIFETIME_S
         for ask_id, ask in list(self._open_asks_by_id.items()):
             if ask.asked_at > oldest:
                 break
@@ -201,12 +210,12 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _gather(self, account: str) -> None:
-        for batch, is_last in self._batches(account):
-            await self._ask_batch(account, batch, is_urgent=is_last)
+        for batch, is_urgent in self._batches(account):
+            await self._ask_batch(account, batch, is_urgent=is_urgent)
             if self._limiter.tokens_short(account) <= 0:
-                self._forget_pause(account)
+                self._remember_success(account)
                 return
-        self._remember_pause(account)
+        self._remember_failure(account)
         self._limiter.refuse_hopeless(account)
 
     async def _ask_batch(
@@ -215,13 +224,15 @@
         short = self._limiter.tokens_short(account)
         if short <= 0 or not batch:
             return
+        now = self._clock()
         state = self._limiter.state_of(account)
-        parts = max(0, state.parts_missing(self._clock()))
+        tokens = short + LOOKAHEAD_S * state.demand(now)
+        parts = max(0, state.parts_missing(now))
         answers = [
             self._ask(
                 peer,
                 account,
-                tokens=math.ceil(short if is_urgent else short / len(batch)),
+                tokens=math.ceil(tokens / len(batch)),
                 parts=math.ceil(parts / len(batch)),
                 is_urgent=is_urgent,
             )
@@ -233,11 +244,11 @@
 
     def _ask(
         self, peer: str, account: str, *, tokens: int, parts: int, is_urgent: bool
-    ) -> asyncio.Future[bool] | None:
+    ) -> asyncio.Future[None] | None:
         if self._budget.is_spent():
             return None
         ask = Ask(self._rng.getrandbits(53), account, tokens, parts, is_urgent)
-        answered: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        answered: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._open_asks_by_id[ask.ask_id] = _OpenAsk(
             account, peer, self._clock(), answered
         )
@@ -247,43 +258,56 @@
         return answered
 
     def _batches(self, account: str) -> Iterator[tuple[list[str], bool]]:
-        """Yield growing batches of peers; the best are asked again, urgently."""
+        """Yield growing batches of peers; those with most left are asked again."""
         memory = self._memory_by_account.get(account, _NO_MEMORY)
-        listed = [vm for vm in self._peers.listed_vms() if vm != self._peers.vm_id]
-        near = self._peers.neighbours()
-        self._rng.shuffle(near)
-        self._rng.shuffle(listed)
-        known = set(listed)
-        ranked = list(dict.fromkeys((*memory.helpful_peers, *near, *listed)))
-        remaining = [vm for vm in ranked if vm in known]
+        remaining = self._ranked_peers(memory)
+        if memory.is_exhausted:
+            yield remaining[:PROBE_BATCH], False
+            return
         size = FIRST_BATCH
         while remaining:
             batch, remaining = remaining[:size], remaining[size:]
             yield batch, False
             size *= 2
         last = self._memory_by_account.get(account, _NO_MEMORY)
-        yield [vm for vm in last.helpful_peers if vm in known], True
+        yield self._peers_with_spare(last), True
+
+    def _ranked_peers(self, memory: _Memory) -> list[str]:
+        listed = [vm for vm in self._peers.listed_vms() if vm != self._peers.vm_id]
+        near = self._peers.neighbours()
+        self._rng.shuffle(near)
+        self._rng.shuffle(listed)
+        known = set(listed)
+        ranked = dict.fromkeys((*self._peers_with_spare(memory), *near, *listed))
+        return [vm for vm in ranked if vm in known]
+
+    def _peers_with_spare(self, memory: _Memory) -> list[str]:
+        spare_by_peer = memory.spare_by_peer
+        return sorted(spare_by_peer, key=lambda vm: spare_by_peer[vm], reverse=True)
 
     def _send(self, peer: str, topic: str, body: bytes) -> bool:
         self._budget.spend(len(topic) + len(body))
         return self._peers.send(peer, topic, body)
 
-    def _remember_helper(self, account: str, peer: str) -> None:
+    def _remember_spare(self, account: str, peer: str, grant: Grant) -> None:
         memory = self._memory_by_account.get(account, _NO_MEMORY)
-        others = [vm for vm in memory.helpful_peers if vm != peer]
-        helpful = (peer, *others)[: 2 * FIRST_BATCH]
-        self._remember(account, memory._replace(helpful_peers=helpful))
-
-    def _remember_pause(self, account: str) -> None:
+        spare_by_peer = dict(memory.spare_by_peer)
+        spare_by_peer.pop(peer, None)
+        if grant.spare_tokens > 0:
+            spare_by_peer[peer] = grant.spare_tokens
+        if len(spare_by_peer) > MAX_REMEMBERED_PEERS:
+            del spare_by_peer[next(iter(spare_by_peer))]
+        self._remember(account, memory._replace(spare_by_peer=spare_by_peer))
+
+    def _remember_failure(self, account: str) -> None:
         memory = self._memory_by_account.get(account, _NO_MEMORY)
-        pause = min(max(2 * memory.pause_s, SMALLEST_PAUSE_S), LARGEST_PAUSE_S)
-        until = self._clock() + pause
-        self._remember(account, memory._replace(pause_s=pause, paused_until=until))
+        until = self._clock() + PAUSE_S
+        self._remember(account, memory._replace(is_exhausted=True, paused_until=until))
 
-    def _forget_pause(self, account: str) -> None:
+    def _remember_success(self, account: str) -> None:
         memory = self._memory_by_account.get(account)
-        if memory is not None and memory.pause_s:
-            self._remember(account, memory._replace(pause_s=0.0))
+        if memory is not None and memory.is_exhausted:
+            self._remember(account, memory._replace(is_exhausted=False))
 
     def _remember(self, account: str, memory: _Memory) -> None:
         self._memory_by_account.pop(account, None)
--- a/packages/server/src/jaytray_server/process/limits/shares.py
+++ b/packages/server/src/jaytray_server/process/limits/shares.py
@@ -77,7 +77,6 @@
         self._usable = 0
         self._raise_target = 0
         self._raise_at = float("inf")
-        self._created_revision = ABSENT_REVISION
         self._giving: _OpenGiving | None = None
         self.last_read: TableRead | None = None
 
@@ -103,19 +102,19 @@
     async def create(self, vms: list[str]) -> None:
         """Create the table with even shares, unless there is one."""
         table = create_table(vms)
-        if await self._swap(encode_table(table), ABSENT_REVISION):
-            assert self.last_read is not None
-            self._created_revision = self.last_read.revision
+        await self._swap(encode_table(table), ABSENT_REVISION)
 
     async def register(self) -> None:
         """Record that this process uses the VM's parts from now on."""
         read = self.last_read
         if read is None or self.is_registered:
             return
+        is_first_process = self._own_entry().incarnation == ""
         table = register(read.table, self._vm_id, self._incarnation)
         is_swapped = await self._swap(encode_table(table), read.revision)
-        if is_swapped and read.revision == self._created_revision:
-            # Nobody can have lent anything out of a table that is new.
+        if is_swapped and is_first_process:
+            # Parts without a process date from the table's creation, so that nobody
+            # can have lent anything out of them.
             self._raise_at = self._clock()
             self.apply_due_raise()
 
--- a/packages/server/tests/process/limits/test_conservation.py
+++ b/packages/server/tests/process/limits/test_conservation.py
@@ -16,7 +16,7 @@
 from testtools import TestCase
 
 from jaytray_core.document.model import ClientAccount
-from jaytray_server.process.limits import gifts
+from jaytray_server.process.limits import account_limits, gifts
 from jaytray_server.process.limits.account_state import AccountState
 from jaytray_server.process.limits.bucket import TokenBucket
 from jaytray_server.process.limits.membership import Membership
@@ -41,6 +41,7 @@
 
 KINDS = (
     ("flood", 6),
+    ("burst", 3),
     ("request", 4),
     ("long_stream", 2),
     ("pause", 2),
@@ -113,6 +114,10 @@
             for _ in range(max(1, 2 * BURST // tokens // len(vms))):
                 self.offer(vm_id, tokens, used=1.0, run_s=1.0)
 
+    def burst(self, vm_id: str, size: float) -> None:
+        for _ in range(10):
+            self.offer(vm_id, 1 + int(size * BURST / 10), used=1.0, run_s=1.0)
+
     def request(self, vm_id: str, size: float) -> None:
         self.offer(vm_id, 1 + int(size * BURST), used=size, run_s=3.0 * size)
 
@@ -232,7 +237,7 @@
 
     def keep_contract(self, version: int) -> None:
         """Count a contract that a VM drops until its grants cannot be used."""
-        until = self.fleet.schedule.now + gifts.GRANT_HOLD_S
+        until = self.fleet.schedule.now + gifts.PARTS_HOLD_S
         self.contracts_used_until[str(version)] = (self.contracts[version - 1], until)
         self.fleet.schedule.at(until, self.note_contracts)
 
@@ -251,25 +256,43 @@
 
 
 def gift_without_deduction() -> Any:
-    return mock.patch.object(AccountState, "lend", lambda _self, **_amounts: None)
+    return mock.patch.object(AccountState, "lend_tokens", lambda *_a, **_k: None)
+
 
+def rate_lent_without_deduction() -> Any:
+    return mock.patch.object(AccountState, "lend_parts", lambda *_a, **_k: None)
 
-def gift_kept_in_the_capacity() -> Any:
-    return mock.patch.object(gifts, "GRANT_HOLD_S", 0.0)
 
+@contextmanager
+def gift_kept_in_the_capacity() -> Iterator[None]:
+    with tokens_only(), mock.patch.object(gifts, "TOKENS_HOLD_S", 0.0):
+        yield
 
-def grant_spent_after_expiry() -> Any:
-    return mock.patch.object(gifts, "GRANT_LIFETIME_S", 1000.0)
 
+@contextmanager
+def grant_spent_after_expiry() -> Iterator[None]:
+    with tokens_only(), mock.patch.object(gifts, "TOKENS_LIFETIME_S", 1000.0):
+        yield
 
-def process_that_starts_full() -> Any:
+
+def tokens_only() -> Any:
+    """Exchange no parts of the rate, so that givers refill."""
+    return mock.patch.object(AccountState, "parts_missing", lambda *_a: 0)
+
+
+@contextmanager
+def process_that_starts_full() -> Iterator[None]:
     original = AccountState.set_parts
 
     def set_parts(state: AccountState, parts: int, now: float) -> None:
         original(state, parts, now)
         state.bucket.deposit(state.bucket.capacity)
 
-    return mock.patch.object(AccountState, "set_parts", set_parts)
+    with (
+        mock.patch.object(AccountState, "set_parts", set_parts),
+        mock.patch.object(account_limits, "PARTS_HOLD_S", 0.0),
+    ):
+        yield
 
 
 def return_without_headroom() -> Any:
@@ -307,9 +330,14 @@
 # Schedules that lead to the fault of each broken variant.
 SCHEDULES_BY_VARIANT = {
     "gift_without_deduction": [Step("request", 3, 0.9, 1.0), *FLOOD],
+    "rate_lent_without_deduction": [
+        Step("request", 3, 0.95, 1.0),
+        *[Step("burst", 3, 0.1, 1.1)] * 9,
+        *FLOOD,
+    ],
     "gift_kept_in_the_capacity": [*ASK, Step("pause", 3, 0.1, 3.9), *FLOOD],
     "grant_spent_after_expiry": [*ASK, Step("pause", 3, 0.5, 19.9), *FLOOD],
-    "process_that_starts_full": [*FLOOD, Step("restart", 3, 0.0, 8.5), *FLOOD],
+    "process_that_starts_full": [*FLOOD, Step("restart", 3, 0.0, 3.9), *FLOOD],
     "return_without_headroom": [Step("long_stream", 3, 1.0, 39.8), *FLOOD, *FLOOD],
     "claim_upon_silence": [Step("pause", 3, 1.0, 39.8), *FLOOD, *FLOOD],
 }
--- a/tools/limits_model/fleet.py
+++ b/tools/limits_model/fleet.py
@@ -12,6 +12,7 @@
 from jaytray_server.ports import CurrentDocument, PeerHandler, PeerNetwork
 from jaytray_server.process.limits.account_limits import AccountLimits
 from jaytray_standins.key_value.store import KeyValueStore
+from tools.limits_model.baselines import LimitsOfVm
 from tools.limits_model.network import KeyValueLink, PeerLinks
 from tools.limits_model.virtual_loop import Schedule, VirtualLoop
 
@@ -69,6 +70,7 @@
         self.link = KeyValueLink(
             store=fleet.store, schedule=fleet.schedule, loop=self.loop, rng=rng
         )
+        self.link.is_down = fleet.is_key_value_down
         self.limits = fleet.make(
             LimitsSetup(
                 vm_id,
@@ -91,7 +93,7 @@
         """Bring a newer document into force in this process."""
         if document.version > self.document.version:
             self.document = document
-            self.limits.limiter.follow_document()
+            self.limits.follow_document()
 
 
 class Fleet:
@@ -102,7 +104,7 @@
         *,
         accounts: list[ClientAccount],
         seed: int,
-        make: Callable[[LimitsSetup], AccountLimits] = make_limits,
+        make: Callable[[LimitsSetup], LimitsOfVm] = make_limits,
     ) -> None:
         self.schedule = Schedule()
         self.rng = random.Random(seed)
@@ -117,7 +119,7 @@
         self.silent: set[str] = set()
         self.outcomes: list[Outcome] = []
         self.on_admission: Callable[[str], None] = lambda _account: None
-        self.kv_calls = 0
+        self.is_key_value_down = False
         self._publish_list()
 
     def start(self, vm_id: str) -> None:
@@ -136,7 +138,6 @@
         """End the process on a VM at once; the list does not change."""
         process = self.processes_by_vm.pop(vm_id, None)
         if process is not None:
-            self.kv_calls += process.link.calls
             process.loop.shut_down()
 
     def drop(self, vm_id: str) -> None:
