Add make faults: a table of faults held against what the stand-ins ran

Cause: the promises must be shown under each failure, alone and in pairs. Found by it and mended here: a service's own 5xx is its answer; repeatable calls keep time for another try; addresses that failed are passed over; streams that make progress go on being resumed; keyed calls finish when their caller leaves, so that a re-send gets the answer.

--- a/packages/server/src/jaytray_server/process/runtime.py
+++ b/packages/server/src/jaytray_server/process/runtime.py
@@ -53,6 +53,7 @@
 from jaytray_server.request.prefix import prefix_digests
 from jaytray_server.request.retry import RetryBudget
 from jaytray_server.request.routing import make_router
+from jaytray_server.request.service_routing import AddressHealth
 from jaytray_server.request.services import (
     Lifecycle,
     Phase,
@@ -217,6 +218,7 @@
         wall_clock=wall_clock,
         lifecycle=lifecycle,
         retry_budget=RetryBudget(),
+        service_health=AddressHealth(clock=monotonic_clock),
         idempotency=request_state.idempotency,
         quarantine=request_state.quarantine,
         deferred=request_state.deferred,
--- a/packages/server/src/jaytray_server/request/deferred_routes.py
+++ b/packages/server/src/jaytray_server/request/deferred_routes.py
@@ -27,17 +27,17 @@
 )
 from jaytray_server.request.refusals import invalid_request
 from jaytray_server.request.responses import send_whole
-from jaytray_server.request.service_call import (
-    SERVICE_PREFIX,
-    IncomingCall,
-    find_route,
-    is_repeatable,
-)
 from jaytray_server.request.service_routes import (
     IDEMPOTENCY_HEADER,
     run_service_call,
     split_service_path,
 )
+from jaytray_server.request.service_routing import (
+    SERVICE_PREFIX,
+    IncomingCall,
+    find_route,
+    is_repeatable,
+)
 from jaytray_server.request.services import RequestServices
 from jaytray_server.request.tracker import DispatchTracker
 from jaytray_server.request.work import make_work
--- a/packages/server/src/jaytray_server/request/responses.py
+++ b/packages/server/src/jaytray_server/request/responses.py
@@ -17,6 +17,8 @@
 from jaytray_server.request.refusals import encode_refusal, refusal_headers
 
 T = TypeVar("T")
+# Keeps calls whose caller left from being collected before they end.
+_left_running: "set[asyncio.Future[Any]]" = set()
 REQUEST_ID_HEADER = "x-request-id"
 DONE_EVENT = b"data: [DONE]\n\n"
 _STREAM_HEADERS = [("content-type", "text/event-stream"), ("cache-control", "no-cache")]
@@ -54,6 +56,19 @@
         await asyncio.gather(task, watch, return_exceptions=True)
 
 
+async def until_caller_leaves_running(
+    receive: Receive, work: Coroutine[Any, Any, T]
+) -> T:
+    """Return the result of `work`; raise `CallerLeft` on disconnect, without ending it.
+
+    For calls whose answer is recorded, so that a caller who comes back gets it.
+    """
+    task = asyncio.ensure_future(work)
+    _left_running.add(task)
+    task.add_done_callback(_forget_left_running)
+    return await until_caller_leaves(receive, _wait_shielded(task))
+
+
 async def send_whole(
     send: Send,
     *,
@@ -125,6 +140,17 @@
         await asyncio.gather(pump, return_exceptions=True)
 
 
+async def _wait_shielded(task: "asyncio.Future[T]") -> T:
+    return await asyncio.shield(task)
+
+
+def _forget_left_running(task: "asyncio.Future[Any]") -> None:
+    _left_running.discard(task)
+    if not task.cancelled():
+        # Marks the exception as seen; it was recorded as the call's outcome.
+        task.exception()
+
+
 async def _pump(
     pieces: AsyncGenerator[StreamPiece, None], buffer: "_StreamBuffer"
 ) -> None:
--- a/packages/server/src/jaytray_server/request/service_call.py
+++ b/packages/server/src/jaytray_server/request/service_call.py
@@ -5,13 +5,12 @@
 """
 
 import asyncio
-import zlib
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import NamedTuple
 
 from jaytray_core import message_registry as messages
-from jaytray_core.document.model import Document, Route, Service
+from jaytray_core.document.model import Route
 from jaytray_core.errors import Execution, JaytrayError, Step
 from jaytray_core.logs import get_logger
 from jaytray_core.targets import ServiceCall, TargetConnection, WholeAnswer
@@ -21,17 +20,25 @@
     TargetTakenError,
     request_suspected,
 )
-from jaytray_server.request.exchange import check_echo, target_timeout
+from jaytray_server.request.exchange import check_echo, target_error, target_timeout
 from jaytray_server.request.retry import MAX_ATTEMPTS_SENT, backoff_s, is_retryable
+from jaytray_server.request.service_routing import (
+    IncomingCall,
+    choose_address,
+    is_repeatable,
+)
 from jaytray_server.request.services import RequestServices
 from jaytray_server.request.tracker import DispatchTracker
 from jaytray_server.request.work import LONGEST_ADMISSION_WAIT_S, new_dispatch_id
 from jaytray_server.version.authentication import Caller, strip_credentials
 
-SERVICE_PREFIX = "/services/"
 # Account under which calls to open routes wait for a slot.
 OPEN_ACCOUNT = "-"
-_REPEATABLE_METHODS = frozenset(("GET", "HEAD"))
+# Share of the remaining time that one try of a repeatable call may take.
+TRY_SHARE = 0.4
+SHORTEST_TRY_S = 0.25
+# Answers by which a service or a proxy before it asks for another try.
+_TRANSIENT_STATUSES = frozenset((502, 503, 504))
 _HOP_HEADERS = frozenset(
     (
         "connection",
@@ -51,40 +58,19 @@
 _log = get_logger()
 
 
-class IncomingCall(NamedTuple):
-    """A caller's call to a service; `path` starts with the service's own `/`."""
-
-    request_id: str
-    method: str
-    service: str
-    path: str
-    query: str
-    headers: list[tuple[str, str]]
-    body: bytes
-
-
-def find_route(document: Document, call: IncomingCall) -> Route:
-    """Return the route with the longest matching prefix; raises `route_unknown`."""
-    matching = [
-        route
-        for route in document.routes_by_name.values()
-        if route.service == call.service
-        and call.path.startswith(route.path_prefix)
-        and (not route.methods or call.method in route.methods)
-    ]
-    if not matching:
-        path = f"{SERVICE_PREFIX}{call.service}{call.path}"
-        raise JaytrayError(
-            messages.ROUTE_UNKNOWN, step=Step.ROUTE, method=call.method, path=path
-        )
-    return max(matching, key=lambda route: len(route.path_prefix))
+class ServiceWork(NamedTuple):
+    """One call to run; `deadline_s` is on the monotonic clock."""
 
+    route: Route
+    call: IncomingCall
+    caller: Caller | None
+    digest: str
+    deadline_s: float
 
-def is_repeatable(route: Route, method: str) -> bool:
-    """Return whether a call by `route` may be sent more than once."""
-    if route.is_repeatable is not None:
-        return route.is_repeatable
-    return method in _REPEATABLE_METHODS
+    @property
+    def is_repeatable(self) -> bool:
+        """Return whether the call may be sent more than once."""
+        return is_repeatable(self.route, self.call.method)
 
 
 async def dispatch_service_call(
@@ -95,15 +81,22 @@
     tracker: DispatchTracker,
 ) -> WholeAnswer:
     """Return the whole answer of the service; raises `JaytrayError`."""
+    work = ServiceWork(
+        route=route,
+        call=call,
+        caller=caller,
+        digest=digest_request(f"{call.service}{call.path}?{call.query}", call.body),
+        deadline_s=services.clock() + route.timeout_s,
+    )
     account = caller.account if caller else None
     if account is None or not route.charge_tokens:
-        return await _dispatch(services, route, call, caller, tracker)
+        return await _dispatch(services, work, tracker)
     reservation = await services.limiter.reserve(
         account.name, route.charge_tokens, LONGEST_ADMISSION_WAIT_S
     )
     used_tokens = route.charge_tokens
     try:
-        return await _dispatch(services, route, call, caller, tracker)
+        return await _dispatch(services, work, tracker)
     except JaytrayError as err:
         if err.execution is Execution.NOT_RUN:
             used_tokens = 0
@@ -113,103 +106,119 @@
 
 
 async def _dispatch(
-    services: RequestServices,
-    route: Route,
-    call: IncomingCall,
-    caller: Caller | None,
-    tracker: DispatchTracker,
+    services: RequestServices, work: ServiceWork, tracker: DispatchTracker
 ) -> WholeAnswer:
-    deadline_s = services.clock() + route.timeout_s
     services.retry_budget.record_first_try()
     while True:
-        address = _choose_address(services, route.service, call, tracker)
         try:
-            return await _attempt(
-                services, route, call, caller, tracker, address, deadline_s
-            )
+            answer = await _attempt(services, work, tracker)
         except JaytrayError as err:
             tracker.apply_to(err)
-            repeatable = is_repeatable(route, call.method)
-            wait_s = backoff_s(tracker.attempts, err.retry_after_s)
-            if (
-                tracker.attempts_sent >= MAX_ATTEMPTS_SENT
-                or not is_retryable(err, is_repeatable=repeatable)
-                or services.clock() + wait_s >= deadline_s
-                or not services.retry_budget.take()
-            ):
+            if not await _may_retry(services, work, tracker, err):
                 raise
-            services.metrics.increment("request.retries", 1)
-            await asyncio.sleep(wait_s)
+            continue
+        if answer.status not in _TRANSIENT_STATUSES or not work.is_repeatable:
+            return answer
+        tracker.attempts_sent += 1
+        if not await _may_retry(services, work, tracker, _transient(answer)):
+            return answer
 
 
-def _choose_address(
-    services: RequestServices, name: str, call: IncomingCall, tracker: DispatchTracker
-) -> str:
-    service = services.current_document().services_by_name.get(name)
-    if service is None or not service.addresses:
-        raise JaytrayError(
-            messages.NO_REPLICA, step=Step.ROUTE, name=name, retry_after_s=1.0
-        )
-    address = _next_address(service, call.request_id, tracker)
-    _log.info(
-        "routing_decision",
-        request_id=call.request_id,
-        name=name,
-        target=address,
-        reason="service",
-        candidates=len(service.addresses),
-        attempt=tracker.attempts + 1,
-    )
-    return address
+async def _may_retry(
+    services: RequestServices,
+    work: ServiceWork,
+    tracker: DispatchTracker,
+    error: JaytrayError,
+) -> bool:
+    """Wait for the backoff and return True, unless there is to be no retry."""
+    wait_s = backoff_s(tracker.attempts, error.retry_after_s)
+    if (
+        tracker.attempts_sent >= MAX_ATTEMPTS_SENT
+        or not is_retryable(error, is_repeatable=work.is_repeatable)
+        or services.clock() + wait_s >= work.deadline_s
+        or not services.retry_budget.take()
+    ):
+        return False
+    services.metrics.increment("request.retries", 1)
+    await asyncio.sleep(wait_s)
+    return True
 
 
-def _next_address(service: Service, request_id: str, tracker: DispatchTracker) -> str:
-    untried = [a for a in service.addresses if a not in tracker.failed_targets]
-    addresses = untried or list(service.addresses)
-    return addresses[zlib.crc32(request_id.encode()) % len(addresses)]
+def _transient(answer: WholeAnswer) -> JaytrayError:
+    detail = f"status {answer.status}"
+    return target_error(messages.TARGET_FAILED, "", detail=detail)
 
 
 async def _attempt(
-    services: RequestServices,
-    route: Route,
-    call: IncomingCall,
-    caller: Caller | None,
-    tracker: DispatchTracker,
-    address: str,
-    deadline_s: float,
+    services: RequestServices, work: ServiceWork, tracker: DispatchTracker
 ) -> WholeAnswer:
-    connection = services.connection_to_address(address)
-    if connection is None:
-        raise JaytrayError(
-            messages.NO_REPLICA, step=Step.ROUTE, name=route.service, retry_after_s=1.0
-        )
-    account = caller.account if caller else None
-    slot = SlotRequest(
-        target=address,
-        account=account.name if account else OPEN_ACCOUNT,
-        weight=account.weight if account else 1.0,
-        tokens=max(1, route.charge_tokens),
-        traffic_class=route.traffic_class,
-        max_wait_s=max(0.0, deadline_s - services.clock()),
-    )
-    digest = digest_request(f"{call.service}{call.path}?{call.query}", call.body)
-    quarantine = services.quarantine
+    connection = _connection(services, work, tracker)
+    address = connection.target
+    quarantine, digest = services.quarantine, work.digest
     async with (
-        services.acquire_slot(slot),
+        services.acquire_slot(_slot_request(services, work, address)),
         _alone_if_suspect(services, digest, address),
     ):
         with quarantine.in_flight(address, digest):
             tracker.begin()
             try:
-                answer = await _send(services, call, caller, connection, deadline_s)
+                answer = await _send(services, work, connection)
             except JaytrayError as err:
                 tracker.fail(address, err)
+                services.service_health.failed(address)
                 await quarantine.dispatch_failed(connection, err, "")
                 raise
+    services.service_health.answered(address)
     await quarantine.ran_whole(digest)
     return answer
 
 
+def _connection(
+    services: RequestServices, work: ServiceWork, tracker: DispatchTracker
+) -> TargetConnection:
+    """Choose an address, log the choice and return the connection to it."""
+    name, request_id = work.route.service, work.call.request_id
+    service = services.current_document().services_by_name.get(name)
+    if service is None or not service.addresses:
+        raise _no_replica(name)
+    address = choose_address(
+        service, request_id, tracker.failed_targets, services.service_health
+    )
+    _log.info(
+        "routing_decision",
+        request_id=request_id,
+        name=name,
+        target=address,
+        reason="service",
+        candidates=len(service.addresses),
+        attempt=tracker.attempts + 1,
+    )
+    connection = services.connection_to_address(address)
+    if connection is None:
+        raise _no_replica(name)
+    return connection
+
+
+def _no_replica(name: str) -> JaytrayError:
+    return JaytrayError(
+        messages.NO_REPLICA, step=Step.ROUTE, name=name, retry_after_s=1.0
+    )
+
+
+def _slot_request(
+    services: RequestServices, work: ServiceWork, address: str
+) -> SlotRequest:
+    account = work.caller.account if work.caller else None
+    return SlotRequest(
+        target=address,
+        account=account.name if account else OPEN_ACCOUNT,
+        weight=account.weight if account else 1.0,
+        tokens=max(1, work.route.charge_tokens),
+        traffic_class=work.route.traffic_class,
+        max_wait_s=max(0.0, work.deadline_s - services.clock()),
+    )
+
+
 @asynccontextmanager
 async def _alone_if_suspect(
     services: RequestServices, digest: str, address: str
@@ -226,15 +235,12 @@
 
 
 async def _send(
-    services: RequestServices,
-    call: IncomingCall,
-    caller: Caller | None,
-    connection: TargetConnection,
-    deadline_s: float,
+    services: RequestServices, work: ServiceWork, connection: TargetConnection
 ) -> WholeAnswer:
+    call = work.call
     dispatch_id = new_dispatch_id()
-    timeout_s = max(0.001, deadline_s - services.clock())
-    key = caller.key if caller else ""
+    timeout_s = _try_timeout_s(services, work)
+    key = work.caller.key if work.caller else ""
     headers, query = strip_credentials(call.headers, call.query, key=key)
     message = ServiceCall(
         request_id=dispatch_id,
@@ -252,3 +258,11 @@
         raise target_timeout(connection.target, round(timeout_s, 3)) from err
     check_echo(answer.request_id, dispatch_id, connection.target)
     return answer
+
+
+def _try_timeout_s(services: RequestServices, work: ServiceWork) -> float:
+    """Return the time for one try; a repeatable call keeps time for another."""
+    left_s = max(0.001, work.deadline_s - services.clock())
+    if not work.is_repeatable:
+        return left_s
+    return min(left_s, max(SHORTEST_TRY_S, left_s * TRY_SHARE))
--- a/packages/server/src/jaytray_server/request/service_routes.py
+++ b/packages/server/src/jaytray_server/request/service_routes.py
@@ -1,5 +1,8 @@
 """Endpoint of plain services behind `/services/NAME/`."""
 
+from collections.abc import Coroutine
+from typing import Any
+
 from jaytray_core.document.model import Route
 from jaytray_core.targets import WholeAnswer
 from jaytray_server.process.idempotency.idempotency import (
@@ -9,11 +12,16 @@
     run_once,
 )
 from jaytray_server.request.endpoint import Exchange, authenticated
-from jaytray_server.request.responses import send_whole, until_caller_leaves
-from jaytray_server.request.service_call import (
+from jaytray_server.request.refusals import invalid_request
+from jaytray_server.request.responses import (
+    send_whole,
+    until_caller_leaves,
+    until_caller_leaves_running,
+)
+from jaytray_server.request.service_call import dispatch_service_call
+from jaytray_server.request.service_routing import (
     SERVICE_PREFIX,
     IncomingCall,
-    dispatch_service_call,
     find_route,
     is_repeatable,
 )
@@ -29,10 +37,13 @@
     call = incoming_call(exchange)
     route = find_route(services.current_document(), call)
     caller = None if route.is_open else authenticated(services, exchange)
-    answer = await until_caller_leaves(
-        exchange.receive,
-        run_service_call(services, route, call, caller, exchange.tracker),
-    )
+    must_finish = is_recorded(route, call, caller)
+    work = run_service_call(services, route, call, caller, exchange.tracker)
+    if must_finish:
+        counted = _counted(services, work)
+        answer = await until_caller_leaves_running(exchange.receive, counted)
+    else:
+        answer = await until_caller_leaves(exchange.receive, work)
     await send_whole(
         exchange.send,
         request_id=exchange.request_id,
@@ -50,8 +61,8 @@
     tracker: DispatchTracker,
 ) -> WholeAnswer:
     """Run a call, only once for its Idempotency-Key if it may not be repeated."""
-    key = next((v for n, v in call.headers if n == IDEMPOTENCY_HEADER), None)
-    if key is None or caller is None or is_repeatable(route, call.method):
+    key = idempotency_key(call)
+    if key is None or caller is None or not is_recorded(route, call, caller):
         return await dispatch_service_call(services, route, call, caller, tracker)
     check_key(key)
     idempotency = services.idempotency
@@ -72,6 +83,32 @@
     return await run_once(idempotency, keyed_call, run, lambda: tracker.execution)
 
 
+def is_recorded(route: Route, call: IncomingCall, caller: Caller | None) -> bool:
+    """Return whether the call is kept to one run by its Idempotency-Key.
+
+    Raises `invalid_request` for a key on a route without client accounts, where it
+    would protect nothing.
+    """
+    if idempotency_key(call) is None or is_repeatable(route, call.method):
+        return False
+    if caller is None:
+        raise invalid_request("Idempotency-Key: this route has no client account")
+    return True
+
+
+def idempotency_key(call: IncomingCall) -> str | None:
+    """Return the Idempotency-Key of a call, or None without the header."""
+    return next((v for n, v in call.headers if n == IDEMPOTENCY_HEADER), None)
+
+
+async def _counted(
+    services: RequestServices, work: Coroutine[Any, Any, WholeAnswer]
+) -> WholeAnswer:
+    """Count the call as running also after its caller left."""
+    with services.lifecycle.running_answer():
+        return await work
+
+
 def incoming_call(exchange: Exchange) -> IncomingCall:
     """Return the service, its path and the rest of the call."""
     name, path = split_service_path(exchange.path)
--- a/packages/server/src/jaytray_server/request/services.py
+++ b/packages/server/src/jaytray_server/request/services.py
@@ -22,6 +22,7 @@
 from jaytray_server.process.idempotency.idempotency import Idempotency
 from jaytray_server.process.quarantine.quarantine import Quarantine
 from jaytray_server.request.retry import RetryBudget
+from jaytray_server.request.service_routing import AddressHealth
 from jaytray_server.version.running_streams import EndStream
 
 
@@ -112,6 +113,7 @@
     wall_clock: WallClock
     lifecycle: Lifecycle
     retry_budget: RetryBudget
+    service_health: AddressHealth
     idempotency: Idempotency
     quarantine: Quarantine
     deferred: DeferredStore
--- a/packages/server/src/jaytray_server/request/stream.py
+++ b/packages/server/src/jaytray_server/request/stream.py
@@ -51,6 +51,7 @@
     async with reserved_tokens(services, work) as charge:
         services.retry_budget.record_first_try()
         while not delivered.is_complete:
+            tokens_before = delivered.tokens
             pieces = _attempt(services, work, tracker, delivered)
             try:
                 async with aclosing(pieces):
@@ -58,6 +59,8 @@
                         _charge_delivered(charge, work, piece)
                         yield piece
             except JaytrayError as err:
+                if delivered.tokens > tokens_before:
+                    tracker.attempts_sent = 0
                 await wait_before_retry(services, work, tracker, err)
                 services.metrics.increment("request.stream_resumed", 1)
 
--- a/packages/server/tests/request/support.py
+++ b/packages/server/tests/request/support.py
@@ -36,6 +36,7 @@
 from jaytray_server.process.quarantine.quarantine import Quarantine
 from jaytray_server.request.http_api import make_app
 from jaytray_server.request.retry import RetryBudget
+from jaytray_server.request.service_routing import AddressHealth
 from jaytray_server.request.services import (
     Lifecycle,
     Phase,
@@ -174,6 +175,7 @@
     connection_to_address: Callable[[str], TargetConnection | None] | None = None,
     document: Document | None = None,
     timeouts: Timeouts | None = None,
+    first_target: int = 0,
     **changes: Any,
 ) -> Site:
     """Return request handling on fakes before the given connections."""
@@ -186,7 +188,7 @@
         register_stream=lambda _digest, _end: nullcontext(),
         limiter=_make_limiter(ledger),
         acquire_slot=_make_acquire_slot(ledger),
-        router=_make_router(ledger),
+        router=_make_router(ledger, first_target),
         connection_to=connection_to,
         connection_to_address=connection_to_address or connection_to,
         prefix_digests=lambda _model, _prompt: (),
@@ -196,6 +198,7 @@
         wall_clock=loop_wall_clock,
         lifecycle=lifecycle,
         retry_budget=RetryBudget(),
+        service_health=AddressHealth(clock=loop_clock),
         idempotency=make_idempotency(),
         quarantine=make_quarantine(),
         deferred=make_deferred(),
@@ -302,9 +305,12 @@
     return acquire_slot
 
 
-def _make_router(ledger: Ledger) -> Router:
+def _make_router(ledger: Ledger, first_target: int) -> Router:
+    """Choose the targets in turn, from another one on each VM."""
+    order = (*TARGETS[first_target:], *TARGETS[:first_target])
+
     def choose(request: RoutingRequest) -> RoutingDecision:
-        free = [name for name in TARGETS if name not in request.excluded_targets]
+        free = [name for name in order if name not in request.excluded_targets]
         if not free:
             raise JaytrayError(messages.NO_REPLICA, step=Step.ROUTE, name=request.name)
         return RoutingDecision(free[0], "first", 0.0, len(free), False)
--- /dev/null
+++ b/tools/fault_cases/callers.py
@@ -0,0 +1,186 @@
+"""Callers of the fleet: one request each, sent again as a client would."""
+
+import asyncio
+import enum
+import json
+import random
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from packages.server.tests.request.support import KEY, MODEL
+from tools.fault_cases.fleet import Fleet
+
+RESENDS = 3
+RESEND_PAUSE_S = 0.2
+SLOW_CALLER_PAUSE_S = 0.05
+
+
+class CallKind(enum.StrEnum):
+    """What a caller asks for."""
+
+    CHAT = "chat"
+    STREAM = "stream"
+    READ = "read"
+    BOOK = "book"
+    BOOK_KEYED = "book_keyed"
+
+
+class Call(NamedTuple):
+    """One call; `marker` is unique and stands in its body.
+
+    `leaves_after_s` is when the caller goes away, 0 for never.
+    """
+
+    marker: str
+    kind: CallKind
+    leaves_after_s: float
+    is_slow: bool
+
+
+class Attempt(NamedTuple):
+    """One sending of a call and what came back.
+
+    `status` is 0 when the connection ended without an answer; `began_at_runs` are
+    the runs of the call before the attempt.
+    """
+
+    number: int
+    began_at_runs: int
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_ended: bool
+
+
+class Outcome(NamedTuple):
+    """A call with all its attempts."""
+
+    call: Call
+    attempts: list[Attempt]
+
+
+def request_body(call: Call) -> bytes:
+    """Return the body of a call."""
+    if call.kind in (CallKind.CHAT, CallKind.STREAM):
+        return json.dumps(
+            {
+                "model": MODEL.name,
+                "messages": [{"role": "user", "content": call.marker}],
+                "stream": call.kind is CallKind.STREAM,
+            }
+        ).encode()
+    return json.dumps({"marker": call.marker}).encode()
+
+
+async def make_call(fleet: Fleet, call: Call, rng: random.Random) -> Outcome:
+    """Send a call; a keyed one is sent again through another VM until answered."""
+    attempts: list[Attempt] = []
+    for number in range(1, RESENDS + 2):
+        live = fleet.live_vms()
+        if not live:
+            break
+        attempt = await _send(fleet, rng.choice(live), call, number)
+        attempts.append(attempt)
+        if call.kind is not CallKind.BOOK_KEYED or attempt.status == 200:
+            break
+        await asyncio.sleep(RESEND_PAUSE_S)
+    return Outcome(call, attempts)
+
+
+def runs_of(fleet: Fleet, call: Call) -> int:
+    """Return how often a target or the service ran a call."""
+    marker = call.marker.encode()
+    return sum(marker in request.body for request in fleet.ran_requests())
+
+
+async def _send(fleet: Fleet, vm_id: str, call: Call, number: int) -> Attempt:
+    began_at_runs = runs_of(fleet, call)
+    exchange = _AsgiExchange(
+        scope=_scope(call, number), body=request_body(call), is_slow=call.is_slow
+    )
+    vm = fleet.vms_by_id[vm_id]
+    app: Any = vm.app
+    task = asyncio.ensure_future(app(exchange.scope, exchange.receive, exchange.send))
+    vm.running.add(task)
+    if call.leaves_after_s:
+        leave = asyncio.get_running_loop().call_later(
+            call.leaves_after_s, exchange.left.set
+        )
+        task.add_done_callback(lambda _: leave.cancel())
+    await asyncio.gather(task, return_exceptions=True)
+    vm.running.discard(task)
+    is_dead = vm_id in fleet.dead_vms
+    return Attempt(
+        number=number,
+        began_at_runs=began_at_runs,
+        status=0 if is_dead and not exchange.is_ended else exchange.status,
+        headers=exchange.headers,
+        body=bytes(exchange.answer),
+        is_ended=exchange.is_ended,
+    )
+
+
+class _AsgiExchange:
+    """The caller's end of one request."""
+
+    def __init__(self, *, scope: dict[str, Any], body: bytes, is_slow: bool) -> None:
+        self.scope = scope
+        self.left = asyncio.Event()
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.answer = bytearray()
+        self.is_ended = False
+        self._body: bytes | None = body
+        self._is_slow = is_slow
+
+    async def receive(self) -> dict[str, Any]:
+        """Give the body, then the disconnect once the caller leaves."""
+        if self._body is not None:
+            body, self._body = self._body, None
+            return {"type": "http.request", "body": body, "more_body": False}
+        await self.left.wait()
+        return {"type": "http.disconnect"}
+
+    async def send(self, message: Mapping[str, Any]) -> None:
+        """Take a part of the answer."""
+        if self._is_slow:
+            await asyncio.sleep(SLOW_CALLER_PAUSE_S)
+        if message["type"] == "http.response.start":
+            self.status = message["status"]
+            self.headers = {k.decode(): v.decode() for k, v in message["headers"]}
+            return
+        self.answer += message.get("body", b"")
+        self.is_ended = not message.get("more_body", False)
+
+
+def _scope(call: Call, number: int) -> dict[str, Any]:
+    paths = {
+        CallKind.CHAT: ("POST", "/v1/chat/completions"),
+        CallKind.STREAM: ("POST", "/v1/chat/completions"),
+        CallKind.READ: ("POST", f"/services/rounds/safe/{call.marker}"),
+        CallKind.BOOK: ("POST", "/services/rounds/book"),
+        CallKind.BOOK_KEYED: ("POST", "/services/rounds/book"),
+    }
+    method, path = paths[call.kind]
+    headers = [
+        ("authorization", f"Bearer {KEY}"),
+        ("content-type", "application/json"),
+        ("x-attempt", f"{call.marker}-{number}"),
+    ]
+    if call.kind is CallKind.BOOK_KEYED:
+        headers.append(("idempotency-key", call.marker))
+    return {
+        "type": "http",
+        "asgi": {"version": "3.0", "spec_version": "2.3"},
+        "http_version": "1.1",
+        "method": method,
+        "scheme": "http",
+        "path": path,
+        "raw_path": path.encode(),
+        "root_path": "",
+        "query_string": b"",
+        "headers": [(k.encode(), v.encode()) for k, v in headers],
+        "client": ("127.0.0.1", 1),
+        "server": ("127.0.0.1", 2),
+        "state": {},
+    }
--- /dev/null
+++ b/tools/fault_cases/judge.py
@@ -0,0 +1,158 @@
+"""Holds what callers were told against what the stand-ins ran."""
+
+import json
+from typing import Any, NamedTuple
+
+from jaytray_standins.target.generation import expected_text
+from jaytray_standins.target.records import body_digest
+from tools.fault_cases.callers import Attempt, Call, CallKind, Outcome, request_body
+from tools.fault_cases.fleet import Fleet
+
+REFUSAL_FIELDS = {"code", "message", "type", "execution", "step", "peer"}
+_OF_SERVICE = (CallKind.READ, CallKind.BOOK, CallKind.BOOK_KEYED)
+_ONCE = (CallKind.BOOK, CallKind.BOOK_KEYED)
+
+
+class Verdict(NamedTuple):
+    """Row of the table; the last three must be 0.
+
+    `unanswered` are calls whose caller left or whose VM died. `malformed` are
+    answers that are neither whole nor a typed refusal.
+    """
+
+    requests: int
+    whole: int
+    refused: int
+    unanswered: int
+    malformed: int
+    false_not_run: int
+    doubled: int
+    mixed: int
+
+    @property
+    def is_good(self) -> bool:
+        """Return whether every promise was kept."""
+        faults = (self.malformed, self.false_not_run, self.doubled, self.mixed)
+        return not any(faults)
+
+
+def judge(fleet: Fleet, outcomes: list[Outcome]) -> Verdict:
+    """Return the verdict on all calls of a case."""
+    runs = _runs_by_attempt(fleet)
+    kinds = [_last_kind(outcome) for outcome in outcomes]
+    return Verdict(
+        requests=len(outcomes),
+        whole=kinds.count("whole"),
+        refused=kinds.count("refused"),
+        unanswered=kinds.count("unanswered"),
+        malformed=kinds.count("malformed"),
+        false_not_run=sum(_false_not_run(outcome, runs) for outcome in outcomes),
+        doubled=sum(_doubled(outcome, runs) for outcome in outcomes),
+        mixed=sum(
+            _is_mixed(outcome.call, attempt)
+            for outcome in outcomes
+            for attempt in outcome.attempts
+        ),
+    )
+
+
+def _runs_by_attempt(fleet: Fleet) -> dict[str, int]:
+    """Return runs by `x-attempt`, or by marker for completions."""
+    runs: dict[str, int] = {}
+    for request in fleet.ran_requests():
+        name = dict(request.headers).get("x-attempt") or _marker_in(request.body)
+        runs[name] = runs.get(name, 0) + 1
+    return runs
+
+
+def _marker_in(body: bytes) -> str:
+    content: str = json.loads(body)["messages"][0]["content"]
+    return content
+
+
+def _runs(call: Call, number: int, runs: dict[str, int]) -> int:
+    if call.kind in (CallKind.CHAT, CallKind.STREAM):
+        return runs.get(call.marker, 0)
+    return runs.get(f"{call.marker}-{number}", 0)
+
+
+def _false_not_run(outcome: Outcome, runs: dict[str, int]) -> int:
+    return sum(
+        _says_not_run(attempt) and _runs(outcome.call, attempt.number, runs) > 0
+        for attempt in outcome.attempts
+    )
+
+
+def _doubled(outcome: Outcome, runs: dict[str, int]) -> int:
+    if outcome.call.kind not in _ONCE:
+        return 0
+    total = sum(_runs(outcome.call, a.number, runs) for a in outcome.attempts)
+    return max(0, total - 1)
+
+
+def _says_not_run(attempt: Attempt) -> bool:
+    error = _refusal(attempt)
+    return error is not None and error.get("execution") == "not_run"
+
+
+def _last_kind(outcome: Outcome) -> str:
+    if not outcome.attempts:
+        return "unanswered"
+    attempt = outcome.attempts[-1]
+    if _refusal(attempt) is not None:
+        return "refused"
+    if not attempt.is_ended:
+        return "unanswered"
+    is_answer = attempt.status == 200 or outcome.call.kind in _OF_SERVICE
+    return "whole" if is_answer else "malformed"
+
+
+def _refusal(attempt: Attempt) -> dict[str, Any] | None:
+    """Return the typed refusal that an attempt got, or None."""
+    text = attempt.body.decode()
+    if "event: error" in text:
+        text = text.split("event: error\ndata: ", 1)[1].split("\n", 1)[0]
+    elif attempt.status == 200 or not attempt.is_ended:
+        return None
+    try:
+        error = json.loads(text)["error"]
+    except (ValueError, KeyError):
+        return None
+    return error if set(error) == REFUSAL_FIELDS else None
+
+
+def _is_mixed(call: Call, attempt: Attempt) -> bool:
+    """Return whether an answer is not the whole answer to its own call."""
+    if not attempt.status or _refusal(attempt) is not None:
+        return False
+    if call.kind is CallKind.STREAM:
+        return _is_stream_mixed(call, attempt)
+    if not attempt.is_ended:
+        return False
+    answer = json.loads(attempt.body)
+    if call.kind is CallKind.CHAT:
+        text = answer["choices"][0]["message"]["content"]
+        return bool(text != expected_text(request_body(call)))
+    return bool(answer["body_digest"] != body_digest(request_body(call)))
+
+
+def _is_stream_mixed(call: Call, attempt: Attempt) -> bool:
+    """A stream may end early only without its end mark."""
+    wanted = expected_text(request_body(call))
+    text, is_done = stream_text(attempt.body)
+    if is_done:
+        return text != wanted
+    return not wanted.startswith(text)
+
+
+def stream_text(body: bytes) -> tuple[str, bool]:
+    """Return the text of a streamed answer and whether it has its end mark."""
+    texts: list[str] = []
+    for event in body.decode().split("\n\n"):
+        data = event.removeprefix("data: ")
+        if data == "[DONE]":
+            return "".join(texts), True
+        if event.startswith("data: {"):
+            delta = json.loads(data)["choices"][0]["delta"]
+            texts.append(delta.get("content", ""))
+    return "".join(texts), False
--- /dev/null
+++ b/tools/fault_cases/table.py
@@ -0,0 +1,136 @@
+"""The table of faults: each entry makes one thing fail in a fleet.
+
+A doubled delivery of a dispatch is left out: it would happen below TCP, and the
+fresh request id of each dispatch is what lets a target recognise it.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from jaytray_server.request.services import Phase
+from jaytray_standins.faults import Fault, FaultKind
+from tools.fault_cases.fleet import SERVICE_ADDRESSES, Fleet
+
+# Makes something fail; runs beside the callers.
+Inject = Callable[[Fleet], Awaitable[None]]
+
+TIMES = 6
+FAULT_AT_S = 0.03
+CLEAR_AT_S = 0.6
+
+
+def _at_targets(fault: Fault, *peers: str) -> Inject:
+    async def inject(fleet: Fleet) -> None:
+        fleet.set_target_fault(fault, peers)
+
+    return inject
+
+
+def _at_key_value(fault: Fault) -> Inject:
+    async def inject(fleet: Fleet) -> None:
+        fleet.set_key_value_fault(fault)
+
+    return inject
+
+
+async def _crash_target(fleet: Fleet) -> None:
+    await asyncio.sleep(FAULT_AT_S)
+    fleet.targets.states["t1"].crash()
+
+
+async def _crash_target_twice(fleet: Fleet) -> None:
+    await _crash_target(fleet)
+    await asyncio.sleep(CLEAR_AT_S)
+    fleet.targets.states["t1"].crash()
+
+
+async def _crash_service(fleet: Fleet) -> None:
+    await asyncio.sleep(FAULT_AT_S)
+    fleet.service_states[SERVICE_ADDRESSES[0]].crash()
+
+
+async def _kill_vm(fleet: Fleet) -> None:
+    await asyncio.sleep(FAULT_AT_S)
+    fleet.kill_vm("vm2")
+
+
+async def _drain_vm(fleet: Fleet) -> None:
+    await asyncio.sleep(FAULT_AT_S)
+    fleet.vms_by_id["vm3"].services.lifecycle.phase = Phase.DRAINING
+
+
+async def _close_vm(fleet: Fleet) -> None:
+    """The balancer has not noticed that the VM refuses."""
+    await asyncio.sleep(FAULT_AT_S)
+    lifecycle = fleet.vms_by_id["vm3"].services.lifecycle
+    lifecycle.is_isolated = True
+
+
+async def _cut_peers(fleet: Fleet) -> None:
+    fleet.network.cut_off.add("vm1")
+
+
+async def _lose_commit_answers(fleet: Fleet) -> None:
+    fleet.network.silent_topics.add("idempotency.committed")
+
+
+async def _withdraw_key(fleet: Fleet) -> None:
+    await asyncio.sleep(FAULT_AT_S * 2)
+    for vm in fleet.vms_by_id.values():
+        vm.streams.end_all()
+
+
+async def _key_value_outage(fleet: Fleet) -> None:
+    await asyncio.sleep(FAULT_AT_S)
+    fleet.set_key_value_fault(Fault(FaultKind.DOWN))
+    await asyncio.sleep(CLEAR_AT_S)
+    for vm in fleet.vms_by_id.values():
+        if vm.vm_id not in fleet.dead_vms:
+            vm.key_value_faults.clear(FaultKind.DOWN)
+
+
+async def _nothing(_fleet: Fleet) -> None:
+    return
+
+
+INJECT_BY_NAME: dict[str, Inject] = {
+    "none": _nothing,
+    "target_down": _at_targets(Fault(FaultKind.DOWN), "t1", "s1"),
+    "request_lost": _at_targets(Fault(FaultKind.REQUEST_LOST, times=TIMES)),
+    "answer_lost": _at_targets(Fault(FaultKind.ANSWER_LOST, times=TIMES)),
+    "late": _at_targets(Fault(FaultKind.LATE, times=TIMES, delay_s=0.2)),
+    "too_late": _at_targets(Fault(FaultKind.LATE, times=TIMES, delay_s=1.0)),
+    "slow": _at_targets(Fault(FaultKind.SLOW, times=TIMES, delay_s=0.2)),
+    "silent": _at_targets(Fault(FaultKind.SILENT), "t2", "s2"),
+    "reordered": _at_targets(Fault(FaultKind.REORDERED, times=2)),
+    "crossed": _at_targets(Fault(FaultKind.CROSSED, times=TIMES)),
+    "cut": _at_targets(Fault(FaultKind.CUT, "stream", times=TIMES, pieces=4)),
+    "stalled": _at_targets(Fault(FaultKind.STALLED, "stream", times=TIMES, pieces=3)),
+    "short": _at_targets(Fault(FaultKind.SHORT, "stream", times=TIMES, pieces=2)),
+    "refused": _at_targets(Fault(FaultKind.REFUSED, times=TIMES)),
+    "failed": _at_targets(Fault(FaultKind.FAILED, times=TIMES)),
+    "target_crash": _crash_target,
+    "target_crashes_twice": _crash_target_twice,
+    "service_crash": _crash_service,
+    "vm_death": _kill_vm,
+    "vm_draining": _drain_vm,
+    "vm_isolated": _close_vm,
+    "peers_cut": _cut_peers,
+    "owner_silent": _lose_commit_answers,
+    "key_withdrawn": _withdraw_key,
+    "kv_outage": _key_value_outage,
+    "kv_down": _at_key_value(Fault(FaultKind.DOWN)),
+    "kv_answers_lost": _at_key_value(
+        Fault(FaultKind.ANSWER_LOST, "compare_and_swap", times=TIMES)
+    ),
+    "kv_late": _at_key_value(
+        Fault(FaultKind.LATE, "compare_and_swap", times=TIMES, delay_s=0.08)
+    ),
+    "kv_doubled": _at_key_value(
+        Fault(FaultKind.DOUBLED, "compare_and_swap", times=TIMES, delay_s=0.02)
+    ),
+    "kv_reordered": _at_key_value(
+        Fault(FaultKind.REORDERED, "compare_and_swap", times=TIMES)
+    ),
+    "kv_slow": _at_key_value(Fault(FaultKind.SLOW, delay_s=0.03)),
+}
--- /dev/null
+++ b/tools/faults.py
@@ -0,0 +1,69 @@
+"""`make faults`: runs the table of faults and prints a row for each.
+
+Each fault runs alone and in a pair with each other one, with fixed seeds, on virtual
+time. The last three columns must be 0; otherwise the exit status is 1.
+"""
+
+import itertools
+import logging
+import sys
+
+from absl import app, flags
+
+from jaytray_core.logs import configure_logs
+from tools.fault_cases.run import REQUESTS, run_case
+from tools.fault_cases.table import INJECT_BY_NAME
+
+_PAIRS = flags.DEFINE_bool("pairs", True, "Also run each pair of faults.")
+_SEEDS = flags.DEFINE_integer("seeds", 1, "Number of seeds for each row.")
+_ONLY = flags.DEFINE_string("only", "", "Run only this fault or `a+b`.")
+_REQUESTS = flags.DEFINE_integer("requests", REQUESTS, "Requests in each row.")
+
+_COLUMNS = (
+    "fault",
+    "seed",
+    "requests",
+    "whole",
+    "refused",
+    "unanswered",
+    "malformed",
+    "false_not_run",
+    "doubled",
+    "mixed",
+)
+_SILENT = logging.CRITICAL
+
+
+def main(_argv: list[str]) -> None:
+    """Print the table and exit with 1 if a promise was broken."""
+    configure_logs(level=_SILENT)
+    print(_row(_COLUMNS))
+    failed = 0
+    rows = 0
+    for names in _cases():
+        for seed in range(1, _SEEDS.value + 1):
+            verdict = run_case(names, seed=seed, requests=_REQUESTS.value)
+            print(_row(("+".join(names), seed, *verdict)), flush=True)
+            rows += 1
+            failed += not verdict.is_good
+    print(f"{rows} rows, {failed} with a broken promise")
+    sys.exit(1 if failed else 0)
+
+
+def _cases() -> list[tuple[str, ...]]:
+    if _ONLY.value:
+        return [tuple(_ONLY.value.split("+"))]
+    names = list(INJECT_BY_NAME)
+    cases: list[tuple[str, ...]] = [(name,) for name in names]
+    if _PAIRS.value:
+        cases.extend(itertools.combinations(names[1:], 2))
+    return cases
+
+
+def _row(cells: tuple[object, ...]) -> str:
+    first, *rest = cells
+    return f"{first!s:<42}" + "".join(f"{cell!s:>14}" for cell in rest)
+
+
+if __name__ == "__main__":
+    app.run(main)
