--- a/tools/fault_cases/table.py
+++ b/tools/fault_cases/table.py
@@ -5,16 +5,20 @@
 """
 
 import asyncio
+import random
 from collections.abc import Awaitable, Callable
 
 from jaytray_server.request.services import Phase
 from jaytray_standins.faults import Fault, FaultKind
+from tools.fault_cases.callers import Call, CallKind, make_call
 from tools.fault_cases.fleet import SERVICE_ADDRESSES, Fleet
 
 # Makes something fail; runs beside the callers.
 Inject = Callable[[Fleet], Awaitable[None]]
 
 TIMES = 6
+CRASHING_MARKER = "crash-the-target"
+CRASHING_SENDS = 8
 FAULT_AT_S = 0.03
 CLEAR_AT_S = 0.6
 
@@ -89,6 +93,15 @@
             vm.key_value_faults.clear(FaultKind.DOWN)
 
 
+async def _crashing_request(fleet: Fleet) -> None:
+    """A caller sends a request that crashes its target again and again."""
+    call = Call(CRASHING_MARKER, CallKind.CHAT, 0.0, False)
+    rng = random.Random(0)
+    for _ in range(CRASHING_SENDS):
+        await make_call(fleet, call, rng)
+        await asyncio.sleep(FAULT_AT_S)
+
+
 async def _nothing(_fleet: Fleet) -> None:
     return
 
@@ -112,6 +125,7 @@
     "target_crash": _crash_target,
     "target_crashes_twice": _crash_target_twice,
     "service_crash": _crash_service,
+    "crashing_request": _crashing_request,
     "vm_death": _kill_vm,
     "vm_draining": _drain_vm,
     "vm_isolated": _close_vm,
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -11,6 +11,7 @@
 from absl import app, flags
 
 from jaytray_core.logs import configure_logs
+from tools.fault_cases.broken import VARIANTS_BY_NAME
 from tools.fault_cases.run import REQUESTS, run_case
 from tools.fault_cases.table import INJECT_BY_NAME
 
@@ -47,7 +48,20 @@
             rows += 1
             failed += not verdict.is_good
     print(f"{rows} rows, {failed} with a broken promise")
-    sys.exit(1 if failed else 0)
+    undetected = _check_broken_variants()
+    sys.exit(1 if failed or undetected else 0)
+
+
+def _check_broken_variants() -> int:
+    """Run the broken variants; return how many the table did not detect."""
+    undetected = 0
+    for name, variant in VARIANTS_BY_NAME.items():
+        with variant.breaking():
+            verdict = run_case((variant.fault,), seed=1, requests=_REQUESTS.value)
+        found = getattr(verdict, variant.column)
+        print(f"broken variant: {name}: {variant.column}={found}")
+        undetected += found == 0
+    return undetected
 
 
 def _cases() -> list[tuple[str, ...]]:
