--- a/packages/core/tests/adapters/test_connection_reuse.py
+++ b/packages/core/tests/adapters/test_connection_reuse.py
@@ -180,7 +180,7 @@
                 pool = HttpPool(address=server.address)
                 request = HttpRequest("GET", "/", [], b"", 5.0)
                 task = asyncio.ensure_future(_exchange(pool, request, True))
-                while not server.requests_by_connection:
+                while not any(server.requests_by_connection):
                     await asyncio.sleep(0.001)
                 task.cancel()
                 await asyncio.gather(task, return_exceptions=True)
