Measure what jaytrayd adds to a request and to a token

Adds make bench-path: direct, bare pass-through and jaytrayd in turns. Its first run showed 47 ms to the first token of a stand-in that needs 5 ms: a listening socket made without the TCP protocol number keeps Nagle's algorithm on under asyncio (a trial read TCP_NODELAY 0 for protocol 0 and 1 for TCP).

--- a/packages/standins/src/jaytray_standins/listener.py
+++ b/packages/standins/src/jaytray_standins/listener.py
@@ -72,7 +72,7 @@
     server = uvicorn.Server(config)
     server.lifespan = config.lifespan_class(config)
     aborter.server = server
-    listening_socket = socket.create_server((host, port))
+    listening_socket = _listening_socket(host, port)
     bound_port = listening_socket.getsockname()[1]
     await server.startup(sockets=[listening_socket])
     try:
@@ -130,6 +130,17 @@
     )
 
 
+def _listening_socket(host: str, port: int) -> socket.socket:
+    """Return a socket whose connections send small writes at once.
+
+    asyncio switches Nagle's algorithm off only where the protocol is given as TCP.
+    """
+    listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listening.bind((host, port))
+    return listening
+
+
 async def _stop(server: uvicorn.Server) -> None:
     """Close everything at once; a stand-in need not stop gracefully."""
     for listening in server.servers:
--- /dev/null
+++ b/tools/bench_path.py
@@ -0,0 +1,316 @@
+"""`make bench-path`: what one jaytrayd adds to each request and each token.
+
+The same requests go to the stand-in target directly, through a bare pass-through and
+through one jaytrayd, in turns within each round, so that all see the same machine.
+Latency is measured with one caller. Processor time is read from the kernel for the
+process under test alone; requests per second on one core follow from it.
+"""
+
+import asyncio
+import logging
+import os
+import random
+import socket
+import statistics
+import sys
+import time
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+
+import httpx
+from absl import app, flags
+
+from tools.site import (
+    Site,
+    make_key,
+    run_jaytray,
+    running_site,
+    site_flags,
+    until_ready,
+)
+
+_ROUNDS = flags.DEFINE_integer("rounds", 5, "Rounds over all subjects.")
+_REQUESTS = flags.DEFINE_integer("requests", 60, "Requests of a kind in a round.")
+_CALLERS = flags.DEFINE_integer("callers", 16, "Concurrent callers under load.")
+_TOKENS = flags.DEFINE_integer("tokens", 64, "Tokens of a long stream.")
+_SEED = flags.DEFINE_integer("seed", 7, "Seed of the prompts.")
+
+_PATH = "/v1/chat/completions"
+_TIMEOUT_S = 30.0
+_CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_STAND_IN_ARGUMENTS = (
+    "--targets=1",
+    "--services=rounds",
+    "--model_load_s=0.1",
+    "--first_token_s=0.005",
+    "--token_interval_s=0.005",
+    "--max_running=1000",
+)
+_DOCUMENT = """\
+[account bench]
+rate_tokens_per_s = 10000000
+burst_tokens = 10000000
+
+[key bench-1]
+account = bench
+digest = {digest}
+
+[model assistant]
+version = 1
+memory_mib = 1000
+min_replicas = 1
+max_replicas = 1
+max_output_tokens = 512
+
+[target target-1]
+address = {target}
+failure_domain = zone-a
+accelerators = 2
+accelerator_memory_mib = 24000
+checks_fencing = yes
+max_running_requests = 1000
+"""
+
+
+class Subject(NamedTuple):
+    """Where requests go; `pid` is 0 when its processor time is not measured."""
+
+    name: str
+    address: str
+    pid: int
+    headers: dict[str, str]
+
+
+class Kind(NamedTuple):
+    """A kind of request."""
+
+    name: str
+    tokens: int
+    is_stream: bool
+
+
+class Sample(NamedTuple):
+    """Times of one answer in milliseconds."""
+
+    first_ms: float
+    whole_ms: float
+    pieces: int
+
+
+class Figures(NamedTuple):
+    """Samples with one caller and processor time with many, of one round each."""
+
+    samples: list[Sample]
+    cpu_ms: list[float]
+    requests_per_s: list[float]
+
+
+def main(_arguments: Sequence[str]) -> None:
+    """Measure and print one line of figures for each subject and kind."""
+    logging.getLogger("httpx").setLevel(logging.WARNING)
+    asyncio.run(_run())
+
+
+async def _run() -> None:
+    key, digest = make_key()
+    async with running_site(
+        vm_ids=("vm-1",), stand_in_arguments=_STAND_IN_ARGUMENTS
+    ) as site:
+        await _apply_document(site, digest)
+        target = site.stand_ins.targets_by_name["target-1"]
+        vm = site.vms_by_id["vm-1"]
+        headers = {"Authorization": f"Bearer {key}"}
+        async with _bare_proxy(target) as (bare_address, bare_pid):
+            subjects = [
+                Subject("direct", target, 0, {}),
+                Subject("bare", bare_address, bare_pid, {}),
+                Subject("jaytrayd", vm.callers_address, vm.process.pid, headers),
+            ]
+            _print_figures(await _measure_all(subjects))
+
+
+async def _apply_document(site: Site, digest: str) -> None:
+    path = site.folder / "bench.ini"
+    target = site.stand_ins.targets_by_name["target-1"]
+    path.write_text(_DOCUMENT.format(digest=digest, target=target))
+    await run_jaytray(
+        "apply",
+        str(path),
+        "--environment=trial",
+        "--based_on=0",
+        "--author=bench",
+        *site_flags(site),
+    )
+    await until_ready(site)
+
+
+async def _measure_all(
+    subjects: list[Subject],
+) -> dict[tuple[str, str], Figures]:
+    kinds = [
+        Kind("whole_16", 16, False),
+        Kind("stream_1", 1, True),
+        Kind(f"stream_{_TOKENS.value}", _TOKENS.value, True),
+    ]
+    figures = {(s.name, k.name): Figures([], [], []) for k in kinds for s in subjects}
+    for subject in subjects:
+        await _measure(subject, kinds[0], random.Random(0), Figures([], [], []))
+    for round_number in range(_ROUNDS.value):
+        for kind in kinds:
+            for subject in subjects:
+                prompts = random.Random(_SEED.value + round_number)
+                found = figures[subject.name, kind.name]
+                await _measure(subject, kind, prompts, found)
+    return figures
+
+
+async def _measure(
+    subject: Subject, kind: Kind, prompts: random.Random, figures: Figures
+) -> None:
+    limits = httpx.Limits(max_connections=None)
+    async with httpx.AsyncClient(
+        trust_env=False, limits=limits, timeout=_TIMEOUT_S
+    ) as client:
+        alone = max(1, _REQUESTS.value // 4)
+        for _ in range(alone):
+            body = _body(kind, prompts)
+            figures.samples.append(await _send(client, subject, body))
+        cpu_before_s = _cpu_s(subject.pid)
+        started_s = time.perf_counter()
+        bodies = iter([_body(kind, prompts) for _ in range(_REQUESTS.value)])
+
+        async def call() -> None:
+            for body in bodies:
+                await _send(client, subject, body)
+
+        await asyncio.gather(*(call() for _ in range(_CALLERS.value)))
+        elapsed_s = time.perf_counter() - started_s
+        cpu_s = _cpu_s(subject.pid) - cpu_before_s
+        figures.cpu_ms.append(1000 * cpu_s / _REQUESTS.value)
+        figures.requests_per_s.append(_REQUESTS.value / elapsed_s)
+
+
+async def _send(
+    client: httpx.AsyncClient, subject: Subject, body: dict[str, object]
+) -> Sample:
+    """Send a request; raise unless the whole answer comes."""
+    started_s = time.perf_counter()
+    first_s = 0.0
+    data = b""
+    pieces = 0
+    async with client.stream(
+        "POST",
+        f"http://{subject.address}{_PATH}",
+        json=body,
+        headers={"x-request-id": "bench", **subject.headers},
+    ) as response:
+        async for chunk in response.aiter_raw():
+            first_s = first_s or time.perf_counter()
+            pieces += chunk.count(b"data: ")
+            data += chunk
+    ended_s = time.perf_counter()
+    is_whole = data.endswith(b"[DONE]\n\n") or not body["stream"]
+    if response.status_code != 200 or not is_whole:
+        raise RuntimeError(f"{subject.name}: {response.status_code} {data[:200]!r}")
+    return Sample(1000 * (first_s - started_s), 1000 * (ended_s - started_s), pieces)
+
+
+def _body(kind: Kind, prompts: random.Random) -> dict[str, object]:
+    prompt = f"{prompts.getrandbits(64):016x} " * 20
+    return {
+        "model": "assistant",
+        "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": kind.tokens,
+        "min_tokens": kind.tokens,
+        "stream": kind.is_stream,
+    }
+
+
+def _cpu_s(pid: int) -> float:
+    """Return the processor time of a process, user and system, in seconds."""
+    if not pid:
+        return 0.0
+    with open(f"/proc/{pid}/stat", encoding="ascii") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / _CLOCK_TICKS_PER_S
+
+
+def _print_figures(figures: dict[tuple[str, str], Figures]) -> None:
+    print(
+        f"seed={_SEED.value} rounds={_ROUNDS.value} requests={_REQUESTS.value} "
+        f"callers={_CALLERS.value}; medians over all samples, cpu is the median round"
+    )
+    for (subject, kind), found in figures.items():
+        first_ms = [sample.first_ms for sample in found.samples]
+        whole_ms = [sample.whole_ms for sample in found.samples]
+        cpu_ms = statistics.median(found.cpu_ms)
+        line = (
+            f"kind={kind} subject={subject} first_ms={statistics.median(first_ms):.2f} "
+            f"first_p95_ms={statistics.quantiles(first_ms, n=20)[-1]:.2f} "
+            f"whole_ms={statistics.median(whole_ms):.2f} "
+            f"closed_loop_per_s={statistics.median(found.requests_per_s):.0f}"
+        )
+        if cpu_ms:
+            line += f" cpu_ms={cpu_ms:.2f} per_core_per_s={1000 / cpu_ms:.0f}"
+        print(line)
+    _print_added(figures)
+
+
+def _print_added(figures: dict[tuple[str, str], Figures]) -> None:
+    long = f"stream_{_TOKENS.value}"
+    direct = _piece_ms(figures["direct", long])
+    for subject in ("bare", "jaytrayd"):
+        first = _first_ms(figures[subject, long]) - _first_ms(figures["direct", long])
+        piece = _piece_ms(figures[subject, long]) - direct
+        cpu_ms = [
+            statistics.median(figures[subject, kind].cpu_ms)
+            for kind in ("stream_1", long)
+        ]
+        piece_cpu_us = 1000 * (cpu_ms[1] - cpu_ms[0]) / (_TOKENS.value - 1)
+        print(
+            f"added subject={subject} first_token_ms={first:.2f} "
+            f"per_token_ms={piece:.3f} cpu_us_per_token={piece_cpu_us:.0f}"
+        )
+
+
+def _first_ms(figures: Figures) -> float:
+    return statistics.median(sample.first_ms for sample in figures.samples)
+
+
+def _piece_ms(figures: Figures) -> float:
+    """Return the median time between two pieces of a stream."""
+    return statistics.median(
+        (sample.whole_ms - sample.first_ms) / max(1, sample.pieces - 2)
+        for sample in figures.samples
+    )
+
+
+@asynccontextmanager
+async def _bare_proxy(target: str) -> AsyncIterator[tuple[str, int]]:
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        port = free.getsockname()[1]
+    arguments = ["-m", "tools.bare_proxy", f"--target={target}", f"--port={port}"]
+    process = await asyncio.create_subprocess_exec(sys.executable, *arguments)
+    try:
+        await _until_listening(port)
+        yield f"127.0.0.1:{port}", process.pid
+    finally:
+        process.terminate()
+        await process.wait()
+
+
+async def _until_listening(port: int) -> None:
+    async with asyncio.timeout(_TIMEOUT_S):
+        while True:
+            try:
+                _reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            except OSError:
+                await asyncio.sleep(0.05)
+                continue
+            writer.close()
+            return
+
+
+if __name__ == "__main__":
+    app.run(main)
