--- /dev/null
+++ b/tools/capacity/roles.py
@@ -0,0 +1,166 @@
+"""Extrapolates measured slopes to the design size, one row for each role."""
+
+from typing import NamedTuple
+
+from jaytray_server.connection.peer_link import HEARTBEAT_INTERVAL_S
+from jaytray_server.process.membership import (
+    CHOSEN_ELSEWHERE,
+    CHOSEN_IN_FAILURE_DOMAIN,
+)
+from jaytray_server.process.placement.executor import PASS_PERIOD_S
+from jaytray_server.process.placement.groups import MAX_TARGETS_PER_GROUP
+from jaytray_server.process.target_observer import (
+    COPIES_PER_MESSAGE,
+    OBSERVERS_PER_TARGET,
+    READS_PER_S,
+    period_s,
+)
+from jaytray_server.version.follower import ANNOUNCE_PERIOD_S
+from jaytray_server.version.service_reader import TIMER_PERIOD_S, WATCH_WAIT_S
+from tools.capacity import design
+from tools.capacity.slopes import Slope
+
+# Bytes that ZeroMQ, CURVE and TCP/IP add to an envelope.
+FRAMING_BYTES = 120
+# Each VM chooses some neighbours and is chosen by as many on average.
+NEIGHBOURS = 2 * (CHOSEN_ELSEWHERE + CHOSEN_IN_FAILURE_DOMAIN)
+# Models that one VM has demand for within the averaging time, taken as all.
+MODELS_WITH_DEMAND = design.MODELS
+
+
+class Role(NamedTuple):
+    """Cost of one control role on a VM at the design size."""
+
+    name: str
+    mechanism: str
+    state_bytes: float
+    messages_per_s: float
+    bytes_per_s: float
+    core_part: float
+    fleet_reads_per_s: float
+    fleet_writes_per_s: float
+
+
+def control_roles(
+    by_name: dict[str, Slope], *, heartbeat_bytes: int, announcement_bytes: int
+) -> list[Role]:
+    """Return the control roles in the order of the page."""
+    return [
+        _membership(by_name, heartbeat_bytes),
+        _document(by_name, announcement_bytes),
+        _limits(by_name),
+        _observation(by_name),
+        _placement(by_name),
+    ]
+
+
+def observer_message_bytes(by_name: dict[str, Slope]) -> float:
+    """Return the bytes of one VM's observer message at the design size."""
+    digests = design.SERVERS * OBSERVERS_PER_TARGET / design.VMS
+    return by_name["observer message"].at(digests) + by_name["demand in a message"].at(
+        MODELS_WITH_DEMAND
+    )
+
+
+def document_sections() -> int:
+    """Return the number of sections of the document at the design size."""
+    return design.MODELS + design.ADAPTERS + design.SERVERS + 200
+
+
+def _membership(by_name: dict[str, Slope], heartbeat_bytes: int) -> Role:
+    messages = NEIGHBOURS / HEARTBEAT_INTERVAL_S
+    cost_us = by_name["heartbeats taken in"].per_item
+    return Role(
+        name="membership",
+        mechanism="heartbeats to neighbours chosen by rendezvous hashing; list polled",
+        state_bytes=design.VMS * 600.0,
+        messages_per_s=messages,
+        bytes_per_s=messages * (heartbeat_bytes + FRAMING_BYTES),
+        # A heartbeat is made, sent, received and taken in.
+        core_part=messages * 4 * cost_us / 1e6,
+        fleet_reads_per_s=0.0,
+        fleet_writes_per_s=0.0,
+    )
+
+
+def _document(by_name: dict[str, Slope], announcement_bytes: int) -> Role:
+    changes_per_s = design.CHANGES_PER_DAY / design.DAY_S
+    sections = document_sections()
+    change_bytes = by_name["one change"].at(sections)
+    reads = design.VMS * (1 / TIMER_PERIOD_S + 1 / WATCH_WAIT_S + 3 * changes_per_s)
+    return Role(
+        name="document",
+        mechanism="one watch on the head, a timer behind it, announcements to a peer",
+        state_bytes=by_name["declared model"].at(design.MODELS)
+        + by_name["declared adapter"].at(design.ADAPTERS)
+        + by_name["declared target"].at(design.SERVERS),
+        messages_per_s=1 / ANNOUNCE_PERIOD_S,
+        bytes_per_s=(announcement_bytes + FRAMING_BYTES) / ANNOUNCE_PERIOD_S
+        + changes_per_s * change_bytes,
+        core_part=changes_per_s * by_name["document put in force"].at(sections) / 1e6,
+        fleet_reads_per_s=reads,
+        # Parts, head and history, each written once.
+        fleet_writes_per_s=changes_per_s * 4,
+    )
+
+
+def _limits(by_name: dict[str, Slope]) -> Role:
+    table_bytes = by_name["table of shares"].at(design.VMS)
+    restarts_per_s = (
+        design.RESTARTED_VMS_PER_DAY + design.FAILED_VMS_PER_DAY
+    ) / design.DAY_S
+    # A VM reads the table at 200 bytes a second and sends at most 800.
+    table_reads_per_s = 200.0 / table_bytes
+    return Role(
+        name="limits",
+        mechanism="conserved shares, gifts between VMs under a byte budget",
+        state_bytes=by_name["client account in use"].at(100),
+        messages_per_s=4.0,
+        bytes_per_s=800.0 + 200.0,
+        core_part=4.0 * 100e-6,
+        fleet_reads_per_s=design.VMS * table_reads_per_s,
+        # Registering, receiving and claiming, with a few lost races each.
+        fleet_writes_per_s=restarts_per_s * 6,
+    )
+
+
+def _observation(by_name: dict[str, Slope]) -> Role:
+    size = observer_message_bytes(by_name)
+    period = period_s(design.VMS, int(size))
+    copies = design.VMS * COPIES_PER_MESSAGE / period
+    reports = design.SERVERS * OBSERVERS_PER_TARGET / design.VMS * READS_PER_S
+    digest_us = by_name["digests taken in"].per_item
+    taken_in = design.SERVERS * OBSERVERS_PER_TARGET / period
+    return Role(
+        name="observation",
+        mechanism="two observers for each target, digests flooded to all VMs",
+        state_bytes=by_name["state of a target"].at(design.SERVERS),
+        messages_per_s=copies,
+        bytes_per_s=copies * (size + FRAMING_BYTES),
+        # A read of a report over HTTP costs about as much as a millisecond.
+        core_part=(taken_in * digest_us + copies * 150 + reports * 1000) / 1e6,
+        fleet_reads_per_s=0.0,
+        fleet_writes_per_s=0.0,
+    )
+
+
+def _placement(by_name: dict[str, Slope]) -> Role:
+    groups = 1
+    while design.SERVERS / groups > MAX_TARGETS_PER_GROUP:
+        groups *= 2
+    targets = design.SERVERS / groups
+    passes_per_s = groups / design.VMS / PASS_PERIOD_S
+    pass_us = by_name["planning pass of a group"].at(targets)
+    # Demand moves tenfold within an hour: each model gains up to 7 replicas.
+    orders_per_s = design.MODELS * 7 / 3600
+    return Role(
+        name="placement",
+        mechanism="groups of targets, each planned under one lease",
+        state_bytes=targets * 4_000,
+        messages_per_s=0.1,
+        bytes_per_s=20.0,
+        core_part=passes_per_s * pass_us / 1e6,
+        # A lease is kept every third of its time by the holder, sought by two more.
+        fleet_reads_per_s=groups * 1.0,
+        fleet_writes_per_s=2 * orders_per_s + groups * 0.5,
+    )
