Lend shares with their tokens, hand back what is left, bound messages by account

Change: loans of unused shares, gifts that live half a second, tokens handed back at the end of a lending, and a message budget that an overloaded account cannot use up.

--- a/packages/server/src/jaytray_server/process/limits/account_limits.py
+++ b/packages/server/src/jaytray_server/process/limits/account_limits.py
@@ -16,7 +16,7 @@
 from jaytray_core.logs import get_logger
 from jaytray_core.vm_list import VmEntry
 from jaytray_server.ports import CurrentDocument, Limiter, Metrics, PeerNetwork
-from jaytray_server.process.limits.gifts import PARTS_HOLD_S, GiftExchange
+from jaytray_server.process.limits.gifts import LOAN_HOLD_S, GiftExchange
 from jaytray_server.process.limits.limiter import AccountLimiter, limiter_functions
 from jaytray_server.process.limits.membership import Membership
 from jaytray_server.process.limits.message_budget import MessageBudget
@@ -69,6 +69,9 @@
             current_document=current_document,
             clock=clock,
             on_shortage=lambda account: self.exchange.request_tokens(account),
+            on_hand_back=lambda account, lending, tokens: self.exchange.hand_back(
+                account, lending, tokens
+            ),
         )
         self.exchange = GiftExchange(
             limiter=self.limiter,
@@ -83,7 +86,7 @@
             incarnation=f"{self._rng.getrandbits(48):012x}",
             key_value=key_value,
             clock=clock,
-            settle_s=PARTS_HOLD_S,
+            settle_s=LOAN_HOLD_S,
             on_parts=self._handle_parts,
             key=key,
         )
@@ -292,7 +295,7 @@
     def _tell(self, vms: Sequence[str]) -> None:
         """Hint that the table changed; a lost hint only delays the next read."""
         for vm_id in vms:
-            if vm_id != self._vm_id and not self.budget.is_spent():
+            if vm_id != self._vm_id and self.budget.may_send():
                 self.budget.spend(len(CHANGED_TOPIC))
                 self._peers.send(vm_id, CHANGED_TOPIC, b"")
 
--- a/packages/server/src/jaytray_server/process/limits/account_state.py
+++ b/packages/server/src/jaytray_server/process/limits/account_state.py
@@ -1,14 +1,16 @@
 """State of one client account on this VM: contract, bucket, queue and lendings.
 
 Capacity and rate follow from this VM's parts, from what it has lent to other VMs,
-which it leaves out until nobody can spend it any more, and from what it has
-borrowed, which it may use until its own clock says otherwise.
+which it leaves out until nobody can use it any more, and from what it has borrowed,
+which it may use until its own clock says otherwise. Then what the level holds above
+the remaining capacity is handed back.
 """
 
 import asyncio
 import heapq
 import math
 from collections import deque
+from collections.abc import Callable
 from typing import NamedTuple
 
 from jaytray_core.document.model import ClientAccount
@@ -17,21 +19,24 @@
 from jaytray_server.process.limits.share_table import TOTAL_PARTS
 
 # Time constant of the mean demand, in seconds.
-DEMAND_WINDOW_S = 5.0
+DEMAND_WINDOW_S = 20.0
 # Parts kept for this VM's own demand, as a multiple of it.
 DEMAND_MARGIN = 1.3
 
 
 class Lending(NamedTuple):
-    """What is lent (`sign` -1) or borrowed (1) until `until_s`.
+    """What is lent to `peer` (`sign` -1) or borrowed from it (1) until `until_s`.
 
-    `tokens` are of the level and of the capacity, `parts` of the rate.
+    A gift is a number of tokens of the level, with as much capacity. A loan is a
+    number of parts of the rate and of the capacity.
     """
 
     until_s: float
+    lending_id: int
     sign: int
-    parts: int
+    peer: str
     tokens: int
+    parts: int
 
 
 class Waiter(NamedTuple):
@@ -42,15 +47,27 @@
     future: asyncio.Future[Reservation]
 
 
+# Sends tokens of a borrowed lending that is over back to its peer.
+HandBack = Callable[[Lending, int], None]
+
+
 class AccountState:
     """Everything that this VM holds of one account."""
 
-    def __init__(self, *, contract: ClientAccount, parts: int, now: float) -> None:
+    def __init__(
+        self,
+        *,
+        contract: ClientAccount,
+        parts: int,
+        now: float,
+        hand_back: HandBack = lambda _lending, _tokens: None,
+    ) -> None:
         self.contract = contract
         self.bucket = TokenBucket(now=now)
         self.waiters: deque[Waiter] = deque()
         self.timer: asyncio.TimerHandle | None = None
         self._parts = parts
+        self._hand_back = hand_back
         self._lendings: list[Lending] = []
         self._demand = 0.0
         self._demand_at = now
@@ -59,8 +76,7 @@
     def advance(self, now: float) -> None:
         """Refill up to `now` and end the lendings that are over by then."""
         while self._lendings and self._lendings[0].until_s <= now:
-            ended_at = heapq.heappop(self._lendings).until_s
-            self._apply_limits(ended_at)
+            self._end_lending(heapq.heappop(self._lendings))
         self.bucket.advance(now)
 
     def set_parts(self, parts: int, now: float) -> None:
@@ -75,29 +91,31 @@
         self.contract = contract
         self._apply_limits(now)
 
-    def lend_tokens(self, tokens: int, *, until_s: float, now: float) -> None:
-        """Deduct what another VM may spend; the capacity lacks it until `until_s`."""
+    def lend(self, lending: Lending, *, tokens: int, now: float) -> None:
+        """Deduct `tokens`, and leave the lending out of the capacity and the rate."""
         self.advance(now)
         self.bucket.withdraw(tokens)
-        self._add_lending(Lending(until_s, -1, 0, tokens), now)
-
-    def lend_parts(self, parts: int, *, until_s: float, now: float) -> None:
-        """Refill more slowly until `until_s`, by parts that another VM refills by."""
-        self.advance(now)
-        self._add_lending(Lending(until_s, -1, parts, 0), now)
+        heapq.heappush(self._lendings, lending)
+        self._apply_limits(now)
 
-    def borrow_tokens(self, tokens: int, *, until_s: float, now: float) -> None:
-        """Add tokens that another VM has deducted, for use until `until_s`."""
+    def borrow(self, lending: Lending, *, tokens: int, now: float) -> None:
+        """Add a lending and the `tokens` that its giver has deducted."""
         self.advance(now)
-        if until_s > now:
-            self._add_lending(Lending(until_s, 1, 0, tokens), now)
+        if lending.until_s > now:
+            heapq.heappush(self._lendings, lending)
+            self._apply_limits(now)
             self.bucket.deposit(tokens)
 
-    def borrow_parts(self, parts: int, *, until_s: float, now: float) -> None:
-        """Refill faster until `until_s`, by parts that another VM has lent."""
+    def take_back(self, lending_id: int, tokens: int, now: float) -> None:
+        """End a lending of this VM early, whose taker has handed `tokens` back."""
         self.advance(now)
-        if until_s > now:
-            self._add_lending(Lending(until_s, 1, parts, 0), now)
+        for lending in self._lendings:
+            if lending.lending_id == lending_id and lending.sign < 0:
+                self._lendings.remove(lending)
+                heapq.heapify(self._lendings)
+                self._apply_limits(now)
+                self.bucket.deposit(min(tokens, self._capacity_of(lending)))
+                return
 
     def observe_demand(self, tokens: int, now: float) -> None:
         """Count tokens that were asked for into the mean demand."""
@@ -135,14 +153,25 @@
             and self.bucket.level >= self.bucket.capacity
         )
 
-    def _add_lending(self, lending: Lending, now: float) -> None:
-        if lending.tokens or lending.parts:
-            heapq.heappush(self._lendings, lending)
-            self._apply_limits(now)
+    def _end_lending(self, lending: Lending) -> None:
+        ended_at = lending.until_s
+        self.bucket.advance(ended_at)
+        if lending.sign > 0:
+            remaining = self.bucket.capacity - self._capacity_of(lending)
+            tokens = math.floor(self.bucket.level - max(0.0, remaining))
+            if tokens > 0:
+                self.bucket.withdraw(tokens)
+                self._hand_back(lending, tokens)
+        self._apply_limits(ended_at)
+
+    def _capacity_of(self, lending: Lending) -> float:
+        return lending.tokens + self.contract.burst_tokens * lending.parts / TOTAL_PARTS
 
     def _apply_limits(self, now: float) -> None:
         burst = self.contract.burst_tokens
-        balance = sum(lending.sign * lending.tokens for lending in self._lendings)
+        balance = sum(
+            lending.sign * self._capacity_of(lending) for lending in self._lendings
+        )
         self.bucket.set_limits(
             capacity=burst * self._parts / TOTAL_PARTS + balance,
             rate=self.contract.rate_tokens_per_s * self.parts_at_hand() / TOTAL_PARTS,
--- a/packages/server/src/jaytray_server/process/limits/gifts.py
+++ b/packages/server/src/jaytray_server/process/limits/gifts.py
@@ -1,12 +1,13 @@
-"""Exchange of spare tokens and spare rate between VMs.
+"""Exchange of spare tokens and spare shares between VMs.
 
 A VM whose requests wait for tokens asks a few others, then more, until it has what
 it needs. The giver deducts first and leaves the amount out of its capacity until the
-taker cannot spend it any more; the taker counts the lifetime from the moment it
-asked, by its own clock. A lost, late or doubled message can thus only lose tokens.
+taker cannot use it any more; the taker counts the lifetime from the moment it asked,
+by its own clock. A lost, late or doubled message can thus only lose tokens.
 
-A grant carries tokens for the requests that wait, and parts of the giver's rate that
-its own demand leaves unused. Those spare the messages of further requests.
+A gift is tokens for the requests that wait. A loan is a part of the giver's share
+that its own demand leaves unused, with the tokens in it; it saves the messages of
+further requests. When either ends, the taker hands back what it cannot keep.
 """
 
 import asyncio
@@ -20,21 +21,25 @@
 from jaytray_core.errors import JaytrayError
 from jaytray_core.logs import get_logger
 from jaytray_server.ports import Metrics, PeerNetwork
+from jaytray_server.process.limits.account_state import Lending
 from jaytray_server.process.limits.limiter import AccountLimiter
 from jaytray_server.process.limits.message_budget import MessageBudget
 
 ASK_TOPIC = "limits.ask"
 GRANT_TOPIC = "limits.grant"
-# How long a taker may use granted tokens and parts, from the moment it asked.
-TOKENS_LIFETIME_S = 5.0
-PARTS_LIFETIME_S = 20.0
+RELEASE_TOPIC = "limits.release"
+# How long a taker may use a gift or a loan, from the moment it asked.
+GIFT_LIFETIME_S = 0.5
+LOAN_LIFETIME_S = 20.0
 # How long the giver leaves them out; the clocks may differ by 5 in 100.
-TOKENS_HOLD_S = 5.25
-PARTS_HOLD_S = 21.0
+GIFT_HOLD_S = 0.525
+LOAN_HOLD_S = 21.0
 # Peers asked at first; each further batch is twice as large.
 FIRST_BATCH = 8
 # Peers asked in one go after all had nothing to spare.
 PROBE_BATCH = 2
+# Rounds in which all that the last asked have left is asked for.
+URGENT_BATCHES = 3
 # Seconds of its demand for which a VM asks beyond its waiting requests.
 LOOKAHEAD_S = 1.0
 # How long a batch may take to answer.
@@ -64,16 +69,28 @@
 class Grant(NamedTuple):
     """Answer to an ask; zeros when there is nothing to give.
 
+    `gift_tokens` is a gift, `loan_parts` a loan that holds `loan_tokens`;
     `spare_tokens` is what is left at the giver.
     """
 
     ask_id: int
-    tokens: int
-    parts: int
+    gift_tokens: int
+    loan_parts: int
+    loan_tokens: int
     spare_tokens: int
 
 
-class _OpenAsk(NamedTuple):
+class Release(NamedTuple):
+    """End of a lending, with tokens that the taker hands back."""
+
+    lending_id: int
+    account: str
+    tokens: int
+
+
+class OpenAsk(NamedTuple):
+    """An ask of this VM that is not answered yet."""
+
     account: str
     peer: str
     asked_at: float
@@ -94,6 +111,16 @@
 _NO_MEMORY = _Memory({}, False, float("-inf"))
 
 
+def gift_id(ask_id: int) -> int:
+    """Return the id of the gift that answers an ask."""
+    return 2 * ask_id
+
+
+def loan_id(ask_id: int) -> int:
+    """Return the id of the loan that answers an ask."""
+    return 2 * ask_id + 1
+
+
 class GiftExchange:
     """Asks other VMs for tokens and answers their asks."""
 
@@ -113,11 +140,12 @@
         self._rng = rng
         self._budget = budget
         self._metrics = metrics
-        self._open_asks_by_id: dict[int, _OpenAsk] = {}
+        self._open_asks_by_id: dict[int, OpenAsk] = {}
         self._gathering: dict[str, asyncio.Task[None]] = {}
         self._memory_by_account: dict[str, _Memory] = {}
         peers.set_handler(ASK_TOPIC, self.handle_ask)
         peers.set_handler(GRANT_TOPIC, self.handle_grant)
+        peers.set_handler(RELEASE_TOPIC, self.handle_release)
 
     def request_tokens(self, account: str) -> None:
         """Start to gather tokens for the account's waiting requests."""
@@ -138,36 +166,44 @@
         except JaytrayError as err:
             get_logger().warning("limits_message_malformed", peer=sender, code=err.code)
             return
-        if self._budget.is_spent():
+        if not self._budget.may_send(ask.account):
             return
-        grant = self.deduct_grant(ask)
-        if grant.tokens or grant.parts:
-            self._metrics.increment("limits.tokens_given", grant.tokens)
+        grant = self.deduct_grant(ask, sender)
+        given = grant.gift_tokens + grant.loan_tokens
+        if given or grant.loan_parts:
+            self._metrics.increment("limits.tokens_given", given)
             get_logger().debug(
                 "limits_grant_sent",
                 peer=sender,
                 account=ask.account,
-                tokens=grant.tokens,
-                parts=grant.parts,
+                tokens=given,
+                parts=grant.loan_parts,
             )
-        self._send(sender, GRANT_TOPIC, encode_msgpack(grant))
+        self._send(sender, GRANT_TOPIC, encode_msgpack(grant), ask.account)
 
-    def deduct_grant(self, ask: Ask) -> Grant:
+    def deduct_grant(self, ask: Ask, taker: str) -> Grant:
         """Take what can be spared for `ask` out of this VM's bucket."""
         self._limiter.follow_document()
         if not self._limiter.knows(ask.account):
-            return Grant(ask.ask_id, 0, 0, 0)
+            return Grant(ask.ask_id, 0, 0, 0, 0)
         now = self._clock()
         state = self._limiter.state_of(ask.account)
         spare = max(0.0, state.bucket.level - state.tokens_waited_for())
+        at_hand = state.parts_at_hand()
         unused_parts = max(0, -state.parts_missing(now))
         parts = max(0, min(ask.parts, unused_parts))
-        has_demand = unused_parts < state.parts_at_hand()
-        part = SHARED_FRACTION if has_demand and not ask.is_urgent else 1.0
-        tokens = max(0, min(ask.tokens, math.floor(spare * part)))
-        state.lend_tokens(tokens, until_s=now + TOKENS_HOLD_S, now=now)
-        state.lend_parts(parts, until_s=now + PARTS_HOLD_S, now=now)
-        return Grant(ask.ask_id, tokens, parts, math.floor(spare * part) - tokens)
+        loan_tokens = math.floor(spare * parts / at_hand) if parts else 0
+        spare -= loan_tokens
+        keeps_some = unused_parts < at_hand and not ask.is_urgent
+        largest = math.floor(spare * SHARED_FRACTION if keeps_some else spare)
+        tokens = max(0, min(ask.tokens - loan_tokens, largest))
+        if parts:
+            loan = Lending(now + LOAN_HOLD_S, loan_id(ask.ask_id), -1, taker, 0, parts)
+            state.lend(loan, tokens=loan_tokens, now=now)
+        if tokens:
+            gift = Lending(now + GIFT_HOLD_S, gift_id(ask.ask_id), -1, taker, tokens, 0)
+            state.lend(gift, tokens=tokens, now=now)
+        return Grant(ask.ask_id, tokens, parts, loan_tokens, math.floor(spare) - tokens)
 
     def handle_grant(self, sender: str, body: bytes) -> None:
         """Add a grant that was asked for to the account's bucket, once."""
@@ -180,23 +216,59 @@
         if ask is None or ask.peer != sender:
             return
         self._remember_spare(ask.account, sender, grant)
-        if grant.tokens > 0 or grant.parts > 0:
-            self.use_grant(ask.account, grant, ask.asked_at)
+        if grant.gift_tokens > 0 or grant.loan_parts > 0:
+            self.use_grant(ask, grant)
             self._limiter.wake(ask.account)
         if not ask.answered.done():
             ask.answered.set_result(None)
 
-    def use_grant(self, account: str, grant: Grant, asked_at: float) -> None:
+    def use_grant(self, ask: OpenAsk, grant: Grant) -> None:
         """Borrow a grant until its lifetime is over."""
-        self._metrics.increment("limits.tokens_received", grant.tokens)
-        state = self._limiter.state_of(account)
+        given = grant.gift_tokens + grant.loan_tokens
+        self._metrics.increment("limits.tokens_received", given)
+        state = self._limiter.state_of(ask.account)
         now = self._clock()
-        state.borrow_tokens(grant.tokens, until_s=asked_at + TOKENS_LIFETIME_S, now=now)
-        state.borrow_parts(grant.parts, until_s=asked_at + PARTS_LIFETIME_S, now=now)
+        gift = Lending(
+            ask.asked_at + GIFT_LIFETIME_S,
+            gift_id(grant.ask_id),
+            1,
+            ask.peer,
+            grant.gift_tokens,
+            0,
+        )
+        loan = Lending(
+            ask.asked_at + LOAN_LIFETIME_S,
+            loan_id(grant.ask_id),
+            1,
+            ask.peer,
+            0,
+            grant.loan_parts,
+        )
+        for lending, tokens in ((gift, gift.tokens), (loan, grant.loan_tokens)):
+            if lending.tokens or lending.parts:
+                state.borrow(lending, tokens=tokens, now=now)
+                self._end_in_time(ask.account, lending)
+
+    def hand_back(self, account: str, lending: Lending, tokens: int) -> None:
+        """Send tokens of a borrowed lending that is over back to its giver."""
+        release = Release(lending.lending_id, account, tokens)
+        self._send(lending.peer, RELEASE_TOPIC, encode_msgpack(release), account)
+
+    def handle_release(self, sender: str, body: bytes) -> None:
+        """Take tokens back into the bucket while their lending is open here."""
+        try:
+            release = decode_msgpack(body, Release, peer=sender)
+        except JaytrayError as err:
+            get_logger().warning("limits_message_malformed", peer=sender, code=err.code)
+            return
+        if self._limiter.knows(release.account) and release.tokens > 0:
+            state = self._limiter.state_of(release.account)
+            state.take_back(release.lending_id, release.tokens, self._clock())
+            self._limiter.wake(release.account)
 
     def drop_expired_asks(self) -> None:
         """Forget asks whose answer could not be used any more."""
-        oldest = self._clock() - PARTS_LIFETIME_S
+        oldest = self._clock() - LOAN_LIFETIME_S
         for ask_id, ask in list(self._open_asks_by_id.items()):
             if ask.asked_at > oldest:
                 break
@@ -245,14 +317,14 @@
     def _ask(
         self, peer: str, account: str, *, tokens: int, parts: int, is_urgent: bool
     ) -> asyncio.Future[None] | None:
-        if self._budget.is_spent():
+        if not self._budget.may_send(account):
             return None
         ask = Ask(self._rng.getrandbits(53), account, tokens, parts, is_urgent)
         answered: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._open_asks_by_id[ask.ask_id] = _OpenAsk(
+        self._open_asks_by_id[ask.ask_id] = OpenAsk(
             account, peer, self._clock(), answered
         )
-        if not self._send(peer, ASK_TOPIC, encode_msgpack(ask)):
+        if not self._send(peer, ASK_TOPIC, encode_msgpack(ask), account):
             del self._open_asks_by_id[ask.ask_id]
             return None
         return answered
@@ -261,16 +333,18 @@
         """Yield growing batches of peers; those with most left are asked again."""
         memory = self._memory_by_account.get(account, _NO_MEMORY)
         remaining = self._ranked_peers(memory)
-        if memory.is_exhausted:
-            yield remaining[:PROBE_BATCH], False
-            return
         size = FIRST_BATCH
+        if memory.is_exhausted:
+            probed, remaining = remaining[:PROBE_BATCH], remaining[PROBE_BATCH:]
+            yield probed, False
+            if not self._known_spare(account):
+                return
         while remaining:
             batch, remaining = remaining[:size], remaining[size:]
             yield batch, False
             size *= 2
-        last = self._memory_by_account.get(account, _NO_MEMORY)
-        yield self._peers_with_spare(last), True
+        for _ in range(URGENT_BATCHES):
+            yield self._known_spare(account), True
 
     def _ranked_peers(self, memory: _Memory) -> list[str]:
         listed = [vm for vm in self._peers.listed_vms() if vm != self._peers.vm_id]
@@ -281,12 +355,22 @@
         ranked = dict.fromkeys((*self._peers_with_spare(memory), *near, *listed))
         return [vm for vm in ranked if vm in known]
 
+    def _known_spare(self, account: str) -> list[str]:
+        memory = self._memory_by_account.get(account, _NO_MEMORY)
+        return self._peers_with_spare(memory)
+
     def _peers_with_spare(self, memory: _Memory) -> list[str]:
         spare_by_peer = memory.spare_by_peer
         return sorted(spare_by_peer, key=lambda vm: spare_by_peer[vm], reverse=True)
 
-    def _send(self, peer: str, topic: str, body: bytes) -> bool:
-        self._budget.spend(len(topic) + len(body))
+    def _end_in_time(self, account: str, lending: Lending) -> None:
+        delay = lending.until_s - self._clock()
+        if delay > 0:
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay, self._limiter.wake, account)
+
+    def _send(self, peer: str, topic: str, body: bytes, account: str) -> bool:
+        self._budget.spend(len(topic) + len(body), account)
         return self._peers.send(peer, topic, body)
 
     def _remember_spare(self, account: str, peer: str, grant: Grant) -> None:
@@ -301,8 +385,10 @@
 
     def _remember_failure(self, account: str) -> None:
         memory = self._memory_by_account.get(account, _NO_MEMORY)
-        until = self._clock() + PAUSE_S
-        self._remember(account, memory._replace(is_exhausted=True, paused_until=until))
+        if not memory.spare_by_peer:
+            until = self._clock() + PAUSE_S
+            memory = memory._replace(is_exhausted=True, paused_until=until)
+            self._remember(account, memory)
 
     def _remember_success(self, account: str) -> None:
         memory = self._memory_by_account.get(account)
--- a/packages/server/src/jaytray_server/process/limits/limiter.py
+++ b/packages/server/src/jaytray_server/process/limits/limiter.py
@@ -13,13 +13,14 @@
 import asyncio
 import itertools
 from collections.abc import Callable
+from functools import partial
 
 from jaytray_core import message_registry as messages
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.document.model import ClientAccount
 from jaytray_core.errors import JaytrayError, Step
 from jaytray_server.ports import CurrentDocument, Limiter, Reservation
-from jaytray_server.process.limits.account_state import AccountState, Waiter
+from jaytray_server.process.limits.account_state import AccountState, Lending, Waiter
 
 MAX_WAITING_PER_ACCOUNT = 256
 # Shortest delay of a refill timer in seconds, against timers that fire early.
@@ -28,6 +29,9 @@
 # Called with an account whose waiting requests need tokens of other VMs.
 ShortageHandler = Callable[[str], None]
 
+# Sends tokens of an account that were borrowed back: (account, lending, tokens).
+HandBackHandler = Callable[[str, Lending, int], None]
+
 _NO_CONTRACT = ClientAccount("", 0.0, 0, 1.0)
 
 
@@ -43,11 +47,13 @@
         current_document: CurrentDocument,
         clock: MonotonicClock,
         on_shortage: ShortageHandler = lambda _account: None,
+        on_hand_back: HandBackHandler = lambda _account, _lending, _tokens: None,
         max_waiting_per_account: int = MAX_WAITING_PER_ACCOUNT,
     ) -> None:
         self._current_document = current_document
         self._clock = clock
         self._on_shortage = on_shortage
+        self._on_hand_back = on_hand_back
         self._max_waiting = max_waiting_per_account
         self._document = current_document()
         self._parts = 0
@@ -190,7 +196,10 @@
         if state is None:
             contract = self._document.accounts_by_name.get(account, _NO_CONTRACT)
             state = AccountState(
-                contract=contract, parts=self._parts, now=self._parts_since
+                contract=contract,
+                parts=self._parts,
+                now=self._parts_since,
+                hand_back=partial(self._on_hand_back, account),
             )
             self._states_by_account[account] = state
         return state
