--- a/packages/server/src/jaytray_server/process/placement/adapters.py
+++ b/packages/server/src/jaytray_server/process/placement/adapters.py
@@ -30,6 +30,8 @@
     demand_by_name: Mapping[str, Demand],
     settings: PlanSettings,
     wanted_targets_by_adapter: Mapping[str, str],
+    *,
+    may_preload: bool,
 ) -> list[PlannedChange]:
     """Return loads and unloads of adapters whose models have their home here."""
     homed = {model.name: model for model in models}
@@ -46,6 +48,7 @@
             demand_by_name,
             settings,
             wanted_targets_by_adapter.get(adapter.name),
+            may_preload,
         )
     return changes
 
@@ -57,6 +60,7 @@
     demand_by_name: Mapping[str, Demand],
     settings: PlanSettings,
     wanted_target: str | None,
+    may_preload: bool,
 ) -> list[PlannedChange]:
     loaded = board.replicas(adapter.name)
     current = [r for r in loaded if r.version == adapter.version]
@@ -66,6 +70,8 @@
     changes: list[PlannedChange] = []
     if len(current) < _wanted_copies(model, demand, settings, current):
         urgency = Urgency.ADAPTER_WANTED if is_wanted else Urgency.ADAPTER_PRELOAD
+        if urgency is Urgency.ADAPTER_PRELOAD and not may_preload:
+            return changes
         changes += _load(board, adapter, urgency, demand_by_name, wanted_target)
     if any(r.is_ready for r in current) or (not current and not changes):
         # The name can be held only once beside a replica, so when every replica
--- a/packages/server/src/jaytray_server/process/placement/executor.py
+++ b/packages/server/src/jaytray_server/process/placement/executor.py
@@ -287,6 +287,8 @@
         if connection is None or not self.lease.is_valid():
             return False
         self._ledger(target.name).note_sent(order.order_id, self._clock())
+        if not self._rules.uses_fencing:
+            order = order._replace(fencing_number=0)
         with contextlib.suppress(JaytrayError, TimeoutError):
             async with asyncio.timeout(ORDER_TIMEOUT_S):
                 reply = await connection.order(order)
--- a/packages/server/src/jaytray_server/process/placement/planner.py
+++ b/packages/server/src/jaytray_server/process/placement/planner.py
@@ -57,8 +57,14 @@
     ]
     _spread_demand(board, homed, total_by_name)
     changes: list[PlannedChange] = []
+    awaits_room = False
     for need in sorted(_needs(board, homed, total_by_name, settings)):
-        changes += _meet(board, document, need, total_by_name, settings)
+        if awaits_room and need.urgency >= Urgency.DEMAND:
+            # The memory that is about to be free must not go to lesser needs.
+            break
+        step = _meet(board, document, need, total_by_name, settings)
+        changes += step.changes
+        awaits_room = awaits_room or step.awaits_room
     changes += _remove_unwanted(board, document, frozenset(m.name for m in homed))
     changes += plan_adapters(
         board,
@@ -67,6 +73,7 @@
         total_by_name,
         settings,
         wanted_targets_by_adapter or {},
+        may_preload=not awaits_room,
     )
     return sorted(changes, key=lambda change: change.urgency)
 
@@ -106,6 +113,13 @@
     missing: int
 
 
+class _Step(NamedTuple):
+    """What is done for one need; `awaits_room` while memory is being freed."""
+
+    changes: list[PlannedChange]
+    awaits_room: bool
+
+
 def _needs(
     board: PlanBoard,
     models: list[Model],
@@ -181,27 +195,27 @@
     need: _Need,
     demand_by_name: Mapping[str, Demand],
     settings: PlanSettings,
-) -> list[PlannedChange]:
+) -> _Step:
     """Plan loads for a need, or the unloads that make room for them."""
     urgency, _, name, missing = need
     model = document.models_by_name[name]
     changes: list[PlannedChange] = []
     for _ in range(missing):
         accelerator = find_accelerator(board, model, urgency)
-        if accelerator is not None:
-            board.add_planned(
-                accelerator,
-                name=name,
-                model=name,
-                version=model.version,
-                mib=model.memory_mib,
-            )
-            changes.append(load_change(accelerator, model, urgency))
-            continue
-        if urgency is Urgency.SPREAD:
-            break
-        changes += make_room(board, document, model, urgency, demand_by_name, settings)
-    return changes
+        if accelerator is None:
+            if urgency is Urgency.SPREAD:
+                return _Step(changes, False)
+            room = make_room(board, document, model, urgency, demand_by_name, settings)
+            return _Step(changes + (room or []), room is not None)
+        board.add_planned(
+            accelerator,
+            name=name,
+            model=name,
+            version=model.version,
+            mib=model.memory_mib,
+        )
+        changes.append(load_change(accelerator, model, urgency))
+    return _Step(changes, False)
 
 
 def _remove_unwanted(
--- a/packages/server/src/jaytray_server/process/placement/room.py
+++ b/packages/server/src/jaytray_server/process/placement/room.py
@@ -57,10 +57,10 @@
     urgency: Urgency,
     demand_by_name: Mapping[str, Demand],
     settings: PlanSettings,
-) -> list[PlannedChange]:
-    """Return the unloads that make room for a replica, or none.
+) -> list[PlannedChange] | None:
+    """Return the unloads that make room for a replica, None if there is no way.
 
-    Nothing is returned when room is being made already. When only last replicas
+    The list is empty when room is being made already. When only last replicas
     stand in the way of an unreachable model, one of them is first loaded elsewhere.
     """
     accelerators = _open_accelerators(board, model)
@@ -196,10 +196,10 @@
     model: Model,
     urgency: Urgency,
     accelerators: list[Accelerator],
-) -> list[PlannedChange]:
+) -> list[PlannedChange] | None:
     """Load one blocking last replica elsewhere, so that it can leave later."""
     if urgency > Urgency.BELOW_MINIMUM:
-        return []
+        return None
     for accelerator in accelerators:
         missing_mib = model.memory_mib - accelerator.expected_free_mib
         for replica in accelerator.replicas_by_name.values():
@@ -225,7 +225,7 @@
             )
             reason = f"relocate_for_{model.name}"
             return [load_change(refuge, other, urgency, reason)]
-    return []
+    return None
 
 
 def _peak(replica: Replica, demand_by_name: Mapping[str, Demand]) -> float:
--- a/packages/server/src/jaytray_server/process/placement/state.py
+++ b/packages/server/src/jaytray_server/process/placement/state.py
@@ -60,8 +60,9 @@
 class Accelerator:
     """One accelerator; `free_mib` is free in the worst case.
 
-    `expected_free_mib` adds what outstanding unloads will free. `tokens_per_s` is
-    the demand that its replicas are taken to serve.
+    `expected_free_mib` adds what outstanding unloads will free and what is counted
+    only for orders that are settled and will soon be too old to have an effect.
+    `tokens_per_s` is the demand that its replicas are taken to serve.
     """
 
     def __init__(self, *, state: TargetState, number: int) -> None:
@@ -69,9 +70,12 @@
         self.number = number
         self.is_usable = state.is_usable
         self.may_take_orders = state.may_take_orders
+        memory_mib = state.target.accelerator_memory_mib
+        unsettled = [o for o in state.orders if o.order_id in state.unsettled_order_ids]
         used = worst_case_mib(number, state.residents, state.orders)
-        self.free_mib = state.target.accelerator_memory_mib - used
-        self.expected_free_mib = self.free_mib
+        self.free_mib = memory_mib - used
+        used = worst_case_mib(number, state.residents, unsettled)
+        self.expected_free_mib = memory_mib - used
         self.tokens_per_s = 0.0
         self.replicas_by_name: dict[str, Replica] = {}
 
