Judge a replica's load by its accelerator, add the policy experiment

Cause: a load report counts a target's requests as a whole, but a model runs on one of its accelerators; the experiment showed overfull accelerators beside idle ones. Change: a fading mix of routed tokens by accelerator; make bench-policy.

--- a/packages/server/src/jaytray_server/process/placement/planner.py
+++ b/packages/server/src/jaytray_server/process/placement/planner.py
@@ -57,14 +57,15 @@
     ]
     _spread_demand(board, homed, total_by_name)
     changes: list[PlannedChange] = []
-    awaits_room = False
+    awaiting: Urgency | None = None
     for need in sorted(_needs(board, homed, total_by_name, settings)):
-        if awaits_room and need.urgency >= Urgency.DEMAND:
+        if awaiting is not None and need.urgency > awaiting:
             # The memory that is about to be free must not go to lesser needs.
             break
         step = _meet(board, document, need, total_by_name, settings)
         changes += step.changes
-        awaits_room = awaits_room or step.awaits_room
+        if step.awaits_room and awaiting is None:
+            awaiting = need.urgency
     changes += _remove_unwanted(board, document, frozenset(m.name for m in homed))
     changes += plan_adapters(
         board,
@@ -73,7 +74,7 @@
         total_by_name,
         settings,
         wanted_targets_by_adapter or {},
-        may_preload=not awaits_room,
+        may_preload=awaiting is None,
     )
     return sorted(changes, key=lambda change: change.urgency)
 
--- a/packages/server/src/jaytray_server/process/target_table.py
+++ b/packages/server/src/jaytray_server/process/target_table.py
@@ -17,6 +17,7 @@
 REPORT_STALE_S = 15.0
 SUSPECT_FIRST_S = 1.0
 SUSPECT_MAX_S = 30.0
+MAX_SUSPECT_DOUBLINGS = 5
 SLOW_S = 5.0
 
 
@@ -184,7 +185,8 @@
     def failed(self, target: str) -> None:
         """Suspect the target, for twice as long at each failure in a row."""
         entry = self._entry(target)
-        duration_s = min(SUSPECT_MAX_S, SUSPECT_FIRST_S * 2**entry.failures_in_a_row)
+        doublings = min(entry.failures_in_a_row, MAX_SUSPECT_DOUBLINGS)
+        duration_s = min(SUSPECT_MAX_S, SUSPECT_FIRST_S * 2**doublings)
         entry.failures_in_a_row += 1
         entry.suspected_until_s = self._clock() + duration_s
 
--- a/packages/server/src/jaytray_server/request/routing.py
+++ b/packages/server/src/jaytray_server/request/routing.py
@@ -27,6 +27,7 @@
     RoutingDecision,
     RoutingRequest,
 )
+from jaytray_server.process.accelerator_mix import AcceleratorMix
 from jaytray_server.process.cache_index import CacheIndex
 from jaytray_server.process.decision_log import DecisionLog, DecisionRecord
 from jaytray_server.process.demand import DemandMeter
@@ -62,9 +63,14 @@
 
 
 class _Candidate(NamedTuple):
-    """A replica that may be chosen."""
+    """A replica that may be chosen.
+
+    `slots` and `load` are those of the accelerators that hold the base model.
+    """
 
     target: Target
+    accelerators: list[int]
+    slots: float
     load: TargetLoad
     needs_adapter_load: bool
 
@@ -96,6 +102,7 @@
     takes the tokens that are still expected; a late first or later piece marks the
     target as slow.
     """
+    mix = AcceleratorMix(clock=clock)
     decision_log = decisions if decisions is not None else DecisionLog()
 
     def choose(request: RoutingRequest) -> RoutingDecision:
@@ -105,7 +112,14 @@
             demand.record(request.name, request.output_tokens)
         try:
             scored, drawn = _best_replica(
-                request, document, table, cache_index, random, policy, vm_failure_domain
+                request,
+                document,
+                table,
+                mix,
+                cache_index,
+                random,
+                policy,
+                vm_failure_domain,
             )
             if policy.refuses_unreachable_deadlines:
                 remaining_s = request.deadline_s - clock()
@@ -117,6 +131,7 @@
             raise
         reason = _reason(scored, drawn)
         target = scored.candidate.target.name
+        mix.record(target, scored.candidate.accelerators, request.output_tokens)
         _record(request, target, reason, scored.cost, drawn)
         cache_index.record_dispatch(target, request.prefix_digests)
         return RoutingDecision(
@@ -170,21 +185,18 @@
     request: RoutingRequest,
     document: Document,
     table: TargetTable,
+    mix: AcceleratorMix,
     cache_index: CacheIndex,
     random: Random,
     policy: RoutingPolicy,
     vm_failure_domain: str,
 ) -> tuple[_Scored, int]:
     """Return the cheapest of the drawn replicas and how many were weighed."""
+    base = _base_model(document, request.name).name
     names = _preferred_targets(request, document, table)
     drawn = _draw(names, request, cache_index, random, policy.choices)
-    with_adapter = table.ready_replicas(request.name)
     candidates = [
-        _Candidate(
-            document.targets_by_name[name],
-            table.load_of(name),
-            name not in with_adapter,
-        )
+        _candidate(document.targets_by_name[name], base, request.name, table, mix)
         for name in drawn
     ]
     least = min(candidate.load.requests for candidate in candidates)
@@ -196,6 +208,24 @@
     return min(scored, key=lambda each: each.cost), len(drawn)
 
 
+def _candidate(
+    target: Target, base: str, name: str, table: TargetTable, mix: AcceleratorMix
+) -> _Candidate:
+    """Return a target with its load on the accelerators that hold the model."""
+    residents = table.ready_replicas(base).get(target.name, ())
+    accelerators = [resident.accelerator for resident in residents] or [0]
+    share = mix.share(target.name, accelerators, target.accelerators)
+    load = table.load_of(target.name)
+    slots = target.max_running_requests * len(accelerators) / target.accelerators
+    return _Candidate(
+        target,
+        accelerators,
+        max(1.0, slots),
+        TargetLoad(round(load.requests * share), round(load.tokens * share)),
+        target.name not in table.ready_replicas(name),
+    )
+
+
 def _preferred_targets(
     request: RoutingRequest, document: Document, table: TargetTable
 ) -> list[str]:
@@ -263,8 +293,7 @@
     vm_failure_domain: str,
     affinity_bound: float,
 ) -> _Scored:
-    target, load, needs_adapter_load = candidate
-    slots = max(1, target.max_running_requests)
+    target, _, slots, load, needs_adapter_load = candidate
     pending = load.tokens / (slots * max(1, request.output_tokens))
     cost = load.requests / slots + policy.output_tokens_weight * pending
     matched = 0
@@ -284,7 +313,7 @@
     """Raise when the best replica cannot start the request before its deadline."""
     if request.traffic_class is TrafficClass.DEFERRED:
         return
-    wait_s = estimate_wait_s(candidate.target, candidate.load, model)
+    wait_s = estimate_wait_s(candidate.slots, candidate.load, model)
     if wait_s > remaining_s:
         raise JaytrayError(
             messages.DEADLINE_UNREACHABLE,
@@ -294,13 +323,12 @@
         )
 
 
-def estimate_wait_s(target: Target, load: TargetLoad, model: Model) -> float:
-    """Return seconds until a slot of the target is free for one more request.
+def estimate_wait_s(slots: float, load: TargetLoad, model: Model) -> float:
+    """Return seconds until one of `slots` is free for one more request.
 
-    The target is taken to give each running request a token within the model's
-    inter-token deadline, which is what its number of slots is set for.
+    Each running request is taken to get a token within the model's inter-token
+    deadline, which is what the number of slots is set for.
     """
-    slots = max(1, target.max_running_requests)
     waiting = load.requests + 1 - slots
     if waiting <= 0 or load.requests == 0:
         return 0.0
--- /dev/null
+++ b/tools/policy_model/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes around the real decision functions, for `make bench-policy`."""
