--- a/packages/server/src/jaytray_server/request/http_api.py
+++ b/packages/server/src/jaytray_server/request/http_api.py
@@ -12,7 +12,7 @@
 from litestar.enums import MediaType
 from litestar.exceptions import HTTPException
 from litestar.handlers import HTTPRouteHandler
-from litestar.types import ASGIApp, Method
+from litestar.types import ASGIApp, Message, Method, Scope
 
 from jaytray_core.errors import JaytrayError
 from jaytray_core.logs import get_logger
@@ -45,6 +45,8 @@
     "OPTIONS",
 ]
 
+_REQUEST_ID_BYTES = REQUEST_ID_HEADER.encode()
+
 _log = get_logger()
 
 
@@ -62,6 +64,7 @@
             *admin_routes,
         ],
         exception_handlers={Exception: _make_exception_handler(services)},
+        before_send=[_add_request_id],
         request_max_body_size=services.sizes.body_bytes,
         openapi_config=None,
         logging_config=None,
@@ -111,9 +114,18 @@
     return [healthz, readyz]
 
 
+async def _add_request_id(message: Message, _scope: Scope) -> None:
+    """Give answers that the HTTP library made itself a request id, too."""
+    if message["type"] != "http.response.start":
+        return
+    headers = list(message["headers"])
+    if not any(name == _REQUEST_ID_BYTES for name, _ in headers):
+        headers.append((_REQUEST_ID_BYTES, uuid.uuid4().hex.encode()))
+        message["headers"] = headers
+
+
 def _text(status: int, text: str) -> Response[str]:
-    headers = {REQUEST_ID_HEADER: uuid.uuid4().hex}
-    return Response(text, status_code=status, headers=headers)
+    return Response(text, status_code=status)
 
 
 def _make_exception_handler(services: RequestServices) -> Any:
--- a/packages/server/src/jaytray_server/request/stream.py
+++ b/packages/server/src/jaytray_server/request/stream.py
@@ -82,10 +82,12 @@
             resume_text="".join(delivered.texts),
         )
         async with _cancelled_unless_complete(services, dispatch, delivered):
-            async for piece in _checked(services, connection, request, delivered):
-                expected = max(0, work.call.output_tokens - piece.end_index)
-                services.router.progressed(connection.target, dispatch_id, expected)
-                yield piece
+            checked = _checked(services, connection, request, delivered)
+            async with aclosing(checked) as pieces:
+                async for piece in pieces:
+                    expected = max(0, work.call.output_tokens - piece.end_index)
+                    services.router.progressed(connection.target, dispatch_id, expected)
+                    yield piece
 
 
 async def _checked(
--- a/packages/server/tests/request/support.py
+++ b/packages/server/tests/request/support.py
@@ -168,6 +168,27 @@
     ledger: Ledger
     client: Callable[[], httpx.AsyncClient]
 
+    def scope(
+        self, method: str, path: str, *, headers: dict[str, str] | None = None
+    ) -> dict[str, Any]:
+        """Return the ASGI scope of a request with the caller's key."""
+        pairs = {"authorization": f"Bearer {KEY}", **(headers or {})}
+        return {
+            "type": "http",
+            "asgi": {"version": "3.0", "spec_version": "2.3"},
+            "http_version": "1.1",
+            "method": method,
+            "scheme": "http",
+            "path": path,
+            "raw_path": path.encode(),
+            "root_path": "",
+            "query_string": b"",
+            "headers": [(k.encode(), v.encode()) for k, v in pairs.items()],
+            "client": ("127.0.0.1", 1),
+            "server": ("127.0.0.1", 2),
+            "state": {},
+        }
+
 
 def make_site(
     *,
--- /dev/null
+++ b/packages/server/tests/request/test_service_call.py
@@ -0,0 +1,182 @@
+"""Tests of calls to plain services: repeats, one dispatch, health of addresses."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import httpx
+from parameterized import parameterized
+from testtools import TestCase
+
+from jaytray_core.targets import TargetConnection
+from jaytray_server.request.service_routing import AddressHealth
+from jaytray_standins.faults import Fault, FaultKind, FaultSwitches
+from jaytray_standins.in_process import in_process_service
+from jaytray_standins.target.service_state import ServiceState
+from packages.server.tests.request.support import KEY, make_site
+from packages.server.tests.request.virtual_loop import loop_clock, run_virtual
+
+ADDRESSES = ("s1", "s2")
+
+
+class Case:
+    """One VM before two addresses of a service."""
+
+    def __init__(self, **state: Any) -> None:
+        self.states = {
+            name: ServiceState(name=name, clock=loop_clock, **state)
+            for name in ADDRESSES
+        }
+        self.faults = {name: FaultSwitches() for name in ADDRESSES}
+        self.site = make_site(connection_to=self._connection)
+
+    def _connection(self, address: str) -> TargetConnection:
+        return in_process_service(self.states[address], self.faults[address])
+
+    @property
+    def runs(self) -> int:
+        """Return the calls that reached the service."""
+        return sum(len(state.ran_requests) for state in self.states.values())
+
+    async def send(self, method: str, path: str, **arguments: Any) -> httpx.Response:
+        """Send one call."""
+        async with self.site.client() as client:
+            return await client.request(method, f"/services/rounds{path}", **arguments)
+
+
+def _run(test: Callable[[], Awaitable[None]]) -> None:
+    async def run() -> None:
+        await test()
+
+    run_virtual(run())
+
+
+class RepeatTests(TestCase):
+    @parameterized.expand(
+        [
+            ("get", "GET", "/x", FaultKind.ANSWER_LOST, 200, ""),
+            ("safe_post", "POST", "/safe/x", FaultKind.ANSWER_LOST, 200, ""),
+            ("post", "POST", "/x", FaultKind.ANSWER_LOST, 504, "may_have_run"),
+            ("post_crossed", "POST", "/x", FaultKind.CROSSED, 502, "may_have_run"),
+            ("post_refused", "POST", "/x", FaultKind.REFUSED, 503, "not_run"),
+            ("post_down", "POST", "/x", FaultKind.DOWN, 200, ""),
+        ]
+    )
+    def test_one_fault_at_each_address(
+        self,
+        _name: str,
+        method: str,
+        path: str,
+        kind: FaultKind,
+        status: int,
+        execution: str,
+    ) -> None:
+        async def test() -> None:
+            case = Case()
+            for faults in case.faults.values():
+                faults.set(Fault(kind, times=1))
+            if kind is FaultKind.ANSWER_LOST and status == 200:
+                case.faults["s2"].clear()
+            answer = await case.send(method, path, content=b"{}")
+            self.assertEqual(status, answer.status_code)
+            if execution:
+                self.assertEqual(execution, answer.json()["error"]["execution"])
+                self.assertLessEqual(case.runs, 1)
+
+        _run(test)
+
+    def test_own_error_of_the_service_is_its_answer(self) -> None:
+        async def test() -> None:
+            case = Case()
+            for faults in case.faults.values():
+                faults.set(Fault(FaultKind.FAILED))
+            answer = await case.send("POST", "/x", content=b"{}")
+            self.assertEqual(500, answer.status_code)
+            self.assertEqual("POST", answer.json()["method"])
+            self.assertEqual(1, case.runs)
+
+        _run(test)
+
+    def test_failing_address_is_passed_over(self) -> None:
+        async def test() -> None:
+            case = Case()
+            case.faults["s1"].set(Fault(FaultKind.SILENT))
+            began_s = loop_clock()
+            for _ in range(10):
+                answer = await case.send("GET", "/x")
+                self.assertEqual(200, answer.status_code)
+            # Only the first call that met the silent address waited for it.
+            self.assertLess(loop_clock() - began_s, 5.0)
+
+        _run(test)
+
+    def test_health_recovers(self) -> None:
+        async def test() -> None:
+            health = AddressHealth(clock=loop_clock)
+            health.failed("s1")
+            self.assertFalse(health.is_healthy("s1"))
+            await asyncio.sleep(1.1)
+            self.assertTrue(health.is_healthy("s1"))
+            health.failed("s1")
+            await asyncio.sleep(1.1)
+            self.assertFalse(health.is_healthy("s1"))
+            health.answered("s1")
+            self.assertTrue(health.is_healthy("s1"))
+
+        _run(test)
+
+
+class IdempotencyKeyTests(TestCase):
+    @parameterized.expand([("empty", ""), ("long", "k" * 300)])
+    def test_bad_keys_are_refused(self, _name: str, key: str) -> None:
+        async def test() -> None:
+            case = Case()
+            headers = {"idempotency-key": key}
+            answer = await case.send("POST", "/x", content=b"{}", headers=headers)
+            self.assertEqual(400, answer.status_code)
+            self.assertEqual(0, case.runs)
+
+        _run(test)
+
+    def test_caller_that_left_gets_the_answer_later(self) -> None:
+        async def test() -> None:
+            case = Case(answer_s=0.5)
+            headers = {"idempotency-key": "k"}
+            arguments: Any = {"content": b"{}", "headers": headers}
+            scope = case.site.scope("POST", "/services/rounds/x", headers=headers)
+            left = asyncio.Event()
+            body = [{"type": "http.request", "body": b"{}", "more_body": False}]
+
+            async def receive() -> Any:
+                if body:
+                    return body.pop()
+                await left.wait()
+                return {"type": "http.disconnect"}
+
+            async def send(_message: Any) -> None:
+                return
+
+            app: Any = case.site.client()._transport.app  # type: ignore[attr-defined]
+            serving = asyncio.ensure_future(app(scope, receive, send))
+            await asyncio.sleep(0.1)
+            left.set()
+            await serving
+            self.assertEqual(1, case.site.services.lifecycle.running_answers)
+            running = await case.send("POST", "/x", **arguments)
+            self.assertEqual("idempotency_running", running.json()["error"]["code"])
+            await asyncio.sleep(1.0)
+            answer = await case.send("POST", "/x", **arguments)
+            self.assertEqual(200, answer.status_code)
+            self.assertEqual("true", answer.headers["idempotent-replayed"])
+            self.assertEqual(1, case.runs)
+
+        _run(test)
+
+    def test_key_in_the_body_is_refused(self) -> None:
+        async def test() -> None:
+            case = Case()
+            answer = await case.send("POST", "/x", content=KEY.encode())
+            self.assertEqual(400, answer.status_code)
+            self.assertEqual(0, case.runs)
+
+        _run(test)
--- /dev/null
+++ b/packages/server/tests/request/test_stream.py
@@ -0,0 +1,227 @@
+"""Tests of streams: resumption, visible ends, leaving and slow callers."""
+
+import asyncio
+from collections.abc import AsyncGenerator, Awaitable, Callable, Mapping
+from typing import Any
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from jaytray_core.codec import encode_json
+from jaytray_core.targets import StreamPiece, TargetConnection
+from jaytray_server.request.responses import StreamEnding, send_stream
+from jaytray_server.request.services import Timeouts
+from jaytray_standins.faults import Fault, FaultKind
+from jaytray_standins.target.generation import expected_text
+from packages.server.tests.request.support import (
+    TARGETS,
+    Site,
+    Targets,
+    chat_body,
+    make_site,
+    make_targets,
+)
+from packages.server.tests.request.virtual_loop import run_virtual
+from tools.fault_cases.judge import stream_text
+
+BODY = chat_body("a stream", stream=True)
+TIMEOUTS = Timeouts(first_token_s=0.5, idle_token_s=0.2)
+
+
+class Case:
+    """One VM before three targets, on virtual time."""
+
+    def __init__(self, **changes: Any) -> None:
+        self.targets: Targets = make_targets(restart_s=0.2)
+        self.cancelled: list[str] = []
+        self.site: Site = make_site(
+            connection_to=self._connection, timeouts=TIMEOUTS, **changes
+        )
+
+    def _connection(self, name: str) -> TargetConnection:
+        async def cancel(request_id: str) -> None:
+            self.cancelled.append(request_id)
+
+        return self.targets.connection_to(name)._replace(cancel=cancel)
+
+    async def stream(self) -> bytes:
+        """Return the body of the streamed answer."""
+        async with self.site.client() as client:
+            answer = await client.post("/v1/chat/completions", json=BODY)
+        return answer.content
+
+    @property
+    def runs(self) -> int:
+        """Return how many dispatches reached a target."""
+        return sum(len(s.ran_requests) for s in self.targets.states.values())
+
+
+def _run(test: Callable[[], Awaitable[None]]) -> None:
+    async def run() -> None:
+        await test()
+
+    run_virtual(run())
+
+
+class ResumeTests(TestCase):
+    @parameterized.expand(
+        [
+            ("cut", Fault(FaultKind.CUT, "stream", times=1, pieces=3)),
+            ("cut_at_once", Fault(FaultKind.CUT, "stream", times=1, pieces=0)),
+            ("stalled", Fault(FaultKind.STALLED, "stream", times=1, pieces=3)),
+            ("short", Fault(FaultKind.SHORT, "stream", times=1, pieces=3)),
+            ("crossed", Fault(FaultKind.CROSSED, "stream", times=1)),
+            ("down", Fault(FaultKind.DOWN, "stream", times=1)),
+            ("silent", Fault(FaultKind.SILENT, "stream", times=1)),
+            ("refused", Fault(FaultKind.REFUSED, "stream", times=1)),
+        ]
+    )
+    def test_resumed_elsewhere(self, _name: str, fault: Fault) -> None:
+        async def test() -> None:
+            case = Case()
+            for name in TARGETS[:2]:
+                case.targets.faults[name].set(fault)
+            text, is_done = stream_text(await case.stream())
+            self.assertTrue(is_done)
+            self.assertEqual(expected_text(encode_json(BODY)), text)
+            self.assertEqual(0, case.site.ledger.slots_held)
+
+        _run(test)
+
+    def test_crash_in_the_middle_is_resumed(self) -> None:
+        async def test() -> None:
+            case = Case()
+            running = asyncio.ensure_future(case.stream())
+            await asyncio.sleep(0.015)
+            case.targets.states["t1"].crash()
+            text, is_done = stream_text(await running)
+            self.assertTrue(is_done)
+            self.assertEqual(expected_text(encode_json(BODY)), text)
+            resumed = case.targets.states["t2"].ran_requests[0]
+            self.assertGreater(resumed.resume_after_tokens, 0)
+
+        _run(test)
+
+    def test_ended_visibly_when_no_target_goes_on(self) -> None:
+        async def test() -> None:
+            case = Case()
+            for name in TARGETS:
+                fault = Fault(FaultKind.FAILED, "infer")
+                case.targets.faults[name].set(fault)
+            case.targets.faults["t1"].set(
+                Fault(FaultKind.CUT, "stream", times=1, pieces=2)
+            )
+            for name in TARGETS:
+                case.targets.faults[name].set(Fault(FaultKind.CUT, "stream", pieces=0))
+            body = (await case.stream()).decode()
+            text, is_done = stream_text(body.encode())
+            self.assertFalse(is_done)
+            self.assertTrue(expected_text(encode_json(BODY)).startswith(text))
+            self.assertIn("event: error", body)
+            self.assertIn('"execution":"may_have_run"', body)
+
+        _run(test)
+
+
+class _Caller:
+    """A caller that can leave, or stop reading for a while."""
+
+    def __init__(self, *, pause_s: float = 0.0) -> None:
+        self.left = asyncio.Event()
+        self.chunks: list[bytes] = []
+        self._pause_s = pause_s
+
+    async def receive(self) -> Any:
+        """Report the disconnect when the caller left."""
+        await self.left.wait()
+        return {"type": "http.disconnect"}
+
+    async def send(self, message: Mapping[str, Any]) -> None:
+        """Take a chunk."""
+        self.chunks.append(message.get("body", b""))
+        if self._pause_s:
+            await asyncio.sleep(self._pause_s)
+
+
+def _piece(number: int, *, is_end: bool = False, size: int = 10) -> StreamPiece:
+    return StreamPiece("id", number, "w", b"x" * size, is_end, number, "")
+
+
+class CallerTests(TestCase):
+    def test_leaving_caller_cancels_and_settles(self) -> None:
+        async def test() -> None:
+            case = Case()
+            caller = _Caller()
+            app: Any = case.site.client()._transport.app  # type: ignore[attr-defined]
+            body = encode_json(BODY)
+            messages = [{"type": "http.request", "body": body, "more_body": False}]
+
+            async def receive() -> Any:
+                return messages.pop() if messages else await caller.receive()
+
+            scope = case.site.scope("POST", "/v1/chat/completions")
+            serving = asyncio.ensure_future(app(scope, receive, caller.send))
+            await asyncio.sleep(0.02)
+            caller.left.set()
+            await serving
+            await asyncio.sleep(0.05)
+            (run,) = case.targets.states["t1"].ran_requests
+            self.assertEqual(1, case.runs)
+            self.assertEqual([run.request_id], case.cancelled)
+            self.assertEqual(0, case.targets.states["t1"].slots.running)
+            ledger = case.site.ledger
+            self.assertEqual(0, ledger.slots_held)
+            self.assertLess(ledger.settled[0], ledger.reserved[0])
+            self.assertGreater(ledger.settled[0], 0)
+
+        _run(test)
+
+    def test_slow_caller_holds_the_source_back(self) -> None:
+        async def test() -> None:
+            produced = 0
+
+            async def pieces() -> AsyncGenerator[StreamPiece, None]:
+                nonlocal produced
+                for number in range(1, 1001):
+                    produced = number
+                    yield _piece(number, is_end=number == 1000, size=1000)
+
+            caller = _Caller(pause_s=1.0)
+            sending = asyncio.ensure_future(
+                send_stream(
+                    caller.send,
+                    request_id="r",
+                    pieces=pieces(),
+                    buffer_bytes=10_000,
+                    slow_caller_s=60.0,
+                    ending=StreamEnding(),
+                )
+            )
+            await asyncio.sleep(2.5)
+            self.assertLess(produced, 40)
+            await sending
+            self.assertEqual(1000, b"".join(caller.chunks).count(b"data: x"))
+
+        _run(test)
+
+    def test_pieces_that_come_together_are_written_together(self) -> None:
+        async def test() -> None:
+            async def pieces() -> AsyncGenerator[StreamPiece, None]:
+                for number in range(1, 101):
+                    if number % 25 == 1:
+                        await asyncio.sleep(0.01)
+                    yield _piece(number, is_end=number == 100)
+
+            caller = _Caller()
+            await send_stream(
+                caller.send,
+                request_id="r",
+                pieces=pieces(),
+                buffer_bytes=65_536,
+                slow_caller_s=1.0,
+                ending=StreamEnding(),
+            )
+            # The start, four chunks and the end mark.
+            self.assertEqual(6, len(caller.chunks))
+
+        _run(test)
