Leave the idle processor time out of bench-path's figures per request

The first figures charged the control duties to the requests: a profile showed deferred polling and other key-value calls next to them.

--- a/tools/bench_path.py
+++ b/tools/bench_path.py
@@ -3,7 +3,8 @@
 The same requests go to the stand-in target directly, through a bare pass-through and
 through one jaytrayd, in turns within each round, so that all see the same machine.
 Latency is measured with one caller. Processor time is read from the kernel for the
-process under test alone; requests per second on one core follow from it.
+process under test alone, less what the process spends when idle; requests per second
+on one core follow from it.
 """
 
 import asyncio
@@ -34,6 +35,9 @@
 _REQUESTS = flags.DEFINE_integer("requests", 60, "Requests of a kind in a round.")
 _CALLERS = flags.DEFINE_integer("callers", 16, "Concurrent callers under load.")
 _TOKENS = flags.DEFINE_integer("tokens", 64, "Tokens of a long stream.")
+_IDLE_SECONDS = flags.DEFINE_float(
+    "idle_seconds", 10.0, "Time over which the idle process is watched."
+)
 _SEED = flags.DEFINE_integer("seed", 7, "Seed of the prompts.")
 
 _PATH = "/v1/chat/completions"
@@ -74,12 +78,16 @@
 
 
 class Subject(NamedTuple):
-    """Where requests go; `pid` is 0 when its processor time is not measured."""
+    """Where requests go; `pid` is 0 when its processor time is not measured.
+
+    `idle_share` is the share of a core that the process uses without requests.
+    """
 
     name: str
     address: str
     pid: int
     headers: dict[str, str]
+    idle_share: float
 
 
 class Kind(NamedTuple):
@@ -122,10 +130,15 @@
         vm = site.vms_by_id["vm-1"]
         headers = {"Authorization": f"Bearer {key}"}
         async with _bare_proxy(target) as (bare_address, bare_pid):
+            idle_share = await _idle_share(vm.process.pid)
+            print(f"idle subject=jaytrayd core_percent={100 * idle_share:.2f}")
+            jaytrayd_pid = vm.process.pid
             subjects = [
-                Subject("direct", target, 0, {}),
-                Subject("bare", bare_address, bare_pid, {}),
-                Subject("jaytrayd", vm.callers_address, vm.process.pid, headers),
+                Subject("direct", target, 0, {}, 0.0),
+                Subject("bare", bare_address, bare_pid, {}, 0.0),
+                Subject(
+                    "jaytrayd", vm.callers_address, jaytrayd_pid, headers, idle_share
+                ),
             ]
             _print_figures(await _measure_all(subjects))
 
@@ -186,7 +199,7 @@
 
         await asyncio.gather(*(call() for _ in range(_CALLERS.value)))
         elapsed_s = time.perf_counter() - started_s
-        cpu_s = _cpu_s(subject.pid) - cpu_before_s
+        cpu_s = _cpu_s(subject.pid) - cpu_before_s - subject.idle_share * elapsed_s
         figures.cpu_ms.append(1000 * cpu_s / _REQUESTS.value)
         figures.requests_per_s.append(_REQUESTS.value / elapsed_s)
 
@@ -227,6 +240,14 @@
     }
 
 
+async def _idle_share(pid: int) -> float:
+    """Return the share of a core that a process uses without requests."""
+    cpu_before_s = _cpu_s(pid)
+    started_s = time.perf_counter()
+    await asyncio.sleep(_IDLE_SECONDS.value)
+    return (_cpu_s(pid) - cpu_before_s) / (time.perf_counter() - started_s)
+
+
 def _cpu_s(pid: int) -> float:
     """Return the processor time of a process, user and system, in seconds."""
     if not pid:
