--- a/packages/standins/src/jaytray_standins/faults.py
+++ b/packages/standins/src/jaytray_standins/faults.py
@@ -8,6 +8,7 @@
 import asyncio
 import enum
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import Any, NamedTuple, TypeVar
 
 from jaytray_standins.virtual_time import Sleep
@@ -76,7 +77,7 @@
     def __init__(self) -> None:
         self._faults: list[Fault] = []
         self._held_by_operation: dict[str, list[Callable[[], Awaitable[Any]]]] = {}
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
 
     def set(self, fault: Fault) -> None:
         """Switch `fault` on."""
@@ -110,11 +111,15 @@
         """Return the calls that were held back for `operation`."""
         return self._held_by_operation.pop(operation, [])
 
-    def run_later(self, call: Callable[[], Awaitable[Any]]) -> asyncio.Task[Any]:
-        """Run `call` in the background; `close` ends it."""
+    def run_later(self, call: Callable[[], Awaitable[Any]]) -> asyncio.Task[None]:
+        """Run `call` in the background; `close` ends it.
 
-        async def run() -> Any:
-            return await call()
+        Nobody waits for the answer, so its failure is not reported either.
+        """
+
+        async def run() -> None:
+            with suppress(Exception):
+                await call()
 
         task = asyncio.ensure_future(run())
         self._tasks.add(task)
