Measure a change of one part in the capacity tool

Cause: the tool built heads with the digests of parts, which the manifest now lists. Change: it measures putting one changed part in force, and the bytes of head, manifest and part.

--- a/tools/capacity/control.py
+++ b/tools/capacity/control.py
@@ -7,7 +7,14 @@
 
 from jaytray_core.codec import decode_msgpack, encode_msgpack
 from jaytray_core.document.model import TrafficClass
-from jaytray_core.document.parts import Head, document_of, encode_head, make_body
+from jaytray_core.document.parts import (
+    Body,
+    DeclaredParts,
+    Head,
+    declared_document_of,
+    encode_head,
+    make_body,
+)
 from jaytray_core.document.sections import Section
 from jaytray_core.vm_list import VmEntry, VmState
 from jaytray_server.connection.peer_link import CurveKeys
@@ -213,14 +220,21 @@
 
 
 def document_change_cost() -> Slope:
-    """Processor time to put a changed document in force, by its sections."""
+    """Processor time to put a document with one changed part in force."""
 
     def make_work(sections: int) -> Work:
-        body = make_body(_account_sections(sections))
-        head = Head(
-            "capacity", 1, "w", body.part_digests, body.body_digest, 0, "a", 0.0, ""
-        )
-        return lambda: document_of(head, body.parts_by_digest)
+        bodies = [_body_with(sections, changed=rate) for rate in (1, 2)]
+        parts = bodies[0].parts_by_digest | bodies[1].parts_by_digest
+        heads = itertools.cycle([_head_of(body) for body in bodies])
+        declared: DeclaredParts = {}
+
+        def put_in_force() -> None:
+            nonlocal declared
+            head = next(heads)
+            declared, _ = declared_document_of(head, parts, declared, peer="kv")
+
+        put_in_force()
+        return put_in_force
 
     return measure_slope(
         "document put in force",
@@ -231,26 +245,29 @@
 
 
 def document_change_bytes() -> Slope:
-    """Bytes that one change moves, the head and one part, by sections."""
+    """Bytes that one change moves: the head, the manifest and one part."""
     points = []
     for sections in (100, 1000, 4000):
-        body = make_body(_account_sections(sections))
-        head = Head(
-            "capacity",
-            1,
-            "w" * 16,
-            body.part_digests,
-            body.body_digest,
-            0,
-            "a",
-            0.0,
-            "",
-        )
-        part = max(len(data) for data in body.parts_by_digest.values())
-        points.append((float(sections), float(len(encode_head(head)) + part)))
+        body = _body_with(sections, changed=1)
+        parts = dict(body.parts_by_digest)
+        manifest = parts.pop(body.body_digest)
+        moved = len(encode_head(_head_of(body))) + len(manifest)
+        moved += max(len(data) for data in parts.values())
+        points.append((float(sections), float(moved)))
     return fit_slope("one change", unit="bytes", item="section", points=points)
 
 
+def _body_with(sections: int, *, changed: int) -> Body:
+    options = {"rate_tokens_per_s": str(changed), "burst_tokens": "10"}
+    return make_body(
+        [*_account_sections(sections), Section("account changing", options)]
+    )
+
+
+def _head_of(body: Body) -> Head:
+    return Head("capacity", 1, "w" * 16, body.body_digest, 0, "a", 0.0, "")
+
+
 def memory_slopes() -> list[Slope]:
     """Memory of each kind of state by its number."""
 
