Read and write parts a few at a time

Cause: an operator's change read some 90 parts one after the other, 4.2 s of waiting at 47 ms a call against the stand-in over HTTP; so did a VM that starts. Change: eight calls at once; a VM reads the manifest first.

--- a/packages/core/src/jaytray_core/document/part_store.py
+++ b/packages/core/src/jaytray_core/document/part_store.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 from jaytray_core import message_registry as messages
 from jaytray_core.clock import WallClock
@@ -19,6 +19,7 @@
 UNUSED_PART_GRACE_S = 3600.0
 _WRITE_ATTEMPTS = 4
 _RETRY_PAUSE_S = 0.1
+_CALLS_AT_ONCE = 8
 
 
 def part_key(digest: str) -> str:
@@ -26,13 +27,18 @@
     return PARTS_PREFIX + digest
 
 
-async def read_parts(key_value: KeyValueService, digests: set[str]) -> dict[str, bytes]:
+async def read_parts(
+    key_value: KeyValueService, digests: Iterable[str]
+) -> dict[str, bytes]:
     """Return the parts that the service has."""
     parts = {}
-    for digest in sorted(digests):
+
+    async def read_part(digest: str) -> None:
         record = await key_value.get(part_key(digest))
         if record is not None:
             parts[digest] = strip_time(record.value)
+
+    await for_each(sorted(digests), read_part)
     return parts
 
 
@@ -51,9 +57,12 @@
     if base is not None:
         manifest = await read_parts(key_value, {base.body_digest})
         present = needed_digests(base.body_digest, manifest)
-    for digest, data in body.parts_by_digest.items():
-        if digest not in present:
-            await _write_part(key_value, part_key(digest), data, clock)
+
+    async def write_part(digest: str) -> None:
+        data = body.parts_by_digest[digest]
+        await _write_part(key_value, part_key(digest), data, clock)
+
+    await for_each(sorted(body.parts_by_digest.keys() - present), write_part)
 
 
 async def _write_part(
@@ -67,6 +76,24 @@
     )
 
 
+async def for_each(
+    digests: Iterable[str], run: Callable[[str], Awaitable[None]]
+) -> None:
+    """Run a call for each digest, a few at a time; raises the first error."""
+    semaphore = asyncio.Semaphore(_CALLS_AT_ONCE)
+
+    async def run_one(digest: str) -> None:
+        async with semaphore:
+            await run(digest)
+
+    tasks = [asyncio.ensure_future(run_one(digest)) for digest in digests]
+    try:
+        await asyncio.gather(*tasks)
+    finally:
+        for task in tasks:
+            task.cancel()
+
+
 async def write_surely(
     key_value: KeyValueService,
     key: str,
--- a/packages/server/src/jaytray_server/version/part_collector.py
+++ b/packages/server/src/jaytray_server/version/part_collector.py
@@ -8,7 +8,7 @@
 import random
 from collections.abc import Awaitable, Callable
 
-from jaytray_core.document.part_store import part_key, strip_time
+from jaytray_core.document.part_store import for_each, part_key, strip_time
 from jaytray_core.document.parts import Head, digest_of
 from jaytray_core.errors import JaytrayError
 from jaytray_core.logs import get_logger
@@ -104,16 +104,21 @@
             self._missing = set()
 
     async def _read_service(self) -> None:
+        """Read what is missing; the manifest, read first, tells what else is."""
         while self._missing:
-            digest = min(self._missing)
+            before = self._missing.copy()
             try:
-                value = await self._read_part(part_key(digest))
+                await for_each(sorted(before), self._read_one)
             except JaytrayError as err:
                 get_logger().warning(
                     "document_part_failed", peer=SERVICE, code=err.code
                 )
                 return
-            self.accept(strip_time(value))
+            if self._missing == before:
+                return
+
+    async def _read_one(self, digest: str) -> None:
+        self.accept(strip_time(await self._read_part(part_key(digest))))
 
     async def _ask_vms(self) -> None:
         asked: set[str] = set()
