Keep what own requests need soon, and probe after asking in vain

Cause: an account at six times its rate made its VMs pass the same tokens around: 28 messages per second and VM, and 160 requests of others refused within rate for want of message budget (trial at 8 VMs).

--- a/packages/server/src/jaytray_server/process/limits/gifts.py
+++ b/packages/server/src/jaytray_server/process/limits/gifts.py
@@ -21,7 +21,7 @@
 from jaytray_core.errors import JaytrayError
 from jaytray_core.logs import get_logger
 from jaytray_server.ports import Metrics, PeerNetwork
-from jaytray_server.process.limits.account_state import Lending
+from jaytray_server.process.limits.account_state import AccountState, Lending
 from jaytray_server.process.limits.limiter import AccountLimiter
 from jaytray_server.process.limits.message_budget import MessageBudget
 
@@ -38,25 +38,27 @@
 FIRST_BATCH = 8
 # Peers asked in one go after all had nothing to spare.
 PROBE_BATCH = 2
+# Part of the missing tokens below which asking was in vain.
+LEAST_PROGRESS = 0.25
 # Rounds in which all that the last asked have left is asked for.
 URGENT_BATCHES = 3
-# Seconds of its demand for which a VM asks beyond its waiting requests.
-LOOKAHEAD_S = 1.0
+# Seconds of its demand that a VM asks for, or keeps, beyond its waiting requests.
+LOOKAHEAD_S = 0.5
 # How long a batch may take to answer.
 REPLY_TIMEOUT_S = 0.05
 # Pause after peers were asked in vain.
 PAUSE_S = 1.0
-# Part of its spare tokens that a VM with demand of its own gives at once.
-SHARED_FRACTION = 0.5
+# Demand as a multiple of the refill above which a VM keeps what it has.
+OVERLOAD_FACTOR = 2.0
 # Accounts whose last exchange is remembered, and peers of each.
 MAX_REMEMBERED_ACCOUNTS = 1000
 MAX_REMEMBERED_PEERS = 16
 
 
 class Ask(NamedTuple):
-    """Request for tokens and for parts of the rate out of `TOTAL_PARTS`.
+    """Request for tokens and for parts out of `TOTAL_PARTS`.
 
-    An urgent one may take all tokens that are spare.
+    An urgent one may take what the giver would keep for its next requests.
     """
 
     ask_id: int
@@ -183,20 +185,16 @@
 
     def deduct_grant(self, ask: Ask, taker: str) -> Grant:
         """Take what can be spared for `ask` out of this VM's bucket."""
-        self._limiter.follow_document()
         if not self._limiter.knows(ask.account):
             return Grant(ask.ask_id, 0, 0, 0, 0)
         now = self._clock()
         state = self._limiter.state_of(ask.account)
-        spare = max(0.0, state.bucket.level - state.tokens_waited_for())
         at_hand = state.parts_at_hand()
-        unused_parts = max(0, -state.parts_missing(now))
-        parts = max(0, min(ask.parts, unused_parts))
+        parts = max(0, min(ask.parts, -state.parts_missing(now)))
+        spare = self._spare_tokens(state, now, is_urgent=ask.is_urgent)
         loan_tokens = math.floor(spare * parts / at_hand) if parts else 0
         spare -= loan_tokens
-        keeps_some = unused_parts < at_hand and not ask.is_urgent
-        largest = math.floor(spare * SHARED_FRACTION if keeps_some else spare)
-        tokens = max(0, min(ask.tokens - loan_tokens, largest))
+        tokens = max(0, min(ask.tokens - loan_tokens, math.floor(spare)))
         if parts:
             loan = Lending(now + LOAN_HOLD_S, loan_id(ask.ask_id), -1, taker, 0, parts)
             state.lend(loan, tokens=loan_tokens, now=now)
@@ -205,6 +203,15 @@
             state.lend(gift, tokens=tokens, now=now)
         return Grant(ask.ask_id, tokens, parts, loan_tokens, math.floor(spare) - tokens)
 
+    def _spare_tokens(
+        self, state: AccountState, now: float, *, is_urgent: bool
+    ) -> float:
+        """Return the tokens above what this VM's own requests need soon."""
+        is_overloaded = state.demand(now) > OVERLOAD_FACTOR * state.bucket.rate
+        kept_s = 0.0 if is_urgent and not is_overloaded else LOOKAHEAD_S
+        needed = state.tokens_waited_for() + kept_s * state.demand(now)
+        return max(0.0, state.bucket.level - needed)
+
     def handle_grant(self, sender: str, body: bytes) -> None:
         """Add a grant that was asked for to the account's bucket, once."""
         try:
@@ -282,12 +289,20 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _gather(self, account: str) -> None:
-        for batch, is_urgent in self._batches(account):
+        memory = self._memory_by_account.get(account, _NO_MEMORY)
+        short_at_first = self._limiter.tokens_short(account)
+        for number, (batch, is_urgent) in enumerate(self._batches(account)):
             await self._ask_batch(account, batch, is_urgent=is_urgent)
-            if self._limiter.tokens_short(account) <= 0:
+            short = self._limiter.tokens_short(account)
+            if short <= 0:
                 self._remember_success(account)
                 return
-        self._remember_failure(account)
+            is_probe = number == 0 and memory.is_exhausted
+            if is_probe and short > short_at_first * (1 - LEAST_PROGRESS):
+                break
+        short = self._limiter.tokens_short(account)
+        if short > short_at_first * (1 - LEAST_PROGRESS):
+            self._remember_failure(account)
         self._limiter.refuse_hopeless(account)
 
     async def _ask_batch(
@@ -337,8 +352,6 @@
         if memory.is_exhausted:
             probed, remaining = remaining[:PROBE_BATCH], remaining[PROBE_BATCH:]
             yield probed, False
-            if not self._known_spare(account):
-                return
         while remaining:
             batch, remaining = remaining[:size], remaining[size:]
             yield batch, False
@@ -385,10 +398,8 @@
 
     def _remember_failure(self, account: str) -> None:
         memory = self._memory_by_account.get(account, _NO_MEMORY)
-        if not memory.spare_by_peer:
-            until = self._clock() + PAUSE_S
-            memory = memory._replace(is_exhausted=True, paused_until=until)
-            self._remember(account, memory)
+        until = self._clock() + PAUSE_S
+        self._remember(account, memory._replace(is_exhausted=True, paused_until=until))
 
     def _remember_success(self, account: str) -> None:
         memory = self._memory_by_account.get(account)
