Use free memory for lightly loaded models, keep replicas over failure domains

The property test found an unload that was never sent again after its target had restarted, which blocked its model there. Change: a second, lower utilisation for free memory; room for a second failure domain is made from replicas that stay spread; unloads are sent again unless they would take the last ready replica.

--- a/packages/server/src/jaytray_server/process/placement/changes.py
+++ b/packages/server/src/jaytray_server/process/placement/changes.py
@@ -17,24 +17,24 @@
     VERSION = 3
     DEMAND = 4
     SPREAD = 5
-    CLEAN_UP = 6
-    ADAPTER_PRELOAD = 7
+    SPARE = 6
+    CLEAN_UP = 7
+    ADAPTER_PRELOAD = 8
 
 
 class PlanSettings(NamedTuple):
     """Weights of a plan.
 
-    `target_utilisation` is the part of a replica's capacity to be used at most;
+    `target_utilisation` is the part of a replica's capacity above which others give
+    way for one more, `spare_utilisation` that above which free memory is used;
     `move_cost` the shortfall, in replicas, below which demand moves nothing;
-    `shared_floor` the part of a replica counted on an accelerator that other
-    models use up; `idle_tokens_per_s` the demand at which an adapter is idle.
+    `idle_tokens_per_s` the demand at which an adapter is idle.
     """
 
-    target_utilisation: float = 0.7
+    target_utilisation: float = 0.6
+    spare_utilisation: float = 0.5
     move_cost: float = 0.3
-    shared_floor: float = 0.2
     idle_tokens_per_s: float = 0.05
-    adds_for_demand: bool = True
 
 
 class PlannedChange(NamedTuple):
--- a/packages/server/src/jaytray_server/process/placement/executor.py
+++ b/packages/server/src/jaytray_server/process/placement/executor.py
@@ -312,7 +312,7 @@
                 return
         for order in unsettled:
             is_due = now - ledger.sent_at_s(order.order_id) >= RESEND_AFTER_S
-            if is_due and not _removes_last(order, states):
+            if is_due and not _removes_last(order, states, target.name):
                 await self._send(target, order)
 
     def _record_decision(self, change: PlannedChange, revision: int) -> None:
@@ -382,15 +382,15 @@
     return models, len(places) - models
 
 
-def _removes_last(order: Order, states: list[TargetState]) -> bool:
+def _removes_last(order: Order, states: list[TargetState], target: str) -> bool:
     """Return whether an unload would take the last ready replica away."""
     if order.kind not in UNLOADS:
         return False
     serving = [
-        resident
+        (state.target.name, resident.accelerator)
         for state in states
         if state.is_usable
         for resident in state.residents
         if resident.name == order.name and resident.state is ResidentState.READY
     ]
-    return len(serving) <= 1
+    return serving == [(target, order.accelerator)]
--- a/packages/server/src/jaytray_server/process/placement/planner.py
+++ b/packages/server/src/jaytray_server/process/placement/planner.py
@@ -32,6 +32,9 @@
     TargetState,
 )
 
+# Part of a replica counted on an accelerator that other models use up.
+SHARED_FLOOR = 0.2
+
 
 def plan(
     *,
@@ -144,20 +147,22 @@
             urgency = Urgency.VERSION if is_version else Urgency.BELOW_MINIMUM
             needs.append(_Need(urgency, -demand.tokens_per_s, model.name, missing))
             continue
-        shortfall = _shortfall(board, model, demand, settings)
+        shortfall = _shortfall(board, model, demand, settings.target_utilisation)
+        spare = _shortfall(board, model, demand, settings.spare_utilisation)
         room = max(model.max_replicas, minimum) - len(current)
         if shortfall > settings.move_cost and room > 0:
             missing = min(room, max(1, round(shortfall)))
             needs.append(_Need(Urgency.DEMAND, -shortfall, model.name, missing))
         elif room > 0 and len({r.accelerator.domain for r in current}) == 1:
-            needs.append(
-                _Need(Urgency.SPREAD, -demand.peak_tokens_per_s, model.name, 1)
-            )
+            size = demand.peak_tokens_per_s
+            needs.append(_Need(Urgency.SPREAD, -size, model.name, 1))
+        elif room > 0 and spare > settings.move_cost:
+            needs.append(_Need(Urgency.SPARE, -spare, model.name, 1))
     return needs
 
 
 def _shortfall(
-    board: PlanBoard, model: Model, demand: Demand, settings: PlanSettings
+    board: PlanBoard, model: Model, demand: Demand, utilisation: float
 ) -> float:
     """Return how many replicas the present ones fall short of the demand.
 
@@ -173,10 +178,10 @@
         others = accelerator.tokens_per_s - demand.tokens_per_s / len(
             board.replicas(model.name)
         )
-        capacity += max(whole * settings.shared_floor, whole - max(0.0, others))
+        capacity += max(whole * SHARED_FLOOR, whole - max(0.0, others))
     if whole == 0:
         return 1.0
-    return (demand.tokens_per_s / settings.target_utilisation - capacity) / whole
+    return (demand.tokens_per_s / utilisation - capacity) / whole
 
 
 def _spread_demand(
@@ -204,7 +209,7 @@
     for _ in range(missing):
         accelerator = find_accelerator(board, model, urgency)
         if accelerator is None:
-            if urgency is Urgency.SPREAD:
+            if urgency is Urgency.SPARE:
                 return _Step(changes, False)
             room = make_room(board, document, model, urgency, demand_by_name, settings)
             return _Step(changes + (room or []), room is not None)
--- a/packages/server/src/jaytray_server/process/placement/room.py
+++ b/packages/server/src/jaytray_server/process/placement/room.py
@@ -84,6 +84,7 @@
         rooms,
         key=lambda r: (
             sum(v.name == v.model for v in r.victims),
+            sum(not _stays_spread(board, v) for v in r.victims),
             r.accelerator.domain in domains,
             r.accelerator.tokens_per_s,
         ),
@@ -144,7 +145,13 @@
         for replica in accelerator.replicas_by_name.values()
         if _may_leave(board, document, replica, urgency, demand_by_name, settings)
     ]
-    removable.sort(key=lambda r: (r.name == r.model, _peak(r, demand_by_name)))
+    removable.sort(
+        key=lambda r: (
+            r.name == r.model,
+            not _stays_spread(board, r),
+            _peak(r, demand_by_name),
+        )
+    )
     victims: list[Replica] = []
     for replica in removable:
         if missing_mib <= 0:
@@ -181,7 +188,9 @@
         return serving >= 1
     if serving < max(1, model.min_replicas):
         return False
-    if urgency is not Urgency.DEMAND:
+    if urgency is Urgency.SPREAD and not _stays_spread(board, replica):
+        return False
+    if urgency < Urgency.DEMAND:
         return True
     per_replica = max(1.0, replica.accelerator.slots) / model.inter_token_deadline_s
     return (
@@ -190,6 +199,16 @@
     )
 
 
+def _stays_spread(board: PlanBoard, replica: Replica) -> bool:
+    """Return whether the others serve from more than one failure domain."""
+    domains = {
+        other.accelerator.domain
+        for other in board.serving(replica.name)
+        if other is not replica
+    }
+    return len(domains) > 1
+
+
 def _relocate(
     board: PlanBoard,
     document: Document,
