Refuse early what would overfill a replica, adapt sooner

Change: the estimated wait counts fourfold against the deadline; only preparatory loads leave a slot free; replicas that give way to demand must leave their model in two failure domains; half of a replica's capacity is the mark for one more.

--- a/packages/server/src/jaytray_server/process/placement/changes.py
+++ b/packages/server/src/jaytray_server/process/placement/changes.py
@@ -17,22 +17,19 @@
     VERSION = 3
     DEMAND = 4
     SPREAD = 5
-    SPARE = 6
-    CLEAN_UP = 7
-    ADAPTER_PRELOAD = 8
+    CLEAN_UP = 6
+    ADAPTER_PRELOAD = 7
 
 
 class PlanSettings(NamedTuple):
     """Weights of a plan.
 
-    `target_utilisation` is the part of a replica's capacity above which others give
-    way for one more, `spare_utilisation` that above which free memory is used;
+    `target_utilisation` is the part of a replica's capacity to be used at most;
     `move_cost` the shortfall, in replicas, below which demand moves nothing;
     `idle_tokens_per_s` the demand at which an adapter is idle.
     """
 
-    target_utilisation: float = 0.6
-    spare_utilisation: float = 0.5
+    target_utilisation: float = 0.5
     move_cost: float = 0.3
     idle_tokens_per_s: float = 0.05
 
--- a/packages/server/src/jaytray_server/process/placement/pacing.py
+++ b/packages/server/src/jaytray_server/process/placement/pacing.py
@@ -1,8 +1,8 @@
 """Pacing of loads by the limits of the weight store.
 
-Loads that the plan puts first go first; of the loads at once, the last free one is
-kept for models that are unreachable. Adapter loads have a limit of their own, beyond
-which each of them takes longer.
+Loads that the plan puts first go first. Of the loads at once, the last free one is
+kept from loads that only prepare for faults or bursts. Adapter loads have a limit of
+their own, beyond which each of them takes longer.
 """
 
 from typing import NamedTuple
@@ -37,7 +37,7 @@
         if change.kind is not OrderKind.LOAD_MODEL:
             return True
         allowed = self.limits.concurrent_loads
-        if change.urgency > Urgency.BELOW_MINIMUM:
+        if change.urgency > Urgency.DEMAND:
             allowed = max(1, allowed - 1)
         return models_loading < allowed and self._clock() >= self._next_load_at_s
 
--- a/packages/server/src/jaytray_server/process/placement/planner.py
+++ b/packages/server/src/jaytray_server/process/placement/planner.py
@@ -148,7 +148,6 @@
             needs.append(_Need(urgency, -demand.tokens_per_s, model.name, missing))
             continue
         shortfall = _shortfall(board, model, demand, settings.target_utilisation)
-        spare = _shortfall(board, model, demand, settings.spare_utilisation)
         room = max(model.max_replicas, minimum) - len(current)
         if shortfall > settings.move_cost and room > 0:
             missing = min(room, max(1, round(shortfall)))
@@ -156,8 +155,6 @@
         elif room > 0 and len({r.accelerator.domain for r in current}) == 1:
             size = demand.peak_tokens_per_s
             needs.append(_Need(Urgency.SPREAD, -size, model.name, 1))
-        elif room > 0 and spare > settings.move_cost:
-            needs.append(_Need(Urgency.SPARE, -spare, model.name, 1))
     return needs
 
 
@@ -209,8 +206,6 @@
     for _ in range(missing):
         accelerator = find_accelerator(board, model, urgency)
         if accelerator is None:
-            if urgency is Urgency.SPARE:
-                return _Step(changes, False)
             room = make_room(board, document, model, urgency, demand_by_name, settings)
             return _Step(changes + (room or []), room is not None)
         board.add_planned(
--- a/packages/server/src/jaytray_server/process/placement/room.py
+++ b/packages/server/src/jaytray_server/process/placement/room.py
@@ -188,10 +188,10 @@
         return serving >= 1
     if serving < max(1, model.min_replicas):
         return False
-    if urgency is Urgency.SPREAD and not _stays_spread(board, replica):
-        return False
     if urgency < Urgency.DEMAND:
         return True
+    if not _stays_spread(board, replica):
+        return False
     per_replica = max(1.0, replica.accelerator.slots) / model.inter_token_deadline_s
     return (
         _peak(replica, demand_by_name)
--- a/packages/server/src/jaytray_server/request/routing.py
+++ b/packages/server/src/jaytray_server/request/routing.py
@@ -49,7 +49,9 @@
     `choices` is how many replicas are drawn at random. `prefix_discount` is taken
     off for a wholly cached prompt as long as the target's load is at most
     `affinity_load_factor` times the least drawn plus `affinity_slack_requests`.
-    `output_tokens_weight` is the weight of pending tokens against requests.
+    `output_tokens_weight` is the weight of pending tokens against requests. A wait
+    is taken to be `admission_safety` times as long as estimated, since other VMs
+    admit requests at the same time and each one above the slots slows the rest.
     """
 
     choices: int = 3
@@ -60,6 +62,7 @@
     other_domain_cost: float = 0.02
     adapter_load_cost: float = 0.5
     refuses_unreachable_deadlines: bool = True
+    admission_safety: float = 4.0
 
 
 class _Candidate(NamedTuple):
@@ -124,7 +127,7 @@
             if policy.refuses_unreachable_deadlines:
                 remaining_s = request.deadline_s - clock()
                 _refuse_unreachable_deadline(
-                    request, model, scored.candidate, remaining_s
+                    request, model, scored.candidate, remaining_s, policy
                 )
         except JaytrayError as err:
             _record(request, "", err.code, 0.0, 0)
@@ -308,13 +311,17 @@
 
 
 def _refuse_unreachable_deadline(
-    request: RoutingRequest, model: Model, candidate: _Candidate, remaining_s: float
+    request: RoutingRequest,
+    model: Model,
+    candidate: _Candidate,
+    remaining_s: float,
+    policy: RoutingPolicy,
 ) -> None:
     """Raise when the best replica cannot start the request before its deadline."""
     if request.traffic_class is TrafficClass.DEFERRED:
         return
     wait_s = estimate_wait_s(candidate.slots, candidate.load, model)
-    if wait_s > remaining_s:
+    if wait_s * policy.admission_safety > remaining_s:
         raise JaytrayError(
             messages.DEADLINE_UNREACHABLE,
             step=Step.ADMIT,
--- a/tools/bench_policy.py
+++ b/tools/bench_policy.py
@@ -49,10 +49,12 @@
     Policy("try_strong_affinity", CHOSEN._replace(prefix_discount=0.6)),
     Policy("try_requests_only", CHOSEN._replace(output_tokens_weight=0.0)),
     Policy("try_no_refusals", CHOSEN._replace(refuses_unreachable_deadlines=False)),
+    Policy("try_queue_longer", CHOSEN._replace(admission_safety=1.0)),
+    Policy("try_queue_less", CHOSEN._replace(admission_safety=16.0)),
     Policy("try_free_moves", CHOSEN, PlanSettings(move_cost=0.0)),
     Policy("try_dear_moves", CHOSEN, PlanSettings(move_cost=0.8)),
-    Policy("try_utilisation_50", CHOSEN, PlanSettings(target_utilisation=0.5)),
-    Policy("try_utilisation_90", CHOSEN, PlanSettings(target_utilisation=0.9)),
+    Policy("try_utilisation_35", CHOSEN, PlanSettings(target_utilisation=0.35)),
+    Policy("try_utilisation_70", CHOSEN, PlanSettings(target_utilisation=0.7)),
 ]
 HEADER = (
     "policy                 attained/s/acc  attained%  worst-account%  refused  "
