Match routes by decoded whole segments and pass the raw path on

Cause: a decoded path with a space was refused by the target client, a prefix /menu also opened /menu-admin, and dot segments could lead a service out of an open prefix. Change: matching is by whole segments of the decoded path, dot segments are refused, the service gets the path as sent.

--- a/packages/server/src/jaytray_server/request/deferred_routes.py
+++ b/packages/server/src/jaytray_server/request/deferred_routes.py
@@ -30,13 +30,13 @@
 from jaytray_server.request.service_routes import (
     IDEMPOTENCY_HEADER,
     run_service_call,
-    split_service_path,
 )
 from jaytray_server.request.service_routing import (
     SERVICE_PREFIX,
     IncomingCall,
     find_route,
     is_repeatable,
+    split_service_path,
 )
 from jaytray_server.request.services import RequestServices
 from jaytray_server.request.tracker import DispatchTracker
@@ -198,7 +198,7 @@
 
 def _service_call(job: Job) -> IncomingCall:
     path, _, query = job.path.partition("?")
-    name, rest = split_service_path(path)
+    name, decoded, raw_path = split_service_path(path)
     headers = [("content-type", "application/json")]
     if job.idempotency_key:
         headers.append((IDEMPOTENCY_HEADER, job.idempotency_key))
@@ -206,7 +206,8 @@
         request_id=job.job_id,
         method=job.method,
         service=name,
-        path=rest,
+        path=decoded,
+        raw_path=raw_path,
         query=query,
         headers=headers,
         body=job.body,
--- a/packages/server/src/jaytray_server/request/endpoint.py
+++ b/packages/server/src/jaytray_server/request/endpoint.py
@@ -23,11 +23,15 @@
 
 
 class Exchange(NamedTuple):
-    """One request of a caller and the means to answer it."""
+    """One request of a caller and the means to answer it.
+
+    `path` is decoded; `raw_path` is as the caller sent it.
+    """
 
     request_id: str
     method: str
     path: str
+    raw_path: str
     query: str
     headers: list[tuple[str, str]]
     body: bytes
@@ -54,7 +58,8 @@
         exchange = Exchange(
             request_id=request_id,
             method=request.method,
-            path=request.url.path,
+            path=request.scope["path"],
+            raw_path=request.scope["raw_path"].decode("latin-1"),
             query=request.scope["query_string"].decode("latin-1"),
             headers=header_pairs(request),
             body=body,
@@ -110,7 +115,7 @@
 def check_key_is_only_in_header(exchange: Exchange, caller: Caller) -> None:
     """Refuse a body or a path that holds the key, as it would reach a target."""
     is_in_body = caller.key.encode() in exchange.body
-    if is_in_body or caller.key in exchange.path:
+    if is_in_body or caller.key in exchange.path + exchange.raw_path:
         raise invalid_request("the key may stand in the Authorization header only")
 
 
--- a/packages/server/src/jaytray_server/request/service_call.py
+++ b/packages/server/src/jaytray_server/request/service_call.py
@@ -85,7 +85,9 @@
         route=route,
         call=call,
         caller=caller,
-        digest=digest_request(f"{call.service}{call.path}?{call.query}", call.body),
+        digest=digest_request(
+            f"{call.method} {call.service}{call.raw_path}?{call.query}", call.body
+        ),
         deadline_s=services.clock() + route.timeout_s,
     )
     account = caller.account if caller else None
@@ -245,7 +247,7 @@
     message = ServiceCall(
         request_id=dispatch_id,
         method=call.method,
-        path=call.path,
+        path=call.raw_path,
         query=query,
         headers=[pair for pair in headers if pair[0] not in _HOP_HEADERS],
         body=call.body,
--- a/packages/server/src/jaytray_server/request/service_routes.py
+++ b/packages/server/src/jaytray_server/request/service_routes.py
@@ -20,10 +20,10 @@
 )
 from jaytray_server.request.service_call import dispatch_service_call
 from jaytray_server.request.service_routing import (
-    SERVICE_PREFIX,
     IncomingCall,
     find_route,
     is_repeatable,
+    split_service_path,
 )
 from jaytray_server.request.services import RequestServices
 from jaytray_server.request.tracker import DispatchTracker
@@ -70,7 +70,7 @@
         account=caller.account.name,
         key=key,
         method=call.method,
-        path=f"{call.service}{call.path}",
+        path=f"{call.service}{call.raw_path}",
         query=call.query,
         body=call.body,
         runs_s=route.timeout_s,
@@ -111,19 +111,14 @@
 
 def incoming_call(exchange: Exchange) -> IncomingCall:
     """Return the service, its path and the rest of the call."""
-    name, path = split_service_path(exchange.path)
+    name, path, raw_path = split_service_path(exchange.raw_path)
     return IncomingCall(
         request_id=exchange.request_id,
         method=exchange.method,
         service=name,
         path=path,
+        raw_path=raw_path,
         query=exchange.query,
         headers=exchange.headers,
         body=exchange.body,
     )
-
-
-def split_service_path(path: str) -> tuple[str, str]:
-    """Return the name of the service and the service's own path."""
-    name, _, rest = path.removeprefix(SERVICE_PREFIX).partition("/")
-    return name, f"/{rest}"
--- a/packages/server/src/jaytray_server/request/service_routing.py
+++ b/packages/server/src/jaytray_server/request/service_routing.py
@@ -4,17 +4,22 @@
 lately are passed over for a while, which grows with each further failure.
 """
 
+import re
 import zlib
 from typing import NamedTuple
+from urllib.parse import unquote
 
 from jaytray_core import message_registry as messages
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.document.model import Document, Route, Service
 from jaytray_core.errors import JaytrayError, Step
+from jaytray_server.request.refusals import invalid_request
 
 SERVICE_PREFIX = "/services/"
 FIRST_PENALTY_S = 1.0
 LONGEST_PENALTY_S = 30.0
+_DOT_SEGMENTS = (".", "..")
+_SEPARATORS = re.compile(r"[/\\]")
 _REPEATABLE_METHODS = frozenset(("GET", "HEAD"))
 
 
@@ -42,12 +47,17 @@
 
 
 class IncomingCall(NamedTuple):
-    """A caller's call to a service; `path` starts with the service's own `/`."""
+    """A caller's call to a service.
+
+    `path` starts with the service's own `/` and is decoded, for matching routes;
+    `raw_path` is what the service gets.
+    """
 
     request_id: str
     method: str
     service: str
     path: str
+    raw_path: str
     query: str
     headers: list[tuple[str, str]]
     body: bytes
@@ -59,7 +69,7 @@
         route
         for route in document.routes_by_name.values()
         if route.service == call.service
-        and call.path.startswith(route.path_prefix)
+        and _is_below(call.path, route.path_prefix)
         and (not route.methods or call.method in route.methods)
     ]
     if not matching:
@@ -70,6 +80,27 @@
     return max(matching, key=lambda route: len(route.path_prefix))
 
 
+def split_service_path(raw_path: str) -> tuple[str, str, str]:
+    """Return the name of the service, its decoded path and its raw path.
+
+    Raises `invalid_request` for a path that a service might resolve to one outside
+    of the matched prefix.
+    """
+    name, _, rest = raw_path.removeprefix(SERVICE_PREFIX).partition("/")
+    path = unquote(f"/{rest}")
+    if any(segment in _DOT_SEGMENTS for segment in _SEPARATORS.split(path)):
+        raise invalid_request("path: segments '.' and '..' are not allowed")
+    if not path.isprintable():
+        raise invalid_request("path: control characters are not allowed")
+    return unquote(name), path, f"/{rest}"
+
+
+def _is_below(path: str, prefix: str) -> bool:
+    """Return whether `prefix` covers `path` by whole segments."""
+    trimmed = prefix.rstrip("/")
+    return path == trimmed or path.startswith(trimmed + "/")
+
+
 def is_repeatable(route: Route, method: str) -> bool:
     """Return whether a call by `route` may be sent more than once."""
     if route.is_repeatable is not None:
--- a/packages/server/tests/request/test_service_call.py
+++ b/packages/server/tests/request/test_service_call.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from typing import Any
+from urllib.parse import unquote
 
 import httpx
 from parameterized import parameterized
@@ -126,6 +127,47 @@
         _run(test)
 
 
+class PathTests(TestCase):
+    @parameterized.expand(
+        [
+            ("plain", "/menu/today", 200, "/menu/today"),
+            ("exact", "/menu", 200, "/menu"),
+            ("encoded", "/menu/a%20b%2Fc", 200, "/menu/a%20b%2Fc"),
+            ("longer_name", "/menu-admin", 401, ""),
+            ("dots", "/menu/../book", 400, ""),
+            ("encoded_dots", "/menu/%2e%2e/book", 400, ""),
+            ("backslash", "/menu/%5c..%5cbook", 400, ""),
+            ("control", "/menu/%00", 400, ""),
+        ]
+    )
+    def test_open_prefix(self, _name: str, path: str, status: int, sent: str) -> None:
+        """Calls without a key reach what the open route covers, and nothing else."""
+
+        async def test() -> None:
+            case = Case()
+            scope = case.site.scope("GET", "/services/rounds/menu")
+            scope["headers"] = []
+            scope["path"] = unquote(f"/services/rounds{path}")
+            scope["raw_path"] = f"/services/rounds{path}".encode()
+            statuses: list[int] = []
+            body = [{"type": "http.request", "body": b"", "more_body": False}]
+
+            async def receive() -> Any:
+                return body.pop() if body else await asyncio.Event().wait()
+
+            async def send(message: Any) -> None:
+                if message["type"] == "http.response.start":
+                    statuses.append(message["status"])
+
+            app: Any = case.site.client()._transport.app  # type: ignore[attr-defined]
+            await app(scope, receive, send)
+            self.assertEqual([status], statuses)
+            ran = [r for s in case.states.values() for r in s.ran_requests]
+            self.assertEqual([sent] if sent else [], [r.path for r in ran])
+
+        _run(test)
+
+
 class IdempotencyKeyTests(TestCase):
     @parameterized.expand([("empty", ""), ("long", "k" * 300)])
     def test_bad_keys_are_refused(self, _name: str, key: str) -> None:
