--- a/packages/core/src/jaytray_core/document/part_store.py
+++ b/packages/core/src/jaytray_core/document/part_store.py
@@ -5,11 +5,11 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 from jaytray_core import message_registry as messages
 from jaytray_core.clock import WallClock
-from jaytray_core.document.parts import Body, Head
+from jaytray_core.document.parts import Body, Head, needed_digests
 from jaytray_core.errors import JaytrayError, Step
 from jaytray_core.keyvalue import ABSENT_REVISION, KeyValueService, SwapResult
 
@@ -19,6 +19,7 @@
 UNUSED_PART_GRACE_S = 3600.0
 _WRITE_ATTEMPTS = 4
 _RETRY_PAUSE_S = 0.1
+_CALLS_AT_ONCE = 8
 
 
 def part_key(digest: str) -> str:
@@ -26,24 +27,42 @@
     return PARTS_PREFIX + digest
 
 
-async def read_parts(key_value: KeyValueService, digests: set[str]) -> dict[str, bytes]:
+async def read_parts(
+    key_value: KeyValueService, digests: Iterable[str]
+) -> dict[str, bytes]:
     """Return the parts that the service has."""
     parts = {}
-    for digest in sorted(digests):
+
+    async def read_part(digest: str) -> None:
         record = await key_value.get(part_key(digest))
         if record is not None:
             parts[digest] = strip_time(record.value)
+
+    await for_each(sorted(digests), read_part)
     return parts
 
 
+async def read_body(key_value: KeyValueService, body_digest: str) -> dict[str, bytes]:
+    """Return the manifest and the parts of a body that the service has."""
+    manifest = await read_parts(key_value, {body_digest})
+    needed = needed_digests(body_digest, manifest) - manifest.keys()
+    return {**manifest, **await read_parts(key_value, needed)}
+
+
 async def write_parts(
     key_value: KeyValueService, body: Body, base: Head | None, clock: WallClock
 ) -> None:
     """Write the parts that the base version does not already hold."""
-    present = frozenset(base.part_digests) if base else frozenset()
-    for digest, data in body.parts_by_digest.items():
-        if digest not in present:
-            await _write_part(key_value, part_key(digest), data, clock)
+    present: set[str] = set()
+    if base is not None:
+        manifest = await read_parts(key_value, {base.body_digest})
+        present = needed_digests(base.body_digest, manifest)
+
+    async def write_part(digest: str) -> None:
+        data = body.parts_by_digest[digest]
+        await _write_part(key_value, part_key(digest), data, clock)
+
+    await for_each(sorted(body.parts_by_digest.keys() - present), write_part)
 
 
 async def _write_part(
@@ -57,6 +76,24 @@
     )
 
 
+async def for_each(
+    digests: Iterable[str], run: Callable[[str], Awaitable[None]]
+) -> None:
+    """Run a call for each digest, a few at a time; raises the first error."""
+    semaphore = asyncio.Semaphore(_CALLS_AT_ONCE)
+
+    async def run_one(digest: str) -> None:
+        async with semaphore:
+            await run(digest)
+
+    tasks = [asyncio.ensure_future(run_one(digest)) for digest in digests]
+    try:
+        await asyncio.gather(*tasks)
+    finally:
+        for task in tasks:
+            task.cancel()
+
+
 async def write_surely(
     key_value: KeyValueService,
     key: str,
