Say what was changed when a change of several environments fails halfway

Cause: a key could be created in production and its secret lost when trial refused. Change: the result names what was applied, shows the secret, and carries the error; environments without the key are left out of a withdrawal; a key needs a declared account.

--- a/packages/cli/src/jaytray_cli/document_commands.py
+++ b/packages/cli/src/jaytray_cli/document_commands.py
@@ -12,9 +12,11 @@
 from jaytray_core.document.changes import carry_over, require_valid, restore
 from jaytray_core.document.checker import CheckReport, check_text
 from jaytray_core.document.difference import SectionChange, compare_sections
+from jaytray_core.document.garbage import COLLECT_EVERY_VERSIONS, collect_parts
 from jaytray_core.document.packing import PackingResult, Reachability
 from jaytray_core.document.parts import Head
 from jaytray_core.document.sections import Section
+from jaytray_core.errors import JaytrayError
 
 PRODUCTION = "production"
 TRIAL = "trial"
@@ -125,7 +127,10 @@
         summary=invocation.flags.summary or summary,
         minimum_version=await minimum_version(site, environment),
     )
-    return await store.apply(site.key_value, change, sections)
+    head = await store.apply(site.key_value, change, sections)
+    if head.version % COLLECT_EVERY_VERSIONS == 0:
+        await _collect_unused_parts(site)
+    return head
 
 
 def applied_result(heads: list[Head], *, warnings: list[str]) -> Result:
@@ -140,6 +145,14 @@
     return head._asdict()
 
 
+async def _collect_unused_parts(site: Site) -> None:
+    """Collect parts; the change stands whether this succeeds or not."""
+    try:
+        await collect_parts(site.key_value)
+    except JaytrayError:
+        return
+
+
 def _read_file(path: str) -> str:
     try:
         return pathlib.Path(path).read_text(encoding="utf-8")
--- a/packages/cli/src/jaytray_cli/site_commands.py
+++ b/packages/cli/src/jaytray_cli/site_commands.py
@@ -2,11 +2,12 @@
 
 import secrets
 from collections.abc import Callable
+from typing import NamedTuple
 
 from jaytray_cli import command
 from jaytray_cli.command import Command, Invocation
 from jaytray_cli.document_commands import applied_result, apply_change, read_in_force
-from jaytray_cli.results import ExitCode, Result, UsageError, table
+from jaytray_cli.results import ExitCode, Result, UsageError, result_of_error, table
 from jaytray_cli.site import Site
 from jaytray_cli.vms import wait_until_confirmed
 from jaytray_core import message_registry as messages
@@ -31,8 +32,18 @@
 Edit = Callable[[list[Section]], list[Section]]
 
 
+class _Changed(NamedTuple):
+    """Environments that were changed, and the error that stopped the rest."""
+
+    heads: list[Head]
+    error: JaytrayError | None
+
+
 async def run_key_create(invocation: Invocation) -> Result:
-    """Create a key; its secret is shown once and only its digest is stored."""
+    """Create a key; its secret is shown once and only its digest is stored.
+
+    The secret is shown as soon as one environment has the key.
+    """
     name, account = invocation.arguments[0], invocation.flags.account
     if not account:
         raise UsageError("--account=NAME is needed")
@@ -40,13 +51,15 @@
     digest = digest_key(secret)
 
     def edit(sections: list[Section]) -> list[Section]:
-        return create_key(sections, name=name, account=account, digest=digest)
+        changed = create_key(sections, name=name, account=account, digest=digest)
+        require_valid(changed, environment="keyed")
+        return changed
 
     async with invocation.open_site(invocation.flags) as site:
-        heads = await _change_environments(
+        changed = await _change_environments(
             site, invocation, edit, summary=f"create key {name}"
         )
-    result = applied_result(heads, warnings=[])
+    result = _changed_result(changed)
     lines = [*result.lines, f"key {name} (shown once): {secret}"]
     return Result(result.exit_code, {**result.data, "secret": secret}, lines)
 
@@ -100,11 +113,13 @@
     invocation: Invocation, edit: Edit, *, summary: str
 ) -> Result:
     async with invocation.open_site(invocation.flags) as site:
-        heads = await _change_environments(site, invocation, edit, summary=summary)
-        result = applied_result(heads, warnings=[])
+        changed = await _change_environments(site, invocation, edit, summary=summary)
+        result = _changed_result(changed)
+        if changed.error is not None:
+            return result
         try:
             confirmation = await wait_until_confirmed(
-                site, heads, wait_s=invocation.flags.wait_s
+                site, changed.heads, wait_s=invocation.flags.wait_s
             )
         except JaytrayError as err:
             lines = [*result.lines, f"no VM could be asked to confirm: {err.text}"]
@@ -120,29 +135,56 @@
 
 async def _change_environments(
     site: Site, invocation: Invocation, edit: Edit, *, summary: str
-) -> list[Head]:
-    """Change each environment that has a document, based on what was just read."""
-    heads = []
+) -> _Changed:
+    """Change each environment that has a document, based on what was just read.
+
+    Environments that lack what is to be changed are left out. Raises an error only
+    while nothing was changed.
+    """
+    heads: list[Head] = []
+    missing = _nothing_to_change(invocation)
     for environment in invocation.flags.environments:
-        stored, sections = await read_in_force(site, environment)
-        if stored.head is None:
-            continue
-        heads.append(
-            await apply_change(
-                site,
-                invocation,
-                environment,
-                stored.version,
-                edit(sections),
-                summary=summary,
-            )
-        )
+        try:
+            stored, sections = await read_in_force(site, environment)
+            if stored.head is not None:
+                changed = edit(sections)
+                heads.append(
+                    await apply_change(
+                        site,
+                        invocation,
+                        environment,
+                        stored.version,
+                        changed,
+                        summary=summary,
+                    )
+                )
+        except JaytrayError as err:
+            if err.code == messages.NOT_FOUND.code:
+                missing = err
+                continue
+            if not heads:
+                raise
+            return _Changed(heads, err)
     if not heads:
-        names = ", ".join(invocation.flags.environments)
-        raise JaytrayError(
-            messages.NOT_FOUND, step=Step.CONFIGURATION, what="document", name=names
-        )
-    return heads
+        raise missing
+    return _Changed(heads, None)
+
+
+def _nothing_to_change(invocation: Invocation) -> JaytrayError:
+    names = ", ".join(invocation.flags.environments)
+    return JaytrayError(
+        messages.NOT_FOUND, step=Step.CONFIGURATION, what="document", name=names
+    )
+
+
+def _changed_result(changed: _Changed) -> Result:
+    result = applied_result(changed.heads, warnings=[])
+    if changed.error is None:
+        return result
+    failed = result_of_error(changed.error)
+    data = {**result.data, **failed.data}
+    lines = [*result.lines, "the rest failed:", *failed.lines]
+    return Result(failed.exit_code, data, lines)
 
 
 COMMANDS = (
--- a/packages/cli/tests/test_main.py
+++ b/packages/cli/tests/test_main.py
@@ -16,6 +16,7 @@
 from jaytray_cli.results import ExitCode
 from jaytray_cli.site import Site
 from jaytray_core.document import store
+from jaytray_core.document.garbage import COLLECT_EVERY_VERSIONS
 from jaytray_core.document.keys import digest_key
 from jaytray_core.document.model import Document
 from jaytray_core.document.part_store import PARTS_PREFIX, strip_time
@@ -192,6 +193,7 @@
         self.assertNotIn(secret.encode(), stored)
         self.assertNotIn(secret, json.dumps(self.call(ExitCode.DONE, "key", "list")))
         self.call(ExitCode.REFUSED, *create)
+        self.call(ExitCode.FAULTS, "key", "create", "k3", "--account=nobody")
 
     def test_withdraw_names_vms_that_have_not_confirmed(self) -> None:
         self.promoted_site()
@@ -297,6 +299,32 @@
         self.call(ExitCode.DONE, "apply", LAKESHORE, f"--based_on={lost.version}")
         self.assertEqual(8, self.site.document("trial").version)
 
+    def test_change_that_fails_halfway_says_so(self) -> None:
+        self.promoted_site()
+        create = ("key", "create", "k2", "--account=rounds-app")
+        self.call(ExitCode.DONE, *create, "--environments=trial")
+        data = self.call(ExitCode.REFUSED, *create)
+        self.assertEqual(["production"], [a["environment"] for a in data["applied"]])
+        self.assertIn("secret", data)
+
+    def test_withdraw_leaves_out_environments_without_the_key(self) -> None:
+        self.promoted_site()
+        create = ("key", "create", "k2", "--account=rounds-app")
+        self.call(ExitCode.DONE, *create, "--environments=production")
+        data = self.call(ExitCode.DONE, "key", "withdraw", "k2")
+        self.assertEqual(["production"], [a["environment"] for a in data["applied"]])
+        self.call(ExitCode.REFUSED, "key", "withdraw", "nobody")
+
+    def test_changes_collect_unused_parts(self) -> None:
+        self.call(ExitCode.DONE, "apply", LAKESHORE, "--based_on=0")
+        orphan = f"{PARTS_PREFIX}{'0' * 32}"
+        self.site.store.compare_and_swap(orphan, 0, b"0\n[]", "")
+        for number in range(COLLECT_EVERY_VERSIONS - 1):
+            self.assertIsNotNone(self.site.store.get(orphan))
+            self.call(ExitCode.DONE, "drain", "vm", f"v{number}", "--wait_s=0")
+        self.assertIsNone(self.site.store.get(orphan))
+        self.assertIn("v1", self.site.document("trial").drained_vms)
+
     def test_unavailable_service(self) -> None:
         self.site.faults.set(Fault(FaultKind.DOWN))
         self.call(ExitCode.UNAVAILABLE, "history")
