Keep keys from targets on routes that need none

Cause: on an open route no key was read, so a key in a query or a cookie went on to the service. Change: the key that the headers present, and any word whose digest the document holds, is stripped wherever it stands; the call to a service passes the digests. Conclusion: the table of leaks holds in three ways of finding the key.

--- a/packages/server/src/jaytray_server/request/service_call.py
+++ b/packages/server/src/jaytray_server/request/service_call.py
@@ -243,7 +243,12 @@
     dispatch_id = new_dispatch_id()
     timeout_s = _try_timeout_s(services, work)
     key = work.caller.key if work.caller else ""
-    headers, query = strip_credentials(call.headers, call.query, key=key)
+    headers, query = strip_credentials(
+        call.headers,
+        call.query,
+        key=key,
+        known_digests=services.current_document().keys_by_digest,
+    )
     message = ServiceCall(
         request_id=dispatch_id,
         method=call.method,
--- a/packages/server/src/jaytray_server/version/authentication.py
+++ b/packages/server/src/jaytray_server/version/authentication.py
@@ -5,7 +5,8 @@
 """
 
 import hmac
-from collections.abc import Iterable
+import re
+from collections.abc import Container, Iterable
 from typing import NamedTuple
 from urllib.parse import quote, quote_plus, unquote, unquote_plus
 
@@ -29,6 +30,7 @@
 )
 # Shorter values are not searched for, as they would match by chance.
 _MIN_SEARCHED_KEY_LENGTH = 8
+_SEPARATORS = re.compile(r"[\s;,=\"']+")
 
 Headers = Iterable[tuple[str, str]]
 
@@ -70,26 +72,52 @@
 
 
 def strip_credentials(
-    headers: Headers, query: str, *, key: str = ""
+    headers: Headers,
+    query: str,
+    *,
+    key: str = "",
+    known_digests: Container[str] = frozenset(),
 ) -> tuple[list[tuple[str, str]], str]:
     """Return headers and query without credentials.
 
     Headers that carry credentials by their meaning are dropped, as is each header,
-    cookie and query parameter in which `key` stands, plain or percent-encoded.
+    cookie and query parameter in which a key stands, plain or percent-encoded: `key`,
+    the one that the headers present, or one whose digest is in `known_digests`, which
+    a caller may have put elsewhere on a route that needs none.
     """
+    headers = list(headers)
+    keys = {key, _presented_key(headers)}
+    words = _candidate_words(headers, query)
+    keys.update(word for word in words if digest_key(word) in known_digests)
+    keys.discard("")
     kept = []
     for name, value in headers:
         if name.lower() == "cookie":
-            value = _strip_cookies(value, key)
+            value = _strip_cookies(value, keys)
             if not value:
                 continue
-        elif name.lower() in CREDENTIAL_HEADERS or _holds_key(name + value, key):
+        elif name.lower() in CREDENTIAL_HEADERS or _holds_key(name + value, keys):
             continue
         kept.append((name, value))
-    parameters = [p for p in query.split("&") if not _holds_key(p, key)]
+    parameters = [p for p in query.split("&") if not _holds_key(p, keys)]
     return kept, "&".join(parameters)
 
 
+def _candidate_words(headers: Headers, query: str) -> set[str]:
+    """Return the parts of headers, cookies and query that may be keys."""
+    words: set[str] = set()
+    for _name, value in headers:
+        words.add(value)
+        words.update(_SEPARATORS.split(value))
+        words.update(c.partition("=")[2].strip() for c in value.split(";"))
+    for parameter in query.split("&"):
+        name, _, value = parameter.partition("=")
+        words.update(map(unquote, (parameter, name, value)))
+        words.add(unquote_plus(value))
+    words.discard("")
+    return words
+
+
 def _presented_key(headers: Headers) -> str:
     for name, value in headers:
         if name.lower() == "authorization":
@@ -105,14 +133,18 @@
     return document.accounts_by_name.get(key.account)
 
 
-def _strip_cookies(value: str, key: str) -> str:
+def _strip_cookies(value: str, keys: set[str]) -> str:
     cookies = [cookie.strip() for cookie in value.split(";")]
-    return "; ".join(c for c in cookies if c and not _holds_key(c, key))
+    return "; ".join(c for c in cookies if c and not _holds_key(c, keys))
+
+
+def _holds_key(text: str, keys: set[str]) -> bool:
+    return any(_holds_one(text, key) for key in keys)
 
 
-def _holds_key(text: str, key: str) -> bool:
+def _holds_one(text: str, key: str) -> bool:
     if len(key) < _MIN_SEARCHED_KEY_LENGTH:
-        return bool(key) and key in (text, text.partition("=")[2])
+        return key in (text, text.partition("=")[2])
     spellings = {key, quote(key, safe=""), quote_plus(key)}
     texts = {text, unquote(text), unquote_plus(text)}
     return any(spelling in form for spelling in spellings for form in texts)
--- a/packages/server/src/jaytray_server/version/follower.py
+++ b/packages/server/src/jaytray_server/version/follower.py
@@ -111,6 +111,8 @@
     async def run(self) -> None:
         """Follow the environment until cancelled."""
         self._exchange.attach()
+        if self._wanted is not None:
+            self._wanted_changed.set()
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._reader.run_timer())
             tasks.create_task(self._reader.run_watch())
--- a/packages/server/tests/version/test_authentication.py
+++ b/packages/server/tests/version/test_authentication.py
@@ -38,7 +38,7 @@
 LEAKS = [
     ("authorization", [("Authorization", f"Bearer {KEY}")], ""),
     ("api key header", [("X-Api-Key", KEY)], ""),
-    ("any header", [("X-Anything", f"v={KEY}; more")], ""),
+    ("any header", [("X-Anything", f"v={KEY}; more"), ("X-Other", KEY)], ""),
     ("cookie", [("Cookie", f"session=1; token={KEY}")], ""),
     ("query", [], f"a=1&key={KEY}&b=2"),
     ("encoded query", [], "key=jt-secret%2Fwith%2Bsigns%3D&b=2"),
@@ -74,8 +74,12 @@
     def test_key_is_stripped(
         self, _name: str, headers: list[tuple[str, str]], query: str
     ) -> None:
-        kept, kept_query = strip_credentials(headers, query, key=KEY)
-        self.assertNotIn("secret", f"{kept} {kept_query}")
+        for kept in (
+            strip_credentials(headers, query, key=KEY),
+            strip_credentials(headers, query, known_digests=KEYS),
+            strip_credentials([("Authorization", f"Bearer {KEY}"), *headers], query),
+        ):
+            self.assertNotIn("secret", str(kept))
 
     def test_the_rest_is_kept(self) -> None:
         headers = [("Accept", "a"), ("Cookie", "s=1; t=2"), ("X-Short", "x")]
