Split the exchange into small modules; keep tokens when all are short

Change: messages, giver and memory have modules of their own; a VM that asked in vain gives nothing for a while and asks less often.

--- a/packages/server/src/jaytray_server/process/limits/account_limits.py
+++ b/packages/server/src/jaytray_server/process/limits/account_limits.py
@@ -16,7 +16,8 @@
 from jaytray_core.logs import get_logger
 from jaytray_core.vm_list import VmEntry
 from jaytray_server.ports import CurrentDocument, Limiter, Metrics, PeerNetwork
-from jaytray_server.process.limits.gifts import LOAN_HOLD_S, GiftExchange
+from jaytray_server.process.limits.gifts import GiftExchange
+from jaytray_server.process.limits.giver import LOAN_HOLD_S
 from jaytray_server.process.limits.limiter import AccountLimiter, limiter_functions
 from jaytray_server.process.limits.membership import Membership
 from jaytray_server.process.limits.message_budget import MessageBudget
@@ -72,6 +73,7 @@
             on_hand_back=lambda account, lending, tokens: self.exchange.hand_back(
                 account, lending, tokens
             ),
+            metrics=self._metrics,
         )
         self.exchange = GiftExchange(
             limiter=self.limiter,
--- a/packages/server/src/jaytray_server/process/limits/bucket.py
+++ b/packages/server/src/jaytray_server/process/limits/bucket.py
@@ -49,19 +49,23 @@
         return self.level + ROUNDING_TOKENS >= tokens
 
     def charge(self, charge_id: int, tokens: float) -> None:
-        """Take `tokens` for an admitted request; `give_back` or `close` ends it."""
+        """Take `tokens` for an admitted request; `give_back` closes it."""
         self.level -= tokens
         self._headroom_by_charge[charge_id] = self.capacity - self.level
 
-    def give_back(self, charge_id: int, unused: float) -> None:
-        """Close a charge and return what it did not use; a second call does nothing."""
+    def give_back(self, charge_id: int, unused: float) -> float:
+        """Close a charge and return what it did not use; a second call does nothing.
+
+        Returns the tokens that the level rose by.
+        """
         headroom = self._headroom_by_charge.get(charge_id)
         if headroom is None:
-            return
+            return 0.0
         returned = min(unused, headroom)
         self.level += returned
         self._lower_headrooms(charge_id, headroom - returned, returned)
         del self._headroom_by_charge[charge_id]
+        return returned
 
     def withdraw(self, tokens: float) -> None:
         """Remove `tokens` from the level for good."""
--- /dev/null
+++ b/packages/server/src/jaytray_server/process/limits/exchange_memory.py
@@ -0,0 +1,101 @@
+"""What a VM remembers of its last exchange of tokens for each account.
+
+It chooses whom to ask first, and how long to wait after asking in vain.
+"""
+
+import random
+from typing import NamedTuple
+
+from jaytray_core.clock import MonotonicClock
+from jaytray_server.ports import PeerNetwork
+
+# Pause after peers were asked in vain, doubled each time up to the largest.
+SMALLEST_PAUSE_S = 1.0
+LARGEST_PAUSE_S = 4.0
+# Time after a pause in which the account still counts as exhausted everywhere.
+EXHAUSTED_S = 5.0
+# Accounts whose last exchange is remembered, and peers of each.
+MAX_REMEMBERED_ACCOUNTS = 1000
+MAX_REMEMBERED_PEERS = 16
+
+
+class ExchangeMemory(NamedTuple):
+    """What the last exchange for an account taught.
+
+    `spare_by_peer` holds the peers that had something left, the latest last.
+    """
+
+    spare_by_peer: dict[str, int]
+    pause_s: float
+    paused_until: float
+
+
+_NO_MEMORY = ExchangeMemory({}, 0.0, float("-inf"))
+
+
+class ExchangeMemories:
+    """Memory of the accounts for which this VM asked last."""
+
+    def __init__(self, *, clock: MonotonicClock) -> None:
+        self._clock = clock
+        self._memory_by_account: dict[str, ExchangeMemory] = {}
+
+    def of(self, account: str) -> ExchangeMemory:
+        """Return the account's memory, an empty one when it has none."""
+        return self._memory_by_account.get(account, _NO_MEMORY)
+
+    def is_paused(self, account: str) -> bool:
+        """Return whether asking again makes no sense yet."""
+        return self._clock() < self.of(account).paused_until
+
+    def is_exhausted(self, account: str) -> bool:
+        """Return whether asking brought little a short while ago."""
+        return self._clock() < self.of(account).paused_until + EXHAUSTED_S
+
+    def peers_with_spare(self, account: str) -> list[str]:
+        """Return the peers that had something left, most first."""
+        spare_by_peer = self.of(account).spare_by_peer
+        return sorted(spare_by_peer, key=lambda vm: spare_by_peer[vm], reverse=True)
+
+    def ranked_peers(
+        self, account: str, peers: PeerNetwork, rng: random.Random
+    ) -> list[str]:
+        """Return all listed VMs but this one: helpful ones, neighbours, others."""
+        listed = [vm for vm in peers.listed_vms() if vm != peers.vm_id]
+        near = peers.neighbours()
+        rng.shuffle(near)
+        rng.shuffle(listed)
+        known = set(listed)
+        ranked = dict.fromkeys((*self.peers_with_spare(account), *near, *listed))
+        return [vm for vm in ranked if vm in known]
+
+    def remember_spare(self, account: str, peer: str, spare_tokens: int) -> None:
+        """Note what a peer had left after its grant."""
+        memory = self.of(account)
+        spare_by_peer = dict(memory.spare_by_peer)
+        spare_by_peer.pop(peer, None)
+        if spare_tokens > 0:
+            spare_by_peer[peer] = spare_tokens
+        if len(spare_by_peer) > MAX_REMEMBERED_PEERS:
+            del spare_by_peer[next(iter(spare_by_peer))]
+        self._remember(account, memory._replace(spare_by_peer=spare_by_peer))
+
+    def remember_failure(self, account: str) -> None:
+        """Note that asking brought little; the next try is a small one, later."""
+        memory = self.of(account)
+        pause = min(max(2 * memory.pause_s, SMALLEST_PAUSE_S), LARGEST_PAUSE_S)
+        until = self._clock() + pause
+        self._remember(account, memory._replace(pause_s=pause, paused_until=until))
+
+    def remember_success(self, account: str) -> None:
+        """Note that asking brought what was needed."""
+        if self.of(account).pause_s > 0:
+            memory = self.of(account)
+            unpaused = memory._replace(pause_s=0.0, paused_until=float("-inf"))
+            self._remember(account, unpaused)
+
+    def _remember(self, account: str, memory: ExchangeMemory) -> None:
+        self._memory_by_account.pop(account, None)
+        self._memory_by_account[account] = memory
+        if len(self._memory_by_account) > MAX_REMEMBERED_ACCOUNTS:
+            del self._memory_by_account[next(iter(self._memory_by_account))]
--- a/packages/server/src/jaytray_server/process/limits/limiter.py
+++ b/packages/server/src/jaytray_server/process/limits/limiter.py
@@ -19,8 +19,9 @@
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.document.model import ClientAccount
 from jaytray_core.errors import JaytrayError, Step
-from jaytray_server.ports import CurrentDocument, Limiter, Reservation
+from jaytray_server.ports import CurrentDocument, Limiter, Metrics, Reservation
 from jaytray_server.process.limits.account_state import AccountState, Lending, Waiter
+from jaytray_server.process.metrics import make_null_metrics
 
 MAX_WAITING_PER_ACCOUNT = 256
 # Shortest delay of a refill timer in seconds, against timers that fire early.
@@ -48,12 +49,14 @@
         clock: MonotonicClock,
         on_shortage: ShortageHandler = lambda _account: None,
         on_hand_back: HandBackHandler = lambda _account, _lending, _tokens: None,
+        metrics: Metrics | None = None,
         max_waiting_per_account: int = MAX_WAITING_PER_ACCOUNT,
     ) -> None:
         self._current_document = current_document
         self._clock = clock
         self._on_shortage = on_shortage
         self._on_hand_back = on_hand_back
+        self._metrics = metrics or make_null_metrics()
         self._max_waiting = max_waiting_per_account
         self._document = current_document()
         self._parts = 0
@@ -131,7 +134,8 @@
             return
         state = self.state_of(reservation.account)
         unused = max(0, reservation.tokens - used_tokens)
-        state.bucket.give_back(reservation.reservation_id, unused)
+        returned = state.bucket.give_back(reservation.reservation_id, unused)
+        self._metrics.increment("limits.tokens_returned", int(returned))
         self.wake(reservation.account)
 
     def state_of(self, account: str) -> AccountState:
@@ -207,6 +211,7 @@
     def _admit(self, account: str, state: AccountState, tokens: int) -> Reservation:
         reservation = Reservation(next(self._charge_ids), account, tokens)
         state.bucket.charge(reservation.reservation_id, tokens)
+        self._metrics.increment("limits.tokens_charged", tokens)
         return reservation
 
     async def _wait(
@@ -248,6 +253,7 @@
     def _rate_exceeded(
         self, account: str, state: AccountState, tokens: int
     ) -> JaytrayError:
+        self._metrics.increment("limits.refused", 1)
         return JaytrayError(
             messages.RATE_EXCEEDED,
             step=Step.ADMIT,
--- a/packages/server/src/jaytray_server/process/limits/message_budget.py
+++ b/packages/server/src/jaytray_server/process/limits/message_budget.py
@@ -16,7 +16,7 @@
 # Bytes per second that each account may use when the budget is scarce.
 ACCOUNT_BYTES_PER_S = 100.0
 # Time constant of an account's mean use, in seconds.
-USE_WINDOW_S = 10.0
+USE_WINDOW_S = 60.0
 # Accounts whose use is remembered.
 MAX_REMEMBERED_ACCOUNTS = 1000
 
--- a/packages/server/src/jaytray_server/process/limits/slots.py
+++ b/packages/server/src/jaytray_server/process/limits/slots.py
@@ -21,12 +21,19 @@
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.document.model import TrafficClass
 from jaytray_core.errors import JaytrayError, Step
-from jaytray_server.ports import CurrentDocument, SlotRequest
+from jaytray_server.ports import CurrentDocument, Metrics, SlotRequest
+from jaytray_server.process.metrics import make_null_metrics
 
 MAX_WAITING_PER_TARGET = 512
 MAX_WAITING_PER_ACCOUNT = 128
 # One start in this many goes to a waiting deferred request.
 DEFERRED_TURN = 8
+# Least time after which a refused caller is told to try again, in seconds.
+SHORTEST_RETRY_S = 1.0
+# Stands in for weights that are zero.
+SMALLEST_WEIGHT = 1e-9
+# Finish tags kept of a target before those in the past are dropped.
+MAX_FINISH_TAGS = 256
 # Weight of the newest observation in the mean time between two starts.
 INTERVAL_GAIN = 0.2
 
@@ -56,6 +63,12 @@
         """Return the number of waiting requests of all accounts."""
         return sum(self.waiting_by_account.values())
 
+    def drop_old_tags(self) -> None:
+        """Forget accounts whose finish tag has no effect any more."""
+        self.finish_tags = {
+            key: tag for key, tag in self.finish_tags.items() if tag > self.virtual_time
+        }
+
     def is_idle(self) -> bool:
         """Return whether nothing runs or waits here."""
         return self.running == 0 and not self.waiting_by_account
@@ -69,11 +82,13 @@
         *,
         current_document: CurrentDocument,
         clock: MonotonicClock,
+        metrics: Metrics | None = None,
         max_waiting_per_target: int = MAX_WAITING_PER_TARGET,
         max_waiting_per_account: int = MAX_WAITING_PER_ACCOUNT,
     ) -> None:
         self._current_document = current_document
         self._clock = clock
+        self._metrics = metrics or make_null_metrics()
         self._max_waiting_per_target = max_waiting_per_target
         self._max_waiting_per_account = max_waiting_per_account
         self._queues_by_target: dict[str, _TargetQueue] = {}
@@ -83,14 +98,18 @@
     async def acquire(self, request: SlotRequest) -> AsyncIterator[None]:
         """Hold one slot of the target; raises when it cannot start in time."""
         queue = self._queues_by_target.setdefault(request.target, _TargetQueue())
+        asked_at = self._clock()
         await self._start(queue, request)
         started_at = self._clock()
+        self._metrics.timing("slots.wait", 1000 * (started_at - asked_at))
         try:
             yield
         finally:
             self._finish(queue, request.target, self._clock() - started_at)
 
     async def _start(self, queue: _TargetQueue, request: SlotRequest) -> None:
+        # The document may have given the target more slots.
+        self._start_waiting(queue, request.target)
         if not queue.waiting_by_account and queue.running < self._slots(request.target):
             queue.virtual_time = self._tag(queue, request)
             queue.running += 1
@@ -139,21 +158,26 @@
 
     def _tag(self, queue: _TargetQueue, request: SlotRequest) -> float:
         """Return the start tag and move the account's finish tag on."""
-        key = (request.traffic_class, request.account)
-        start = max(queue.virtual_time, queue.finish_tags.get(key, 0.0))
-        cost = request.tokens / max(request.weight, 1e-9)
-        queue.finish_tags[key] = start + cost
+        start = self._start_tag(queue, request)
+        cost = request.tokens / max(request.weight, SMALLEST_WEIGHT)
+        queue.finish_tags[request.traffic_class, request.account] = start + cost
         return start
 
+    def _start_tag(self, queue: _TargetQueue, request: SlotRequest) -> float:
+        last_finish = queue.finish_tags.get((request.traffic_class, request.account))
+        return max(queue.virtual_time, last_finish or 0.0)
+
     def _finish(self, queue: _TargetQueue, target: str, held_s: float | None) -> None:
         queue.running -= 1
         if held_s is not None:
             previous = held_s if queue.slot_held_s is None else queue.slot_held_s
             queue.slot_held_s = previous + INTERVAL_GAIN * (held_s - previous)
         self._start_waiting(queue, target)
-        if queue.is_idle() and self._queues_by_target.get(target) is queue:
+        if queue.is_idle():
             queue.finish_tags.clear()
             queue.virtual_time = 0.0
+        elif len(queue.finish_tags) > MAX_FINISH_TAGS:
+            queue.drop_old_tags()
 
     def _start_waiting(self, queue: _TargetQueue, target: str) -> None:
         while queue.running < self._slots(target):
@@ -193,12 +217,21 @@
         slots = self._slots(request.target)
         if queue.slot_held_s is None or slots == 0:
             return 0.0
+        ahead = self._waiting_ahead(queue, request)
+        return queue.slot_held_s * (ahead + 1) / slots
+
+    def _waiting_ahead(self, queue: _TargetQueue, request: SlotRequest) -> int:
+        """Return how many waiting requests would start before `request`."""
+        own_tag = self._start_tag(queue, request)
         ahead = sum(
             1
             for waiting in queue.waiting[request.traffic_class]
-            if waiting.start_tag <= queue.virtual_time
+            if waiting.start_tag <= own_tag
         )
-        return queue.slot_held_s * ahead / slots
+        if request.traffic_class is TrafficClass.DEFERRED:
+            interactive = len(queue.waiting[TrafficClass.INTERACTIVE])
+            ahead += min(interactive, (ahead + 1) * (DEFERRED_TURN - 1))
+        return ahead
 
     def _refusal(
         self,
@@ -206,9 +239,10 @@
         request: SlotRequest,
         estimate: float,
     ) -> JaytrayError:
+        self._metrics.increment(f"slots.refused.{template.code}", 1)
         return JaytrayError(
             template,
             step=Step.QUEUE,
-            retry_after_s=max(estimate, 1.0),
+            retry_after_s=max(estimate, SHORTEST_RETRY_S),
             name=request.target,
         )
--- a/packages/server/tests/process/limits/test_conservation.py
+++ b/packages/server/tests/process/limits/test_conservation.py
@@ -16,7 +16,7 @@
 from testtools import TestCase
 
 from jaytray_core.document.model import ClientAccount
-from jaytray_server.process.limits import account_limits, gifts
+from jaytray_server.process.limits import account_limits, gifts, giver
 from jaytray_server.process.limits.account_state import AccountState, Lending
 from jaytray_server.process.limits.bucket import TokenBucket
 from jaytray_server.process.limits.membership import Membership
@@ -237,7 +237,7 @@
 
     def keep_contract(self, version: int) -> None:
         """Count a contract that a VM drops until its grants cannot be used."""
-        until = self.fleet.schedule.now + gifts.LOAN_HOLD_S
+        until = self.fleet.schedule.now + giver.LOAN_HOLD_S
         self.contracts_used_until[str(version)] = (self.contracts[version - 1], until)
         self.fleet.schedule.at(until, self.note_contracts)
 
@@ -273,7 +273,7 @@
 
 @contextmanager
 def gift_kept_in_the_capacity() -> Iterator[None]:
-    with tokens_only(), mock.patch.object(gifts, "GIFT_HOLD_S", 0.0):
+    with tokens_only(), mock.patch.object(giver, "GIFT_HOLD_S", 0.0):
         yield
 
 
--- a/tools/bench_limits.py
+++ b/tools/bench_limits.py
@@ -17,9 +17,11 @@
 from structlog.testing import capture_logs
 
 from jaytray_core.document.model import ClientAccount, empty_document
+from jaytray_server.process.limits.account_limits import AccountLimits
 from jaytray_server.process.limits.limiter import AccountLimiter, limiter_functions
 from jaytray_server.process.limits.message_budget import MessageBudget
 from jaytray_server.process.limits.share_table import TOTAL_PARTS
+from jaytray_server.process.limits.shares import SHARES_KEY
 from tools.limits_model.baselines import (
     Baseline,
     CentralLimiter,
@@ -41,6 +43,10 @@
 flags.DEFINE_integer("seed", 1, "Seed of the arrivals and of the faults.")
 flags.DEFINE_multi_integer("vms", [8, 64], "Numbers of VMs.")
 
+flags.DEFINE_multi_integer("table_vms", [8, 64], "VMs for the table's costs.")
+
+START_S = 40.0
+IDLE_S = 120.0
 WARM_UP_S = 40.0
 END_S = 160.0
 FAULT_S = 70.0
@@ -293,7 +299,7 @@
         for number in range(rounds):
             reservation = await limiter.reserve(names[number % 100], 100, 0.0)
             limiter.settle(reservation, 60)
-        return (time.process_time() - started) / rounds
+        return (time.process_time() - started) / max(1, rounds)
 
     asyncio.run(decide(0))
     limiter.forget_idle()
@@ -308,6 +314,38 @@
     print(f"accounts kept in memory when all are idle: {idle_accounts}")
 
 
+def print_table_costs(vms: int, seed: int) -> None:
+    """Print key-value calls when a fleet starts, idles, and one VM is replaced."""
+    fleet = Fleet(accounts=ACCOUNTS, seed=seed)
+    calls = fleet.store.calls_by_function
+    for number in range(vms):
+        fleet.start(f"vm-{number:03}")
+    fleet.schedule.run_until(START_S)
+    started = calls.total()
+    fleet.schedule.run_until(START_S + IDLE_S)
+    idle = calls.total() - started
+    idle_bytes = sum(process.link.bytes for process in fleet.processes_by_vm.values())
+    fleet.kill("vm-001")
+    fleet.drop("vm-001")
+    fleet.start("vm-new")
+    fleet.schedule.run_until(START_S + 2 * IDLE_S)
+    swaps = calls["compare_and_swap"]
+    total_parts = sum(
+        process.limits.share.parts
+        for process in fleet.processes_by_vm.values()
+        if isinstance(process.limits, AccountLimits)
+    )
+    record = fleet.store.get(SHARES_KEY)
+    size = len(record.value) if record else 0
+    print(
+        f"{vms:>5}{size:>10}{started:>12}{idle / IDLE_S:>11.2f}"
+        f"{idle_bytes / vms / (START_S + IDLE_S):>12.0f}"
+        f"{calls.total() - started - 2 * idle:>12}{swaps:>8}"
+        f"{total_parts / TOTAL_PARTS:>9.4f}"
+    )
+    fleet.close()
+
+
 def main(_argv: list[str]) -> None:
     """Run all cases and print the tables."""
     for vms in FLAGS.vms:
@@ -318,6 +356,16 @@
                 for policy in POLICIES
             ]
         print_rows(rows, vms)
+    print(
+        f"\ntable of shares; {START_S:.0f} s start, {IDLE_S:.0f} s idle, 1 VM replaced"
+    )
+    print(
+        f"{'VMs':>5}{'bytes':>10}{'start calls':>12}{'idle kv/s':>11}{'B/s/VM':>12}"
+        f"{'replacement':>12}{'swaps':>8}{'in use':>9}"
+    )
+    for vms in FLAGS.table_vms:
+        with capture_logs():
+            print_table_costs(vms, FLAGS.seed)
     print_costs()
 
 
