--- a/packages/server/src/jaytray_server/process/limits/account_limits.py
+++ b/packages/server/src/jaytray_server/process/limits/account_limits.py
@@ -244,7 +244,7 @@
         parts_by_receiver = spread_parts(own.parts, owned)
         if not parts_by_receiver:
             return True
-        is_recorded = await self.share.give_away(parts_by_receiver)
+        is_recorded = await self.share.give_away(parts_by_receiver, is_leaving=True)
         if is_recorded:
             self._log_given(parts_by_receiver, "leaving")
         return is_recorded
--- a/packages/server/src/jaytray_server/process/limits/share_table.py
+++ b/packages/server/src/jaytray_server/process/limits/share_table.py
@@ -58,14 +58,23 @@
 
 
 def give_away(
-    table: ShareTable, vm_id: str, parts_by_receiver: Mapping[str, int]
+    table: ShareTable,
+    vm_id: str,
+    parts_by_receiver: Mapping[str, int],
+    *,
+    is_leaving: bool = False,
 ) -> ShareTable:
-    """Return the table after the owner `vm_id` gave parts to other VMs."""
+    """Return the table after the owner `vm_id` gave parts to other VMs.
+
+    A leaving owner names no process any more, so that it is given nothing.
+    """
     entry = table.entries_by_vm[vm_id]
     given = sum(parts_by_receiver.values())
     if given > entry.parts or vm_id in parts_by_receiver:
         raise ValueError(f"{vm_id} cannot give {given} of {entry.parts} parts")
     lowered = entry._replace(parts=entry.parts - given)
+    if is_leaving:
+        lowered = lowered._replace(incarnation="")
     return raise_entries(_replace(table, vm_id, lowered), parts_by_receiver)
 
 
--- a/packages/server/src/jaytray_server/process/limits/shares.py
+++ b/packages/server/src/jaytray_server/process/limits/shares.py
@@ -113,8 +113,8 @@
         table = register(read.table, self._vm_id, self._incarnation)
         is_swapped = await self._swap(encode_table(table), read.revision)
         if is_swapped and is_first_process:
-            # Parts without a process date from the table's creation, so that nobody
-            # can have lent anything out of them.
+            # Parts are raised only for started processes. So these date from the
+            # table's creation, and nobody can have lent anything out of them.
             self._raise_at = self._clock()
             self.apply_due_raise()
 
@@ -126,7 +126,9 @@
         table = claim(read.table, gone, receivers)
         return await self._swap(encode_table(table), read.revision)
 
-    async def give_away(self, parts_by_receiver: dict[str, int]) -> bool:
+    async def give_away(
+        self, parts_by_receiver: dict[str, int], *, is_leaving: bool = False
+    ) -> bool:
         """Lower this VM's share, then record what others get of it.
 
         Returns whether it was recorded. When the answer is lost the parts stay
@@ -137,7 +139,9 @@
         is_possible = 0 < given <= self._own_entry().parts
         if read is None or self._giving is not None or not is_possible:
             return False
-        table = give_away(read.table, self._vm_id, parts_by_receiver)
+        table = give_away(
+            read.table, self._vm_id, parts_by_receiver, is_leaving=is_leaving
+        )
         self._giving = _OpenGiving(given, read.revision, encode_table(table))
         self._refresh()
         try:
--- a/packages/server/tests/process/limits/test_conservation.py
+++ b/packages/server/tests/process/limits/test_conservation.py
@@ -332,7 +332,7 @@
         return trial.run(steps)
 
 
-FLOOD = [Step("flood", 0, 0.2, 0.5)]
+FLOOD = [Step("flood", 0, 0.0, 0.5)]
 # Ends while the answers to the first asks are still under way.
 ASK = [Step("request", 3, 0.4, 0.0002)]
 # Schedules that lead to the fault of each broken variant.
--- a/packages/server/tests/process/limits/test_slots.py
+++ b/packages/server/tests/process/limits/test_slots.py
@@ -108,3 +108,21 @@
 
         asyncio.run(scenario())
         self.assertEqual(["c/interactive"], self.started)
+
+    def test_request_that_cannot_start_in_time_is_refused_at_once(self) -> None:
+        now = 0.0
+        slots = TargetSlots(current_document=one_target, clock=lambda: now)
+
+        async def scenario() -> float | None:
+            nonlocal now
+            async with slots.acquire(request("a")):
+                now = 10.0
+            async with slots.acquire(request("a")):
+                try:
+                    async with slots.acquire(request("b", max_wait_s=1.0)):
+                        return None
+                except JaytrayError as err:
+                    self.assertEqual("deadline_unreachable", err.code)
+                    return err.retry_after_s
+
+        self.assertEqual(10.0, asyncio.run(scenario()))
