--- a/packages/server/src/jaytray_server/process/target_observer.py
+++ b/packages/server/src/jaytray_server/process/target_observer.py
@@ -108,6 +108,7 @@
         finally:
             for task in self._tasks_by_target.values():
                 task.cancel()
+            self._tasks_by_target.clear()
 
     def observed_targets(self) -> list[str]:
         """Return the targets that this VM reads now."""
--- a/packages/server/tests/process/placement/test_orders_under_faults.py
+++ b/packages/server/tests/process/placement/test_orders_under_faults.py
@@ -278,12 +278,13 @@
     def restart_with_orders_under_way(
         self, late_s: int, before: set[str], after: set[str]
     ) -> None:
-        """Restart the checking target, which gets an order twice, very late."""
+        """Restart the checking target twice; loads in between come again late."""
+        self.change_document(before)
+        self.world.targets["checks"].crash()
         for vm in self.world.vms:
             fault = Fault(FaultKind.DOUBLED, "order", times=2, delay_s=late_s)
             vm.faults_by_target["checks"].set(fault)
-        self.change_document(before)
-        self._advance(5)
+        self._advance(8)
         self.world.targets["checks"].crash()
         self.change_document(after)
         self._advance(60)
