--- a/packages/core/src/jaytray_core/document/status.py
+++ b/packages/core/src/jaytray_core/document/status.py
@@ -17,4 +17,4 @@
     rejected_version: int
     alarms: int
     service_age_s: float
-    unreachable: NotRequired[list[str]]
+    unreachable_models: NotRequired[list[str]]
--- a/packages/core/src/jaytray_core/document/store.py
+++ b/packages/core/src/jaytray_core/document/store.py
@@ -16,9 +16,10 @@
 from jaytray_core.clock import WallClock, wall_clock
 from jaytray_core.document.model import Document
 from jaytray_core.document.part_store import (
-    read_parts,
+    read_body,
     swap_surely,
     write_parts,
+    write_surely,
 )
 from jaytray_core.document.parts import (
     Body,
@@ -81,13 +82,13 @@
 
 async def read_sections(key_value: KeyValueService, head: Head) -> list[Section]:
     """Return the sections of a version."""
-    parts = await read_parts(key_value, set(filter(None, head.part_digests)))
+    parts = await read_body(key_value, head.body_digest)
     return sections_of(head, parts)
 
 
 async def read_document(key_value: KeyValueService, head: Head) -> Document:
     """Return the typed document of a version."""
-    parts = await read_parts(key_value, set(filter(None, head.part_digests)))
+    parts = await read_body(key_value, head.body_digest)
     return document_of(head, parts)
 
 
@@ -105,8 +106,7 @@
     """
     async with _change_timeout():
         stored = await read_head(key_value, change.environment)
-        if stored.version != change.based_on:
-            raise _conflict(change, stored.head)
+        require_based_on(stored, change.environment, change.based_on)
         body = make_body(sections)
         await write_parts(key_value, body, stored.head, clock)
         await _copy_to_history(key_value, stored)
@@ -114,6 +114,12 @@
         return await _swap_head(key_value, change, stored, head)
 
 
+def require_based_on(stored: StoredHead, environment: str, based_on: int) -> None:
+    """Raise `version_conflict` unless the environment is at version `based_on`."""
+    if stored.version != based_on:
+        raise _conflict(environment, based_on, stored.head)
+
+
 async def history(key_value: KeyValueService, environment: str) -> list[Head]:
     """Return the versions that are kept, latest first, with the one in force."""
     stored = await read_head(key_value, environment)
@@ -148,13 +154,7 @@
         async with asyncio.timeout(CHANGE_TIMEOUT_S):
             yield
     except TimeoutError as err:
-        raise JaytrayError(
-            messages.KEY_VALUE_UNCERTAIN,
-            step=Step.CONFIGURATION,
-            peer="kv",
-            execution=Execution.MAY_HAVE_RUN,
-            detail=f"no end within {CHANGE_TIMEOUT_S:g} s",
-        ) from err
+        raise _uncertain(f"no end within {CHANGE_TIMEOUT_S:g} s") from err
 
 
 async def _swap_head(
@@ -163,20 +163,35 @@
     key = head_key(change.environment)
     try:
         result = await swap_surely(key_value, key, stored.revision, encode_head(head))
-        is_swapped = result.is_swapped
+        is_swapped, lost_answer = result.is_swapped, None
     except JaytrayError as err:
         if err.code != messages.KEY_VALUE_UNCERTAIN.code:
             raise
-        if not await _is_in_force(key_value, head):
-            raise
-        is_swapped = True
-    if not is_swapped and not await _is_in_force(key_value, head):
-        current = await read_head(key_value, change.environment)
-        raise _conflict(change, current.head)
+        is_swapped, lost_answer = False, err
+    if not is_swapped:
+        await _settle(key_value, change, head, lost_answer)
     await _trim_history(key_value, head)
     return head
 
 
+async def _settle(
+    key_value: KeyValueService,
+    change: Change,
+    head: Head,
+    lost_answer: JaytrayError | None,
+) -> None:
+    """Return if `head` became a version; raise what is known otherwise."""
+    try:
+        if await _is_in_force(key_value, head):
+            return
+        current = await read_head(key_value, change.environment)
+    except JaytrayError as err:
+        raise _uncertain("the version could not be read back") from err
+    if current.version == change.based_on and lost_answer is not None:
+        raise lost_answer
+    raise _conflict(change.environment, change.based_on, current.head)
+
+
 async def _is_in_force(key_value: KeyValueService, head: Head) -> bool:
     """Return whether `head` became a version, even if a later one followed it."""
     try:
@@ -189,9 +204,14 @@
 
 
 async def _copy_to_history(key_value: KeyValueService, stored: StoredHead) -> None:
-    if stored.head is not None:
-        key = _history_key(stored.head.environment, stored.head.version)
-        await swap_surely(key_value, key, ABSENT_REVISION, encode_head(stored.head))
+    head = stored.head
+    if head is not None:
+        await write_surely(
+            key_value,
+            _history_key(head.environment, head.version),
+            make_value=lambda: encode_head(head),
+            is_kept=lambda value: value == encode_head(head),
+        )
 
 
 async def _trim_history(key_value: KeyValueService, head: Head) -> None:
@@ -210,7 +230,6 @@
         environment=change.environment,
         version=max(change.based_on + 1, change.minimum_version),
         writer_id=uuid.uuid4().hex,
-        part_digests=body.part_digests,
         body_digest=body.body_digest,
         based_on=change.based_on,
         author=change.author,
@@ -219,15 +238,25 @@
     )
 
 
-def _conflict(change: Change, current: Head | None) -> JaytrayError:
+def _conflict(environment: str, based_on: int, current: Head | None) -> JaytrayError:
     return JaytrayError(
         messages.VERSION_CONFLICT,
         step=Step.CONFIGURATION,
         peer="kv",
-        environment=change.environment,
+        environment=environment,
         version=current.version if current else 0,
         author=current.author if current else "nobody",
-        based_on=change.based_on,
+        based_on=based_on,
+    )
+
+
+def _uncertain(detail: str) -> JaytrayError:
+    return JaytrayError(
+        messages.KEY_VALUE_UNCERTAIN,
+        step=Step.CONFIGURATION,
+        peer="kv",
+        execution=Execution.MAY_HAVE_RUN,
+        detail=detail,
     )
 
 
--- a/packages/core/src/jaytray_core/message_registry.py
+++ b/packages/core/src/jaytray_core/message_registry.py
@@ -68,6 +68,12 @@
     "the key was withdrawn while the request was running",
     "Ask the operator for a new key.",
 )
+OPERATOR_TOKEN_INVALID = MessageTemplate(
+    "operator_token_invalid",
+    403,
+    "this endpoint needs the operator token",
+    "Send 'Authorization: Bearer TOKEN'; the settings hold the token's digest.",
+)
 ROUTE_UNKNOWN = MessageTemplate(
     "route_unknown",
     404,
@@ -184,6 +190,84 @@
     "Send the whole body without pauses.",
 )
 
+# Idempotent calls.
+IDEMPOTENCY_UNAVAILABLE = MessageTemplate(
+    "idempotency_unavailable",
+    503,
+    "the call was not sent, as its Idempotency-Key could not be recorded: {detail}",
+    "Send the call again with the same key after Retry-After.",
+)
+IDEMPOTENCY_RUNNING = MessageTemplate(
+    "idempotency_running",
+    409,
+    "a call with this Idempotency-Key is still running",
+    "Send the call again with the same key after Retry-After.",
+)
+IDEMPOTENCY_UNKNOWN = MessageTemplate(
+    "idempotency_unknown",
+    409,
+    "the outcome of the call with this Idempotency-Key is unknown; it may have run",
+    "Check at the service whether the call took effect, then use a new key.",
+)
+IDEMPOTENCY_KEY_REUSED = MessageTemplate(
+    "idempotency_key_reused",
+    422,
+    "this Idempotency-Key was used for another request",
+    "Use a new key for each distinct request.",
+)
+IDEMPOTENCY_ANSWER_NOT_KEPT = MessageTemplate(
+    "idempotency_answer_not_kept",
+    409,
+    "the call with this Idempotency-Key has run; its answer was too long to be kept",
+    "Read the result from the service.",
+)
+IDEMPOTENCY_UNREADABLE = MessageTemplate(
+    "idempotency_unreadable",
+    503,
+    "the call with this Idempotency-Key has run; its answer cannot be read now",
+    "Send the call again with the same key after Retry-After.",
+)
+
+# Crashing requests.
+REQUEST_QUARANTINED = MessageTemplate(
+    "request_quarantined",
+    422,
+    "this request was running at each of {crashes} targets when they crashed",
+    "Change the request; operators see 'jaytray quarantine list' and may lift it.",
+)
+REQUEST_SUSPECTED = MessageTemplate(
+    "request_suspected",
+    503,
+    "a target crashed while this request was running; it runs alone at one place",
+    "Send the request again after Retry-After.",
+)
+
+# Deferred requests.
+DEFERRED_UNAVAILABLE = MessageTemplate(
+    "deferred_unavailable",
+    503,
+    "the deferred request could not be stored: {detail}",
+    "Send the request again after Retry-After.",
+)
+DEFERRED_UNCERTAIN = MessageTemplate(
+    "deferred_uncertain",
+    503,
+    "the deferred request {job_id} may have been stored",
+    "Look it up at GET /v1/deferred/ID, or send it again with an Idempotency-Key.",
+)
+DEFERRED_NEEDS_KEY = MessageTemplate(
+    "deferred_needs_key",
+    422,
+    "a call that may not be repeated is deferred only with an Idempotency-Key",
+    "Send the request again with an Idempotency-Key header.",
+)
+DEFERRED_EXPIRED = MessageTemplate(
+    "deferred_expired",
+    504,
+    "the deferred request got no answer in {hours} hours; last failure: {detail}",
+    "Check the model or service, then submit the request again.",
+)
+
 # Outside systems.
 KEY_VALUE_UNAVAILABLE = MessageTemplate(
     "key_value_unavailable",
--- a/packages/server/src/jaytray_server/request/http_api.py
+++ b/packages/server/src/jaytray_server/request/http_api.py
@@ -5,17 +5,23 @@
 """
 
 import uuid
+from collections.abc import Sequence
 from typing import Any
 
 from litestar import Litestar, Response, get, post, route
 from litestar.enums import MediaType
 from litestar.exceptions import HTTPException
 from litestar.handlers import HTTPRouteHandler
-from litestar.types import ASGIApp, Method
+from litestar.types import ASGIApp, Message, Method, Scope
 
 from jaytray_core.errors import JaytrayError
 from jaytray_core.logs import get_logger
 from jaytray_server.request.completions import answer_completion
+from jaytray_server.request.deferred_routes import (
+    DEFERRED_PATH,
+    answer_lookup,
+    answer_submission,
+)
 from jaytray_server.request.endpoint import AnyRequest, log_refusal, run_endpoint
 from jaytray_server.request.models_list import answer_models
 from jaytray_server.request.parsing import CHAT_PATH, COMPLETIONS_PATH
@@ -39,14 +45,26 @@
     "OPTIONS",
 ]
 
+_REQUEST_ID_BYTES = REQUEST_ID_HEADER.encode()
+
 _log = get_logger()
 
 
-def make_app(services: RequestServices) -> Litestar:
-    """Return the application that serves callers with `services`."""
+def make_app(
+    services: RequestServices, *, admin_routes: Sequence[HTTPRouteHandler] = ()
+) -> Litestar:
+    """Return the application that serves callers with `services`.
+
+    `admin_routes` are the operators' handlers, which check the operator token.
+    """
     return Litestar(
-        route_handlers=[*_caller_routes(services), *_health_routes(services)],
+        route_handlers=[
+            *_caller_routes(services),
+            *_health_routes(services),
+            *admin_routes,
+        ],
         exception_handlers={Exception: _make_exception_handler(services)},
+        before_send=[_add_request_id],
         request_max_body_size=services.sizes.body_bytes,
         openapi_config=None,
         logging_config=None,
@@ -63,11 +81,19 @@
     async def models(request: AnyRequest) -> ASGIApp:
         return await run_endpoint(services, request, answer_models)
 
+    @post(DEFERRED_PATH)
+    async def defer(request: AnyRequest) -> ASGIApp:
+        return await run_endpoint(services, request, answer_submission)
+
+    @get(DEFERRED_PATH + "/{job_id:str}")
+    async def deferred(request: AnyRequest) -> ASGIApp:
+        return await run_endpoint(services, request, answer_lookup)
+
     @route(["/services/{path:path}"], http_method=SERVICE_METHODS)
     async def service(request: AnyRequest) -> ASGIApp:
         return await run_endpoint(services, request, answer_service_call)
 
-    return [complete, models, service]
+    return [complete, models, defer, deferred, service]
 
 
 def _health_routes(services: RequestServices) -> list[HTTPRouteHandler]:
@@ -88,9 +114,18 @@
     return [healthz, readyz]
 
 
+async def _add_request_id(message: Message, _scope: Scope) -> None:
+    """Give answers that the HTTP library made itself a request id, too."""
+    if message["type"] != "http.response.start":
+        return
+    headers = list(message["headers"])
+    if not any(name == _REQUEST_ID_BYTES for name, _ in headers):
+        headers.append((_REQUEST_ID_BYTES, uuid.uuid4().hex.encode()))
+        message["headers"] = headers
+
+
 def _text(status: int, text: str) -> Response[str]:
-    headers = {REQUEST_ID_HEADER: uuid.uuid4().hex}
-    return Response(text, status_code=status, headers=headers)
+    return Response(text, status_code=status)
 
 
 def _make_exception_handler(services: RequestServices) -> Any:
--- a/packages/server/src/jaytray_server/request/responses.py
+++ b/packages/server/src/jaytray_server/request/responses.py
@@ -17,6 +17,8 @@
 from jaytray_server.request.refusals import encode_refusal, refusal_headers
 
 T = TypeVar("T")
+# Keeps calls whose caller left from being collected before they end.
+_left_running: "set[asyncio.Future[Any]]" = set()
 REQUEST_ID_HEADER = "x-request-id"
 DONE_EVENT = b"data: [DONE]\n\n"
 _STREAM_HEADERS = [("content-type", "text/event-stream"), ("cache-control", "no-cache")]
@@ -54,6 +56,19 @@
         await asyncio.gather(task, watch, return_exceptions=True)
 
 
+async def until_caller_leaves_running(
+    receive: Receive, work: Coroutine[Any, Any, T]
+) -> T:
+    """Return the result of `work`; raise `CallerLeft` on disconnect, without ending it.
+
+    For calls whose answer is recorded, so that a caller who comes back gets it.
+    """
+    task = asyncio.ensure_future(work)
+    _left_running.add(task)
+    task.add_done_callback(_forget_left_running)
+    return await until_caller_leaves(receive, _wait_shielded(task))
+
+
 async def send_whole(
     send: Send,
     *,
@@ -80,6 +95,20 @@
     )
 
 
+class StreamEnding:
+    """Lets another part of the process end a running stream with an error."""
+
+    def __init__(self) -> None:
+        self.error: JaytrayError | None = None
+        self.pump: asyncio.Future[None] | None = None
+
+    def end(self, error: JaytrayError) -> None:
+        """End the stream; its caller sees `error`."""
+        self.error = error
+        if self.pump is not None:
+            self.pump.cancel()
+
+
 async def send_stream(
     send: Send,
     *,
@@ -87,6 +116,7 @@
     pieces: AsyncGenerator[StreamPiece, None],
     buffer_bytes: int,
     slow_caller_s: float,
+    ending: StreamEnding,
 ) -> None:
     """Send `pieces` as server-sent events, ended by `[DONE]` or an error event.
 
@@ -95,20 +125,32 @@
     """
     buffer = _StreamBuffer(max_bytes=buffer_bytes)
     pump = asyncio.ensure_future(_pump(pieces, buffer))
+    ending.pump = pump
     try:
         first = await buffer.take()
         if not first:
-            await pump
+            await _wait_for_pump(pump, ending)
         await _send_start(
             send, request_id=request_id, status=200, headers=_STREAM_HEADERS
         )
         await _send_chunks(send, first, buffer, slow_caller_s)
-        await _send_end(send, pump)
+        await _send_end(send, pump, ending)
     finally:
         pump.cancel()
         await asyncio.gather(pump, return_exceptions=True)
 
 
+async def _wait_shielded(task: "asyncio.Future[T]") -> T:
+    return await asyncio.shield(task)
+
+
+def _forget_left_running(task: "asyncio.Future[Any]") -> None:
+    _left_running.discard(task)
+    if not task.cancelled():
+        # Marks the exception as seen; it was recorded as the call's outcome.
+        task.exception()
+
+
 async def _pump(
     pieces: AsyncGenerator[StreamPiece, None], buffer: "_StreamBuffer"
 ) -> None:
@@ -134,9 +176,18 @@
         chunk = await buffer.take()
 
 
-async def _send_end(send: Send, pump: Awaitable[None]) -> None:
+async def _wait_for_pump(pump: Awaitable[None], ending: StreamEnding) -> None:
     try:
         await pump
+    except asyncio.CancelledError:
+        if ending.error is None:
+            raise
+        raise ending.error from None
+
+
+async def _send_end(send: Send, pump: Awaitable[None], ending: StreamEnding) -> None:
+    try:
+        await _wait_for_pump(pump, ending)
         last = DONE_EVENT
     except JaytrayError as err:
         last = b"event: error\ndata: " + encode_refusal(err) + b"\n\n"
--- a/packages/server/src/jaytray_server/request/service_routes.py
+++ b/packages/server/src/jaytray_server/request/service_routes.py
@@ -1,31 +1,49 @@
 """Endpoint of plain services behind `/services/NAME/`."""
 
-from jaytray_core import message_registry as messages
-from jaytray_core.errors import JaytrayError, Step
-from jaytray_server.request.endpoint import Exchange, authenticate
-from jaytray_server.request.responses import send_whole, until_caller_leaves
-from jaytray_server.request.service_call import (
-    SERVICE_PREFIX,
+from collections.abc import Coroutine
+from typing import Any
+
+from jaytray_core.document.model import Route
+from jaytray_core.targets import WholeAnswer
+from jaytray_server.process.idempotency.idempotency import (
+    Claim,
+    check_key,
+    make_call,
+    run_once,
+)
+from jaytray_server.request.endpoint import Exchange, authenticated
+from jaytray_server.request.refusals import invalid_request
+from jaytray_server.request.responses import (
+    send_whole,
+    until_caller_leaves,
+    until_caller_leaves_running,
+)
+from jaytray_server.request.service_call import dispatch_service_call
+from jaytray_server.request.service_routing import (
     IncomingCall,
-    dispatch_service_call,
     find_route,
+    is_repeatable,
+    split_service_path,
 )
-from jaytray_server.request.services import Caller, RequestServices
+from jaytray_server.request.services import RequestServices
+from jaytray_server.request.tracker import DispatchTracker
+from jaytray_server.version.authentication import Caller
 
-_OPEN_CALLER = Caller(account=None, key_digest="")
+IDEMPOTENCY_HEADER = "idempotency-key"
 
 
 async def answer_service_call(services: RequestServices, exchange: Exchange) -> None:
     """Answer one call to a plain service."""
     call = incoming_call(exchange)
     route = find_route(services.current_document(), call)
-    caller = _OPEN_CALLER if route.is_open else authenticate(services, exchange)
-    if not route.is_open and caller.account is None:
-        raise JaytrayError(messages.KEY_MISSING, step=Step.AUTHENTICATE)
-    answer = await until_caller_leaves(
-        exchange.receive,
-        dispatch_service_call(services, route, call, caller, exchange.tracker),
-    )
+    caller = None if route.is_open else authenticated(services, exchange)
+    must_finish = is_recorded(route, call, caller)
+    work = run_service_call(services, route, call, caller, exchange.tracker)
+    if must_finish:
+        counted = _counted(services, work)
+        answer = await until_caller_leaves_running(exchange.receive, counted)
+    else:
+        answer = await until_caller_leaves(exchange.receive, work)
     await send_whole(
         exchange.send,
         request_id=exchange.request_id,
@@ -35,14 +53,71 @@
     )
 
 
+async def run_service_call(
+    services: RequestServices,
+    route: Route,
+    call: IncomingCall,
+    caller: Caller | None,
+    tracker: DispatchTracker,
+) -> WholeAnswer:
+    """Run a call, only once for its Idempotency-Key if it may not be repeated."""
+    key = idempotency_key(call)
+    if key is None or caller is None or not is_recorded(route, call, caller):
+        return await dispatch_service_call(services, route, call, caller, tracker)
+    check_key(key)
+    idempotency = services.idempotency
+    keyed_call = make_call(
+        account=caller.account.name,
+        key=key,
+        method=call.method,
+        path=f"{call.service}{call.raw_path}",
+        query=call.query,
+        body=call.body,
+        runs_s=route.timeout_s,
+    )
+
+    async def run(claim: Claim) -> WholeAnswer:
+        tracker.before_send = lambda: idempotency.check_valid(claim)
+        return await dispatch_service_call(services, route, call, caller, tracker)
+
+    return await run_once(idempotency, keyed_call, run, lambda: tracker.execution)
+
+
+def is_recorded(route: Route, call: IncomingCall, caller: Caller | None) -> bool:
+    """Return whether the call is kept to one run by its Idempotency-Key.
+
+    Raises `invalid_request` for a key on a route without client accounts, where it
+    would protect nothing.
+    """
+    if idempotency_key(call) is None or is_repeatable(route, call.method):
+        return False
+    if caller is None:
+        raise invalid_request("Idempotency-Key: this route has no client account")
+    return True
+
+
+def idempotency_key(call: IncomingCall) -> str | None:
+    """Return the Idempotency-Key of a call, or None without the header."""
+    return next((v for n, v in call.headers if n == IDEMPOTENCY_HEADER), None)
+
+
+async def _counted(
+    services: RequestServices, work: Coroutine[Any, Any, WholeAnswer]
+) -> WholeAnswer:
+    """Count the call as running also after its caller left."""
+    with services.lifecycle.running_answer():
+        return await work
+
+
 def incoming_call(exchange: Exchange) -> IncomingCall:
     """Return the service, its path and the rest of the call."""
-    name, _, rest = exchange.path.removeprefix(SERVICE_PREFIX).partition("/")
+    name, path, raw_path = split_service_path(exchange.raw_path)
     return IncomingCall(
         request_id=exchange.request_id,
         method=exchange.method,
         service=name,
-        path=f"/{rest}",
+        path=path,
+        raw_path=raw_path,
         query=exchange.query,
         headers=exchange.headers,
         body=exchange.body,
--- /dev/null
+++ b/packages/server/src/jaytray_server/version/part_collector.py
@@ -0,0 +1,157 @@
+"""Collects the parts that a new head needs, from the service and from other VMs.
+
+VMs known to run the version are asked first. Only parts that were asked for are kept,
+and only under the digest of their bytes.
+"""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+from jaytray_core.document.part_store import for_each, part_key, strip_time
+from jaytray_core.document.parts import Head, digest_of
+from jaytray_core.errors import JaytrayError
+from jaytray_core.logs import get_logger
+from jaytray_server.version.held import HeldVersion
+
+SERVICE = "kv"
+# How long an asked VM may be silent before the next one is asked.
+PEER_PARTS_TIMEOUT_S = 0.25
+# Pauses before parts that nobody could give are asked for again, doubled each time.
+FIRST_PAUSE_S = 0.25
+MAX_PAUSE_S = 2.0
+
+# (VM id, digests) -> False when the VM is surely not reachable.
+AskParts = Callable[[str, set[str]], bool]
+# (key) -> value; raises `JaytrayError`.
+ReadPart = Callable[[str], Awaitable[bytes]]
+
+
+class PartCollector:
+    """The parts of the head that is being fetched."""
+
+    def __init__(
+        self,
+        *,
+        held: HeldVersion,
+        ask_parts: AskParts,
+        read_part: ReadPart,
+        neighbours: Callable[[], list[str]],
+        rng: random.Random,
+    ) -> None:
+        self._held = held
+        self._ask_parts = ask_parts
+        self._read_part = read_part
+        self._neighbours = neighbours
+        self._rng = rng
+        self._missing: set[str] = set()
+        self._body_digest = ""
+        self._holders: list[str] = []
+        self._changed = asyncio.Event()
+        self.parts_by_digest: dict[str, bytes] = {}
+
+    def begin(self, head: Head, source: str) -> None:
+        """Start to collect for `head`; parts that were found before stay useful."""
+        self._body_digest = head.body_digest
+        self._update_missing()
+        self._holders = [] if source == SERVICE else [source]
+        self._changed.set()
+
+    def add_holder(self, vm_id: str) -> None:
+        """Note that a VM runs the version that is being fetched."""
+        if vm_id not in self._holders:
+            self._holders.append(vm_id)
+            self._changed.set()
+
+    def forget(self) -> None:
+        """Drop the parts that were found, once they are in force."""
+        self.parts_by_digest = {}
+
+    def accept(self, data: bytes) -> None:
+        """Keep a part if it is missing; anything else is ignored."""
+        digest = digest_of(data)
+        if digest not in self._missing:
+            return
+        self._missing.discard(digest)
+        self.parts_by_digest[digest] = data
+        if digest == self._body_digest:
+            self._update_missing()
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Return when nothing is missing any more."""
+        pause_s = FIRST_PAUSE_S
+        while self._missing:
+            if not self._holders:
+                await self._read_service()
+            await self._ask_vms()
+            if self._holders:
+                await self._read_service()
+            if self._missing:
+                await self._wait(pause_s)
+                pause_s = min(2 * pause_s, MAX_PAUSE_S)
+
+    @property
+    def _has_manifest(self) -> bool:
+        return self._body_digest not in self._missing
+
+    def _update_missing(self) -> None:
+        """Find what is missing; a malformed manifest is left to be refused."""
+        found = self.parts_by_digest
+        try:
+            self._missing = self._held.missing_parts(self._body_digest, found)
+        except JaytrayError:
+            self._missing = set()
+
+    async def _read_service(self) -> None:
+        """Read what is missing; the manifest, read first, tells what else is."""
+        while self._missing:
+            before = self._missing.copy()
+            try:
+                await for_each(sorted(before), self._read_one)
+            except JaytrayError as err:
+                get_logger().warning(
+                    "document_part_failed", peer=SERVICE, code=err.code
+                )
+                return
+            if self._missing == before:
+                return
+
+    async def _read_one(self, digest: str) -> None:
+        self.accept(strip_time(await self._read_part(part_key(digest))))
+
+    async def _ask_vms(self) -> None:
+        asked: set[str] = set()
+        while self._missing:
+            vm_id = self._next_vm(asked)
+            if vm_id is None:
+                return
+            asked.add(vm_id)
+            had_manifest = self._has_manifest
+            if self._ask_parts(vm_id, self._missing):
+                await self._wait_while_answering()
+            if self._has_manifest != had_manifest:
+                asked.clear()
+
+    def _next_vm(self, asked: set[str]) -> str | None:
+        holders = [vm for vm in self._holders if vm not in asked]
+        if holders:
+            return holders[0]
+        others = [vm for vm in self._neighbours() if vm not in asked]
+        return self._rng.choice(others) if others else None
+
+    async def _wait_while_answering(self) -> None:
+        """Wait until nothing more comes, or there is something new to ask for."""
+        before = (len(self._holders), self._has_manifest)
+        while self._missing and (len(self._holders), self._has_manifest) == before:
+            if not await self._wait(PEER_PARTS_TIMEOUT_S):
+                return
+
+    async def _wait(self, longest_s: float) -> bool:
+        """Wait for a part or a holder; returns False when none came."""
+        self._changed.clear()
+        try:
+            async with asyncio.timeout(longest_s):
+                return await self._changed.wait()
+        except TimeoutError:
+            return False
--- a/packages/server/tests/request/support.py
+++ b/packages/server/tests/request/support.py
@@ -1,7 +1,7 @@
 """Small fakes for tests of request handling."""
 
-from collections.abc import AsyncIterator, Callable, Mapping
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager, nullcontext
 from typing import Any, NamedTuple
 
 import httpx
@@ -11,6 +11,7 @@
     Adapter,
     ClientAccount,
     Document,
+    Key,
     Model,
     Route,
     Service,
@@ -19,7 +20,7 @@
     empty_document,
 )
 from jaytray_core.errors import JaytrayError, Step
-from jaytray_core.targets import TargetConnection
+from jaytray_core.targets import Order, OrderKind, TargetConnection
 from jaytray_server.ports import (
     Limiter,
     Reservation,
@@ -28,17 +29,28 @@
     RoutingRequest,
     SlotRequest,
 )
+from jaytray_server.process.deferred.store import DeferredStore
+from jaytray_server.process.idempotency.commits import Commits
+from jaytray_server.process.idempotency.idempotency import Idempotency
 from jaytray_server.process.metrics import make_null_metrics
+from jaytray_server.process.quarantine.quarantine import Quarantine
 from jaytray_server.request.http_api import make_app
 from jaytray_server.request.retry import RetryBudget
+from jaytray_server.request.service_routing import AddressHealth
 from jaytray_server.request.services import (
-    Caller,
     Lifecycle,
     Phase,
     RequestServices,
     SizeLimits,
     Timeouts,
 )
+from jaytray_server.version.authentication import digest_key
+from jaytray_standins.faults import FaultSwitches
+from jaytray_standins.in_process import in_process_key_value, in_process_target
+from jaytray_standins.key_value.store import KeyValueStore
+from jaytray_standins.target.state import TargetState
+from packages.server.tests.request.peers import FakeNetwork
+from packages.server.tests.request.virtual_loop import loop_clock, loop_wall_clock
 
 KEY = "k-lakeshore"
 ACCOUNT = ClientAccount("lakeshore", 1000.0, 5000, 1.0)
@@ -55,6 +67,7 @@
     return empty_document("trial")._replace(
         version=1,
         accounts_by_name={ACCOUNT.name: ACCOUNT},
+        keys_by_digest={digest_key(KEY): Key("k1", ACCOUNT.name, digest_key(KEY))},
         models_by_name={MODEL.name: MODEL},
         adapters_by_name={"mare": Adapter("mare", MODEL.name, "1", 10)},
         targets_by_name=targets,
@@ -71,6 +84,66 @@
     return route._replace(**fields)
 
 
+def chat_body(text: str, **fields: object) -> dict[str, object]:
+    """Return the body of a chat completion."""
+    return {
+        "model": MODEL.name,
+        "messages": [{"role": "user", "content": text}],
+        **fields,
+    }
+
+
+class Targets(NamedTuple):
+    """Stand-in targets with their fault switches."""
+
+    states: dict[str, TargetState]
+    faults: dict[str, FaultSwitches]
+
+    def connection_to(self, name: str) -> TargetConnection:
+        """Return a connection to one of the targets."""
+        return in_process_target(self.states[name], self.faults[name], timeout_s=0.3)
+
+    def boot_id_of(self, name: str) -> str:
+        """Return the boot id that the target would report."""
+        return self.states[name].boot_id
+
+
+def make_targets(*, restart_s: float = 0.0, token_interval_s: float = 0.001) -> Targets:
+    """Return three targets on which the model and its adapter are ready.
+
+    A target that restarts is ready again at once.
+    """
+    states: dict[str, TargetState] = {}
+    for name in TARGETS:
+        states[name] = RestartingTarget(
+            name=name,
+            accelerators=1,
+            accelerator_memory_mib=1000,
+            checks_fencing=True,
+            clock=loop_clock,
+            first_token_s=0.01,
+            token_interval_s=token_interval_s,
+            restart_s=restart_s,
+        )
+        place_model(states[name])
+    return Targets(states, {name: FaultSwitches() for name in TARGETS})
+
+
+class RestartingTarget(TargetState):
+    """A target that has its model again as soon as it is back."""
+
+    def crash(self) -> None:
+        """Restart with the model in memory."""
+        super().crash()
+        place_model(self)
+
+
+def place_model(state: TargetState) -> None:
+    """Make the model ready on a target."""
+    order = Order("o", OrderKind.LOAD_MODEL, MODEL.name, MODEL.name, "1", 0, 100, 1)
+    state.place(order)
+
+
 DEFAULT_ROUTES = (
     make_route("all", "/"),
     make_route("open", "/menu", is_open=True, methods=("GET",)),
@@ -95,6 +168,27 @@
     ledger: Ledger
     client: Callable[[], httpx.AsyncClient]
 
+    def scope(
+        self, method: str, path: str, *, headers: dict[str, str] | None = None
+    ) -> dict[str, Any]:
+        """Return the ASGI scope of a request with the caller's key."""
+        pairs = {"authorization": f"Bearer {KEY}", **(headers or {})}
+        return {
+            "type": "http",
+            "asgi": {"version": "3.0", "spec_version": "2.3"},
+            "http_version": "1.1",
+            "method": method,
+            "scheme": "http",
+            "path": path,
+            "raw_path": path.encode(),
+            "root_path": "",
+            "query_string": b"",
+            "headers": [(k.encode(), v.encode()) for k, v in pairs.items()],
+            "client": ("127.0.0.1", 1),
+            "server": ("127.0.0.1", 2),
+            "state": {},
+        }
+
 
 def make_site(
     *,
@@ -102,6 +196,7 @@
     connection_to_address: Callable[[str], TargetConnection | None] | None = None,
     document: Document | None = None,
     timeouts: Timeouts | None = None,
+    first_target: int = 0,
     **changes: Any,
 ) -> Site:
     """Return request handling on fakes before the given connections."""
@@ -111,20 +206,23 @@
     lifecycle.phase = Phase.READY
     services = RequestServices(
         current_document=lambda: in_force,
-        authenticate=_authenticate,
-        strip_credentials=_strip_credentials,
-        register_stream=lambda _digest, _end: lambda: None,
+        register_stream=lambda _digest, _end: nullcontext(),
         limiter=_make_limiter(ledger),
         acquire_slot=_make_acquire_slot(ledger),
-        router=_make_router(ledger),
+        router=_make_router(ledger, first_target),
         connection_to=connection_to,
         connection_to_address=connection_to_address or connection_to,
         prefix_digests=lambda _model, _prompt: (),
         load_adapter=_load_adapter,
         metrics=make_null_metrics(),
-        clock=lambda: 0.0,
+        clock=loop_clock,
+        wall_clock=loop_wall_clock,
         lifecycle=lifecycle,
         retry_budget=RetryBudget(),
+        service_health=AddressHealth(clock=loop_clock),
+        idempotency=make_idempotency(),
+        quarantine=make_quarantine(),
+        deferred=make_deferred(),
         timeouts=timeouts or Timeouts(),
         sizes=SizeLimits(),
     )._replace(**changes)
@@ -140,21 +238,61 @@
     return Site(services, ledger, client)
 
 
-def _authenticate(
-    _document: Document, headers: Mapping[str, str], _query: str
-) -> Caller:
-    given = headers.get("authorization")
-    if given is None:
-        raise JaytrayError(messages.KEY_MISSING, step=Step.AUTHENTICATE)
-    if given != f"Bearer {KEY}":
-        raise JaytrayError(messages.KEY_UNKNOWN, step=Step.AUTHENTICATE)
-    return Caller(ACCOUNT, "sha256:0")
-
-
-def _strip_credentials(
-    headers: list[tuple[str, str]], query: str
-) -> tuple[list[tuple[str, str]], str]:
-    return [pair for pair in headers if pair[0] != "authorization"], query
+def make_idempotency(
+    store: KeyValueStore | None = None,
+    faults: FaultSwitches | None = None,
+    network: FakeNetwork | None = None,
+    vm_id: str = "vm1",
+) -> Idempotency:
+    """Return the idempotency of one VM on an in-process key-value service."""
+    key_value = in_process_key_value(
+        store or KeyValueStore(clock=loop_clock),
+        faults or FaultSwitches(),
+        timeout_s=0.05,
+    )
+    commits = Commits(
+        key_value=key_value,
+        peers=(network or FakeNetwork(vm_ids=(vm_id,))).of(vm_id),
+        clock=loop_clock,
+        wall_clock=loop_wall_clock,
+        owner_timeout_s=0.1,
+    )
+    commits.listen()
+    return Idempotency(commits=commits, clock=loop_clock, wall_clock=loop_wall_clock)
+
+
+def make_quarantine(
+    store: KeyValueStore | None = None,
+    faults: FaultSwitches | None = None,
+    network: FakeNetwork | None = None,
+    vm_id: str = "vm1",
+    boot_id_of: Callable[[str], str] = lambda _target: "",
+) -> Quarantine:
+    """Return the quarantine of one VM on an in-process key-value service."""
+    quarantine = Quarantine(
+        peers=(network or FakeNetwork(vm_ids=(vm_id,))).of(vm_id),
+        key_value=in_process_key_value(
+            store or KeyValueStore(clock=loop_clock),
+            faults or FaultSwitches(),
+            timeout_s=0.05,
+        ),
+        wall_clock=loop_wall_clock,
+        boot_id_of=boot_id_of,
+    )
+    quarantine.listen()
+    return quarantine
+
+
+def make_deferred(
+    store: KeyValueStore | None = None, faults: FaultSwitches | None = None
+) -> DeferredStore:
+    """Return the deferred jobs on an in-process key-value service."""
+    key_value = in_process_key_value(
+        store or KeyValueStore(clock=loop_clock),
+        faults or FaultSwitches(),
+        timeout_s=0.05,
+    )
+    return DeferredStore(key_value=key_value, wall_clock=loop_wall_clock)
 
 
 async def _load_adapter(_target: str, _adapter: str) -> None:
@@ -188,9 +326,12 @@
     return acquire_slot
 
 
-def _make_router(ledger: Ledger) -> Router:
+def _make_router(ledger: Ledger, first_target: int) -> Router:
+    """Choose the targets in turn, from another one on each VM."""
+    order = (*TARGETS[first_target:], *TARGETS[:first_target])
+
     def choose(request: RoutingRequest) -> RoutingDecision:
-        free = [name for name in TARGETS if name not in request.excluded_targets]
+        free = [name for name in order if name not in request.excluded_targets]
         if not free:
             raise JaytrayError(messages.NO_REPLICA, step=Step.ROUTE, name=request.name)
         return RoutingDecision(free[0], "first", 0.0, len(free), False)
