--- a/packages/server/src/jaytray_server/process/deferred/records.py
+++ b/packages/server/src/jaytray_server/process/deferred/records.py
@@ -4,7 +4,7 @@
 import uuid
 from typing import NamedTuple
 
-SHARDS = 32
+SHARDS = 16
 JOB_PREFIX = "deferred/jobs/"
 RESULT_PREFIX = "deferred/results/"
 LOCK_PREFIX = "deferred/locks/"
--- a/packages/server/src/jaytray_server/process/deferred/runner.py
+++ b/packages/server/src/jaytray_server/process/deferred/runner.py
@@ -25,11 +25,14 @@
 from jaytray_server.process.deferred.store import DeferredStore
 from jaytray_server.request.refusals import encode_refusal, internal_error
 
-POLL_INTERVAL_S = 2.0
+# The lease is renewed at this interval, and shards with jobs are read again.
+POLL_INTERVAL_S = 4.0
+# Idle shards are read once in so many polls.
+IDLE_POLLS = 4
 RUNNING_JOBS = 8
 FIRST_RETRY_S = 2.0
 LONGEST_RETRY_S = 60.0
-EXPIRY_EVERY_POLLS = 300
+EXPIRY_EVERY_POLLS = 400
 
 # Runs one job; raises `JaytrayError`.
 RunJob = Callable[[Job], Awaitable[WholeAnswer]]
@@ -68,6 +71,7 @@
         self._poll_interval_s = poll_interval_s
         self._tasks_by_job_id: dict[str, asyncio.Task[None]] = {}
         self._retries_by_job_id: dict[str, Retry] = {}
+        self._polls_left_by_shard: dict[int, int] = {}
 
     async def run(self) -> None:
         """Take shards and run their jobs until cancelled."""
@@ -96,12 +100,20 @@
         try:
             await self._leases.renew()
             for shard in self._leases.held_shards():
-                await self._start_jobs(await self._store.list_jobs(shard))
+                if self._is_shard_due(shard):
+                    jobs = await self._store.list_jobs(shard)
+                    self._polls_left_by_shard[shard] = 0 if jobs else IDLE_POLLS - 1
+                    await self._start_jobs(jobs)
                 if expire:
                     await self._store.delete_expired_results(shard)
         except JaytrayError as err:
             _log.info("deferred_poll_failed", error=str(err))
 
+    def _is_shard_due(self, shard: int) -> bool:
+        polls_left = self._polls_left_by_shard.get(shard, 0)
+        self._polls_left_by_shard[shard] = polls_left - 1
+        return polls_left <= 0
+
     async def _start_jobs(self, jobs: list[Job]) -> None:
         for job in jobs:
             if len(self._tasks_by_job_id) >= RUNNING_JOBS:
--- a/packages/server/src/jaytray_server/request/responses.py
+++ b/packages/server/src/jaytray_server/request/responses.py
@@ -15,6 +15,7 @@
 from jaytray_core.errors import JaytrayError
 from jaytray_core.targets import StreamPiece
 from jaytray_server.request.refusals import encode_refusal, refusal_headers
+from jaytray_server.request.stall_guard import StallGuard
 
 T = TypeVar("T")
 # Keeps calls whose caller left from being collected before they end.
@@ -165,15 +166,16 @@
 async def _send_chunks(
     send: Send, chunk: bytes, buffer: "_StreamBuffer", slow_caller_s: float
 ) -> None:
-    while chunk:
-        try:
-            async with asyncio.timeout(slow_caller_s):
-                await send(
-                    {"type": "http.response.body", "body": chunk, "more_body": True}
-                )
-        except TimeoutError as err:
-            raise CallerLeft from err
-        chunk = await buffer.take()
+    guard = StallGuard(limit_s=slow_caller_s)
+    try:
+        while chunk:
+            part: Any = {"type": "http.response.body", "body": chunk, "more_body": True}
+            await guard.wait(send(part))
+            chunk = await buffer.take()
+    except TimeoutError as err:
+        raise CallerLeft from err
+    finally:
+        guard.close()
 
 
 async def _wait_for_pump(pump: Awaitable[None], ending: StreamEnding) -> None:
--- /dev/null
+++ b/packages/server/src/jaytray_server/request/stall_guard.py
@@ -0,0 +1,55 @@
+"""A time limit for each of many waits of one stream, with one timer.
+
+`asyncio.timeout` makes a timer for each wait, which shows in the cost of a streamed
+piece. Here a wait only notes when it began, and one timer looks at the note.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from typing import TypeVar
+
+T = TypeVar("T")
+
+
+class StallGuard:
+    """Limits waits to `limit_s` seconds each; `close` ends its timer.
+
+    A wait that takes too long raises `TimeoutError`, up to a quarter late.
+    """
+
+    def __init__(self, *, limit_s: float) -> None:
+        self._limit_s = limit_s
+        self._loop = asyncio.get_running_loop()
+        self._task: asyncio.Task[object] | None = None
+        self._began_at_s = 0.0
+        self._is_fired = False
+        self._timer = self._loop.call_later(limit_s / 4, self._look)
+
+    async def wait(self, awaitable: Awaitable[T], limit_s: float = 0.0) -> T:
+        """Return the result of `awaitable`; raises `TimeoutError`."""
+        self._task = asyncio.current_task()
+        self._began_at_s = self._loop.time()
+        if limit_s:
+            self._limit_s = limit_s
+        try:
+            return await awaitable
+        except asyncio.CancelledError:
+            if self._is_fired and self._task is not None:
+                self._is_fired = False
+                if self._task.uncancel() == 0:
+                    raise TimeoutError from None
+            raise
+        finally:
+            self._task = None
+
+    def close(self) -> None:
+        """End the timer."""
+        self._timer.cancel()
+
+    def _look(self) -> None:
+        task = self._task
+        if task is not None and not self._is_fired:
+            if self._loop.time() - self._began_at_s >= self._limit_s:
+                self._is_fired = True
+                task.cancel()
+        self._timer = self._loop.call_later(self._limit_s / 4, self._look)
--- a/packages/server/src/jaytray_server/request/stream.py
+++ b/packages/server/src/jaytray_server/request/stream.py
@@ -5,7 +5,6 @@
 its end mark at the announced length.
 """
 
-import asyncio
 from collections.abc import AsyncGenerator, AsyncIterator
 from contextlib import aclosing, asynccontextmanager
 
@@ -20,10 +19,14 @@
     target_timeout,
 )
 from jaytray_server.request.services import RequestServices
+from jaytray_server.request.stall_guard import StallGuard
 from jaytray_server.request.target_run import Dispatch, dispatched
 from jaytray_server.request.tracker import DispatchTracker
 from jaytray_server.request.work import Charge, Work, infer_request, reserved_tokens
 
+# Routing is told of a stream's progress once in so many tokens.
+PROGRESS_TOKENS = 16
+
 
 class Delivered:
     """What of a stream was passed on so far."""
@@ -77,6 +80,7 @@
 ) -> AsyncGenerator[StreamPiece, None]:
     async with dispatched(services, work, tracker) as dispatch:
         connection, dispatch_id = dispatch
+        target = connection.target
         request = infer_request(services, work, dispatch_id)._replace(
             resume_after_tokens=delivered.tokens,
             resume_text="".join(delivered.texts),
@@ -85,8 +89,9 @@
             checked = _checked(services, connection, request, delivered)
             async with aclosing(checked) as pieces:
                 async for piece in pieces:
-                    expected = max(0, work.call.output_tokens - piece.end_index)
-                    services.router.progressed(connection.target, dispatch_id, expected)
+                    if piece.end_index % PROGRESS_TOKENS == 0:
+                        left = max(0, work.call.output_tokens - piece.end_index)
+                        services.router.progressed(target, dispatch_id, left)
                     yield piece
 
 
@@ -98,19 +103,21 @@
 ) -> AsyncGenerator[StreamPiece, None]:
     target = connection.target
     limit_s = services.timeouts.first_token_s
-    async with connection.stream(request) as pieces:
-        while not delivered.is_complete:
-            try:
-                async with asyncio.timeout(limit_s):
-                    piece = await anext(pieces)
-            except TimeoutError as err:
-                raise target_timeout(target, limit_s) from err
-            except StopAsyncIteration as err:
-                raise _incomplete(target, "no end mark") from err
-            _check_piece(piece, request.request_id, delivered, target)
-            delivered.add(piece)
-            limit_s = services.timeouts.idle_token_s
-            yield piece
+    guard = StallGuard(limit_s=limit_s)
+    try:
+        async with connection.stream(request) as pieces:
+            while not delivered.is_complete:
+                piece = await guard.wait(anext(pieces), limit_s)
+                _check_piece(piece, request.request_id, delivered, target)
+                delivered.add(piece)
+                limit_s = services.timeouts.idle_token_s
+                yield piece
+    except TimeoutError as err:
+        raise target_timeout(target, limit_s) from err
+    except StopAsyncIteration as err:
+        raise _incomplete(target, "no end mark") from err
+    finally:
+        guard.close()
 
 
 def _check_piece(
