--- a/packages/server/src/jaytray_server/process/placement/planner.py
+++ b/packages/server/src/jaytray_server/process/placement/planner.py
@@ -32,6 +32,9 @@
     TargetState,
 )
 
+# Part of a replica counted on an accelerator that other models use up.
+SHARED_FLOOR = 0.2
+
 
 def plan(
     *,
@@ -57,8 +60,15 @@
     ]
     _spread_demand(board, homed, total_by_name)
     changes: list[PlannedChange] = []
+    awaiting: Urgency | None = None
     for need in sorted(_needs(board, homed, total_by_name, settings)):
-        changes += _meet(board, document, need, total_by_name, settings)
+        if awaiting is not None and need.urgency > awaiting:
+            # The memory that is about to be free must not go to lesser needs.
+            break
+        step = _meet(board, document, need, total_by_name, settings)
+        changes += step.changes
+        if step.awaits_room and awaiting is None:
+            awaiting = need.urgency
     changes += _remove_unwanted(board, document, frozenset(m.name for m in homed))
     changes += plan_adapters(
         board,
@@ -67,6 +77,7 @@
         total_by_name,
         settings,
         wanted_targets_by_adapter or {},
+        may_preload=awaiting is None,
     )
     return sorted(changes, key=lambda change: change.urgency)
 
@@ -106,6 +117,13 @@
     missing: int
 
 
+class _Step(NamedTuple):
+    """What is done for one need; `awaits_room` while memory is being freed."""
+
+    changes: list[PlannedChange]
+    awaits_room: bool
+
+
 def _needs(
     board: PlanBoard,
     models: list[Model],
@@ -129,20 +147,19 @@
             urgency = Urgency.VERSION if is_version else Urgency.BELOW_MINIMUM
             needs.append(_Need(urgency, -demand.tokens_per_s, model.name, missing))
             continue
-        shortfall = _shortfall(board, model, demand, settings)
+        shortfall = _shortfall(board, model, demand, settings.target_utilisation)
         room = max(model.max_replicas, minimum) - len(current)
         if shortfall > settings.move_cost and room > 0:
             missing = min(room, max(1, round(shortfall)))
             needs.append(_Need(Urgency.DEMAND, -shortfall, model.name, missing))
         elif room > 0 and len({r.accelerator.domain for r in current}) == 1:
-            needs.append(
-                _Need(Urgency.SPREAD, -demand.peak_tokens_per_s, model.name, 1)
-            )
+            size = demand.peak_tokens_per_s
+            needs.append(_Need(Urgency.SPREAD, -size, model.name, 1))
     return needs
 
 
 def _shortfall(
-    board: PlanBoard, model: Model, demand: Demand, settings: PlanSettings
+    board: PlanBoard, model: Model, demand: Demand, utilisation: float
 ) -> float:
     """Return how many replicas the present ones fall short of the demand.
 
@@ -158,10 +175,10 @@
         others = accelerator.tokens_per_s - demand.tokens_per_s / len(
             board.replicas(model.name)
         )
-        capacity += max(whole * settings.shared_floor, whole - max(0.0, others))
+        capacity += max(whole * SHARED_FLOOR, whole - max(0.0, others))
     if whole == 0:
         return 1.0
-    return (demand.tokens_per_s / settings.target_utilisation - capacity) / whole
+    return (demand.tokens_per_s / utilisation - capacity) / whole
 
 
 def _spread_demand(
@@ -181,27 +198,25 @@
     need: _Need,
     demand_by_name: Mapping[str, Demand],
     settings: PlanSettings,
-) -> list[PlannedChange]:
+) -> _Step:
     """Plan loads for a need, or the unloads that make room for them."""
     urgency, _, name, missing = need
     model = document.models_by_name[name]
     changes: list[PlannedChange] = []
     for _ in range(missing):
         accelerator = find_accelerator(board, model, urgency)
-        if accelerator is not None:
-            board.add_planned(
-                accelerator,
-                name=name,
-                model=name,
-                version=model.version,
-                mib=model.memory_mib,
-            )
-            changes.append(load_change(accelerator, model, urgency))
-            continue
-        if urgency is Urgency.SPREAD:
-            break
-        changes += make_room(board, document, model, urgency, demand_by_name, settings)
-    return changes
+        if accelerator is None:
+            room = make_room(board, document, model, urgency, demand_by_name, settings)
+            return _Step(changes + (room or []), room is not None)
+        board.add_planned(
+            accelerator,
+            name=name,
+            model=name,
+            version=model.version,
+            mib=model.memory_mib,
+        )
+        changes.append(load_change(accelerator, model, urgency))
+    return _Step(changes, False)
 
 
 def _remove_unwanted(
--- a/packages/server/src/jaytray_server/process/placement/room.py
+++ b/packages/server/src/jaytray_server/process/placement/room.py
@@ -57,10 +57,10 @@
     urgency: Urgency,
     demand_by_name: Mapping[str, Demand],
     settings: PlanSettings,
-) -> list[PlannedChange]:
-    """Return the unloads that make room for a replica, or none.
+) -> list[PlannedChange] | None:
+    """Return the unloads that make room for a replica, None if there is no way.
 
-    Nothing is returned when room is being made already. When only last replicas
+    The list is empty when room is being made already. When only last replicas
     stand in the way of an unreachable model, one of them is first loaded elsewhere.
     """
     accelerators = _open_accelerators(board, model)
@@ -84,6 +84,7 @@
         rooms,
         key=lambda r: (
             sum(v.name == v.model for v in r.victims),
+            sum(not _stays_spread(board, v) for v in r.victims),
             r.accelerator.domain in domains,
             r.accelerator.tokens_per_s,
         ),
@@ -144,7 +145,13 @@
         for replica in accelerator.replicas_by_name.values()
         if _may_leave(board, document, replica, urgency, demand_by_name, settings)
     ]
-    removable.sort(key=lambda r: (r.name == r.model, _peak(r, demand_by_name)))
+    removable.sort(
+        key=lambda r: (
+            r.name == r.model,
+            not _stays_spread(board, r),
+            _peak(r, demand_by_name),
+        )
+    )
     victims: list[Replica] = []
     for replica in removable:
         if missing_mib <= 0:
@@ -181,8 +188,10 @@
         return serving >= 1
     if serving < max(1, model.min_replicas):
         return False
-    if urgency is not Urgency.DEMAND:
+    if urgency < Urgency.DEMAND:
         return True
+    if not _stays_spread(board, replica):
+        return False
     per_replica = max(1.0, replica.accelerator.slots) / model.inter_token_deadline_s
     return (
         _peak(replica, demand_by_name)
@@ -190,16 +199,26 @@
     )
 
 
+def _stays_spread(board: PlanBoard, replica: Replica) -> bool:
+    """Return whether the others serve from more than one failure domain."""
+    domains = {
+        other.accelerator.domain
+        for other in board.serving(replica.name)
+        if other is not replica
+    }
+    return len(domains) > 1
+
+
 def _relocate(
     board: PlanBoard,
     document: Document,
     model: Model,
     urgency: Urgency,
     accelerators: list[Accelerator],
-) -> list[PlannedChange]:
+) -> list[PlannedChange] | None:
     """Load one blocking last replica elsewhere, so that it can leave later."""
     if urgency > Urgency.BELOW_MINIMUM:
-        return []
+        return None
     for accelerator in accelerators:
         missing_mib = model.memory_mib - accelerator.expected_free_mib
         for replica in accelerator.replicas_by_name.values():
@@ -225,7 +244,7 @@
             )
             reason = f"relocate_for_{model.name}"
             return [load_change(refuge, other, urgency, reason)]
-    return []
+    return None
 
 
 def _peak(replica: Replica, demand_by_name: Mapping[str, Demand]) -> float:
