--- a/tests/system/test_site.py
+++ b/tests/system/test_site.py
@@ -18,6 +18,7 @@
     OPERATOR_TOKEN,
     Site,
     Vm,
+    admin_action,
     make_key,
     run_jaytray,
     running_site,
@@ -99,6 +100,14 @@
         yield running
 
 
+async def ran_requests(address: str) -> list[Any]:
+    """Return what the stand-in at `address` ran."""
+    async with httpx.AsyncClient() as client:
+        records = (await client.get(f"http://{address}/admin/records")).json()
+    ran: list[Any] = records["ran_requests"]
+    return ran
+
+
 async def until(condition: Callable[[], Awaitable[bool]]) -> None:
     async with asyncio.timeout(WAIT_S):
         while not await condition():
@@ -203,5 +212,31 @@
 
         asyncio.run(scenario())
 
+    def test_leaving_target_gets_no_new_work(self) -> None:
+        async def scenario() -> None:
+            async with serving_site("vm-1", "vm-2") as running:
+                targets = running.site.stand_ins.targets_by_name
+                await admin_action(targets["target-1"], "leave", "")
+                vms = list(running.site.vms_by_id.values())
+                for vm in vms:
+                    await until(functools.partial(self._avoids, running, vm))
+                before = len(await ran_requests(targets["target-1"]))
+                for number in range(8):
+                    answer = await running.chat(vms[number % 2])
+                    self.assertEqual(200, answer.status_code)
+                self.assertEqual(before, len(await ran_requests(targets["target-1"])))
+
+        asyncio.run(scenario())
+
+    async def _avoids(self, running: Running, vm: Vm) -> bool:
+        """Return whether a request through the VM leaves the first target out."""
+        address = running.site.stand_ins.targets_by_name["target-1"]
+        before = len(await ran_requests(address))
+        answer = await running.chat(vm)
+        is_answered = answer.status_code == 200
+        routed = vm.log_lines(answer.headers["x-request-id"])
+        only_other = any("candidates=1" in line for line in routed)
+        return is_answered and only_other and before == len(await ran_requests(address))
+
     async def _has_version(self, running: Running, vm: Vm) -> bool:
         return bool((await running.status(vm))["document_version"] > 0)
