Ask only as many peers as are likely to have enough

Change: the number of peers follows from an even share of the burst; loans only for a lasting demand; a success after a failure shortens the pause instead of ending it.

--- a/packages/server/src/jaytray_server/process/limits/account_state.py
+++ b/packages/server/src/jaytray_server/process/limits/account_state.py
@@ -70,6 +70,7 @@
         self._hand_back = hand_back
         self._lendings: list[Lending] = []
         self._demand = 0.0
+        self._requests = 0.0
         self._demand_at = now
         self._apply_limits(now)
 
@@ -119,13 +120,17 @@
 
     def observe_demand(self, tokens: int, now: float) -> None:
         """Count tokens that were asked for into the mean demand."""
+        self._requests = self.recent_requests(now) + 1
         self._demand = self.demand(now) + tokens / DEMAND_WINDOW_S
         self._demand_at = now
 
     def demand(self, now: float) -> float:
         """Return the mean demand in tokens per second."""
-        elapsed = max(0.0, now - self._demand_at)
-        return self._demand * math.exp(-elapsed / DEMAND_WINDOW_S)
+        return self._demand * self._decay(now)
+
+    def recent_requests(self, now: float) -> float:
+        """Return the number of requests within about `DEMAND_WINDOW_S`."""
+        return self._requests * self._decay(now)
 
     def parts_missing(self, now: float) -> int:
         """Return the parts that the demand needs above those at hand; may be < 0."""
@@ -153,6 +158,10 @@
             and self.bucket.level >= self.bucket.capacity
         )
 
+    def _decay(self, now: float) -> float:
+        elapsed = max(0.0, now - self._demand_at)
+        return math.exp(-elapsed / DEMAND_WINDOW_S)
+
     def _end_lending(self, lending: Lending) -> None:
         ended_at = lending.until_s
         self.bucket.advance(ended_at)
--- a/packages/server/src/jaytray_server/process/limits/exchange_memory.py
+++ b/packages/server/src/jaytray_server/process/limits/exchange_memory.py
@@ -88,11 +88,11 @@
         self._remember(account, memory._replace(pause_s=pause, paused_until=until))
 
     def remember_success(self, account: str) -> None:
-        """Note that asking brought what was needed."""
-        if self.of(account).pause_s > 0:
-            memory = self.of(account)
-            unpaused = memory._replace(pause_s=0.0, paused_until=float("-inf"))
-            self._remember(account, unpaused)
+        """Note that asking brought what was needed; the next pause is shorter."""
+        memory = self.of(account)
+        if memory.pause_s > 0:
+            pause = memory.pause_s / 2 if memory.pause_s > SMALLEST_PAUSE_S else 0.0
+            self._remember(account, memory._replace(pause_s=pause))
 
     def _remember(self, account: str, memory: ExchangeMemory) -> None:
         self._memory_by_account.pop(account, None)
--- a/packages/server/src/jaytray_server/process/limits/gifts.py
+++ b/packages/server/src/jaytray_server/process/limits/gifts.py
@@ -36,12 +36,17 @@
 from jaytray_server.process.limits.giver import LOOKAHEAD_S, deduct_grant
 from jaytray_server.process.limits.limiter import AccountLimiter
 from jaytray_server.process.limits.message_budget import MessageBudget
+from jaytray_server.process.limits.share_table import TOTAL_PARTS
 
 # How long this VM may use a gift or a loan, from the moment it asked.
 GIFT_LIFETIME_S = 0.5
 LOAN_LIFETIME_S = 20.0
-# Peers asked at first; each further batch is twice as large.
-FIRST_BATCH = 8
+# Part of an even share of the burst that a peer is expected to spare.
+EXPECTED_PART = 0.5
+# Loans smaller than this part of an even share are not worth their messages.
+LEAST_LOAN_PART = 0.25
+# Recent requests from which on a demand counts as lasting.
+LEAST_REQUESTS = 3.0
 # How long a batch may take to answer.
 REPLY_TIMEOUT_S = 0.05
 # Peers asked in one go after all had nothing to spare.
@@ -225,10 +230,8 @@
         short = self._limiter.tokens_short(account)
         if short <= 0 or not batch:
             return
-        now = self._clock()
-        state = self._limiter.state_of(account)
-        tokens = short + LOOKAHEAD_S * state.demand(now)
-        parts = max(0, state.parts_missing(now))
+        tokens = self._tokens_wanted(account)
+        parts = self._parts_wanted(account)
         answers = [
             self._ask(
                 peer,
@@ -259,19 +262,43 @@
         return answered
 
     def _batches(self, account: str) -> Iterator[tuple[list[str], bool]]:
-        """Yield growing batches of peers; those with most left are asked again."""
+        """Yield batches of peers; those with most left are asked again at the end."""
         remaining = self._memories.ranked_peers(account, self._peers, self._rng)
-        size = FIRST_BATCH
         if self._memories.is_exhausted(account):
             probed, remaining = remaining[:PROBE_BATCH], remaining[PROBE_BATCH:]
             yield probed, False
+        smallest = 1
         while remaining:
+            size = max(smallest, self._peers_needed(account))
             batch, remaining = remaining[:size], remaining[size:]
             yield batch, False
-            size *= 2
+            smallest += 1
         for _ in range(URGENT_BATCHES):
             yield self._memories.peers_with_spare(account), True
 
+    def _peers_needed(self, account: str) -> int:
+        """Return how many peers have together what is wanted, if all are alike."""
+        state = self._limiter.state_of(account)
+        vms = max(1, len(self._peers.listed_vms()))
+        spared = max(1.0, EXPECTED_PART * state.contract.burst_tokens / vms)
+        by_tokens = self._tokens_wanted(account) / spared
+        by_parts = self._parts_wanted(account) * vms / TOTAL_PARTS
+        return math.ceil(max(by_tokens, by_parts))
+
+    def _tokens_wanted(self, account: str) -> float:
+        demand = self._limiter.state_of(account).demand(self._clock())
+        return self._limiter.tokens_short(account) + LOOKAHEAD_S * demand
+
+    def _parts_wanted(self, account: str) -> int:
+        """Return the parts to borrow; none for a small or passing demand."""
+        now = self._clock()
+        state = self._limiter.state_of(account)
+        if state.recent_requests(now) < LEAST_REQUESTS:
+            return 0
+        missing = state.parts_missing(now)
+        vms = max(1, len(self._peers.listed_vms()))
+        return missing if missing * vms > LEAST_LOAN_PART * TOTAL_PARTS else 0
+
     def _end_in_time(self, account: str, lending: Lending) -> None:
         delay = lending.until_s - self._clock()
         if delay > 0:
