Keep adapters out of memory that is being freed for a model

Change: the accelerator on which room is made is reserved; adapters stay away. The new test fails without the reservation.

--- a/packages/server/src/jaytray_server/process/placement/adapters.py
+++ b/packages/server/src/jaytray_server/process/placement/adapters.py
@@ -104,6 +104,7 @@
         replica.accelerator
         for replica in board.replicas(adapter.model)
         if replica.accelerator.may_take_orders
+        and not replica.accelerator.is_reserved
         and adapter.name not in replica.accelerator.replicas_by_name
     ]
     fitting = [a for a in hosts if _fits(a, adapter, urgency)]
--- a/packages/server/src/jaytray_server/process/placement/room.py
+++ b/packages/server/src/jaytray_server/process/placement/room.py
@@ -66,7 +66,7 @@
     accelerators = _open_accelerators(board, model)
     for accelerator in accelerators:
         if accelerator.expected_free_mib >= model.memory_mib:
-            accelerator.expected_free_mib -= model.memory_mib
+            _reserve(accelerator, model)
             return []
     rooms = [
         room
@@ -96,10 +96,16 @@
         kind = OrderKind.UNLOAD_MODEL if is_model else OrderKind.UNLOAD_ADAPTER
         reason = f"room_for_{model.name}"
         changes.append(unload_change(victim, kind, urgency, reason))
-    room.accelerator.expected_free_mib -= model.memory_mib
+    _reserve(room.accelerator, model)
     return changes
 
 
+def _reserve(accelerator: Accelerator, model: Model) -> None:
+    """Keep adapters from taking the memory that is being freed."""
+    accelerator.expected_free_mib -= model.memory_mib
+    accelerator.is_reserved = True
+
+
 def _open_accelerators(board: PlanBoard, model: Model) -> list[Accelerator]:
     """Return the accelerators that can take orders and do not hold the model.
 
--- a/packages/server/src/jaytray_server/process/placement/state.py
+++ b/packages/server/src/jaytray_server/process/placement/state.py
@@ -77,6 +77,8 @@
         used = worst_case_mib(number, state.residents, unsettled)
         self.expected_free_mib = memory_mib - used
         self.tokens_per_s = 0.0
+        # Set while memory is being freed here for a model.
+        self.is_reserved = False
         self.replicas_by_name: dict[str, Replica] = {}
 
     @property
--- a/packages/server/tests/process/placement/test_planner.py
+++ b/packages/server/tests/process/placement/test_planner.py
@@ -170,3 +170,13 @@
             demand_by_name={"ad": Demand(5.0, 5.0)},
         )
         self.assertEqual([(OrderKind.UNLOAD_ADAPTER, "idle", "t1")], brief(changes))
+
+    def test_adapters_leave_alone_the_memory_that_is_being_freed(self) -> None:
+        adapters = (Adapter("ad1", "a", "v1", 11), Adapter("ad2", "a", "v1", 11))
+        held = (Held("t1", "a", 8), Held("t1", "ad1", 11, model="a"))
+        changes = plan(
+            document=make_document(model("a", 8), model("b", 20), adapters=adapters),
+            states=states(*held, lost="t2"),
+            demand_by_name={"ad2": Demand(9.0, 9.0)},
+        )
+        self.assertEqual([(OrderKind.UNLOAD_ADAPTER, "ad1", "t1")], brief(changes))
