--- a/packages/server/tests/process/placement/test_orders_under_faults.py
+++ b/packages/server/tests/process/placement/test_orders_under_faults.py
@@ -364,4 +364,4 @@
             (OrdersUnderFaults,),
             {"safety_rules": rules, "checks_recovery": False},
         )
-        self.assertRaises(OvercommitError, run_machine, machine, examples=200, steps=30)
+        self.assertRaises(OvercommitError, run_machine, machine, examples=400, steps=30)
--- a/tools/bench_policy.py
+++ b/tools/bench_policy.py
@@ -13,9 +13,10 @@
 
 from jaytray_server.process.placement.changes import PlanSettings
 from jaytray_server.request.routing import RoutingPolicy
+from tools.policy_model.outcome import Outcome, Policy
 from tools.policy_model.sites import CONSORTIUM, LAKESHORE, Site
 from tools.policy_model.timing import print_timings
-from tools.policy_model.world import Outcome, Policy, World
+from tools.policy_model.world import World
 
 _SEEDS = flags.DEFINE_integer("seeds", 3, "number of seeds for the averages")
 _TRIES = flags.DEFINE_bool("tries", False, "also run variants of the chosen policy")
--- a/tools/policy_model/world.py
+++ b/tools/policy_model/world.py
@@ -6,7 +6,6 @@
 """
 
 from random import Random
-from typing import NamedTuple
 
 from jaytray_core.document.model import Document, TrafficClass
 from jaytray_core.errors import JaytrayError
@@ -21,7 +20,8 @@
 from jaytray_server.process.placement.planner import plan
 from jaytray_server.process.placement.state import TargetState
 from jaytray_server.process.target_table import TargetTable
-from jaytray_server.request.routing import RoutingPolicy, make_router
+from jaytray_server.request.routing import make_router
+from tools.policy_model.outcome import Outcome, Policy
 from tools.policy_model.sites import FAULTS, Site, Workload, make_document
 from tools.policy_model.targets import (
     ADAPTER_LOAD_S,
@@ -43,37 +43,6 @@
 WARM_UP_S = 40.0
 
 
-class Policy(NamedTuple):
-    """One way of routing and placing that is compared."""
-
-    name: str
-    routing: RoutingPolicy
-    plan: PlanSettings = PlanSettings()
-    counts_own_requests: bool = True
-    moves_models: bool = True
-
-
-class Outcome(NamedTuple):
-    """What one run gave; counts leave the warm-up out."""
-
-    attained: int
-    offered: int
-    refused: int
-    moves: int
-    adapter_loads: int
-    worst_account_share: float
-    unreachable_s: float
-    longest_unreachable_s: float
-    overcommitted_mib: int
-    accelerators: int
-    duration_s: float
-
-    @property
-    def attained_per_accelerator(self) -> float:
-        """Return calls a second within both deadlines for each accelerator."""
-        return self.attained / self.duration_s / self.accelerators
-
-
 class _Vm:
     """The decision state of one VM."""
 
