--- a/packages/server/src/jaytray_server/process/quarantine/crash_detection.py
+++ b/packages/server/src/jaytray_server/process/quarantine/crash_detection.py
@@ -8,7 +8,7 @@
 
 from jaytray_core import message_registry as messages
 from jaytray_core.errors import Execution, JaytrayError
-from jaytray_core.targets import TargetConnection
+from jaytray_core.targets import LoadReport, TargetConnection
 
 PROBE_TIMEOUT_S = 0.5
 
@@ -23,15 +23,31 @@
 
 
 async def has_crashed(connection: TargetConnection, boot_id: str) -> bool:
-    """Return whether the target is down or no longer runs as `boot_id`.
+    """Return whether a model engine is down or no longer runs as `boot_id`.
 
-    With an empty `boot_id` a target that answers counts as not crashed.
+    A restarting engine may already listen and refuse its load report. With an empty
+    `boot_id` an engine that reports counts as not crashed; so does a silent one.
     """
     try:
-        async with asyncio.timeout(PROBE_TIMEOUT_S):
-            report = await connection.load_report()
+        report = await _report(connection)
     except TimeoutError:
         return False
     except JaytrayError as err:
-        return err.code == messages.TARGET_UNREACHABLE.code
+        return err.code != messages.TARGET_TIMEOUT.code
     return bool(boot_id) and report.boot_id != boot_id
+
+
+async def is_service_down(connection: TargetConnection) -> bool:
+    """Return whether a plain service, which has no load report, refuses to connect."""
+    try:
+        await _report(connection)
+    except TimeoutError:
+        return False
+    except JaytrayError as err:
+        return err.code == messages.TARGET_UNREACHABLE.code
+    return False
+
+
+async def _report(connection: TargetConnection) -> LoadReport:
+    async with asyncio.timeout(PROBE_TIMEOUT_S):
+        return await connection.load_report()
--- a/packages/server/src/jaytray_server/process/quarantine/quarantine.py
+++ b/packages/server/src/jaytray_server/process/quarantine/quarantine.py
@@ -20,6 +20,7 @@
 from jaytray_server.process.quarantine.crash_detection import (
     has_crashed,
     is_broken_connection,
+    is_service_down,
 )
 from jaytray_server.process.quarantine.evidence import CrashReport, Evidence, Suspect
 from jaytray_server.process.quarantine.in_flight import InFlight
@@ -109,12 +110,12 @@
             yield
 
     async def dispatch_failed(
-        self, connection: TargetConnection, error: JaytrayError, boot_id: str
+        self, connection: TargetConnection, error: JaytrayError, boot_id: str | None
     ) -> None:
         """Find out whether the target crashed, and tell everyone if so.
 
         Call it within `in_flight`, before the failure is passed on. `boot_id` is
-        what `boot_id_of` gave before the dispatch.
+        what `boot_id_of` gave before the dispatch, None for a plain service.
         """
         if not is_broken_connection(error):
             return
@@ -162,11 +163,15 @@
             await asyncio.sleep(SYNC_INTERVAL_S)
 
     async def _check(
-        self, connection: TargetConnection, boot_id: str, digests: list[str]
+        self, connection: TargetConnection, boot_id: str | None, digests: list[str]
     ) -> bool:
-        if not await has_crashed(connection, boot_id):
+        if boot_id is None:
+            is_crash = await is_service_down(connection)
+        else:
+            is_crash = await has_crashed(connection, boot_id)
+        if not is_crash:
             return False
-        crash_id = self._crash_id(connection.target, boot_id)
+        crash_id = self._crash_id(connection.target, boot_id or "")
         report = self._evidence.report_crash(crash_id, digests)
         self._own_crashes.update(report.blamed)
         _log.warning(
--- a/packages/server/src/jaytray_server/request/service_call.py
+++ b/packages/server/src/jaytray_server/request/service_call.py
@@ -168,7 +168,7 @@
             except JaytrayError as err:
                 tracker.fail(address, err)
                 services.service_health.failed(address)
-                await quarantine.dispatch_failed(connection, err, "")
+                await quarantine.dispatch_failed(connection, err, None)
                 raise
     services.service_health.answered(address)
     await quarantine.ran_whole(digest)
