Measure fair queueing at a target; refund requests that gave up

Cause: a request that was refused or cancelled while it waited left its cost in its account's finish tag, so that the account's next requests waited behind others. Change: the cost is taken back; a trial of one target against first come first served joins make bench-limits.

--- a/packages/server/src/jaytray_server/process/limits/slots.py
+++ b/packages/server/src/jaytray_server/process/limits/slots.py
@@ -157,14 +157,21 @@
                 queue.waiting[request.traffic_class].remove(waiting)
                 heapq.heapify(queue.waiting[request.traffic_class])
                 self._leave_queue(queue, account)
+                self._refund_tag(queue, request)
 
     def _tag(self, queue: _TargetQueue, request: SlotRequest) -> float:
         """Return the start tag and move the account's finish tag on."""
         start = self._start_tag(queue, request)
-        cost = request.tokens / max(request.weight, SMALLEST_WEIGHT)
-        queue.finish_tags[request.traffic_class, request.account] = start + cost
+        key = (request.traffic_class, request.account)
+        queue.finish_tags[key] = start + _virtual_cost(request)
         return start
 
+    def _refund_tag(self, queue: _TargetQueue, request: SlotRequest) -> None:
+        """Take back what a request that never started added to the finish tag."""
+        key = (request.traffic_class, request.account)
+        if key in queue.finish_tags:
+            queue.finish_tags[key] -= _virtual_cost(request)
+
     def _start_tag(self, queue: _TargetQueue, request: SlotRequest) -> float:
         last_finish = queue.finish_tags.get((request.traffic_class, request.account))
         return max(queue.virtual_time, last_finish or 0.0)
@@ -248,3 +255,7 @@
             retry_after_s=max(estimate, SHORTEST_RETRY_S),
             name=request.target,
         )
+
+
+def _virtual_cost(request: SlotRequest) -> float:
+    return request.tokens / max(request.weight, SMALLEST_WEIGHT)
--- a/packages/server/tests/process/limits/test_slots.py
+++ b/packages/server/tests/process/limits/test_slots.py
@@ -126,3 +126,19 @@
                     return err.retry_after_s
 
         self.assertEqual(10.0, asyncio.run(scenario()))
+
+    def test_requests_that_gave_up_do_not_count_against_their_account(self) -> None:
+        async def scenario() -> None:
+            async with self.slots.acquire(request("x")):
+                given_up = asyncio.create_task(self.run_one(request("a")))
+                await asyncio.sleep(0)
+                given_up.cancel()
+                await asyncio.gather(given_up, return_exceptions=True)
+                tasks = [
+                    asyncio.create_task(self.run_one(request(name))) for name in "ab"
+                ]
+                await asyncio.sleep(0)
+            await asyncio.gather(*tasks)
+
+        asyncio.run(scenario())
+        self.assertEqual(["a/interactive", "b/interactive"], self.started)
--- a/tools/bench_limits.py
+++ b/tools/bench_limits.py
@@ -32,6 +32,7 @@
 )
 from tools.limits_model.fleet import Fleet, LimitsSetup, Outcome, make_limits
 from tools.limits_model.metering import Charge, ContractPeriod, worst_excess
+from tools.limits_model.slots_trial import print_slots
 from tools.limits_model.workload import (
     ACCOUNTS,
     MAX_WAIT_S,
@@ -366,6 +367,7 @@
     for vms in FLAGS.table_vms:
         with capture_logs():
             print_table_costs(vms, FLAGS.seed)
+    print_slots(FLAGS.seed)
     print_costs()
 
 
