Back off while the key-value service is down; check who hands back

Cause: a VM retried a failed read of the table once a second for the whole of an outage; a release was taken from any peer. Change: the interval doubles up to 10 s; a release counts only from the VM that borrowed.

--- a/packages/server/src/jaytray_server/process/limits/account_limits.py
+++ b/packages/server/src/jaytray_server/process/limits/account_limits.py
@@ -31,8 +31,10 @@
 # Shortest time between two reads of the table, and its bytes per second at most.
 SHORTEST_READ_INTERVAL_S = 5.0
 READ_BYTES_PER_S = 200.0
-# Time between reads while something is left to do.
+# Time between reads while something is left to do, doubled with each failed one.
 RETRY_INTERVAL_S = 1.0
+LONGEST_RETRY_INTERVAL_S = 10.0
+MAX_DOUBLINGS = 4
 FORGET_INTERVAL_S = 10.0
 # Attempts to record something at once while other VMs write, and pauses between.
 SWAP_ATTEMPTS = 6
@@ -96,6 +98,7 @@
         self._lock = asyncio.Lock()
         self._wake = asyncio.Event()
         self._is_leaving = False
+        self._failures = 0
         self._next_read_at = clock()
         self._next_forget_at = clock() + FORGET_INTERVAL_S
         peers.set_handler(CHANGED_TOPIC, self._handle_changed)
@@ -167,9 +170,11 @@
     async def _maintain_safely(self) -> None:
         try:
             is_settled = await self._maintain()
+            self._failures = 0
         except JaytrayError as err:
             self._log_failure(err)
             is_settled = False
+            self._failures += 1
         self._next_read_at = self._clock() + self._read_interval(is_settled)
 
     async def _maintain(self) -> bool:
@@ -317,7 +322,9 @@
         read = self.share.last_read
         jitter = 0.8 + 0.4 * self._rng.random()
         if not is_settled or read is None:
-            return RETRY_INTERVAL_S * jitter
+            doublings = min(self._failures, MAX_DOUBLINGS)
+            interval = RETRY_INTERVAL_S * float(1 << doublings)
+            return min(interval, LONGEST_RETRY_INTERVAL_S) * jitter
         by_size = read.size_bytes / READ_BYTES_PER_S
         return max(SHORTEST_READ_INTERVAL_S, by_size) * jitter
 
--- a/packages/server/src/jaytray_server/process/limits/account_state.py
+++ b/packages/server/src/jaytray_server/process/limits/account_state.py
@@ -107,11 +107,15 @@
             self._apply_limits(now)
             self.bucket.deposit(tokens)
 
-    def take_back(self, lending_id: int, tokens: int, now: float) -> None:
-        """End a lending of this VM early, whose taker has handed `tokens` back."""
+    def take_back(self, lending_id: int, peer: str, tokens: int, now: float) -> None:
+        """End a lending to `peer` early, which has handed `tokens` back."""
         self.advance(now)
         for lending in self._lendings:
-            if lending.lending_id == lending_id and lending.sign < 0:
+            if (lending.lending_id, lending.peer, lending.sign) == (
+                lending_id,
+                peer,
+                -1,
+            ):
                 self._lendings.remove(lending)
                 heapq.heapify(self._lendings)
                 self._apply_limits(now)
--- a/packages/server/src/jaytray_server/process/limits/gifts.py
+++ b/packages/server/src/jaytray_server/process/limits/gifts.py
@@ -189,7 +189,7 @@
             return
         if self._limiter.knows(release.account) and release.tokens > 0:
             state = self._limiter.state_of(release.account)
-            state.take_back(release.lending_id, release.tokens, self._clock())
+            state.take_back(release.lending_id, sender, release.tokens, self._clock())
             self._limiter.wake(release.account)
 
     def drop_expired_asks(self) -> None:
