Count relayed copies and reads of the platform in the capacity page

Cause: the first form took two copies for each flooded message, where a VM of six neighbours sends five, and left the cost of HTTP reads to a guess.

--- a/tools/capacity/__main__.py
+++ b/tools/capacity/__main__.py
@@ -16,7 +16,11 @@
     roles_table,
     slopes_table,
 )
-from tools.capacity.processes import measure_idle, measure_request_path
+from tools.capacity.processes import (
+    measure_http_call,
+    measure_idle,
+    measure_request_path,
+)
 from tools.capacity.roles import control_roles
 
 # (VMs, targets) of the idle sites.
@@ -36,17 +40,19 @@
         asyncio.run(measure_idle(vms=vms, targets=targets))
         for vms, targets in IDLE_SITES
     ]
+    http_call_us = asyncio.run(measure_http_call())
     streamed, whole = asyncio.run(measure_request_path())
     roles = control_roles(
         by_name,
         heartbeat_bytes=len(heartbeat_frame("vm-100", 100_000)),
         announcement_bytes=len(encode_msgpack(_announcement())),
+        http_call_us=http_call_us,
     )
     blocks = {
         "slopes": slopes_table([*slopes, streamed, whole]),
         "idle": idle_table(idle),
         "roles": roles_table(roles),
-        "requests": request_table(streamed, whole),
+        "requests": request_table(streamed, whole, http_call_us),
     }
     text = PAGE.read_text(encoding="utf-8")
     for name, block in blocks.items():
--- a/tools/capacity/page.py
+++ b/tools/capacity/page.py
@@ -115,7 +115,7 @@
     return _table(header, [*rows, total, budget])
 
 
-def request_table(streamed: Slope, whole: Slope) -> str:
+def request_table(streamed: Slope, whole: Slope, http_call_us: float) -> str:
     """Return the share of a VM that requests take at the peak."""
     requests = design.REQUESTS_PER_S / design.VMS
     tokens = design.TOKENS_PER_S / design.VMS
@@ -134,6 +134,7 @@
             f"{whole.points[0][1] / 1000:.2f} and {whole.points[-1][1] / 1000:.2f} ms",
         ),
     ]
+    rows.append(("one call to the key-value service", f"{http_call_us / 1000:.2f} ms"))
     return _table(("request path at the peak", "figure"), rows)
 
 
--- a/tools/capacity/processes.py
+++ b/tools/capacity/processes.py
@@ -7,6 +7,8 @@
 
 import asyncio
 import os
+import tempfile
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -14,6 +16,7 @@
 
 import httpx
 
+from jaytray_core.adapters.key_value_http import open_key_value
 from tools.capacity.slopes import Slope, fit_slope
 from tools.site import (
     OPERATOR_TOKEN,
@@ -22,17 +25,21 @@
     make_key,
     run_jaytray,
     running_site,
+    running_stand_ins,
     site_flags,
     until_ready,
 )
 from tools.site_document import make_document
 
 CHAT_PATH = "/v1/chat/completions"
-SETTLE_S = 6.0
+# The default of the settings.
+VM_LIST_POLL_S = 2.0
+SETTLE_S = 10.0
 IDLE_MEASURED_S = 15.0
 REQUESTS_PER_POINT = 60
 WARM_UP_REQUESTS = 10
 CONCURRENT_REQUESTS = 4
+HTTP_CALLS = 300
 
 
 class IdleCost(NamedTuple):
@@ -72,6 +79,21 @@
     )
 
 
+async def measure_http_call() -> float:
+    """Return processor time of one call to the key-value service in microseconds."""
+    with tempfile.TemporaryDirectory() as folder:
+        async with running_stand_ins(Path(folder)) as stand_ins:
+            connection = open_key_value(address=stand_ins.key_value, timeout_s=5.0)
+            for _call in range(WARM_UP_REQUESTS):
+                await connection.service.get("capacity")
+            before_s = time.process_time()
+            for _call in range(HTTP_CALLS):
+                await connection.service.get("capacity")
+            spent_s = time.process_time() - before_s
+            await connection.close()
+    return spent_s / HTTP_CALLS * 1e6
+
+
 async def measure_request_path() -> tuple[Slope, Slope]:
     """Return processor time of a request by streamed tokens, and per whole answer.
 
@@ -133,7 +155,9 @@
     _kiosk_key, kiosk_digest = make_key()
     arguments = (f"--targets={targets}", "--model_load_s=0.1", "--memory_mib=24000")
     vm_ids = [f"vm-{n}" for n in range(vms)]
-    async with running_site(vm_ids=vm_ids, stand_in_arguments=arguments) as site:
+    async with running_site(
+        vm_ids=vm_ids, stand_in_arguments=arguments, vm_list_poll_s=VM_LIST_POLL_S
+    ) as site:
         path = site.folder / "document.ini"
         path.write_text(
             make_document(
--- a/tools/capacity/roles.py
+++ b/tools/capacity/roles.py
@@ -10,7 +10,7 @@
 from jaytray_server.process.placement.executor import PASS_PERIOD_S
 from jaytray_server.process.placement.groups import MAX_TARGETS_PER_GROUP
 from jaytray_server.process.target_observer import (
-    COPIES_PER_MESSAGE,
+    DEMAND_EVERY,
     OBSERVERS_PER_TARGET,
     READS_PER_S,
     period_s,
@@ -42,24 +42,27 @@
 
 
 def control_roles(
-    by_name: dict[str, Slope], *, heartbeat_bytes: int, announcement_bytes: int
+    by_name: dict[str, Slope],
+    *,
+    heartbeat_bytes: int,
+    announcement_bytes: int,
+    http_call_us: float,
 ) -> list[Role]:
     """Return the control roles in the order of the page."""
     return [
         _membership(by_name, heartbeat_bytes),
-        _document(by_name, announcement_bytes),
+        _document(by_name, announcement_bytes, http_call_us),
         _limits(by_name),
-        _observation(by_name),
+        _observation(by_name, http_call_us),
         _placement(by_name),
     ]
 
 
 def observer_message_bytes(by_name: dict[str, Slope]) -> float:
-    """Return the bytes of one VM's observer message at the design size."""
+    """Return the mean bytes of a VM's observer message at the design size."""
     digests = design.SERVERS * OBSERVERS_PER_TARGET / design.VMS
-    return by_name["observer message"].at(digests) + by_name["demand in a message"].at(
-        MODELS_WITH_DEMAND
-    )
+    demand_bytes = by_name["demand in a message"].at(MODELS_WITH_DEMAND)
+    return by_name["observer message"].at(digests) + demand_bytes / DEMAND_EVERY
 
 
 def document_sections() -> int:
@@ -83,7 +86,9 @@
     )
 
 
-def _document(by_name: dict[str, Slope], announcement_bytes: int) -> Role:
+def _document(
+    by_name: dict[str, Slope], announcement_bytes: int, http_call_us: float
+) -> Role:
     changes_per_s = design.CHANGES_PER_DAY / design.DAY_S
     sections = document_sections()
     change_bytes = by_name["one change"].at(sections)
@@ -97,7 +102,11 @@
         messages_per_s=1 / ANNOUNCE_PERIOD_S,
         bytes_per_s=(announcement_bytes + FRAMING_BYTES) / ANNOUNCE_PERIOD_S
         + changes_per_s * change_bytes,
-        core_part=changes_per_s * by_name["document put in force"].at(sections) / 1e6,
+        core_part=(
+            changes_per_s * by_name["document put in force"].at(sections)
+            + reads / design.VMS * http_call_us
+        )
+        / 1e6,
         fleet_reads_per_s=reads,
         # Parts, head and history, each written once.
         fleet_writes_per_s=changes_per_s * 4,
@@ -124,21 +133,23 @@
     )
 
 
-def _observation(by_name: dict[str, Slope]) -> Role:
+def _observation(by_name: dict[str, Slope], http_call_us: float) -> Role:
     size = observer_message_bytes(by_name)
     period = period_s(design.VMS, int(size))
-    copies = design.VMS * COPIES_PER_MESSAGE / period
-    reports = design.SERVERS * OBSERVERS_PER_TARGET / design.VMS * READS_PER_S
+    received = design.VMS / period
+    # In a flood each VM passes a message on over all links but one.
+    copies = received * (NEIGHBOURS - 1)
     digest_us = by_name["digests taken in"].per_item
     taken_in = design.SERVERS * OBSERVERS_PER_TARGET / period
+    passing_us = by_name["heartbeats taken in"].per_item
+    core_us = taken_in * digest_us + 2 * copies * passing_us
     return Role(
         name="observation",
         mechanism="two observers for each target, digests flooded to all VMs",
         state_bytes=by_name["state of a target"].at(design.SERVERS),
         messages_per_s=copies,
         bytes_per_s=copies * (size + FRAMING_BYTES),
-        # A read of a report over HTTP costs about as much as a millisecond.
-        core_part=(taken_in * digest_us + copies * 150 + reports * 1000) / 1e6,
+        core_part=(core_us + READS_PER_S * http_call_us) / 1e6,
         fleet_reads_per_s=0.0,
         fleet_writes_per_s=0.0,
     )
--- a/tools/site.py
+++ b/tools/site.py
@@ -92,6 +92,7 @@
     curve_keys: tuple[bytes, bytes],
     environment: str = "trial",
     balancer_delay_s: float = 0.2,
+    vm_list_poll_s: float = 0.5,
 ) -> AsyncIterator[Vm]:
     """Run one `jaytrayd` and put it on the list of VMs."""
     settings = folder / f"{vm_id}.ini"
@@ -107,6 +108,7 @@
             weight_store=stand_ins.weight_store,
             token_digest=hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest(),
             balancer_delay_s=balancer_delay_s,
+            vm_list_poll_s=vm_list_poll_s,
         ),
         encoding="utf-8",
     )
@@ -127,7 +129,10 @@
 
 @asynccontextmanager
 async def running_site(
-    *, vm_ids: Sequence[str], stand_in_arguments: Sequence[str] = ()
+    *,
+    vm_ids: Sequence[str],
+    stand_in_arguments: Sequence[str] = (),
+    vm_list_poll_s: float = 0.5,
 ) -> AsyncIterator[Site]:
     """Run stand-ins and VMs in a folder of their own."""
     keys = zmq.curve_keypair()
@@ -143,6 +148,7 @@
                 vm_id,
                 failure_domain=f"zone-{'abc'[position % 3]}",
                 curve_keys=keys,
+                vm_list_poll_s=vm_list_poll_s,
             )
             for position, vm_id in enumerate(vm_ids)
         ]
@@ -309,7 +315,7 @@
 
 [vm_list]
 address = {vm_list}
-poll_s = 0.5
+poll_s = {vm_list_poll_s}
 
 [weight_store]
 address = {weight_store}
