--- a/packages/core/src/jaytray_core/adapters/key_value_http.py
+++ b/packages/core/src/jaytray_core/adapters/key_value_http.py
@@ -7,11 +7,15 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple, TypeVar
 
-from jaytray_core import message_registry as messages
 from jaytray_core.adapters.http_pool import ExchangeError, HttpPool, Progress
 from jaytray_core.adapters.remote_call import RemoteAnswer, remote_call
 from jaytray_core.codec import decode_json
-from jaytray_core.errors import Execution, JaytrayError, Step
+from jaytray_core.errors import JaytrayError
+from jaytray_core.key_value_errors import (
+    service_unavailable,
+    service_uncertain,
+    value_too_large,
+)
 from jaytray_core.keyvalue import (
     MAX_VALUE_BYTES,
     KeyValueRecord,
@@ -62,7 +66,7 @@
         key: str, expected_revision: int, value: bytes | None, lease_id: str
     ) -> SwapResult:
         if value is not None and len(value) > MAX_VALUE_BYTES:
-            raise _too_large(key)
+            raise value_too_large(key)
         body = await call("compare_and_swap", key, expected_revision, value, lease_id)
         return _decode_write("compare_and_swap", body, SwapResult)
 
@@ -104,7 +108,7 @@
     try:
         return _decode(body, message_type)
     except JaytrayError as err:
-        raise _uncertain(f"{function}: {err.text}") from err
+        raise service_uncertain(f"{function}: {err.text}") from err
 
 
 def _check_status(function: str, answer: RemoteAnswer) -> None:
@@ -112,40 +116,14 @@
         return
     detail = f"{function}: status {answer.status}"
     if answer.status == _STATUS_TOO_LARGE:
-        raise _too_large(function)
+        raise value_too_large(function)
     if answer.is_not_run or function in _READS:
-        raise _unavailable(detail)
-    raise _uncertain(detail)
+        raise service_unavailable(detail)
+    raise service_uncertain(detail)
 
 
 def _failed(function: str, err: ExchangeError) -> JaytrayError:
     detail = f"{function}: {err.detail}"
     if err.progress == Progress.NOT_SENT or function in _READS:
-        return _unavailable(detail)
-    return _uncertain(detail)
-
-
-def _unavailable(detail: str) -> JaytrayError:
-    return JaytrayError(
-        messages.KEY_VALUE_UNAVAILABLE, step=Step.KEY_VALUE, peer=_PEER, detail=detail
-    )
-
-
-def _uncertain(detail: str) -> JaytrayError:
-    return JaytrayError(
-        messages.KEY_VALUE_UNCERTAIN,
-        step=Step.KEY_VALUE,
-        peer=_PEER,
-        execution=Execution.MAY_HAVE_RUN,
-        detail=detail,
-    )
-
-
-def _too_large(key: str) -> JaytrayError:
-    return JaytrayError(
-        messages.KEY_VALUE_TOO_LARGE,
-        step=Step.KEY_VALUE,
-        peer=_PEER,
-        key=key,
-        limit=MAX_VALUE_BYTES,
-    )
+        return service_unavailable(detail)
+    return service_uncertain(detail)
--- a/packages/standins/src/jaytray_standins/in_process.py
+++ b/packages/standins/src/jaytray_standins/in_process.py
@@ -8,7 +8,12 @@
 from typing import TypeVar
 
 from jaytray_core import message_registry as messages
-from jaytray_core.errors import Execution, JaytrayError, Step
+from jaytray_core.errors import JaytrayError, Step
+from jaytray_core.key_value_errors import (
+    service_unavailable,
+    service_uncertain,
+    value_too_large,
+)
 from jaytray_core.keyvalue import (
     KeyValueRecord,
     KeyValueService,
@@ -38,7 +43,6 @@
 ]
 
 T = TypeVar("T")
-_KEY_VALUE_PEER = "kv"
 _READS = ("get", "get_prefix", "watch")
 
 
@@ -65,11 +69,11 @@
                 timeout_s=timeout_s + wait_s,
             )
         except NotDeliveredError:
-            raise _key_value_unavailable("connection refused") from None
+            raise service_unavailable("connection refused") from None
         except NoAnswerError:
             if operation in _READS:
-                raise _key_value_unavailable("no answer") from None
-            raise _key_value_uncertain("no answer") from None
+                raise service_unavailable("no answer") from None
+            raise service_uncertain("no answer") from None
 
     async def get(key: str) -> KeyValueRecord | None:
         return await call("get", lambda: read_key(store, faults, key))
@@ -86,7 +90,7 @@
         try:
             return await call("compare_and_swap", run)
         except ValueTooLargeError:
-            raise _value_too_large(key, store.max_value_bytes) from None
+            raise value_too_large(key, store.max_value_bytes) from None
 
     async def grant_lease(ttl_s: float) -> str:
         return await call("grant_lease", lambda: store.grant_lease(ttl_s))
@@ -170,32 +174,3 @@
         raise JaytrayError(
             template, step=step, peer=str(step), detail="no answer"
         ) from None
-
-
-def _key_value_unavailable(detail: str) -> JaytrayError:
-    return JaytrayError(
-        messages.KEY_VALUE_UNAVAILABLE,
-        step=Step.KEY_VALUE,
-        peer=_KEY_VALUE_PEER,
-        detail=detail,
-    )
-
-
-def _key_value_uncertain(detail: str) -> JaytrayError:
-    return JaytrayError(
-        messages.KEY_VALUE_UNCERTAIN,
-        step=Step.KEY_VALUE,
-        peer=_KEY_VALUE_PEER,
-        execution=Execution.MAY_HAVE_RUN,
-        detail=detail,
-    )
-
-
-def _value_too_large(key: str, limit: int) -> JaytrayError:
-    return JaytrayError(
-        messages.KEY_VALUE_TOO_LARGE,
-        step=Step.KEY_VALUE,
-        peer=_KEY_VALUE_PEER,
-        key=key,
-        limit=limit,
-    )
