One log line per routing decision; judge leases by a clock that sees suspension

Cause: dispatch logged the router's decision a second time; on Linux the monotonic clock stands still while a VM is suspended, so a woken VM could have taken its lease and loans as still good; slots had no metrics. Change: the router's line stays, CLOCK_BOOTTIME, metrics passed to slots.

--- a/packages/core/src/jaytray_core/clock.py
+++ b/packages/core/src/jaytray_core/clock.py
@@ -8,5 +8,14 @@
 # Returns seconds since the Unix epoch.
 WallClock = Callable[[], float]
 
-monotonic_clock: MonotonicClock = time.monotonic
+
+def monotonic_clock() -> float:
+    """Return seconds on a clock that goes on while the VM is suspended.
+
+    Leases and shares are judged by it: a VM that was suspended must find on waking
+    that its time has passed, which `time.monotonic` does not show on Linux.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 wall_clock: WallClock = time.time
--- a/packages/server/src/jaytray_server/process/subsystems.py
+++ b/packages/server/src/jaytray_server/process/subsystems.py
@@ -108,7 +108,9 @@
         clock=monotonic_clock,
         decisions=decisions,
     )
-    slots = TargetSlots(current_document=follower.current, clock=monotonic_clock)
+    slots = TargetSlots(
+        current_document=follower.current, clock=monotonic_clock, metrics=metrics
+    )
     lifecycle = Lifecycle()
     request_state = make_request_state(
         key_value=outside.key_value,
--- a/packages/server/src/jaytray_server/request/target_run.py
+++ b/packages/server/src/jaytray_server/request/target_run.py
@@ -11,7 +11,6 @@
 
 from jaytray_core import message_registry as messages
 from jaytray_core.errors import JaytrayError, Step
-from jaytray_core.logs import get_logger
 from jaytray_core.targets import TargetConnection
 from jaytray_server.ports import RoutingDecision, RoutingRequest, SlotRequest
 from jaytray_server.process.quarantine.solo_runs import TargetTakenError
@@ -30,8 +29,6 @@
     )
 )
 
-_log = get_logger()
-
 
 class Dispatch(NamedTuple):
     """A dispatch that may be sent now under the fresh id `dispatch_id`."""
@@ -118,7 +115,7 @@
     tracker: DispatchTracker,
     avoided: frozenset[str],
 ) -> RoutingDecision:
-    """Choose a replica, failed ones only when there is no other; log the choice."""
+    """Choose a replica, failed ones only when there is no other."""
     call = work.call
     excluded = frozenset(tracker.failed_targets) | avoided
     request = RoutingRequest(
@@ -140,17 +137,6 @@
         decision = services.router.choose(
             request._replace(excluded_targets=frozenset())
         )
-    _log.info(
-        "routing_decision",
-        request_id=work.request_id,
-        name=call.name,
-        account=work.account.name,
-        target=decision.target,
-        reason=decision.reason,
-        score=round(decision.score, 4),
-        candidates=decision.candidates,
-        attempt=tracker.attempts + 1,
-    )
     return decision
 
 
--- a/tools/capacity/control.py
+++ b/tools/capacity/control.py
@@ -338,7 +338,7 @@
         digests.append(
             TargetDigest(report.target, "boot", 1.0, None, 1, 4, 0, 800, False)
         )
-    demand = {f"model-{n}": Demand(123.456, 234.567) for n in range(models)}
+    demand = {f"model-{n}": Demand(123, 234) for n in range(models)}
     return encode_msgpack(ObserverMessage(digests, [], demand))
 
 
