Keep trial's VMs away from production's targets, shares and links

Cause: found by reading the keys: leases, target records and shares were the same for all environments, so a trial VM could win a group's lease and unload in production what trial's document leaves out. Ruled out: a lease for each environment alone, since both would plan the same memory. Change: a target belongs to one environment; records lie under it; each process registers its environment, and other environments' VMs are left out. A late clearing of a suspect no longer hides a newer crash. Conclusion: one site can run trial and production safely.

--- a/packages/cli/src/jaytray_cli/document_commands.py
+++ b/packages/cli/src/jaytray_cli/document_commands.py
@@ -13,12 +13,12 @@
 from jaytray_core.document.checker import CheckReport, check_text
 from jaytray_core.document.difference import SectionChange, compare_sections
 from jaytray_core.document.garbage import COLLECT_EVERY_VERSIONS, collect_parts
+from jaytray_core.document.model import PRODUCTION
 from jaytray_core.document.packing import PackingResult, Reachability
 from jaytray_core.document.parts import Head
 from jaytray_core.document.sections import Section
 from jaytray_core.errors import JaytrayError
 
-PRODUCTION = "production"
 TRIAL = "trial"
 
 
--- a/packages/cli/src/jaytray_cli/vm_commands.py
+++ b/packages/cli/src/jaytray_cli/vm_commands.py
@@ -7,7 +7,6 @@
 from jaytray_cli import command
 from jaytray_cli.command import Command, Invocation
 from jaytray_cli.document_commands import (
-    PRODUCTION,
     TRIAL,
     applied_result,
     apply_change,
@@ -18,6 +17,7 @@
 from jaytray_cli.vms import VmReport, read_reports, require_running
 from jaytray_core import message_registry as messages
 from jaytray_core.document.changes import refuse_unsafe_promotion, require_valid
+from jaytray_core.document.model import PRODUCTION
 from jaytray_core.document.store import read_head, require_based_on
 from jaytray_core.errors import JaytrayError, Step
 
--- a/packages/core/src/jaytray_core/document/checker.py
+++ b/packages/core/src/jaytray_core/document/checker.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from jaytray_core import message_registry as messages
-from jaytray_core.document.model import Document
+from jaytray_core.document.model import PRODUCTION, Document, with_targets_of
 from jaytray_core.document.options import SECTION_KINDS_BY_NAME
 from jaytray_core.document.packing import (
     PackingResult,
@@ -56,6 +56,7 @@
     ]
     if faults:
         return CheckReport(parsed, sorted(faults), None, [])
+    document = with_targets_of(document, _checked_environment(document))
     whole = pack_all(document)
     if whole.outcome is Reachability.IMPOSSIBLE:
         faults.append(
@@ -69,6 +70,12 @@
     return CheckReport(parsed, faults, whole, pack_without_each_domain(document))
 
 
+def _checked_environment(document: Document) -> str:
+    """Return production when it has targets, else the first environment with one."""
+    found = {target.environment for target in document.targets_by_name.values()}
+    return PRODUCTION if PRODUCTION in found else min(found, default=PRODUCTION)
+
+
 def _check_references(
     sections: list[Section], document: Document, lines: SourceLines
 ) -> list[Fault]:
--- a/packages/core/src/jaytray_core/document/model.py
+++ b/packages/core/src/jaytray_core/document/model.py
@@ -7,6 +7,9 @@
 import enum
 from typing import NamedTuple
 
+# Environment to which documents are promoted.
+PRODUCTION = "production"
+
 
 class TrafficClass(enum.StrEnum):
     """Whether a caller waits for the answer or fetches it later."""
@@ -60,7 +63,9 @@
 class Target(NamedTuple):
     """A model server; `address` is `IP:port`.
 
-    `max_running_requests` bounds the requests that jaytray keeps at it at once.
+    `max_running_requests` bounds the requests that jaytray keeps at it at once. Only
+    VMs of `environment` use and plan the target, so that two documents can never
+    place models in the same memory.
     """
 
     name: str
@@ -71,6 +76,7 @@
     checks_fencing: bool
     max_running_requests: int
     is_drained: bool
+    environment: str = PRODUCTION
 
 
 class Service(NamedTuple):
@@ -113,6 +119,14 @@
     drained_vms: frozenset[str]
 
 
+def with_targets_of(document: Document, environment: str) -> Document:
+    """Return `document` with only the targets of one environment."""
+    targets = document.targets_by_name.items()
+    return document._replace(
+        targets_by_name={n: t for n, t in targets if t.environment == environment}
+    )
+
+
 def empty_document(environment: str) -> Document:
     """Return the document of version 0, which declares nothing."""
     return Document(environment, 0, {}, {}, {}, {}, {}, {}, {}, frozenset())
--- a/packages/core/src/jaytray_core/document/options.py
+++ b/packages/core/src/jaytray_core/document/options.py
@@ -163,6 +163,13 @@
             integer(1, 10_000),
             "Requests kept at it at once.",
         ),
+        _option(
+            "environment",
+            "",
+            "production",
+            _NAME,
+            "Environment whose VMs use it; others leave it alone.",
+        ),
     ),
     _section(
         "service",
--- a/packages/server/src/jaytray_server/process/quarantine/evidence.py
+++ b/packages/server/src/jaytray_server/process/quarantine/evidence.py
@@ -96,9 +96,14 @@
         until_s = max(suspect.until_s, known.until_s if known else 0.0)
         self._store(Suspect(suspect.digest, tuple(crash_ids), until_s))
 
-    def clear(self, digest: str) -> bool:
-        """Drop the evidence against `digest`; return whether there was any."""
-        return self._suspects_by_digest.pop(digest, None) is not None
+    def clear(self, digest: str, crash_ids: tuple[str, ...]) -> None:
+        """Drop the evidence of `crash_ids` against `digest`; later crashes stay."""
+        suspect = self._suspects_by_digest.pop(digest, None)
+        if suspect is None:
+            return
+        rest = tuple(c for c in suspect.crash_ids if c not in crash_ids)
+        if rest:
+            self._store(suspect._replace(crash_ids=rest))
 
     def list_suspects(self) -> list[Suspect]:
         """Return all suspects and quarantined requests by digest."""
--- a/packages/server/src/jaytray_server/process/quarantine/messages.py
+++ b/packages/server/src/jaytray_server/process/quarantine/messages.py
@@ -7,6 +7,10 @@
 
 
 class ClearMessage(NamedTuple):
-    """The evidence against `digest` is void: it got a whole answer, or was lifted."""
+    """Evidence against `digest` is void: it got a whole answer, or was lifted.
+
+    Only `crash_ids` are void, so that a late copy does not hide a newer crash.
+    """
 
     digest: str
+    crash_ids: tuple[str, ...]
--- a/packages/server/src/jaytray_server/process/quarantine/quarantine.py
+++ b/packages/server/src/jaytray_server/process/quarantine/quarantine.py
@@ -140,13 +140,15 @@
 
     async def lift(self, digest: str) -> None:
         """Drop the evidence against `digest` on all VMs."""
+        suspect = self._evidence.find(digest)
+        crash_ids = suspect.crash_ids if suspect is not None else ()
         self._own_crashes.discard(digest)
-        self._evidence.clear(digest)
+        self._evidence.clear(digest, crash_ids)
         try:
             await delete_suspect(self._key_value, digest)
         except JaytrayError as err:
             _log.warning("quarantine_not_deleted", digest=digest, error=str(err))
-        self._broadcast(CLEAR_TOPIC, encode_msgpack(ClearMessage(digest)))
+        self._broadcast(CLEAR_TOPIC, encode_msgpack(ClearMessage(digest, crash_ids)))
 
     def list_suspects(self) -> list[Suspect]:
         """Return all suspects and quarantined requests by digest."""
@@ -212,5 +214,6 @@
 
     def _on_clear(self, sender: str, body: bytes) -> None:
         message = decode_msgpack(body, ClearMessage, peer=sender)
-        self._own_crashes.discard(message.digest)
-        self._evidence.clear(message.digest)
+        self._evidence.clear(message.digest, message.crash_ids)
+        if self._evidence.find(message.digest) is None:
+            self._own_crashes.discard(message.digest)
--- a/packages/server/src/jaytray_server/process/runtime.py
+++ b/packages/server/src/jaytray_server/process/runtime.py
@@ -21,6 +21,10 @@
 from jaytray_server.connection.peer_network import PeerHub
 from jaytray_server.options import Options
 from jaytray_server.ports import Metrics
+from jaytray_server.process.environment_members import (
+    EnvironmentMembers,
+    list_of_environment,
+)
 from jaytray_server.process.isolation import watch_isolation
 from jaytray_server.process.membership import follow_vm_list
 from jaytray_server.process.metrics import make_null_metrics, make_statsd_metrics
@@ -87,9 +91,15 @@
     def set_isolated(value: bool) -> None:
         parts.lifecycle.is_isolated = value
 
+    members = EnvironmentMembers(
+        vm_id=options.vm_id,
+        environment=options.environment,
+        key_value=outside.key_value,
+        clock=monotonic_clock,
+    )
     duties_by_name: dict[str, Callable[[], Awaitable[None]]] = {
         "vm_list": lambda: follow_vm_list(
-            outside.vm_list,
+            list_of_environment(outside.vm_list, members),
             vm_id=options.vm_id,
             on_change=on_vm_list,
             poll_interval_s=options.vm_list_poll_s,
--- a/packages/server/src/jaytray_server/process/subsystems.py
+++ b/packages/server/src/jaytray_server/process/subsystems.py
@@ -7,6 +7,7 @@
 from jaytray_core.clock import monotonic_clock, wall_clock
 from jaytray_core.prefix_digests import prefix_digests
 from jaytray_server.connection.peer_network import PeerHub
+from jaytray_server.connection.scoped_key_value import scope_key_value
 from jaytray_server.connection.target_pool import TargetPools
 from jaytray_server.options import Options
 from jaytray_server.ports import Metrics
@@ -60,6 +61,9 @@
 ) -> Subsystems:
     """Make all subsystems; nothing runs yet."""
     peers = hub.functions()
+    key_value = scope_key_value(
+        outside.key_value, prefix=f"environments/{options.environment}/"
+    )
     rng = random.Random(f"{options.vm_id}-{hub.boot_epoch_ms}")
     decisions = DecisionLog()
     follower = DocumentFollower(
@@ -78,7 +82,7 @@
     follower.on_change(lambda _document: pools.retire_undeclared())
     limits = AccountLimits(
         vm_id=options.vm_id,
-        key_value=outside.key_value,
+        key_value=key_value,
         peers=peers,
         current_document=follower.current,
         clock=monotonic_clock,
@@ -98,7 +102,7 @@
     )
     duties = PlacementDuties(
         vm_id=options.vm_id,
-        key_value=outside.key_value,
+        key_value=key_value,
         peers=peers,
         connection_to=pools.to_target,
         current_document=follower.current,
@@ -113,7 +117,7 @@
     )
     lifecycle = Lifecycle()
     request_state = make_request_state(
-        key_value=outside.key_value,
+        key_value=key_value,
         peers=peers,
         clock=monotonic_clock,
         wall_clock=wall_clock,
--- a/packages/server/src/jaytray_server/version/held.py
+++ b/packages/server/src/jaytray_server/version/held.py
@@ -7,7 +7,7 @@
 import enum
 from collections.abc import Mapping
 
-from jaytray_core.document.model import Document, empty_document
+from jaytray_core.document.model import Document, empty_document, with_targets_of
 from jaytray_core.document.parts import (
     DeclaredParts,
     Head,
@@ -78,5 +78,6 @@
         )
         needed = needed_digests(head.body_digest, known)
         parts = {digest: known[digest] for digest in needed}
+        document = with_targets_of(document, self.environment)
         self.head, self.document, self.parts_by_digest = head, document, parts
         self._declared = declared
--- a/packages/server/tests/process/quarantine/test_evidence.py
+++ b/packages/server/tests/process/quarantine/test_evidence.py
@@ -63,10 +63,18 @@
 
     def test_cleared_request_starts_anew(self) -> None:
         self.evidence.report_crash("t1/1", ["a"])
-        self.evidence.clear("a")
+        self.evidence.clear("a", ("t1/1",))
         self.evidence.report_crash("t2/1", ["a"])
         self.assertEqual([], self.quarantined())
 
+    def test_late_clearing_does_not_hide_a_newer_crash(self) -> None:
+        self.evidence.report_crash("t1/1", ["a"])
+        self.evidence.clear("a", ("t1/1",))
+        self.evidence.report_crash("t2/1", ["a"])
+        self.evidence.clear("a", ("t1/1",))
+        found = self.evidence.find("a")
+        self.assertEqual(("t2/1",), found.crash_ids if found else ())
+
     @given(order=st.permutations(range(3)))
     def test_reports_in_any_order_quarantine_the_culprit(
         self, order: list[int]
--- a/tests/system/test_site.py
+++ b/tests/system/test_site.py
@@ -228,6 +228,46 @@
 
         asyncio.run(scenario())
 
+    def test_trial_and_production_share_a_site(self) -> None:
+        """Promotion moves the body; trial's VMs leave production's targets alone."""
+
+        async def scenario() -> None:
+            async with serving_site("vm-1") as running:
+                site = running.site
+                path = site.folder / "document.ini"
+                text = path.read_text()
+                own = text.replace("environment = trial", "environment = production", 1)
+                path.write_text(own)
+                flags = site_flags(site)
+                await run_jaytray("apply", str(path), "--based_on=1", *flags)
+                async with running_vm(
+                    site.folder,
+                    site.stand_ins,
+                    "vm-9",
+                    curve_keys=site.curve_keys,
+                    environment="production",
+                ) as vm:
+                    await until(functools.partial(self._promotes, site))
+                    await until(functools.partial(running.is_admitted, vm))
+                    self.assertEqual(["vm-9"], (await running.status(vm))["listed_vms"])
+                    first = running.vm("vm-1")
+                    await until(functools.partial(running.is_admitted, first))
+                    trial = await running.status(first)
+                    self.assertEqual(["vm-1"], trial["listed_vms"])
+                    self.assertEqual([], trial["unreachable_models"])
+                    served = await running.chat(vm)
+                    routed = vm.log_lines(served.headers["x-request-id"])
+                    self.assertIn("target=target-1", routed[0])
+
+        asyncio.run(scenario())
+
+    async def _promotes(self, site: Site) -> bool:
+        try:
+            await run_jaytray("promote", "--based_on=0", *site_flags(site))
+        except RuntimeError:
+            return False
+        return True
+
     async def _avoids(self, running: Running, vm: Vm) -> bool:
         """Return whether a request through the VM leaves the first target out."""
         address = running.site.stand_ins.targets_by_name["target-1"]
