Refuse by how long requests really run, not by the inter-token deadline

Traced: admission took each running request to get one token per inter-token deadline, whose default of 5 s was described as an idle limit; ruled out the rate limits (no rate_exceeded) and the slots (limit 16, 8 in use). A test shows short requests admitted and long ones refused. Conclusion: early refusal stays, without the false ones.

--- a/packages/core/src/jaytray_core/document/options.py
+++ b/packages/core/src/jaytray_core/document/options.py
@@ -121,16 +121,16 @@
         _option(
             "first_token_deadline_s",
             "s",
-            "10",
+            "2",
             decimal(0.01, 3600),
             "Time to the first token before a request is refused.",
         ),
         _option(
             "inter_token_deadline_s",
             "s",
-            "5",
-            decimal(0.01, 3600),
-            "Silence within a stream before it is resumed elsewhere.",
+            "0.05",
+            decimal(0.001, 3600),
+            "Time between tokens that a full replica keeps; placement counts on it.",
         ),
     ),
     _section(
--- a/packages/server/src/jaytray_server/process/target_table.py
+++ b/packages/server/src/jaytray_server/process/target_table.py
@@ -19,6 +19,8 @@
 SUSPECT_MAX_S = 30.0
 MAX_SUSPECT_DOUBLINGS = 5
 SLOW_S = 5.0
+# Weight of the newest observation in the mean length of requests.
+HELD_GAIN = 0.2
 
 
 class OwnRequest(NamedTuple):
@@ -47,6 +49,7 @@
         self.received_at_s = float("-inf")
         self.own_by_request_id: dict[str, OwnRequest] = {}
         self.own_tokens = 0
+        self.mean_held_s: float | None = None
         self.failures_in_a_row = 0
         self.suspected_until_s = float("-inf")
         self.slow_until_s = float("-inf")
@@ -132,6 +135,11 @@
             max(tokens + sum(missing), entry.own_tokens),
         )
 
+    def mean_held_s(self, target: str) -> float | None:
+        """Return how long own requests ran there on average, None when unknown."""
+        entry = self._entries_by_target.get(target)
+        return entry.mean_held_s if entry else None
+
     def is_leaving(self, target: str) -> bool:
         """Return whether the target said that it is leaving."""
         report = self.report_of(target)
@@ -179,8 +187,14 @@
         """Forget an own request; unknown ones are ignored."""
         entry = self._entry(target)
         own = entry.own_by_request_id.pop(request_id, None)
-        if own is not None:
-            entry.own_tokens -= own.tokens
+        if own is None:
+            return
+        entry.own_tokens -= own.tokens
+        held_s = self._clock() - own.started_at_s
+        known_s = entry.mean_held_s
+        entry.mean_held_s = (
+            held_s if known_s is None else known_s + HELD_GAIN * (held_s - known_s)
+        )
 
     def failed(self, target: str) -> None:
         """Suspect the target, for twice as long at each failure in a row."""
--- a/packages/server/src/jaytray_server/request/routing.py
+++ b/packages/server/src/jaytray_server/request/routing.py
@@ -127,7 +127,12 @@
             if policy.refuses_unreachable_deadlines:
                 remaining_s = request.deadline_s - clock()
                 _refuse_unreachable_deadline(
-                    request, model, scored.candidate, remaining_s, policy
+                    request,
+                    model,
+                    scored.candidate,
+                    remaining_s,
+                    table.mean_held_s(scored.candidate.target.name),
+                    policy,
                 )
         except JaytrayError as err:
             _record(request, "", err.code, 0.0, 0)
@@ -315,12 +320,13 @@
     model: Model,
     candidate: _Candidate,
     remaining_s: float,
+    held_s: float | None,
     policy: RoutingPolicy,
 ) -> None:
     """Raise when the best replica cannot start the request before its deadline."""
     if request.traffic_class is TrafficClass.DEFERRED:
         return
-    wait_s = estimate_wait_s(candidate.slots, candidate.load, model)
+    wait_s = estimate_wait_s(candidate.slots, candidate.load, model, held_s)
     if wait_s * policy.admission_safety > remaining_s:
         raise JaytrayError(
             messages.DEADLINE_UNREACHABLE,
@@ -330,18 +336,20 @@
         )
 
 
-def estimate_wait_s(slots: float, load: TargetLoad, model: Model) -> float:
+def estimate_wait_s(
+    slots: float, load: TargetLoad, model: Model, held_s: float | None
+) -> float:
     """Return seconds until one of `slots` is free for one more request.
 
-    Each running request is taken to get a token within the model's inter-token
-    deadline, which is what the number of slots is set for.
+    `held_s` is how long requests ran there lately. Until that is known, each one is
+    taken to get a token within the model's inter-token deadline.
     """
     waiting = load.requests + 1 - slots
     if waiting <= 0 or load.requests == 0:
         return 0.0
-    tokens_each = load.tokens / load.requests
-    tokens_per_s = slots / model.inter_token_deadline_s
-    return waiting * tokens_each / tokens_per_s
+    if held_s is None:
+        held_s = load.tokens / load.requests * model.inter_token_deadline_s
+    return waiting * held_s / slots
 
 
 def _slowest_model(target: str, table: TargetTable, document: Document) -> Model | None:
--- a/packages/server/tests/request/test_routing.py
+++ b/packages/server/tests/request/test_routing.py
@@ -151,6 +151,22 @@
         request = REQUEST._replace(excluded_targets=everywhere)
         self.assertEqual("no_replica", self.code_of_refusal(request))
 
+    @parameterized.expand([("short", 0.05, True), ("long", 5.0, False)])
+    def test_refusal_follows_how_long_requests_really_run(
+        self, _name: str, held_s: float, is_admitted: bool
+    ) -> None:
+        for target in ("t1", "t2"):
+            self.router.started(target, "own", 100)
+        self.now_s += held_s
+        for target in ("t1", "t2"):
+            self.router.finished(target, "own")
+            self.report(target, running=3 * SLOTS)
+        request = REQUEST._replace(deadline_s=self.now_s + 1.0)
+        if is_admitted:
+            self.assertIn(self.router.choose(request).target, ("t1", "t2"))
+        else:
+            self.assertEqual("deadline_unreachable", self.code_of_refusal(request))
+
     def test_decisions_are_found_by_request_id_in_a_bounded_ring(self) -> None:
         target = self.router.choose(REQUEST).target
         self.assertEqual([target], [r.target for r in self.decisions.find("r1")])
