--- a/tools/capacity/roles.py
+++ b/tools/capacity/roles.py
@@ -3,6 +3,8 @@
 from typing import NamedTuple
 
 from jaytray_server.connection.peer_link import HEARTBEAT_INTERVAL_S
+from jaytray_server.process.limits.account_limits import READ_BYTES_PER_S
+from jaytray_server.process.limits.message_budget import BYTES_PER_S
 from jaytray_server.process.membership import (
     CHOSEN_ELSEWHERE,
     CHOSEN_IN_FAILURE_DOMAIN,
@@ -20,10 +22,13 @@
 from tools.capacity import design
 from tools.capacity.slopes import Slope
 
-# Bytes that ZeroMQ, CURVE and TCP/IP add to an envelope.
+# Assumed bytes that ZeroMQ, CURVE and TCP/IP add to an envelope.
 FRAMING_BYTES = 120
 # Each VM chooses some neighbours and is chosen by as many on average.
 NEIGHBOURS = 2 * (CHOSEN_ELSEWHERE + CHOSEN_IN_FAILURE_DOMAIN)
+# Assumed messages about limits, and processor time of each.
+LIMITS_MESSAGES_PER_S = 4.0
+LIMITS_MESSAGE_S = 100e-6
 # Models that one VM has demand for within the averaging time, taken as all.
 MODELS_WITH_DEMAND = design.MODELS
 
@@ -118,15 +123,14 @@
     restarts_per_s = (
         design.RESTARTED_VMS_PER_DAY + design.FAILED_VMS_PER_DAY
     ) / design.DAY_S
-    # A VM reads the table at 200 bytes a second and sends at most 800.
-    table_reads_per_s = 200.0 / table_bytes
+    table_reads_per_s = READ_BYTES_PER_S / table_bytes
     return Role(
         name="limits",
         mechanism="conserved shares, gifts between VMs under a byte budget",
         state_bytes=by_name["client account in use"].at(100),
-        messages_per_s=4.0,
-        bytes_per_s=800.0 + 200.0,
-        core_part=4.0 * 100e-6,
+        messages_per_s=LIMITS_MESSAGES_PER_S,
+        bytes_per_s=BYTES_PER_S + READ_BYTES_PER_S,
+        core_part=LIMITS_MESSAGES_PER_S * LIMITS_MESSAGE_S,
         fleet_reads_per_s=design.VMS * table_reads_per_s,
         # Registering, receiving and claiming, with a few lost races each.
         fleet_writes_per_s=restarts_per_s * 6,
@@ -171,7 +175,7 @@
         messages_per_s=0.1,
         bytes_per_s=20.0,
         core_part=passes_per_s * pass_us / 1e6,
-        # A lease is kept every third of its time by the holder, sought by two more.
+        # Assumed: half a lease call a second for the holder and its two rivals.
         fleet_reads_per_s=groups * 1.0,
         fleet_writes_per_s=2 * orders_per_s + groups * 0.5,
     )
