--- a/tools/bench_path.py
+++ b/tools/bench_path.py
@@ -74,6 +74,7 @@
 accelerator_memory_mib = 24000
 checks_fencing = yes
 max_running_requests = 1000
+environment = trial
 """
 
 
