Use the stand-ins' virtual event loop in the request tests

Cause: read of the whole change: the request tests carried a second event loop that skips time, beside the one in jaytray_standins. Change: the seeded run keeps its own module and takes the shared loop, which also fails at once where every task waits for what cannot happen. Conclusion: one loop serves both; the third, one loop for each process of the limits model, is another thing and stays.

--- a/packages/server/tests/request/virtual_loop.py
+++ b/packages/server/tests/request/virtual_loop.py
@@ -1,4 +1,4 @@
-"""An event loop whose time jumps to the next timer instead of waiting for it.
+"""Runs on virtual time with seeded random numbers, and the clocks of such a run.
 
 Tests with many timeouts run at once and in the same order each time. Only for code
 that opens no sockets.
@@ -6,44 +6,19 @@
 
 import asyncio
 import random
-import selectors
 import time
 import uuid
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 from unittest import mock
 
+from jaytray_standins.virtual_loop import VirtualLoop
+
 T = TypeVar("T")
 # Seconds since the Unix epoch at which virtual time starts.
 EPOCH_S = 1_700_000_000.0
 
 
-class _JumpingSelector(selectors.SelectSelector):
-    """Polls without waiting and adds the wait to the virtual time."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.now_s = 0.0
-
-    def select(self, timeout: float | None = None) -> Any:
-        ready = super().select(0)
-        if not ready and timeout is not None and timeout > 0:
-            self.now_s += timeout
-        return ready
-
-
-class VirtualLoop(asyncio.SelectorEventLoop):
-    """The event loop on virtual time."""
-
-    def __init__(self) -> None:
-        self._virtual_selector = _JumpingSelector()
-        super().__init__(self._virtual_selector)
-
-    def time(self) -> float:
-        """Return the virtual time in seconds."""
-        return self._virtual_selector.now_s
-
-
 def loop_clock() -> float:
     """Return the time of the running loop, real or virtual, in seconds."""
     try:
