--- a/Makefile
+++ b/Makefile
@@ -5,23 +5,26 @@
 
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
-PACKAGES := core server cli standins
-SOURCES := packages tools tests conftest.py
+PACKAGES := core server cli standins gateway
+# Holds no package of its own name at its top, so `platform` stays the library's.
+PLATFORM := platform
+SOURCES := packages platform tools tests conftest.py
 
 empty :=
 space := $(empty) $(empty)
-export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src)):$(CURDIR)
+export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src)):$(CURDIR)/$(PLATFORM)/src:$(CURDIR)
 
 .PHONY: pages setup test check format lint types unit demo serve faults bench-path \
 	bench-limits bench-policy capacity
 
 setup: $(VENV)/.installed
 
-$(VENV)/.installed: requirements.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/.installed: requirements.txt $(wildcard packages/*/pyproject.toml) \
+		$(PLATFORM)/pyproject.toml
 	test -x $(PYTHON) || python3 -m venv $(VENV)
 	$(PYTHON) -m pip install --quiet --requirement requirements.txt
 	$(PYTHON) -m pip install --quiet --no-deps --no-build-isolation \
-		$(foreach p,$(PACKAGES),--editable packages/$(p))
+		$(foreach p,$(PACKAGES),--editable packages/$(p)) --editable ./$(PLATFORM)
 	touch $@
 
 test: setup check
--- a/packages/core/src/jaytray_core/vm_list.py
+++ b/packages/core/src/jaytray_core/vm_list.py
@@ -17,6 +17,8 @@
 
     `peer_address` is `IP:port` of the socket for other VMs; `http_address` is where
     it serves callers. A replaced VM gets a new `vm_id`; a restarted process keeps it.
+    `curve_public_key` (Z85) is set where each process draws its own key pair, and
+    empty where the fleet shares one.
     """
 
     vm_id: str
@@ -24,6 +26,7 @@
     http_address: str
     failure_domain: str
     state: VmState
+    curve_public_key: str = ""
 
 
 ListVmsFunction = Callable[[], Awaitable[list[VmEntry]]]
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Forwards callers' HTTP requests to discovered targets under the operator's routes."""
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/connection/caller_app.py
@@ -0,0 +1,153 @@
+"""The ASGI application for callers, and the one for the balancer's probe.
+
+The raw ASGI interface is used instead of a framework: requests are forwarded with
+method, path, body and headers unchanged, under any path.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from jaytray_core import message_registry as messages
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.errors import JaytrayError, Step
+from jaytray_gateway.ports import RequestHead
+from jaytray_gateway.process.lifecycle import Lifecycle
+from jaytray_gateway.request.reply import CallerReply
+from jaytray_gateway.request.request_path import (
+    RequestServices,
+    send_refusal,
+    serve_request,
+)
+from jaytray_gateway.version.route_table import CallerLimits
+
+Receive = Callable[[], Awaitable[Any]]
+Send = Callable[[Any], Awaitable[None]]
+App = Callable[[Any, Receive, Send], Awaitable[None]]
+
+# Applied until the first route table states others.
+DEFAULT_LIMITS = CallerLimits(
+    header_bytes=16_384, body_bytes=4_194_304, header_timeout_s=3.0, idle_timeout_s=15.0
+)
+# Longest wait for the next part of a body.
+BODY_PAUSE_S = 5.0
+
+
+class CallerLeft(Exception):
+    """The caller closed the connection before its request was read."""
+
+
+def make_caller_app(
+    services: RequestServices,
+    *,
+    lifecycle: Lifecycle,
+    current_limits: Callable[[], CallerLimits | None],
+    clock: MonotonicClock,
+) -> App:
+    """Return the application that forwards callers' requests."""
+
+    async def serve(scope: Any, receive: Receive, send: Send) -> None:
+        if scope["type"] != "http":
+            return
+        reply = CallerReply(send=send, close_after=lambda: lifecycle.is_stopping)
+        lifecycle.running_requests += 1
+        try:
+            await _serve_one(scope, receive, reply)
+        finally:
+            lifecycle.running_requests -= 1
+
+    async def _serve_one(scope: Any, receive: Receive, reply: CallerReply) -> None:
+        head = _read_head(scope, clock())
+        try:
+            limits = current_limits() or DEFAULT_LIMITS
+            _check_head(head, limits)
+            body = await _read_body(receive, limits.body_bytes)
+            request = services.adapter.parse_request(head, body)
+        except CallerLeft:
+            return
+        except JaytrayError as err:
+            await send_refusal(err, "", reply, services.adapter)
+            return
+        serving = asyncio.ensure_future(serve_request(request, reply, services))
+        leaving = asyncio.ensure_future(_wait_for_disconnect(receive))
+        try:
+            await asyncio.wait((serving, leaving), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            leaving.cancel()
+            if not serving.done():
+                serving.cancel()
+        await asyncio.gather(serving, leaving, return_exceptions=True)
+        if not serving.cancelled() and serving.exception() is not None:
+            raise serving.exception() or RuntimeError("unreachable")
+
+    return serve
+
+
+def make_probe_app(is_ready: Callable[[], bool]) -> App:
+    """Return the application that answers the balancer's probe."""
+
+    async def probe(scope: Any, _receive: Receive, send: Send) -> None:
+        if scope["type"] == "http":
+            reply = CallerReply(send=send, close_after=lambda: False)
+            await reply.send_whole(200 if is_ready() else 503, [], b"")
+
+    return probe
+
+
+def _read_head(scope: Any, now_s: float) -> RequestHead:
+    target = scope["raw_path"]
+    if scope["query_string"]:
+        target += b"?" + scope["query_string"]
+    return RequestHead(
+        method=scope["method"],
+        target=target,
+        headers=scope["headers"],
+        received_at_s=now_s,
+    )
+
+
+def _check_head(head: RequestHead, limits: CallerLimits) -> None:
+    size = sum(len(name) + len(value) + 4 for name, value in head.headers)
+    if size + len(head.target) > limits.header_bytes:
+        raise JaytrayError(
+            messages.HEADERS_TOO_LARGE,
+            step=Step.DECODE,
+            part="header section",
+            limit=limits.header_bytes,
+        )
+    names = [name for name, _ in head.headers]
+    if b"content-length" in names and b"transfer-encoding" in names:
+        raise JaytrayError(
+            messages.INVALID_REQUEST,
+            step=Step.DECODE,
+            detail="both Content-Length and Transfer-Encoding are given",
+        )
+
+
+async def _read_body(receive: Receive, limit_bytes: int) -> bytes:
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        try:
+            async with asyncio.timeout(BODY_PAUSE_S):
+                message = await receive()
+        except TimeoutError as err:
+            raise JaytrayError(
+                messages.BODY_TIMEOUT, step=Step.DECODE, timeout_s=BODY_PAUSE_S
+            ) from err
+        if message["type"] == "http.disconnect":
+            raise CallerLeft
+        part = message.get("body", b"")
+        size += len(part)
+        if size > limit_bytes:
+            raise JaytrayError(
+                messages.REQUEST_TOO_LARGE, step=Step.DECODE, limit=limit_bytes
+            )
+        parts.append(part)
+        if not message.get("more_body", False):
+            return parts[0] if len(parts) == 1 else b"".join(parts)
+
+
+async def _wait_for_disconnect(receive: Receive) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/connection/target_connection.py
@@ -0,0 +1,206 @@
+"""One HTTP connection to a target, one request at a time.
+
+h11 does the parsing directly on an asyncio transport, because forwarding has to know
+whether a byte may have left and whether bytes came that belong to no request; httpx
+hides both.
+"""
+
+import asyncio
+import enum
+import socket
+
+import h11
+
+from jaytray_core.addresses import parse_address
+from jaytray_gateway.ports import HeaderList
+
+# Written data unacknowledged for this long means that the target is out of reach.
+USER_TIMEOUT_MS = 2_000
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+# Received bytes held for a slow caller before the target is no longer read from.
+MAX_BUFFERED_BYTES = 262_144
+_HOST = [(b"host", b"-")]
+
+
+class Progress(enum.Enum):
+    """How far a failed exchange got."""
+
+    NOT_SENT = "not_sent"
+    BROKEN = "broken"
+    TIMED_OUT = "timed_out"
+
+
+class ExchangeBroken(Exception):
+    """The exchange ended without a whole answer."""
+
+    def __init__(self, progress: Progress, detail: str) -> None:
+        super().__init__(detail)
+        self.progress = progress
+        self.detail = detail
+
+
+class TargetConnection(asyncio.Protocol):
+    """An open connection; `open_connection` makes one."""
+
+    def __init__(self) -> None:
+        self.idle_since_s = 0.0
+        self.idle_timeout_s: float | None = None
+        self.uses = 0
+        self._http = h11.Connection(h11.CLIENT)
+        self._transport: asyncio.Transport | None = None
+        self._request: h11.Request | None = None
+        self._failure: str | None = None
+        self._is_closed = False
+        self._has_stray_bytes = False
+        self._buffered_bytes = 0
+        self._data_waiter: asyncio.Future[None] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Set the socket's options."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        raw = transport.get_extra_info("socket")
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        for option, value in (
+            (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+            (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+            (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+            (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+        ):
+            raw.setsockopt(socket.IPPROTO_TCP, option, value)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes; any that come between requests spoil the connection."""
+        if self._request is None:
+            self._has_stray_bytes = True
+            return
+        self._http.receive_data(data)
+        self._buffered_bytes += len(data)
+        if self._buffered_bytes > MAX_BUFFERED_BYTES and self._transport:
+            self._transport.pause_reading()
+        self._wake()
+
+    def eof_received(self) -> None:
+        """Tell the parser that the target sends no more."""
+        self._is_closed = True
+        self._http.receive_data(b"")
+        self._wake()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note why the connection ended."""
+        if exc is not None or not self._is_closed:
+            self._failure = str(exc) if exc else "connection closed"
+        self._is_closed = True
+        self._wake()
+
+    def is_usable(self, now_s: float, default_idle_s: float) -> bool:
+        """Return whether another request may be sent on this idle connection."""
+        limit_s = self.idle_timeout_s if self.idle_timeout_s else default_idle_s
+        return not (
+            self._is_closed
+            or self._has_stray_bytes
+            or now_s - self.idle_since_s > limit_s
+        )
+
+    def send(
+        self, method: bytes, target: bytes, headers: HeaderList, body: bytes
+    ) -> None:
+        """Write a whole request; raises `ExchangeBroken` when nothing has left."""
+        if self._is_closed or self._transport is None:
+            raise ExchangeBroken(Progress.NOT_SENT, "connection closed while idle")
+        self.uses += 1
+        self._request = h11.Request(method=method, target=target, headers=headers)
+        parts = [self._http.send(self._request)]
+        if body:
+            parts.append(self._http.send(h11.Data(data=body)))
+        parts.append(self._http.send(h11.EndOfMessage()))
+        self._transport.write(b"".join(part for part in parts if part))
+
+    async def next_event(self) -> h11.Response | h11.Data | h11.EndOfMessage:
+        """Return the next piece of the answer; raises `ExchangeBroken`."""
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as err:
+                raise ExchangeBroken(Progress.BROKEN, str(err)) from err
+            if isinstance(event, (h11.Response, h11.Data, h11.EndOfMessage)):
+                return event
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if self._failure is not None or event is not h11.NEED_DATA:
+                detail = self._failure or "connection closed before the answer"
+                raise ExchangeBroken(Progress.BROKEN, detail)
+            await self._wait_for_data()
+
+    def skip_foreign_answer(self) -> bool:
+        """Go on to the next answer after one that belongs to no request.
+
+        Call it when that answer was read to its end. Returns False where the
+        connection cannot go on.
+        """
+        if self._http.their_state is not h11.DONE or self._request is None:
+            return False
+        following, is_ended = self._http.trailing_data
+        self._http = h11.Connection(h11.CLIENT)
+        # Only the method decides how the next answer is framed.
+        bare = h11.Request(method=self._request.method, target=b"/", headers=_HOST)
+        self._http.send(bare)
+        self._http.send(h11.EndOfMessage())
+        if following:
+            self._http.receive_data(following)
+        if is_ended or self._is_closed:
+            self._http.receive_data(b"")
+        return True
+
+    def finish(self, now_s: float) -> bool:
+        """End an exchange whose answer was read; False if it cannot be used again."""
+        is_reusable = (
+            not self._is_closed
+            and self._http.our_state is h11.DONE
+            and self._http.their_state is h11.DONE
+            and self._http.trailing_data == (b"", False)
+            and self._transport is not None
+            and self._transport.get_write_buffer_size() == 0
+        )
+        if not is_reusable:
+            self.close()
+            return False
+        self._http.start_next_cycle()
+        self._request = None
+        self.idle_since_s = now_s
+        return True
+
+    def close(self) -> None:
+        """Close at once; what was received and not read is dropped."""
+        self._is_closed = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def _wait_for_data(self) -> None:
+        if self._buffered_bytes > MAX_BUFFERED_BYTES and self._transport:
+            self._transport.resume_reading()
+        self._buffered_bytes = 0
+        self._data_waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._data_waiter
+        finally:
+            self._data_waiter = None
+
+    def _wake(self) -> None:
+        if self._data_waiter is not None and not self._data_waiter.done():
+            self._data_waiter.set_result(None)
+
+
+async def open_connection(address: str, *, timeout_s: float) -> TargetConnection:
+    """Connect to `IP:port`; raises `ExchangeBroken` with NOT_SENT."""
+    host, port = parse_address(address)
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, connection = await loop.create_connection(TargetConnection, host, port)
+    except (OSError, TimeoutError) as err:
+        detail = str(err) or "connection timed out"
+        raise ExchangeBroken(Progress.NOT_SENT, detail) from err
+    return connection
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/connection/target_pool.py
@@ -0,0 +1,88 @@
+"""Idle connections to targets, by address and target id.
+
+The most recently used connection goes first, so that surplus ones age and close.
+"""
+
+from collections.abc import Awaitable, Callable
+
+from jaytray_core.clock import MonotonicClock
+from jaytray_gateway.connection.target_connection import (
+    TargetConnection,
+    open_connection,
+)
+
+# A target answers a connection attempt within milliseconds; the wait covers one
+# repeated SYN, which the kernel sends after a second.
+CONNECT_TIMEOUT_S = 1.2
+# Used where a target does not say how long it keeps an idle connection.
+DEFAULT_IDLE_S = 4.0
+# Part of a stated idle time after which a connection is no longer trusted.
+IDLE_SAFETY = 0.7
+
+OpenConnection = Callable[[str], Awaitable[TargetConnection]]
+
+
+async def _open(address: str) -> TargetConnection:
+    return await open_connection(address, timeout_s=CONNECT_TIMEOUT_S)
+
+
+class TargetPools:
+    """Idle connections of this process."""
+
+    def __init__(
+        self, *, clock: MonotonicClock, open_connection: OpenConnection = _open
+    ) -> None:
+        self.opened = 0
+        self._clock = clock
+        self._open = open_connection
+        self._idle_by_target: dict[tuple[str, str], list[TargetConnection]] = {}
+
+    async def acquire(self, target_id: str, address: str) -> TargetConnection:
+        """Return a connection to the target; raises `ExchangeBroken`."""
+        idle = self._idle_by_target.get((target_id, address), [])
+        now_s = self._clock()
+        while idle:
+            connection = idle.pop()
+            if connection.is_usable(now_s, DEFAULT_IDLE_S):
+                return connection
+            connection.close()
+        self.opened += 1
+        return await self._open(address)
+
+    def release(
+        self,
+        target_id: str,
+        address: str,
+        connection: TargetConnection,
+        idle_timeout_s: float | None,
+    ) -> None:
+        """Keep a connection whose answer was read whole, if it may be used again."""
+        if idle_timeout_s is not None:
+            connection.idle_timeout_s = idle_timeout_s * IDLE_SAFETY
+        if connection.finish(self._clock()):
+            idle = self._idle_by_target.setdefault((target_id, address), [])
+            idle.append(connection)
+
+    def drop_target(self, target_id: str) -> None:
+        """Close the idle connections of a target that is gone or out of reach."""
+        for key in [key for key in self._idle_by_target if key[0] == target_id]:
+            for connection in self._idle_by_target.pop(key):
+                connection.close()
+
+    def close_stale(self) -> None:
+        """Close the idle connections that are too old to be used again."""
+        now_s = self._clock()
+        for key, idle in list(self._idle_by_target.items()):
+            usable = [c for c in idle if c.is_usable(now_s, DEFAULT_IDLE_S)]
+            for connection in idle:
+                if connection not in usable:
+                    connection.close()
+            if usable:
+                self._idle_by_target[key] = usable
+            else:
+                del self._idle_by_target[key]
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for target_id in {key[0] for key in self._idle_by_target}:
+            self.drop_target(target_id)
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -0,0 +1,229 @@
+"""This process's copy of the key-value service: route table, targets and members.
+
+One task reads everything at a fixed pace, which also proves how recent the copy is;
+another waits for changes, which only makes it more recent. Versions of the route
+table never go back within a process.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.errors import JaytrayError
+from jaytray_core.keyvalue import KeyValueRecord, KeyValueService
+from jaytray_core.logs import get_logger
+from jaytray_gateway.ports import PlatformAdapter
+from jaytray_gateway.process.target_entry import TargetEntry
+from jaytray_gateway.version.route_table import RouteTable
+
+# Pace of full reads: several within the shortest bound on a change (2 s).
+READ_INTERVAL_S = 1.2
+# Pause after a failed call; short, as the copy's age ends serving.
+RETRY_PAUSE_S = 0.25
+WATCH_WAIT_S = 10.0
+# Changes that follow each other closely are taken by one call.
+WATCH_PAUSE_S = 0.25
+# Targets re-register within about 2 s of the service's return.
+REREGISTRATION_S = 2.2
+# Failed reads for longer than this count as an outage of the service.
+OUTAGE_S = 1.5
+
+OnChange = Callable[[], None]
+
+
+class _Held(NamedTuple):
+    """A key as last seen; `value` is empty once the key is gone."""
+
+    value: bytes
+    revision: int
+
+
+class Directory:
+    """State of the copy.
+
+    `read_at_s` is when the last successful full read was begun, by a clock that
+    runs while the VM is suspended: whatever changed before is known.
+    """
+
+    def __init__(
+        self,
+        *,
+        key_value: KeyValueService,
+        adapter: PlatformAdapter,
+        clock: MonotonicClock,
+    ) -> None:
+        self.route_table: RouteTable | None = None
+        self.targets_by_id: dict[str, TargetEntry] = {}
+        self.members_by_key: dict[str, bytes] = {}
+        self.read_at_s = -float("inf")
+        self._key_value = key_value
+        self._adapter = adapter
+        self._clock = clock
+        self._held_by_key: dict[str, _Held] = {}
+        self._lapsed_until_s_by_id: dict[str, float] = {}
+        self._revision = 0
+        self._outage_ended_s = -float("inf")
+        self._listeners: list[OnChange] = []
+        self._read_wanted = asyncio.Event()
+
+    def on_change(self, listener: OnChange) -> None:
+        """Call `listener` after each change of the copy."""
+        self._listeners.append(listener)
+
+    def age_s(self) -> float:
+        """Return how old the copy may be."""
+        return self._clock() - self.read_at_s
+
+    async def run_reads(self) -> None:
+        """Read everything at a fixed pace until cancelled."""
+        is_reachable = True
+        while True:
+            begun_s = self._clock()
+            try:
+                await self._read(begun_s)
+            except JaytrayError as err:
+                if is_reachable:
+                    get_logger().warning("store_lost", error=str(err))
+                is_reachable = False
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
+            if not is_reachable:
+                get_logger().info("store_regained", revision=self._revision)
+            is_reachable = True
+            self._read_wanted.clear()
+            try:
+                async with asyncio.timeout(READ_INTERVAL_S):
+                    await self._read_wanted.wait()
+            except TimeoutError:
+                pass
+
+    async def run_watch(self) -> None:
+        """Take changes as they come until cancelled."""
+        while True:
+            if self._revision == 0:
+                await asyncio.sleep(WATCH_PAUSE_S)
+                continue
+            try:
+                batch = await self._key_value.watch("", self._revision, WATCH_WAIT_S)
+            except JaytrayError as err:
+                get_logger().info("store_watch_ended", error=str(err))
+                self._read_wanted.set()
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
+            if batch.records:
+                self._apply(batch.records)
+            self._revision = max(self._revision, batch.revision)
+            await asyncio.sleep(WATCH_PAUSE_S)
+
+    async def _read(self, begun_s: float) -> None:
+        known_before = dict(self._held_by_key)
+        records = await self._key_value.get_prefix("")
+        if begun_s - self.read_at_s > OUTAGE_S and self._revision:
+            self._outage_ended_s = self._clock()
+        self.read_at_s = begun_s
+        found = {record.key for record in records}
+        removed = [
+            KeyValueRecord(key, b"", held.revision)
+            for key, held in known_before.items()
+            if key not in found and held.value and self._held_by_key[key] == held
+        ]
+        self._revision = max([self._revision, *(r.revision for r in records)])
+        self._end_lapses(found)
+        self._apply([*records, *removed], removed_keys={r.key for r in removed})
+
+    def _apply(
+        self,
+        records: list[KeyValueRecord],
+        removed_keys: frozenset[str] | set[str] = frozenset(),
+    ) -> None:
+        is_changed = False
+        for record in records:
+            held = self._held_by_key.get(record.key)
+            is_removed = record.key in removed_keys
+            if held is not None and record.revision <= held.revision and not is_removed:
+                continue
+            self._held_by_key[record.key] = _Held(record.value, record.revision)
+            self._take(record)
+            is_changed = True
+        if is_changed:
+            for listener in self._listeners:
+                listener()
+
+    def _take(self, record: KeyValueRecord) -> None:
+        adapter = self._adapter
+        if record.key == adapter.route_table_key:
+            self._take_route_table(record)
+        elif record.key.startswith(adapter.targets_prefix):
+            target_id = record.key.removeprefix(adapter.targets_prefix)
+            if record.value:
+                self._take_target(target_id, record)
+            else:
+                self._drop_target(target_id)
+        elif record.key.startswith(adapter.own_prefix):
+            if record.value:
+                self.members_by_key[record.key] = record.value
+            else:
+                self.members_by_key.pop(record.key, None)
+
+    def _take_route_table(self, record: KeyValueRecord) -> None:
+        try:
+            table = self._adapter.decode_route_table(record.value)
+        except JaytrayError as err:
+            get_logger().error("route_table_unreadable", error=str(err))
+            return
+        if self.route_table is not None and table.version < self.route_table.version:
+            get_logger().warning("route_table_older", version=table.version)
+            return
+        self.route_table = table
+        get_logger().info(
+            "route_table_in_force",
+            version=table.version,
+            revision=record.revision,
+            routes=sum(map(len, table.routes_by_host.values())),
+            accounts=len(table.accounts_by_name),
+        )
+
+    def _take_target(self, target_id: str, record: KeyValueRecord) -> None:
+        try:
+            entry = self._adapter.decode_target(target_id, record.value)
+        except JaytrayError as err:
+            get_logger().info("target_unreadable", target=target_id, error=str(err))
+            self.targets_by_id.pop(target_id, None)
+            return
+        before = self.targets_by_id.get(target_id)
+        self._lapsed_until_s_by_id.pop(target_id, None)
+        self.targets_by_id[target_id] = entry
+        if before is None or (before.incarnation, before.is_leaving) != (
+            entry.incarnation,
+            entry.is_leaving,
+        ):
+            get_logger().info(
+                "target_known",
+                target=target_id,
+                service=entry.service,
+                incarnation=entry.incarnation,
+                is_leaving=entry.is_leaving,
+                revision=record.revision,
+            )
+
+    def _drop_target(self, target_id: str) -> None:
+        if target_id not in self.targets_by_id:
+            return
+        until_s = self._outage_ended_s + REREGISTRATION_S
+        if self._clock() < until_s and not self.targets_by_id[target_id].is_leaving:
+            self._lapsed_until_s_by_id[target_id] = until_s
+            get_logger().info("target_lapsed", target=target_id)
+            return
+        del self.targets_by_id[target_id]
+        get_logger().info("target_gone", target=target_id)
+
+    def _end_lapses(self, found_keys: set[str]) -> None:
+        now_s = self._clock()
+        for target_id, until_s in list(self._lapsed_until_s_by_id.items()):
+            if self._adapter.targets_prefix + target_id in found_keys:
+                del self._lapsed_until_s_by_id[target_id]
+            elif now_s >= until_s:
+                del self._lapsed_until_s_by_id[target_id]
+                self.targets_by_id.pop(target_id, None)
+                get_logger().info("target_gone", target=target_id, lapsed=True)
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/process/gossip.py
@@ -0,0 +1,154 @@
+"""What members tell each other: load, demand, broken answers, replicas, wishes.
+
+Messages are small, idempotent and may be lost; each goes straight to every member.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from jaytray_core.codec import decode_msgpack, encode_msgpack
+from jaytray_gateway.process.crash_guard import Break, CrashGuard
+from jaytray_gateway.process.demand_average import DemandAverage
+from jaytray_gateway.process.load_view import LoadView, TargetLoad
+from jaytray_gateway.process.rate_gifts import RateGifts
+from jaytray_gateway.process.rate_shares import RateShares
+from jaytray_gateway.process.replicas import ReplicaNotice, Replicas
+from jaytray_gateway.version.route_table import RouteTable
+from jaytray_server.ports import PeerNetwork
+
+# Pace of load reports in a fleet of up to ten members; longer in larger ones, so
+# that a member's messages a second stay bounded.
+REPORT_INTERVAL_S = 0.2
+REPORT_S_PER_MEMBER = 0.02
+
+_REPORT = "gateway.report"
+_BREAK = "gateway.break"
+_NOTICES = "gateway.notices"
+_WISH = "gateway.wish"
+
+
+class Report(NamedTuple):
+    """A member's requests in flight, its callers' demand, its tokens at hand."""
+
+    load_by_target: dict[str, TargetLoad]
+    rate_by_account: dict[str, float]
+    rate_by_replica: dict[str, float]
+    level_by_account: dict[str, float]
+    replicas_by_target: dict[str, list[str]]
+
+
+class ReplicaWish(NamedTuple):
+    """A member's request waits for this model or adapter."""
+
+    service: str
+    model: str
+    adapter: str
+
+
+class Gossip:
+    """The exchange of this member with the others."""
+
+    def __init__(
+        self,
+        *,
+        peers: PeerNetwork,
+        loads: LoadView,
+        shares: RateShares,
+        gifts: RateGifts,
+        current_table: Callable[[], RouteTable | None],
+        replicas: Replicas,
+        replica_demand: DemandAverage,
+    ) -> None:
+        self.replica_rates_by_member: dict[str, dict[str, float]] = {}
+        self._peers = peers
+        self._loads = loads
+        self._shares = shares
+        self._gifts = gifts
+        self._current_table = current_table
+        self._replicas = replicas
+        self._replica_demand = replica_demand
+
+    def subscribe(
+        self, crash_guard: CrashGuard, take_wish: Callable[[ReplicaWish], None]
+    ) -> None:
+        """Route what the others send to the subsystems."""
+
+        def on_break(sender: str, body: bytes) -> None:
+            crash_guard.take(decode_msgpack(body, Break, peer=sender))
+
+        def on_wish(sender: str, body: bytes) -> None:
+            take_wish(decode_msgpack(body, ReplicaWish, peer=sender))
+
+        self._peers.set_handler(_REPORT, self._take_report)
+        self._peers.set_handler(_NOTICES, self._take_notices)
+        self._peers.set_handler(_BREAK, on_break)
+        self._peers.set_handler(_WISH, on_wish)
+
+    def member_ids(self) -> frozenset[str]:
+        """Return the members whose leases may still run, this one included."""
+        return self._shares.member_ids
+
+    async def run(self) -> None:
+        """Report to all members until cancelled."""
+        while True:
+            members = self._other_members()
+            if members:
+                self._send_all(_REPORT, encode_msgpack(self._report()))
+            scaled_s = REPORT_S_PER_MEMBER * len(members)
+            await asyncio.sleep(max(REPORT_INTERVAL_S, scaled_s))
+
+    def tell_break(self, found: Break) -> None:
+        """Tell all members of a broken answer."""
+        self._send_all(_BREAK, encode_msgpack(found))
+
+    def tell_notices(self, notices: list[ReplicaNotice]) -> None:
+        """Tell all members which replicas came or go, this one included."""
+        for notice in notices:
+            self._replicas.take_notice(notice)
+        self._send_all(_NOTICES, encode_msgpack(notices))
+
+    def send_wish(self, leader: str, wish: ReplicaWish) -> None:
+        """Ask the placement leader for a replica."""
+        self._peers.send(leader, _WISH, encode_msgpack(wish))
+
+    def replica_rates(self) -> dict[str, float]:
+        """Return the demand by replica over all members, in tokens a second."""
+        total = self._replica_demand.rates()
+        for member, rates in self.replica_rates_by_member.items():
+            if member in self._shares.member_ids:
+                for replica, rate in rates.items():
+                    total[replica] = total.get(replica, 0.0) + rate
+        return total
+
+    def _report(self) -> Report:
+        table = self._current_table()
+        return Report(
+            load_by_target=self._loads.own(),
+            rate_by_account=_rounded(self._shares.demand.rates()),
+            rate_by_replica=_rounded(self._replica_demand.rates()),
+            level_by_account=_rounded(self._shares.levels(table)) if table else {},
+            replicas_by_target=self._loads.own_replicas(),
+        )
+
+    def _take_report(self, sender: str, body: bytes) -> None:
+        report = decode_msgpack(body, Report, peer=sender)
+        self._loads.set_peer(sender, report.load_by_target, report.replicas_by_target)
+        self._shares.set_peer_demand(sender, report.rate_by_account)
+        self._gifts.set_peer_levels(sender, report.level_by_account)
+        self.replica_rates_by_member[sender] = report.rate_by_replica
+
+    def _take_notices(self, sender: str, body: bytes) -> None:
+        for notice in decode_msgpack(body, list[ReplicaNotice], peer=sender):
+            self._replicas.take_notice(notice)
+
+    def _other_members(self) -> list[str]:
+        return [vm for vm in self._peers.listed_vms() if vm != self._peers.vm_id]
+
+    def _send_all(self, topic: str, body: bytes) -> None:
+        for member in self._other_members():
+            self._peers.send(member, topic, body)
+
+
+def _rounded(rates: dict[str, float]) -> dict[str, float]:
+    return {name: round(rate, 1) for name, rate in rates.items()}
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/process/membership.py
@@ -0,0 +1,105 @@
+"""This process's leased record among the gateway's members.
+
+The record carries the address for peers and the public CURVE key that the process
+drew at its start, so only processes that may write to the store can join. A member
+whose lease has ended, judged from before its last renewal was sent, holds no share
+of any rate.
+"""
+
+import asyncio
+from typing import NamedTuple
+
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.codec import decode_json, encode_json
+from jaytray_core.errors import JaytrayError
+from jaytray_core.keyvalue import ABSENT_REVISION, KeyValueService
+from jaytray_core.logs import get_logger
+
+# Longer than the age at which a member stops serving, so that whoever is still
+# counted may still serve.
+LEASE_TTL_S = 5.0
+RENEW_INTERVAL_S = 1.2
+RETRY_PAUSE_S = 0.3
+
+
+class Member(NamedTuple):
+    """One gateway process: its VM, peer address and public CURVE key (Z85)."""
+
+    vm_id: str
+    peer_address: str
+    failure_domain: str
+    curve_public_key: str
+
+
+def decode_members(values_by_key: dict[str, bytes], prefix: str) -> dict[str, Member]:
+    """Return the members by VM id; records that cannot be read are left out."""
+    members_by_id = {}
+    for key, value in values_by_key.items():
+        if not key.startswith(prefix):
+            continue
+        try:
+            member = decode_json(value, Member, peer=key)
+        except JaytrayError as err:
+            get_logger().warning("member_unreadable", member=key, error=str(err))
+            continue
+        members_by_id[member.vm_id] = member
+    return members_by_id
+
+
+class Membership:
+    """The own record and its lease."""
+
+    def __init__(
+        self,
+        *,
+        own: Member,
+        prefix: str,
+        key_value: KeyValueService,
+        clock: MonotonicClock,
+    ) -> None:
+        self.own = own
+        self.renewed_at_s = -float("inf")
+        self._key = prefix + own.vm_id
+        self._key_value = key_value
+        self._clock = clock
+        self._lease_id = ""
+
+    async def run(self) -> None:
+        """Keep the record in the store until cancelled."""
+        while True:
+            begun_s = self._clock()
+            try:
+                is_kept = await self._renew()
+            except JaytrayError as err:
+                get_logger().info("member_lease_not_renewed", error=str(err))
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
+            if is_kept:
+                self.renewed_at_s = begun_s
+                await asyncio.sleep(RENEW_INTERVAL_S)
+            else:
+                await asyncio.sleep(RETRY_PAUSE_S)
+
+    async def leave(self) -> None:
+        """End the lease, which removes the record."""
+        if self._lease_id:
+            try:
+                await self._key_value.revoke_lease(self._lease_id)
+            except JaytrayError as err:
+                get_logger().info("member_lease_not_ended", error=str(err))
+
+    async def _renew(self) -> bool:
+        if self._lease_id and await self._key_value.keep_lease(self._lease_id):
+            return True
+        self._lease_id = await self._key_value.grant_lease(LEASE_TTL_S)
+        current = await self._key_value.get(self._key)
+        revision = current.revision if current else ABSENT_REVISION
+        outcome = await self._key_value.compare_and_swap(
+            self._key, revision, encode_json(self.own), self._lease_id
+        )
+        get_logger().info(
+            "member_recorded", is_written=outcome.is_swapped, lease=self._lease_id
+        )
+        if not outcome.is_swapped:
+            self._lease_id = ""
+        return outcome.is_swapped
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/process/metrics.py
@@ -0,0 +1,91 @@
+"""Counters, gauges and latency histograms, served as text on the metrics address."""
+
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from wsgiref.simple_server import WSGIServer
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    start_http_server,
+)
+
+# Upper bounds in seconds: the sheets' objectives lie between 0.1 and 2.5 s.
+_LATENCY_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.4, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0)
+
+
+class GatewayMetrics:
+    """The process's metrics; every label has a bounded number of values."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self._requests = Counter(
+            "jaytray_requests",
+            "Finished requests by outcome.",
+            ["outcome"],
+            registry=self.registry,
+        )
+        self._total_s = Histogram(
+            "jaytray_request_seconds",
+            "Time from arrival to the end of the answer.",
+            buckets=_LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._first_piece_s = Histogram(
+            "jaytray_first_piece_seconds",
+            "Time from arrival to the first piece of a stream.",
+            buckets=_LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.orders = Counter(
+            "jaytray_orders",
+            "Orders to targets by operation and outcome.",
+            ["operation", "outcome"],
+            registry=self.registry,
+        )
+        self.store_calls = Counter(
+            "jaytray_store_calls",
+            "Calls to the key-value service by function and outcome.",
+            ["function", "outcome"],
+            registry=self.registry,
+        )
+        self._gauge_by_name = {
+            name: Gauge(f"jaytray_{name}", text, registry=self.registry)
+            for name, text in (
+                ("route_table_version", "Version of the route table in force."),
+                ("directory_age_seconds", "Age of the copy of the store."),
+                ("members", "Members that share the rates."),
+                ("targets", "Targets in the directory."),
+                ("connections_opened", "Connections opened to targets."),
+                ("log_lines_dropped", "Log lines dropped because none read them."),
+            )
+        }
+
+    def count_request(
+        self, outcome: str, total_s: float, first_piece_s: float | None
+    ) -> None:
+        """Count a finished request."""
+        self._requests.labels(outcome).inc()
+        self._total_s.observe(total_s)
+        if first_piece_s is not None:
+            self._first_piece_s.observe(first_piece_s)
+
+    def set_gauge(self, name: str, value: float) -> None:
+        """Set one of the gauges named above."""
+        self._gauge_by_name[name].set(value)
+
+
+@contextmanager
+def serve_metrics(
+    metrics: GatewayMetrics, *, host: str, port: int
+) -> Iterator[tuple[WSGIServer, threading.Thread]]:
+    """Serve the metrics' text over HTTP until the context ends."""
+    server, thread = start_http_server(port, addr=host, registry=metrics.registry)
+    try:
+        yield server, thread
+    finally:
+        server.shutdown()
+        server.server_close()
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/process/options.py
@@ -0,0 +1,30 @@
+"""Options of a gateway process, made once from its settings."""
+
+from typing import NamedTuple
+
+
+class GatewayOptions(NamedTuple):
+    """Everything that a process learns from its settings; durations in seconds.
+
+    Addresses are `IP:port`. `revocation_s` is the time within which a withdrawn key
+    stops working and `grace_s` the time between the stop signal and the kill.
+    `repeat_ratio`, `repeat_extra` and `repeat_window_s` bound repeats over the fleet.
+    `lease_s` is the shortest time between orders of two holders to one target, and
+    `reads_per_s` the rate of reads that the store allows all members together.
+    """
+
+    vm_id: str
+    failure_domain: str
+    callers_address: str
+    probe_address: str
+    peers_address: str
+    metrics_address: str
+    key_value_address: str
+    revocation_s: float
+    grace_s: float
+    repeat_ratio: float
+    repeat_extra: float
+    repeat_window_s: float
+    lease_s: float
+    load_window_s: float
+    load_window_factor: float
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/process/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of models and adapters on targets, by one leader at a time."""
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/process/placement/duty.py
@@ -0,0 +1,455 @@
+"""The holder's duty: follow demand, have models and adapters loaded and unloaded."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, NamedTuple
+
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.errors import JaytrayError
+from jaytray_core.keyvalue import KeyValueService
+from jaytray_core.logs import get_logger
+from jaytray_gateway.ports import OrderResult, PlatformAdapter, TargetOrder
+from jaytray_gateway.process.directory import Directory
+from jaytray_gateway.process.gossip import Gossip, ReplicaWish
+from jaytray_gateway.process.load_view import LoadView
+from jaytray_gateway.process.metrics import GatewayMetrics
+from jaytray_gateway.process.options import GatewayOptions
+from jaytray_gateway.process.placement.adapter_choice import (
+    choose_target,
+    choose_victim,
+    is_full,
+)
+from jaytray_gateway.process.placement.leadership import Leadership
+from jaytray_gateway.process.placement.load_pace import LoadPace
+from jaytray_gateway.process.placement.planner import ModelStep, next_steps
+from jaytray_gateway.process.placement.target_plan import PendingOrder, TargetPlan
+from jaytray_gateway.process.replicas import ReplicaNotice
+from jaytray_gateway.process.target_entry import TargetEntry
+from jaytray_gateway.version.route_table import Engine, Service
+
+# Below the adapter's own prefix: the leased record of the holder.
+LEADER_KEY = "placement"
+PLAN_INTERVAL_S = 0.25
+# A wish that was not repeated for this long is no longer waited for; a caller that
+# was told to come back does so within it.
+WISH_LIMIT_S = 4.0
+# Time that an adapter takes to load, from the sheets' 9 to 29 ms and the way back.
+ADAPTER_LOAD_S = 0.032
+# Time for which a target that refused an order, or could not be asked, gets none;
+# longer than its reports lag.
+AVOID_S = 0.3
+
+
+class _Wish(NamedTuple):
+    wish: ReplicaWish
+    made_at_s: float
+
+
+class PlacementDuty:
+    """State of the duty; only the holder of the lease acts."""
+
+    def __init__(
+        self,
+        *,
+        options: GatewayOptions,
+        key_value: KeyValueService,
+        adapter: PlatformAdapter,
+        directory: Directory,
+        gossip: Gossip,
+        loads: LoadView,
+        metrics: GatewayMetrics,
+        clock: MonotonicClock,
+    ) -> None:
+        self._own_id = options.vm_id
+        self._adapter = adapter
+        self._directory = directory
+        self._gossip = gossip
+        self._loads = loads
+        self._metrics = metrics
+        self._clock = clock
+        key = adapter.own_prefix + LEADER_KEY
+        self._leadership = Leadership(
+            own_id=options.vm_id,
+            key=key,
+            lease_s=options.lease_s,
+            key_value=key_value,
+            clock=clock,
+            read_record=lambda: directory.members_by_key.get(key),
+            member_ids=gossip.member_ids,
+        )
+        self._pace = LoadPace(
+            window_s=options.load_window_s,
+            factor=options.load_window_factor,
+            clock=clock,
+        )
+        self._plan_by_id: dict[str, TargetPlan] = {}
+        self._lock_by_id: dict[str, asyncio.Lock] = {}
+        self._wish_by_replica: dict[tuple[str, str, str], _Wish] = {}
+        self._loading_adapters: set[tuple[str, str, str]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._reign = 0
+        self._wished = asyncio.Event()
+
+    def ask(self, service: str, model: str, adapter: str) -> None:
+        """Ask the holder for a replica, on behalf of a request that waits for it."""
+        wish = ReplicaWish(service, model, adapter)
+        holder = self._leadership.holder()
+        if holder == self._own_id:
+            self.take_wish(wish)
+        elif holder is not None:
+            self._gossip.send_wish(holder, wish)
+
+    def take_wish(self, wish: ReplicaWish) -> None:
+        """Take a wish of this member or another one."""
+        key = (wish.service, wish.model, wish.adapter)
+        self._wish_by_replica[key] = _Wish(wish, self._clock())
+        self._wished.set()
+
+    def stop(self) -> None:
+        """Give no more orders."""
+        self._leadership.stop()
+
+    async def run(self) -> None:
+        """Hold or await the lease and plan until cancelled."""
+        holding = asyncio.create_task(self._leadership.run())
+        try:
+            while True:
+                try:
+                    async with asyncio.timeout(PLAN_INTERVAL_S):
+                        await self._wished.wait()
+                except TimeoutError:
+                    pass
+                self._wished.clear()
+                await self._plan()
+        finally:
+            holding.cancel()
+            for task in self._tasks:
+                task.cancel()
+
+    async def _plan(self) -> None:
+        if not self._leadership.is_held():
+            self._plan_by_id.clear()
+            return
+        if self._reign != self._leadership.fencing_number:
+            self._reign = self._leadership.fencing_number
+            self._plan_by_id.clear()
+        self._drop_old_wishes()
+        table = self._directory.route_table
+        if table is None:
+            return
+        for service in table.services_by_name.values():
+            if service.engine is not None:
+                await self._plan_service(service, service.engine)
+
+    async def _plan_service(self, service: Service, engine: Engine) -> None:
+        entries_by_id = {
+            target.target_id: target
+            for target in self._directory.targets_by_id.values()
+            if target.service == service.name and not target.is_leaving
+        }
+        plans = await self._current_plans(engine, entries_by_id)
+        self._load_wished_adapters(service, engine, plans, entries_by_id)
+        rates = {
+            name: rate
+            for name, rate in self._gossip.replica_rates().items()
+            if name in engine.models_by_name
+        }
+        waiting = {
+            held.wish.model
+            for held in self._wish_by_replica.values()
+            if held.wish.service == service.name
+            and not any(held.wish.model in plan.models for plan in plans)
+        }
+        steps = next_steps(
+            engine,
+            plans,
+            rates=rates,
+            waiting=waiting,
+            loads_allowed=self._pace.allowed(engine.loads_per_s),
+            now_s=self._clock(),
+        )
+        for step in steps:
+            plan = self._plan_by_id[step.target_id]
+            plan.has_model_step = True
+            entry = entries_by_id[step.target_id]
+            self._start(self._carry_out(step, plan, entry, engine))
+
+    async def _current_plans(
+        self, engine: Engine, entries_by_id: dict[str, TargetEntry]
+    ) -> list[TargetPlan]:
+        """Return the plans of all targets, brought up to date."""
+        now_s = self._clock()
+        unknown = []
+        for entry in entries_by_id.values():
+            plan = self._plan_by_id.get(entry.target_id)
+            if plan is None or plan.incarnation != entry.incarnation:
+                unknown.append(entry)
+                continue
+            plan.take_entry(entry, now_s)
+            is_doubtful = plan.is_count_doubtful or plan.is_overdue(engine, now_s)
+            if is_doubtful and plan.avoided_until_s <= now_s:
+                unknown.append(entry)
+        await asyncio.gather(*(self._read_report(entry) for entry in unknown))
+        return [
+            self._plan_by_id[target_id]
+            for target_id, entry in entries_by_id.items()
+            if target_id in self._plan_by_id
+            and self._plan_by_id[target_id].incarnation == entry.incarnation
+        ]
+
+    async def _read_report(self, entry: TargetEntry) -> None:
+        """Make a new plan from what the target itself says."""
+        before = self._plan_by_id.get(entry.target_id)
+        try:
+            report = await self._adapter.read_report(entry.address)
+        except JaytrayError as err:
+            get_logger().info(
+                "target_report_failed", target=entry.target_id, error=str(err)
+            )
+            if before is not None:
+                before.avoided_until_s = self._clock() + AVOID_S
+            return
+        plan = TargetPlan(
+            entry=entry,
+            adapters_by_model=report.adapters_by_model,
+            order_count=report.order_count,
+        )
+        if before is not None and before.incarnation == entry.incarnation:
+            plan.uncertain = before.uncertain
+            plan.intended_model = before.intended_model
+            plan.intended_since_s = before.intended_since_s
+            if report.is_busy:
+                plan.model_order = before.model_order
+                plan.has_model_step = before.model_order is not None
+            for key in plan.used_at_s_by_adapter:
+                plan.used_at_s_by_adapter[key] = before.used_at_s_by_adapter.get(key, 0)
+        elif report.is_busy:
+            plan.avoided_until_s = self._clock() + AVOID_S
+        self._plan_by_id[entry.target_id] = plan
+
+    def _load_wished_adapters(
+        self,
+        service: Service,
+        engine: Engine,
+        plans: list[TargetPlan],
+        entries_by_id: dict[str, TargetEntry],
+    ) -> None:
+        for key, held in list(self._wish_by_replica.items()):
+            wish = held.wish
+            is_adapter_wish = wish.service == service.name and wish.adapter
+            if not is_adapter_wish or key in self._loading_adapters:
+                continue
+            self._loading_adapters.add(key)
+            self._start(self._load_adapter(wish, engine, plans, entries_by_id))
+
+    async def _load_adapter(
+        self,
+        wish: ReplicaWish,
+        engine: Engine,
+        plans: list[TargetPlan],
+        entries_by_id: dict[str, TargetEntry],
+    ) -> None:
+        """Load an adapter where its model is, dropping one that is out of use."""
+        key = (wish.service, wish.model, wish.adapter)
+        try:
+            target_id = choose_target(
+                engine,
+                plans,
+                wish.model,
+                wish.adapter,
+                rates=self._gossip.replica_rates(),
+                loads=self._loads,
+                now_s=self._clock(),
+            )
+            if target_id is None:
+                return
+            entry = entries_by_id[target_id]
+            async with self._lock_of(target_id):
+                ready_in_s = await self._place_adapter(wish, entry, engine)
+            if ready_in_s is not None:
+                await asyncio.sleep(ready_in_s)
+                self._tell(entry, f"{wish.model}/{wish.adapter}", is_present=True)
+                self._wish_by_replica.pop(key, None)
+        finally:
+            self._loading_adapters.discard(key)
+
+    async def _place_adapter(
+        self, wish: ReplicaWish, entry: TargetEntry, engine: Engine
+    ) -> float | None:
+        """Make room and load, with the target's lock held.
+
+        Returns the seconds until the adapter is there, None if it will not be.
+        """
+        plan = self._plan_by_id.get(entry.target_id)
+        if plan is None or plan.has_model_step:
+            return None
+        if (wish.model, wish.adapter) in plan.used_at_s_by_adapter:
+            return 0.0
+        if is_full(engine, plan):
+            victim = choose_victim(
+                plan,
+                rates=self._gossip.replica_rates(),
+                loads=self._loads,
+                now_s=self._clock(),
+            )
+            if victim is None:
+                return None
+            self._tell(entry, "/".join(victim), is_present=False)
+            if not await self._order(
+                plan, entry, engine, is_load=False, model=victim[0], adapter=victim[1]
+            ):
+                plan.used_at_s_by_adapter[victim] = self._clock()
+                return None
+        is_accepted = await self._order(
+            plan, entry, engine, is_load=True, model=wish.model, adapter=wish.adapter
+        )
+        return ADAPTER_LOAD_S if is_accepted else None
+
+    async def _carry_out(
+        self, step: ModelStep, plan: TargetPlan, entry: TargetEntry, engine: Engine
+    ) -> None:
+        get_logger().info(
+            "placement_step",
+            target=step.target_id,
+            operation="load" if step.is_load else "unload",
+            model=step.model,
+            makes_room_for=step.makes_room_for,
+        )
+        try:
+            if step.is_load:
+                self._pace.note_load()
+            else:
+                plan.intended_model = step.makes_room_for
+                plan.intended_since_s = self._clock()
+                self._tell(entry, step.model, is_present=False)
+            async with self._lock_of(entry.target_id):
+                is_accepted = await self._order(
+                    plan,
+                    entry,
+                    engine,
+                    is_load=step.is_load,
+                    model=step.model,
+                    adapter="",
+                )
+            if not is_accepted and not step.is_load:
+                plan.intended_model = ""
+                self._tell(entry, step.model, is_present=True)
+        finally:
+            plan.has_model_step = plan.model_order is not None
+
+    async def _order(
+        self,
+        plan: TargetPlan,
+        entry: TargetEntry,
+        engine: Engine,
+        *,
+        is_load: bool,
+        model: str,
+        adapter: str,
+    ) -> bool:
+        """Send one order with the target's lock held; True when it was accepted.
+
+        Each order states the count of those before it, so they go one after the
+        other; whether there is room is checked right before sending.
+        """
+        if plan.incarnation != entry.incarnation or not self._leadership.is_held():
+            return False
+        if is_load and not plan.has_room(engine, model, adapter):
+            return False
+        order = PendingOrder(
+            is_load=is_load,
+            model=model,
+            adapter=adapter,
+            expected_order_count=plan.order_count,
+            sent_at_s=self._clock(),
+            is_certain=True,
+        )
+        if not adapter:
+            plan.model_order = order
+        result = await self._send(entry, order)
+        return self._take_result(plan, entry, order, result)
+
+    def _lock_of(self, target_id: str) -> asyncio.Lock:
+        return self._lock_by_id.setdefault(target_id, asyncio.Lock())
+
+    async def _send(self, entry: TargetEntry, order: PendingOrder) -> OrderResult:
+        wire_order = TargetOrder(
+            is_load=order.is_load,
+            model=order.model,
+            adapter=order.adapter,
+            expected_order_count=order.expected_order_count,
+            holder=self._own_id,
+            fencing_number=self._leadership.fencing_number,
+        )
+        return await self._adapter.send_order(
+            entry.address, entry.target_id, wire_order
+        )
+
+    def _take_result(
+        self,
+        plan: TargetPlan,
+        entry: TargetEntry,
+        order: PendingOrder,
+        result: OrderResult,
+    ) -> bool:
+        outcome = _outcome(result)
+        operation = "load" if order.is_load else "unload"
+        self._metrics.orders.labels(operation, outcome).inc()
+        get_logger().info(
+            "order_given",
+            target=entry.target_id,
+            operation=operation,
+            replica=f"{order.model}/{order.adapter}" if order.adapter else order.model,
+            expected_order_count=order.expected_order_count,
+            fencing_number=self._leadership.fencing_number,
+            outcome=outcome,
+            detail=result.detail,
+        )
+        if result.is_accepted:
+            plan.note_accepted(order, is_done=result.is_done)
+            return True
+        if plan.model_order is order:
+            plan.model_order = None
+        plan.avoided_until_s = self._clock() + AVOID_S
+        if not result.is_certain:
+            plan.note_uncertain(order)
+        elif result.is_fenced_off:
+            self._leadership.abandon(f"{entry.target_id} knows a higher number")
+        elif result.is_outdated:
+            plan.is_count_doubtful = True
+        return False
+
+    def _tell(self, entry: TargetEntry, replica: str, *, is_present: bool) -> None:
+        notice = ReplicaNotice(
+            target_id=entry.target_id,
+            incarnation=entry.incarnation,
+            replica=replica,
+            is_present=is_present,
+        )
+        self._gossip.tell_notices([notice])
+
+    def _drop_old_wishes(self) -> None:
+        oldest_s = self._clock() - WISH_LIMIT_S
+        for key, held in list(self._wish_by_replica.items()):
+            if held.made_at_s < oldest_s:
+                del self._wish_by_replica[key]
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._end)
+
+    def _end(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            get_logger().error("placement_task_failed", error=repr(task.exception()))
+
+
+def _outcome(result: OrderResult) -> str:
+    if not result.is_certain:
+        return "unknown"
+    if result.is_accepted:
+        return "accepted"
+    if result.is_fenced_off:
+        return "fenced_off"
+    return "outdated" if result.is_outdated else "refused"
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/process/placement/leadership.py
@@ -0,0 +1,125 @@
+"""Who gives orders to targets: one member at a time, under a lease in the store.
+
+The revision at which a holder wrote its record is its fencing number, so it grows
+with each holder. A holder judges its lease from before its last renewal was sent and
+stops well before its end; it never gives the lease back, so its successor's first
+order comes a whole lease after its own last one.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.codec import decode_json, encode_json
+from jaytray_core.errors import JaytrayError
+from jaytray_core.keyvalue import ABSENT_REVISION, KeyValueService
+from jaytray_core.logs import get_logger
+from jaytray_core.rendezvous import rank_members
+
+# Part of the lease after which an unrenewed holder stops.
+TRUSTED_PORTION = 0.75
+RENEWALS_PER_LEASE = 3.5
+CHECK_INTERVAL_S = 0.25
+# Members that are not first in rank wait this long for each rank before theirs.
+RANK_DELAY_S = 0.3
+
+
+class _Record(NamedTuple):
+    """Value of the leadership record."""
+
+    vm_id: str
+
+
+class Leadership:
+    """This member's part in the choice of the holder."""
+
+    def __init__(
+        self,
+        *,
+        own_id: str,
+        key: str,
+        lease_s: float,
+        key_value: KeyValueService,
+        clock: MonotonicClock,
+        read_record: Callable[[], bytes | None],
+        member_ids: Callable[[], frozenset[str]],
+    ) -> None:
+        self.fencing_number = 0
+        self._own_id = own_id
+        self._key = key
+        self._lease_s = lease_s
+        self._key_value = key_value
+        self._clock = clock
+        self._read_record = read_record
+        self._member_ids = member_ids
+        self._lease_id = ""
+        self._trusted_until_s = -float("inf")
+        self._is_stopped = False
+
+    def is_held(self) -> bool:
+        """Return whether this member may give orders now."""
+        return not self._is_stopped and self._clock() < self._trusted_until_s
+
+    def holder(self) -> str | None:
+        """Return the member that holds the lease, as the store last showed it."""
+        value = self._read_record()
+        if value is None:
+            return None
+        try:
+            return decode_json(value, _Record, peer=self._key).vm_id
+        except JaytrayError as err:
+            get_logger().warning("placement_record_unreadable", error=str(err))
+            return None
+
+    def stop(self) -> None:
+        """Give no more orders and let the lease run out."""
+        self._is_stopped = True
+
+    def abandon(self, reason: str) -> None:
+        """Stop holding the lease, as another member has a higher number."""
+        get_logger().warning("placement_lost", reason=reason)
+        self._lease_id = ""
+        self._trusted_until_s = -float("inf")
+
+    async def run(self) -> None:
+        """Hold the lease or wait for it until cancelled."""
+        while not self._is_stopped:
+            try:
+                if self._lease_id:
+                    await self._renew()
+                elif self.holder() is None:
+                    await self._try_to_take()
+            except JaytrayError as err:
+                get_logger().info("placement_lease_call_failed", error=str(err))
+            if self._lease_id and self._clock() < self._trusted_until_s:
+                await asyncio.sleep(self._lease_s / RENEWALS_PER_LEASE)
+            else:
+                await asyncio.sleep(CHECK_INTERVAL_S)
+        await asyncio.Event().wait()
+
+    async def _renew(self) -> None:
+        begun_s = self._clock()
+        if await self._key_value.keep_lease(self._lease_id):
+            self._trusted_until_s = begun_s + self._lease_s * TRUSTED_PORTION
+        else:
+            self.abandon("the lease has ended")
+
+    async def _try_to_take(self) -> None:
+        ranked = rank_members(self._key, self._member_ids())
+        rank = ranked.index(self._own_id) if self._own_id in ranked else len(ranked)
+        await asyncio.sleep(rank * RANK_DELAY_S)
+        if self.holder() is not None or self._is_stopped:
+            return
+        begun_s = self._clock()
+        lease_id = await self._key_value.grant_lease(self._lease_s)
+        value = encode_json(_Record(self._own_id))
+        outcome = await self._key_value.compare_and_swap(
+            self._key, ABSENT_REVISION, value, lease_id
+        )
+        if not outcome.is_swapped:
+            return
+        self._lease_id = lease_id
+        self.fencing_number = outcome.revision
+        self._trusted_until_s = begun_s + self._lease_s * TRUSTED_PORTION
+        get_logger().info("placement_taken", fencing_number=outcome.revision)
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/process/placement/target_plan.py
@@ -0,0 +1,188 @@
+"""What one target holds or may come to hold, as the holder of its orders sees it.
+
+An order without an answer may take effect seconds later, but only while the target's
+order count is still the expected one. Until the count has moved on, or that time is
+over, it counts as if it had taken effect.
+"""
+
+from typing import NamedTuple
+
+from jaytray_gateway.process.target_entry import TargetEntry
+from jaytray_gateway.version.route_table import Engine
+
+# Time after which an order without an answer can no longer take effect.
+LATE_ORDER_S = 13.0
+# Multiple of a load's stated time after which the target is asked what became of it.
+OVERDUE_FACTOR = 3.0
+# Time for which an unload may wait for its runs before the target is asked.
+UNLOAD_OVERDUE_S = 6.0
+
+
+# Time after which room that was made for a model may be used for another.
+INTENTION_LIMIT_S = 8.0
+
+
+class PendingOrder(NamedTuple):
+    """An order under way; `adapter` is empty for a whole model."""
+
+    is_load: bool
+    model: str
+    adapter: str
+    expected_order_count: int
+    sent_at_s: float
+    is_certain: bool
+
+
+class TargetPlan:
+    """State of one target during one reign of the holder."""
+
+    def __init__(
+        self,
+        *,
+        entry: TargetEntry,
+        adapters_by_model: dict[str, frozenset[str]],
+        order_count: int,
+    ) -> None:
+        self.target_id = entry.target_id
+        self.incarnation = entry.incarnation
+        self.order_count = order_count
+        self.used_at_s_by_adapter: dict[tuple[str, str], float] = {
+            (model, adapter): 0.0
+            for model, adapters in adapters_by_model.items()
+            for adapter in adapters
+        }
+        self.models: set[str] = set(adapters_by_model)
+        self.model_order: PendingOrder | None = None
+        self.has_model_step = False
+        self.intended_model = ""
+        self.intended_since_s = 0.0
+        self.uncertain: list[PendingOrder] = []
+        self.avoided_until_s = 0.0
+        self.is_count_doubtful = False
+
+    def expected_models(self) -> set[str]:
+        """Return the models that will be there once all orders are carried out."""
+        models = set(self.models)
+        if self.model_order is not None:
+            if self.model_order.is_load:
+                models.add(self.model_order.model)
+            else:
+                models.discard(self.model_order.model)
+        if self.intended_model:
+            models.add(self.intended_model)
+        return models
+
+    def is_closing(self, model: str) -> bool:
+        """Return whether an unload of the model is under way."""
+        order = self.model_order
+        return order is not None and not order.is_load and order.model == model
+
+    def occupied_models(self) -> set[str]:
+        """Return all models that may take up memory, whatever orders do."""
+        models = set(self.models)
+        if self.model_order is not None:
+            models.add(self.model_order.model)
+        models.update(
+            order.model
+            for order in self.uncertain
+            if order.is_load and not order.adapter
+        )
+        return models
+
+    def occupied_adapters(self) -> set[tuple[str, str]]:
+        """Return all adapters that may take up memory and a place."""
+        late = {
+            (order.model, order.adapter)
+            for order in self.uncertain
+            if order.is_load and order.adapter
+        }
+        return late | set(self.used_at_s_by_adapter)
+
+    def used_mb(self, engine: Engine) -> float:
+        """Return the memory for weights that may be taken up."""
+        models = engine.models_by_name
+        used = sum(models[m].weights_mb for m in self.occupied_models() if m in models)
+        return used + sum(
+            models[model].adapter_mb
+            for model, _ in self.occupied_adapters()
+            if model in models
+        )
+
+    def has_room(self, engine: Engine, model: str, adapter: str) -> bool:
+        """Return whether a load would fit whatever becomes of earlier orders."""
+        found = engine.models_by_name.get(model)
+        if found is None:
+            return False
+        needed_mb = found.adapter_mb if adapter else found.weights_mb
+        adapters = self.occupied_adapters()
+        if adapter and (model, adapter) not in adapters:
+            if len(adapters) >= engine.adapter_slots:
+                return False
+        return self.used_mb(engine) + needed_mb <= engine.weights_mb
+
+    def note_accepted(self, order: PendingOrder, *, is_done: bool) -> None:
+        """Take an order that the target accepted (or that was done already)."""
+        is_counted = not is_done or (order.adapter and not order.is_load)
+        if is_counted:
+            self.order_count = max(self.order_count, order.expected_order_count + 1)
+        self.uncertain = [
+            late
+            for late in self.uncertain
+            if late.expected_order_count >= self.order_count
+        ]
+        if order.adapter:
+            key = (order.model, order.adapter)
+            if order.is_load:
+                self.used_at_s_by_adapter[key] = order.sent_at_s
+            else:
+                self.used_at_s_by_adapter.pop(key, None)
+        elif is_done:
+            self._finish_model_order(order)
+        else:
+            self.model_order = order
+        if order.is_load and order.model == self.intended_model and not order.adapter:
+            self.intended_model = ""
+
+    def note_uncertain(self, order: PendingOrder) -> None:
+        """Take an order that got no answer."""
+        self.uncertain.append(order._replace(is_certain=False))
+
+    def take_entry(self, entry: TargetEntry, now_s: float) -> None:
+        """Compare with what the target says of itself in the directory."""
+        self.uncertain = [
+            late for late in self.uncertain if now_s - late.sent_at_s < LATE_ORDER_S
+        ]
+        if now_s - self.intended_since_s > INTENTION_LIMIT_S:
+            self.intended_model = ""
+        order = self.model_order
+        has_model = order is not None and order.model in entry.adapters_by_model
+        if order is not None and has_model == order.is_load:
+            self._finish_model_order(order)
+        if self.model_order is None:
+            self.models = set(entry.adapters_by_model)
+            self._drop_adapters_of_absent_models()
+
+    def is_overdue(self, engine: Engine, now_s: float) -> bool:
+        """Return whether the order under way should long be complete."""
+        order = self.model_order
+        if order is None:
+            return False
+        model = engine.models_by_name.get(order.model)
+        limit_s = UNLOAD_OVERDUE_S
+        if order.is_load:
+            limit_s = OVERDUE_FACTOR * (model.load_s if model else 1.0)
+        return now_s - order.sent_at_s > limit_s
+
+    def _finish_model_order(self, order: PendingOrder) -> None:
+        self.model_order = None
+        self.has_model_step = False
+        if order.is_load:
+            self.models.add(order.model)
+        else:
+            self.models.discard(order.model)
+            self._drop_adapters_of_absent_models()
+
+    def _drop_adapters_of_absent_models(self) -> None:
+        for key in list(self.used_at_s_by_adapter):
+            if key[0] not in self.models:
+                del self.used_at_s_by_adapter[key]
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/process/replicas.py
@@ -0,0 +1,104 @@
+"""Which targets can serve a model or adapter, from the directory and fresh notices.
+
+The directory shows a change of adapters only with a target's next heartbeat, so the
+placement leader tells the members what it has loaded and what it is about to drop.
+A notice holds for one incarnation of a target and for a limited time.
+"""
+
+import asyncio
+from typing import NamedTuple
+
+from jaytray_core.clock import MonotonicClock
+from jaytray_gateway.process.directory import Directory
+from jaytray_gateway.process.target_entry import TargetEntry
+
+# Several heartbeats: by then the directory shows what a notice told.
+NOTICE_LIMIT_S = 5.0
+
+
+class ReplicaNotice(NamedTuple):
+    """What the placement leader tells of one replica (`model` or `model/adapter`)."""
+
+    target_id: str
+    incarnation: str
+    replica: str
+    is_present: bool
+
+
+class _Noted(NamedTuple):
+    notice: ReplicaNotice
+    noted_at_s: float
+
+
+class Replicas:
+    """Replicas by target, with the notices of the last seconds."""
+
+    def __init__(self, *, directory: Directory, clock: MonotonicClock) -> None:
+        self._directory = directory
+        self._clock = clock
+        self._noted_by_key: dict[tuple[str, str], _Noted] = {}
+        self._changed = asyncio.Event()
+        directory.on_change(self.wake)
+
+    def take_notice(self, notice: ReplicaNotice) -> None:
+        """Take what the leader tells, or what an answer showed."""
+        key = (notice.target_id, notice.replica)
+        self._noted_by_key[key] = _Noted(notice, self._clock())
+        self.wake()
+
+    def wake(self) -> None:
+        """Let those who wait for a replica look again."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def wait_for_change(self, timeout_s: float) -> None:
+        """Return after the next change, or after `timeout_s`."""
+        changed = self._changed
+        try:
+            async with asyncio.timeout(max(0.0, timeout_s)):
+                await changed.wait()
+        except TimeoutError:
+            pass
+
+    def targets_of(self, service: str) -> list[TargetEntry]:
+        """Return the targets of a service that take new requests."""
+        return [
+            target
+            for target in self._directory.targets_by_id.values()
+            if target.service == service and not target.is_leaving
+        ]
+
+    def holders_of(self, service: str, model: str, adapter: str) -> list[TargetEntry]:
+        """Return the targets of a service that can serve the model or adapter now."""
+        return [
+            target
+            for target in self.targets_of(service)
+            if self._holds(target, model, adapter)
+        ]
+
+    def drop_old_notices(self) -> None:
+        """Forget notices whose time is over."""
+        oldest_s = self._clock() - NOTICE_LIMIT_S
+        for key, noted in list(self._noted_by_key.items()):
+            if noted.noted_at_s < oldest_s:
+                del self._noted_by_key[key]
+
+    def _holds(self, target: TargetEntry, model: str, adapter: str) -> bool:
+        has_model = self._noted(target, model)
+        if has_model is None:
+            has_model = model in target.adapters_by_model
+        if not adapter or not has_model:
+            return has_model
+        has_adapter = self._noted(target, f"{model}/{adapter}")
+        if has_adapter is None:
+            has_adapter = adapter in target.adapters_by_model.get(model, frozenset())
+        return has_adapter
+
+    def _noted(self, target: TargetEntry, replica: str) -> bool | None:
+        """Return what a recent notice says of the replica, None without one."""
+        noted = self._noted_by_key.get((target.target_id, replica))
+        if noted is None or noted.notice.incarnation != target.incarnation:
+            return None
+        if self._clock() - noted.noted_at_s > NOTICE_LIMIT_S:
+            return None
+        return noted.notice.is_present
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/process/request_log.py
@@ -0,0 +1,59 @@
+"""One log line and the metrics of each finished request."""
+
+from jaytray_core.errors import JaytrayError
+from jaytray_core.logs import get_logger
+from jaytray_gateway.process.metrics import GatewayMetrics
+
+
+class RequestLog:
+    """Writes the outcome of requests."""
+
+    def __init__(self, *, metrics: GatewayMetrics) -> None:
+        self._metrics = metrics
+
+    def finished(
+        self,
+        *,
+        request_id: str,
+        route: str,
+        account: str,
+        version: int,
+        replica: str,
+        target: str,
+        sends: int,
+        runs: int,
+        status: int,
+        is_whole: bool,
+        error: JaytrayError | None,
+        first_piece_s: float | None,
+        total_s: float,
+    ) -> None:
+        """Log a request's outcome; durations count from its arrival."""
+        outcome = _outcome(status, is_whole, error)
+        self._metrics.count_request(outcome, total_s, first_piece_s)
+        get_logger().info(
+            "request_finished",
+            request_id=request_id,
+            outcome=outcome,
+            status=status,
+            route=route,
+            account=account,
+            version=version,
+            replica=replica,
+            target=target,
+            sends=sends,
+            runs=runs,
+            first_piece_ms=_milliseconds(first_piece_s),
+            total_ms=_milliseconds(total_s),
+            error=str(error) if error is not None else "",
+        )
+
+
+def _outcome(status: int, is_whole: bool, error: JaytrayError | None) -> str:
+    if error is not None:
+        return error.code
+    return "answered" if is_whole else "caller_left"
+
+
+def _milliseconds(seconds: float | None) -> int | str:
+    return "" if seconds is None else round(seconds * 1000)
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/process/target_choice.py
@@ -0,0 +1,99 @@
+"""Choice of a target for a request: expected wait, prefix affinity, distance."""
+
+import random
+from typing import NamedTuple
+
+from jaytray_core.rendezvous import owner_of
+from jaytray_gateway.process.load_view import LoadView
+from jaytray_gateway.process.target_entry import TargetEntry
+from jaytray_gateway.process.target_health import TargetHealth
+from jaytray_gateway.request.routed_request import RoutedRequest
+from jaytray_gateway.version.route_table import Service
+
+# Prompt tokens that an engine reads in a millisecond, from the deployment sheets.
+PREFILL_TOKENS_PER_MS = 20.0
+# Milliseconds by which each running request lengthens the wait of another one.
+MS_PER_RUNNING = 1.5
+# Milliseconds that a request at a plain service takes, from the sheets.
+MS_PER_PLAIN_REQUEST = 20.0
+# Milliseconds that a target in another failure domain costs.
+MS_PER_DISTANCE = 1.0
+# Milliseconds that a recent failure in every exchange would cost.
+MS_PER_FAILURE = 200.0
+# Requests at an engine beyond its slots wait a whole run.
+MS_PER_QUEUED = 60.0
+
+
+class Candidate(NamedTuple):
+    """A target and the wait expected there, in milliseconds."""
+
+    target: TargetEntry
+    cost_ms: float
+
+
+class TargetChooser:
+    """Chooses by what this process knows of targets."""
+
+    def __init__(
+        self,
+        *,
+        failure_domain: str,
+        loads: LoadView,
+        health: TargetHealth,
+        rng: random.Random,
+    ) -> None:
+        self._failure_domain = failure_domain
+        self._loads = loads
+        self._health = health
+        self._rng = rng
+
+    def choose(
+        self,
+        request: RoutedRequest,
+        service: Service,
+        targets: list[TargetEntry],
+    ) -> Candidate | None:
+        """Return the best of `targets`, all of which could run the request."""
+        usable = [t for t in targets if not self._health.is_avoided(t.target_id)]
+        usable = usable or targets
+        if not usable:
+            return None
+        preferred = self._preferred(request, usable)
+        candidates = [
+            Candidate(target, self._cost_ms(request, service, target, preferred))
+            for target in usable
+        ]
+        return min(candidates, key=lambda c: (c.cost_ms, self._rng.random()))
+
+    def _preferred(
+        self, request: RoutedRequest, targets: list[TargetEntry]
+    ) -> str | None:
+        """Return the target that should have the shared parts of the prompt."""
+        if len(request.prompt_parts) < 2:
+            return None
+        shared = request.prompt_parts[-2].part_id
+        return owner_of(
+            f"{request.replica_name}:{shared}", [t.target_id for t in targets]
+        )
+
+    def _cost_ms(
+        self,
+        request: RoutedRequest,
+        service: Service,
+        target: TargetEntry,
+        preferred: str | None,
+    ) -> float:
+        load = self._loads.total(target.target_id)
+        cost_ms = MS_PER_FAILURE * self._health.failure_rate(target.target_id)
+        if target.failure_domain != self._failure_domain:
+            cost_ms += MS_PER_DISTANCE
+        if service.engine is None:
+            slots = max(target.slots, 1)
+            return cost_ms + MS_PER_PLAIN_REQUEST * load.running / slots
+        cost_ms += load.waiting_tokens / PREFILL_TOKENS_PER_MS
+        cost_ms += MS_PER_RUNNING * load.running
+        cost_ms += MS_PER_QUEUED * max(0, load.running - service.engine.slots)
+        if target.target_id != preferred:
+            shared = sum(part.tokens for part in request.prompt_parts[:-1])
+            cost_ms += shared / PREFILL_TOKENS_PER_MS
+        return cost_ms
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/process/target_health.py
@@ -0,0 +1,74 @@
+"""Targets that recently failed, learnt from own exchanges.
+
+A target that cannot be reached or that stays silent is avoided for a short time that
+doubles with each further failure; one success ends it.
+"""
+
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.logs import get_logger
+
+# First and longest time for which a failing target is avoided.
+FIRST_AVOID_S = 0.5
+LONGEST_AVOID_S = 4.0
+# Weight of one exchange in the failure average.
+FAILURE_WEIGHT = 0.25
+
+
+class TargetHealth:
+    """Failures by target id."""
+
+    def __init__(self, *, clock: MonotonicClock) -> None:
+        self._clock = clock
+        self._avoid_until_s_by_id: dict[str, float] = {}
+        self._streak_by_id: dict[str, int] = {}
+        self._failure_rate_by_id: dict[str, float] = {}
+
+    def succeeded(self, target_id: str) -> None:
+        """Note a whole answer."""
+        if self._streak_by_id.pop(target_id, 0):
+            self._avoid_until_s_by_id.pop(target_id, None)
+            get_logger().info("target_healthy", target=target_id)
+        self._average(target_id, 0.0)
+
+    def answered_error(self, target_id: str) -> None:
+        """Note an error answer: the target is in reach and may be failing."""
+        self._average(target_id, 1.0)
+
+    def failed(self, target_id: str, detail: str) -> None:
+        """Note that the target could not be reached or broke an answer off."""
+        streak = self._streak_by_id.get(target_id, 0) + 1
+        self._streak_by_id[target_id] = streak
+        self._average(target_id, 1.0)
+        avoid_s = min(LONGEST_AVOID_S, FIRST_AVOID_S * 2 ** min(streak - 1, 8))
+        self._avoid_until_s_by_id[target_id] = self._clock() + avoid_s
+        if streak <= 3:
+            get_logger().info(
+                "target_failing",
+                target=target_id,
+                streak=streak,
+                avoid_s=avoid_s,
+                detail=detail,
+            )
+
+    def is_avoided(self, target_id: str) -> bool:
+        """Return whether the target should be used only if there is no other."""
+        return self._clock() < self._avoid_until_s_by_id.get(target_id, 0.0)
+
+    def failure_rate(self, target_id: str) -> float:
+        """Return the recent portion of failures, 0 to 1."""
+        return self._failure_rate_by_id.get(target_id, 0.0)
+
+    def keep(self, target_ids: frozenset[str]) -> None:
+        """Forget targets that are no longer in the directory."""
+        for by_id in (
+            self._avoid_until_s_by_id,
+            self._streak_by_id,
+            self._failure_rate_by_id,
+        ):
+            for gone in by_id.keys() - target_ids:
+                del by_id[gone]
+
+    def _average(self, target_id: str, outcome: float) -> None:
+        before = self._failure_rate_by_id.get(target_id, 0.0)
+        after = before + FAILURE_WEIGHT * (outcome - before)
+        self._failure_rate_by_id[target_id] = after
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as one request."""
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/request/reply.py
@@ -0,0 +1,49 @@
+"""The answer to one caller, sent through the ASGI server."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from jaytray_gateway.ports import HeaderList
+
+Send = Callable[[Any], Awaitable[None]]
+
+
+class CallerReply:
+    """State of one answer; at most one `start`, then pieces, then `finish`."""
+
+    def __init__(self, *, send: Send, close_after: Callable[[], bool]) -> None:
+        self.is_started = False
+        self.is_finished = False
+        self.status = 0
+        self.bytes_sent = 0
+        self._send = send
+        self._close_after = close_after
+
+    async def start(self, status: int, headers: HeaderList) -> None:
+        """Send status and headers."""
+        self.is_started = True
+        self.status = status
+        if self._close_after():
+            headers = [*headers, (b"connection", b"close")]
+        await self._send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+
+    async def send(self, data: bytes) -> None:
+        """Send a piece of the body; waits while the caller does not read."""
+        self.bytes_sent += len(data)
+        await self._send(
+            {"type": "http.response.body", "body": data, "more_body": True}
+        )
+
+    async def finish(self, data: bytes = b"") -> None:
+        """Send the last piece and end the answer."""
+        self.is_finished = True
+        self.bytes_sent += len(data)
+        await self._send({"type": "http.response.body", "body": data})
+
+    async def send_whole(self, status: int, headers: HeaderList, body: bytes) -> None:
+        """Send a whole answer."""
+        length = (b"content-length", b"%d" % len(body))
+        await self.start(status, [*headers, length])
+        await self.finish(body)
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/request/request_path.py
@@ -0,0 +1,410 @@
+"""The path of one request: admit, choose a target, send, relay, repeat, refuse."""
+
+import random
+from typing import Any, NamedTuple
+
+from jaytray_core import message_registry as messages
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.errors import Execution, JaytrayError, Step
+from jaytray_gateway.connection.target_connection import ExchangeBroken, Progress
+from jaytray_gateway.connection.target_pool import TargetPools
+from jaytray_gateway.ports import AnswerHead, Dispatch, PlatformAdapter
+from jaytray_gateway.process.crash_guard import CrashGuard
+from jaytray_gateway.process.demand_average import DemandAverage
+from jaytray_gateway.process.load_view import LoadView
+from jaytray_gateway.process.rate_shares import RateShares
+from jaytray_gateway.process.repeat_budget import RepeatBudget
+from jaytray_gateway.process.request_log import RequestLog
+from jaytray_gateway.process.target_entry import TargetEntry
+from jaytray_gateway.process.target_health import TargetHealth
+from jaytray_gateway.request.admission import Admission, Admitted
+from jaytray_gateway.request.event_buffer import EventBuffer
+from jaytray_gateway.request.refusals import make_refusal
+from jaytray_gateway.request.reply import CallerReply
+from jaytray_gateway.request.routed_request import RoutedRequest, content_digest
+from jaytray_gateway.request.target_exchange import TargetExchange, exchange_with
+from jaytray_gateway.request.target_search import TargetSearch
+from jaytray_gateway.version.route_table import (
+    RequestKind,
+    Service,
+    choose_service,
+)
+
+# Time to come back after a target stated that it did not run the request.
+REFUSED_RETRY_S = 0.25
+# Sends of one request that targets may turn away before it is refused.
+MAX_TURNED_AWAY = 3
+# Part of the time left that one try of an idempotent request may take while
+# another try is allowed, and its least multiple of the objective.
+TRY_PORTION = 0.5
+TRY_OBJECTIVES = 3.0
+# Silence in a resumable stream after which it is resumed elsewhere: well below the
+# two seconds after which callers abandon a stream.
+STALL_LIMIT_S = 1.5
+HTTP_SUCCESS = range(200, 300)
+HTTP_SERVER_ERROR = 500
+
+
+class _TurnedAway(Exception):
+    """The target surely did not and will not run the request."""
+
+    def __init__(self, detail: str, *, has_arrived: bool) -> None:
+        super().__init__(detail)
+        self.detail = detail
+        self.has_arrived = has_arrived
+
+
+class _Failed(Exception):
+    """The target may have run the request; `status` 0 means that no answer came."""
+
+    def __init__(self, detail: str, *, is_timeout: bool) -> None:
+        super().__init__(detail)
+        self.detail = detail
+        self.is_timeout = is_timeout
+
+
+class _Retryable(Exception):
+    """A whole error answer of a target to a request that may be repeated."""
+
+    def __init__(self, head: AnswerHead, body: bytes) -> None:
+        super().__init__(f"status {head.status}")
+        self.head = head
+        self.body = body
+
+
+class RequestServices(NamedTuple):
+    """What the path of a request uses of the process."""
+
+    adapter: PlatformAdapter
+    admission: Admission
+    search: TargetSearch
+    shares: RateShares
+    budget: RepeatBudget
+    loads: LoadView
+    health: TargetHealth
+    pools: TargetPools
+    crash_guard: CrashGuard
+    replica_demand: DemandAverage
+    log: RequestLog
+    clock: MonotonicClock
+    rng: random.Random
+
+
+class _Run:
+    """State of one admitted request."""
+
+    def __init__(self, *, admitted: Admitted, service: Service) -> None:
+        self.admitted = admitted
+        self.service = service
+        self.sends = 0
+        self.runs = 0
+        self.turned_away = 0
+        self.tried: set[str] = set()
+        self.target_id = ""
+        self.events = EventBuffer() if admitted.route.is_resumable else None
+        self.first_piece_s: float | None = None
+
+    @property
+    def may_repeat(self) -> bool:
+        """Return whether the request may run more than once."""
+        route = self.admitted.route
+        return route.kind is RequestKind.IDEMPOTENT or route.is_resumable
+
+
+async def serve_request(
+    request: RoutedRequest, reply: CallerReply, services: RequestServices
+) -> None:
+    """Give `request` its one final answer; cancelled when the caller leaves."""
+    run: _Run | None = None
+    error: JaytrayError | None = None
+    try:
+        admitted = await services.admission.admit(request)
+        run = _start_run(admitted, services)
+        await _answer(run, reply, services)
+    except JaytrayError as err:
+        error = err
+        _settle(run, err, services)
+        await _refuse(err, request, reply, services)
+    finally:
+        _log(request, run, reply, error, services)
+
+
+def _start_run(admitted: Admitted, services: RequestServices) -> _Run:
+    table = services.admission.table()
+    name = choose_service(admitted.route, services.rng.random())
+    service = table.services_by_name.get(name)
+    if service is None:
+        raise _refused(messages.NO_REPLICA, Step.ROUTE, name=name)
+    request = admitted.request
+    if request.model:
+        tokens = request.prompt_tokens + request.output_tokens
+        services.replica_demand.add(request.model, tokens)
+        if request.adapter:
+            services.replica_demand.add(request.replica_name, tokens)
+    digest = content_digest(request, admitted.account_name)
+    services.crash_guard.check(digest)
+    services.budget.note_request(name)
+    return _Run(admitted=admitted, service=service)
+
+
+async def _answer(run: _Run, reply: CallerReply, services: RequestServices) -> None:
+    """Send the request until a target has answered it or it must be given up."""
+    while True:
+        target = await services.search.find(run.admitted, run.service, run.tried)
+        run.tried.add(target.target_id)
+        run.target_id = target.target_id
+        try:
+            await _send_once(run, target, reply, services)
+            return
+        except _TurnedAway as err:
+            _after_turned_away(run, err, services)
+        except _Retryable as err:
+            if not _may_run_again(run, services):
+                await reply.send_whole(err.head.status, err.head.headers, err.body)
+                return
+        except _Failed as err:
+            _after_failure(run, target, err, reply, services)
+
+
+async def _send_once(
+    run: _Run, target: TargetEntry, reply: CallerReply, services: RequestServices
+) -> None:
+    admitted, request = run.admitted, run.admitted.request
+    in_flight = services.loads.start(
+        target.target_id, request.prompt_tokens, request.replica_name
+    )
+    is_sent = False
+
+    def make_dispatch() -> Dispatch:
+        nonlocal is_sent
+        services.admission.check_proof()
+        is_sent = True
+        run.sends += 1
+        return Dispatch(
+            target_id=target.target_id,
+            account=admitted.account_name,
+            time_left_s=max(0.001, admitted.expires_at_s - services.clock()),
+            priority=admitted.priority if run.service.engine else None,
+            resume_after=run.events.last_event_id if run.events else "",
+        )
+
+    try:
+        async with exchange_with(
+            target,
+            request=request,
+            make_dispatch=make_dispatch,
+            pools=services.pools,
+            adapter=services.adapter,
+            clock=services.clock,
+        ) as exchange:
+            await _take_answer(run, target, in_flight, exchange, reply, services)
+        services.health.succeeded(target.target_id)
+    except ExchangeBroken as err:
+        is_late = err.progress is Progress.TIMED_OUT
+        if not is_late or run.first_piece_s is None:
+            services.health.failed(target.target_id, err.detail)
+        if err.progress is Progress.NOT_SENT:
+            services.pools.drop_target(target.target_id)
+            raise _TurnedAway(err.detail, has_arrived=False) from err
+        run.runs += 1
+        raise _Failed(err.detail, is_timeout=is_late) from err
+    finally:
+        services.loads.finish(target.target_id, in_flight)
+
+
+async def _take_answer(
+    run: _Run,
+    target: TargetEntry,
+    in_flight: int,
+    exchange: TargetExchange,
+    reply: CallerReply,
+    services: RequestServices,
+) -> None:
+    until_s = _head_until_s(run, services)
+    head = await exchange.read_head(until_s)
+    if head.is_not_run or head.is_other_instance:
+        await exchange.read_body(until_s)
+        services.search.note_turned_away(run.admitted.request, target, head.status)
+        raise _TurnedAway(f"status {head.status}", has_arrived=True)
+    is_success = head.status in HTTP_SUCCESS
+    if head.is_encoded or (is_success and not head.is_sealed):
+        raise ExchangeBroken(Progress.BROKEN, "the answer is not the target's own")
+    if is_success and run.admitted.route.kind is RequestKind.STREAM:
+        await _relay_stream(run, target, in_flight, exchange, head, reply, services)
+        return
+    body = await exchange.read_body(until_s)
+    run.runs += 1
+    if head.status >= HTTP_SERVER_ERROR:
+        services.health.answered_error(target.target_id)
+        if run.may_repeat:
+            raise _Retryable(head, body)
+    if reply.is_started:
+        raise _Failed(f"status {head.status} on resumption", is_timeout=False)
+    await reply.send_whole(head.status, head.headers, body)
+
+
+async def _relay_stream(
+    run: _Run,
+    target: TargetEntry,
+    in_flight: int,
+    exchange: TargetExchange,
+    head: AnswerHead,
+    reply: CallerReply,
+    services: RequestServices,
+) -> None:
+    """Pass pieces on as they come; the head waits for the first piece."""
+    expires_at_s = run.admitted.expires_at_s
+    while True:
+        until_s = expires_at_s
+        if run.events is not None and run.first_piece_s is not None:
+            until_s = min(until_s, services.clock() + STALL_LIMIT_S)
+        piece = await exchange.read_piece(until_s)
+        if piece is None:
+            break
+        if run.first_piece_s is None:
+            run.first_piece_s = services.clock()
+        services.loads.first_piece(target.target_id, in_flight)
+        if run.events is not None:
+            piece = run.events.take(piece)
+        if not piece:
+            continue
+        if not reply.is_started:
+            await reply.start(head.status, head.headers)
+        await reply.send(piece)
+    if run.events is not None and run.events.has_partial:
+        raise ExchangeBroken(Progress.BROKEN, "the stream ended within an event")
+    run.runs += 1
+    if not reply.is_started:
+        await reply.start(head.status, head.headers)
+    await reply.finish()
+
+
+def _head_until_s(run: _Run, services: RequestServices) -> float:
+    """Return until when this try may wait for the head of an answer."""
+    route = run.admitted.route
+    expires_at_s = run.admitted.expires_at_s
+    if route.kind is not RequestKind.IDEMPOTENT or run.runs + 1 >= route.max_attempts:
+        return expires_at_s
+    now_s = services.clock()
+    portion_s = (expires_at_s - now_s) * TRY_PORTION
+    least_s = route.objective_s * TRY_OBJECTIVES
+    return min(expires_at_s, now_s + max(portion_s, least_s))
+
+
+def _after_turned_away(run: _Run, err: _TurnedAway, services: RequestServices) -> None:
+    """Return if the request may be sent to another target; raises otherwise."""
+    run.turned_away += 1
+    is_allowed = run.turned_away < MAX_TURNED_AWAY and (
+        not err.has_arrived or services.budget.take(run.service.name)
+    )
+    if is_allowed:
+        return
+    if run.runs:
+        raise _may_have_run(messages.TARGET_FAILED, run, detail=err.detail)
+    raise _refused(
+        messages.TARGET_REFUSED, Step.DISPATCH, peer=run.target_id, detail=err.detail
+    )
+
+
+def _after_failure(
+    run: _Run,
+    target: TargetEntry,
+    err: _Failed,
+    reply: CallerReply,
+    services: RequestServices,
+) -> None:
+    """Return if the request may run once more; raises otherwise."""
+    if not err.is_timeout:
+        digest = content_digest(run.admitted.request, run.admitted.account_name)
+        services.crash_guard.note_break(digest, target)
+    if run.events is not None:
+        run.events.drop_partial()
+    if _may_run_again(run, services):
+        return
+    if err.is_timeout:
+        limit_s = run.admitted.expires_at_s - run.admitted.request.received_at_s
+        raise _may_have_run(messages.TARGET_TIMEOUT, run, timeout_s=round(limit_s, 3))
+    raise _may_have_run(messages.ANSWER_INCOMPLETE, run, detail=err.detail)
+
+
+def _may_run_again(run: _Run, services: RequestServices) -> bool:
+    return (
+        run.may_repeat
+        and run.runs < run.admitted.route.max_attempts
+        and services.clock() < run.admitted.expires_at_s
+        and services.budget.take(run.service.name)
+    )
+
+
+def _settle(run: _Run | None, err: JaytrayError, services: RequestServices) -> None:
+    """Give the tokens back when the request surely was not run."""
+    if run is None or run.runs or err.execution is not Execution.NOT_RUN:
+        return
+    if run.admitted.charge is not None:
+        services.shares.refund(run.admitted.charge)
+
+
+async def _refuse(
+    err: JaytrayError,
+    request: RoutedRequest,
+    reply: CallerReply,
+    services: RequestServices,
+) -> None:
+    """Send the refusal, unless a part of an answer has gone out already."""
+    if not reply.is_started:
+        await send_refusal(err, request.request_id, reply, services.adapter)
+
+
+async def send_refusal(
+    err: JaytrayError, request_id: str, reply: CallerReply, adapter: PlatformAdapter
+) -> None:
+    """Render and send a refusal with a status that is true of its execution."""
+    refusal = make_refusal(err, request_id)
+    headers, body = adapter.render_refusal(refusal)
+    await reply.send_whole(refusal.status, headers, body)
+
+
+def _refused(
+    template: messages.MessageTemplate, step: Step, *, peer: str = "", **details: Any
+) -> JaytrayError:
+    return JaytrayError(
+        template, step=step, peer=peer, retry_after_s=REFUSED_RETRY_S, **details
+    )
+
+
+def _may_have_run(
+    template: messages.MessageTemplate, run: _Run, **details: Any
+) -> JaytrayError:
+    return JaytrayError(
+        template,
+        step=Step.DISPATCH,
+        peer=run.target_id,
+        execution=Execution.MAY_HAVE_RUN,
+        **details,
+    )
+
+
+def _log(
+    request: RoutedRequest,
+    run: _Run | None,
+    reply: CallerReply,
+    error: JaytrayError | None,
+    services: RequestServices,
+) -> None:
+    admitted = run.admitted if run else None
+    first_s = run.first_piece_s if run else None
+    services.log.finished(
+        request_id=request.request_id,
+        route=admitted.route.name if admitted else "",
+        account=admitted.account_name if admitted else "",
+        version=admitted.table_version if admitted else 0,
+        replica=request.replica_name,
+        target=run.target_id if run else "",
+        sends=run.sends if run else 0,
+        runs=run.runs if run else 0,
+        status=reply.status,
+        is_whole=reply.is_finished,
+        error=error,
+        first_piece_s=None if first_s is None else first_s - request.received_at_s,
+        total_s=services.clock() - request.received_at_s,
+    )
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/request/target_exchange.py
@@ -0,0 +1,127 @@
+"""One exchange with one target: send, read the head, read the body."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import h11
+
+from jaytray_core.clock import MonotonicClock
+from jaytray_gateway.connection.target_connection import (
+    ExchangeBroken,
+    Progress,
+    TargetConnection,
+)
+from jaytray_gateway.connection.target_pool import TargetPools
+from jaytray_gateway.ports import AnswerHead, Dispatch, HeaderList, PlatformAdapter
+from jaytray_gateway.process.target_entry import TargetEntry
+from jaytray_gateway.request.routed_request import RoutedRequest
+
+MakeDispatch = Callable[[], Dispatch]
+
+# Answers to other requests that one exchange reads past before it gives up.
+MAX_FOREIGN_ANSWERS = 2
+# Largest body of an answer that is not a stream, as the store of one answer.
+MAX_WHOLE_BODY_BYTES = 8_388_608
+
+
+class TargetExchange:
+    """A request that was sent and its answer, as far as it was read."""
+
+    def __init__(
+        self,
+        *,
+        connection: TargetConnection,
+        request: RoutedRequest,
+        adapter: PlatformAdapter,
+        clock: MonotonicClock,
+    ) -> None:
+        self.is_complete = False
+        self.head: AnswerHead | None = None
+        self._connection = connection
+        self._request = request
+        self._adapter = adapter
+        self._clock = clock
+
+    async def read_head(self, until_s: float) -> AnswerHead:
+        """Return the head of the request's own answer; raises `ExchangeBroken`."""
+        for _ in range(MAX_FOREIGN_ANSWERS + 1):
+            event = await self._next(until_s)
+            if not isinstance(event, h11.Response):
+                raise ExchangeBroken(Progress.BROKEN, "an answer without a head")
+            headers: HeaderList = list(event.headers)
+            head = self._adapter.read_answer_head(event.status_code, headers)
+            if head.request_id in ("", self._request.request_id):
+                self.head = head
+                return head
+            while not isinstance(await self._next(until_s), h11.EndOfMessage):
+                pass
+            if not self._connection.skip_foreign_answer():
+                break
+        raise ExchangeBroken(Progress.BROKEN, "an answer to another request")
+
+    async def read_piece(self, until_s: float) -> bytes | None:
+        """Return the next piece of the body, None at its end."""
+        event = await self._next(until_s)
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if not isinstance(event, h11.EndOfMessage):
+            raise ExchangeBroken(Progress.BROKEN, "a second head")
+        self.is_complete = True
+        return None
+
+    async def read_body(self, until_s: float) -> bytes:
+        """Return the whole body."""
+        parts: list[bytes] = []
+        size = 0
+        while (piece := await self.read_piece(until_s)) is not None:
+            size += len(piece)
+            if size > MAX_WHOLE_BODY_BYTES:
+                raise ExchangeBroken(Progress.BROKEN, "the body is too long")
+            parts.append(piece)
+        return b"".join(parts)
+
+    async def _next(self, until_s: float) -> h11.Response | h11.Data | h11.EndOfMessage:
+        left_s = until_s - self._clock()
+        if left_s <= 0:
+            raise ExchangeBroken(Progress.TIMED_OUT, "no time left")
+        try:
+            async with asyncio.timeout(left_s):
+                return await self._connection.next_event()
+        except TimeoutError as err:
+            raise ExchangeBroken(Progress.TIMED_OUT, "no answer in time") from err
+
+
+@asynccontextmanager
+async def exchange_with(
+    target: TargetEntry,
+    *,
+    request: RoutedRequest,
+    make_dispatch: MakeDispatch,
+    pools: TargetPools,
+    adapter: PlatformAdapter,
+    clock: MonotonicClock,
+) -> AsyncIterator[TargetExchange]:
+    """Send `request` to `target` and give the exchange.
+
+    `make_dispatch` is called when the connection is open, right before the request
+    is written, and may raise. The connection is kept only after a whole exchange.
+    """
+    connection = await pools.acquire(target.target_id, target.address)
+    exchange = TargetExchange(
+        connection=connection, request=request, adapter=adapter, clock=clock
+    )
+    try:
+        headers = adapter.render_dispatch(request, make_dispatch())
+        connection.send(request.method, request.target, headers, request.body)
+        yield exchange
+    finally:
+        if exchange.is_complete and exchange.head is not None:
+            pools.release(
+                target.target_id,
+                target.address,
+                connection,
+                exchange.head.idle_timeout_s,
+            )
+        else:
+            connection.close()
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as one version of the route table."""
--- a/packages/server/src/jaytray_server/connection/peer_link.py
+++ b/packages/server/src/jaytray_server/connection/peer_link.py
@@ -26,7 +26,7 @@
 
 
 class CurveKeys(NamedTuple):
-    """The fleet's CURVE key pair in Z85; only its holders can connect."""
+    """A CURVE key pair in Z85: the fleet's, or one that this process has drawn."""
 
     public_key: bytes
     secret_key: bytes
@@ -36,10 +36,17 @@
     """State of the link to one peer."""
 
     def __init__(
-        self, *, vm_id: str, address: str, is_neighbour: bool, clock: MonotonicClock
+        self,
+        *,
+        vm_id: str,
+        address: str,
+        is_neighbour: bool,
+        clock: MonotonicClock,
+        curve_public_key: str = "",
     ) -> None:
         self.vm_id = vm_id
         self.address = address
+        self.curve_public_key = curve_public_key
         self.is_neighbour = is_neighbour
         self.queue: asyncio.Queue[bytes] = asyncio.Queue(QUEUE_LENGTH)
         self.heartbeats_sent = 0
@@ -76,7 +83,7 @@
     while True:
         link.dials += 1
         link.echoed_at_s = clock()
-        async with _dial(context, link.address, keys) as socket:
+        async with _dial(context, link, keys) as socket:
             is_idle = await _send_until_silent(
                 link, socket=socket, clock=clock, make_heartbeat=make_heartbeat
             )
@@ -129,7 +136,7 @@
 
 @asynccontextmanager
 async def _dial(
-    context: zmq.asyncio.Context, address: str, keys: CurveKeys
+    context: zmq.asyncio.Context, link: PeerLink, keys: CurveKeys
 ) -> AsyncIterator[zmq.asyncio.Socket]:
     socket = context.socket(zmq.DEALER)
     socket.linger = 0
@@ -137,8 +144,8 @@
     socket.setsockopt(zmq.MAXMSGSIZE, MAX_ENVELOPE_BYTES)
     socket.curve_publickey = keys.public_key
     socket.curve_secretkey = keys.secret_key
-    socket.curve_serverkey = keys.public_key
-    socket.connect(f"tcp://{address}")
+    socket.curve_serverkey = link.curve_public_key.encode() or keys.public_key
+    socket.connect(f"tcp://{link.address}")
     try:
         yield socket
     finally:
--- a/packages/server/src/jaytray_server/connection/peer_network.py
+++ b/packages/server/src/jaytray_server/connection/peer_network.py
@@ -129,7 +129,11 @@
         self._chosen = chosen
         for vm_id in [*self._links_by_id]:
             entry = self.vms_by_id.get(vm_id)
-            if entry is None or entry.peer_address != self._links_by_id[vm_id].address:
+            link = self._links_by_id[vm_id]
+            if entry is None or (entry.peer_address, entry.curve_public_key) != (
+                link.address,
+                link.curve_public_key,
+            ):
                 self._drop_link(vm_id)
         for vm_id in [*self.heard_by_id]:
             if vm_id not in self.vms_by_id:
@@ -178,7 +182,7 @@
         authenticator = AsyncioAuthenticator(context)
         authenticator.start()
         authenticator.configure_curve_callback(
-            domain="*", credentials_provider=_FleetKeyCheck(keys=self.keys)
+            domain="*", credentials_provider=_PeerKeyCheck(hub=self)
         )
         socket = _bind(context, address, self.keys)
         bound = socket.getsockopt_string(zmq.LAST_ENDPOINT).removeprefix("tcp://")
@@ -286,6 +290,7 @@
             address=entry.peer_address,
             is_neighbour=vm_id in self._chosen,
             clock=self.clock,
+            curve_public_key=entry.curve_public_key,
         )
         self._links_by_id[vm_id] = link
         self._tasks_by_id[vm_id] = asyncio.create_task(self._run_link(link))
@@ -341,15 +346,16 @@
             )
 
 
-class _FleetKeyCheck:
-    """Admits only connections that hold the fleet's key pair."""
+class _PeerKeyCheck:
+    """Admits only connections with the fleet's key or a listed VM's own key."""
 
-    def __init__(self, *, keys: CurveKeys) -> None:
-        self._public_key = keys.public_key
+    def __init__(self, *, hub: PeerHub) -> None:
+        self._hub = hub
 
     def callback(self, _domain: str, key: bytes) -> bool:
-        """Return whether the client's public key (Z85) is the fleet's."""
-        return key == self._public_key
+        """Return whether the client's public key (Z85) may connect."""
+        own_keys = {vm.curve_public_key for vm in self._hub.vms_by_id.values()}
+        return key == self._hub.keys.public_key or key.decode("ascii") in own_keys
 
 
 def _bind(
--- a/packages/server/src/jaytray_server/process/runtime.py
+++ b/packages/server/src/jaytray_server/process/runtime.py
@@ -29,7 +29,8 @@
 from jaytray_server.process.membership import follow_vm_list
 from jaytray_server.process.metrics import make_null_metrics, make_statsd_metrics
 from jaytray_server.process.platform import Outside, connect_platform
-from jaytray_server.process.shutdown import drain, install_stop_signals
+from jaytray_server.process.shutdown import drain
+from jaytray_server.process.stop_signals import install_stop_signals
 from jaytray_server.process.subsystems import (
     Subsystems,
     build_subsystems,
--- a/packages/standins/src/jaytray_standins/in_process.py
+++ b/packages/standins/src/jaytray_standins/in_process.py
@@ -38,7 +38,7 @@
     "in_process_key_value",
     "in_process_service",
     "in_process_target",
-    "in_process_vm_list",
+    "in_process_list_of_vms",
     "in_process_weight_store",
 ]
 
@@ -134,7 +134,7 @@
     return WeightStore(status=status)
 
 
-def in_process_vm_list(
+def in_process_list_of_vms(
     state: VmListState, faults: FaultSwitches, *, timeout_s: float = 1.0
 ) -> VmList:
     """Return a connection to the list of VMs."""
--- a/tests/contracts/implementations.py
+++ b/tests/contracts/implementations.py
@@ -16,9 +16,9 @@
 from jaytray_standins.faults import FaultSwitches
 from jaytray_standins.in_process import (
     in_process_key_value,
+    in_process_list_of_vms,
     in_process_service,
     in_process_target,
-    in_process_vm_list,
     in_process_weight_store,
 )
 from jaytray_standins.key_value.server import serve_key_value
@@ -155,7 +155,7 @@
     store_faults, vm_faults = FaultSwitches(), FaultSwitches()
     yield PlatformBench(
         in_process_weight_store(store, store_faults),
-        in_process_vm_list(vms, vm_faults),
+        in_process_list_of_vms(vms, vm_faults),
         store_faults.set,
         vm_faults.set,
         vms.put,
--- a/tools/run_checks.sh
+++ b/tools/run_checks.sh
@@ -3,7 +3,7 @@
 # Usage: tools/run_checks.sh PYTHON
 set -eu
 python=$1
-sources="packages tools tests conftest.py"
+sources="packages platform tools tests conftest.py"
 export HYPOTHESIS_PROFILE="${HYPOTHESIS_PROFILE:-ci}"
 # shellcheck disable=SC2086
 "$python" -m isort --check-only --quiet $sources
