Size replicas by engine time, so that rare models keep places

Each load also keeps its target from loading adapters for over two seconds.

Change: demand is counted in engine milliseconds; a model gets as many replicas as keep its engines 55 % busy; a replica beyond that costs next to nothing to drop. Loads avoid targets that are the last to load some model's adapters.

--- a/packages/gateway/src/jaytray_gateway/process/gossip.py
+++ b/packages/gateway/src/jaytray_gateway/process/gossip.py
@@ -113,7 +113,7 @@
         self._peers.send(leader, _WISH, encode_msgpack(wish))
 
     def replica_rates(self) -> dict[str, float]:
-        """Return the demand by replica over all members, in tokens a second."""
+        """Return the demand by replica over all members, in engine ms a second."""
         total = self._replica_demand.rates()
         for member, rates in self.replica_rates_by_member.items():
             if member in self._shares.member_ids:
--- a/packages/gateway/src/jaytray_gateway/process/placement/duty.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/duty.py
@@ -152,7 +152,7 @@
         rates = {
             name: rate
             for name, rate in self._gossip.replica_rates().items()
-            if name in engine.models_by_name
+            if name.partition("/")[0] in engine.models_by_name
         }
         waiting = {
             held.wish.model
--- a/packages/gateway/src/jaytray_gateway/process/placement/planner.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/planner.py
@@ -11,16 +11,18 @@
 from jaytray_gateway.process.placement.target_plan import TargetPlan
 from jaytray_gateway.version.route_table import Engine
 
-# Replicas for each part of the demand that an even division gives one target.
-REPLICAS_PER_PART = 1.25
-# Demand, in tokens a second, below which one replica is enough: a tenth of what an
-# engine reads.
-MIN_RATE_PER_REPLICA = 2_000.0
+# Part of its time that an engine may be busy with one model's requests.
+BUSY_PORTION = 0.55
 # A model makes room for another whose gain is at least this many times its loss.
 GAIN_FACTOR = 1.4
-# Tokens a second that a waiting request stands for, as the model's measured demand
-# is still that of the time when nobody could ask for it.
-WAITING_DEMAND = 400.0
+# Demand that a waiting request stands for, in milliseconds of engine time a second:
+# the measured one is still that of the time when nobody could ask for the model.
+WAITING_DEMAND_MS = 60.0
+# Part of a replica's demand that is lost with it where the others have room for it.
+SURPLUS_LOSS = 0.02
+# Part of a target's demand that a load or unload there costs: it loads no adapters
+# meanwhile.
+DISTURBANCE = 0.1
 
 
 class ModelStep(NamedTuple):
@@ -38,12 +40,13 @@
 def wanted_replicas(
     rates: dict[str, float], waiting: set[str], target_count: int
 ) -> dict[str, int]:
-    """Return the number of replicas by model; models without demand are left out."""
-    even_rate = sum(rates.values()) / max(target_count, 1)
-    rate_per_replica = max(even_rate, MIN_RATE_PER_REPLICA) / REPLICAS_PER_PART
+    """Return the number of replicas by model; models without demand are left out.
+
+    `rates` holds the demand in milliseconds of engine time a second.
+    """
     wanted = {}
     for model in rates.keys() | waiting:
-        count = max(1, round(rates.get(model, 0.0) / rate_per_replica))
+        count = max(1, round(rates.get(model, 0.0) / 1000 / BUSY_PORTION))
         wanted[model] = min(count, target_count)
     return wanted
 
@@ -57,8 +60,13 @@
     loads_allowed: int,
     now_s: float,
 ) -> list[ModelStep]:
-    """Return at most one step for each target that has no order under way."""
-    wanted = wanted_replicas(rates, waiting, len(plans))
+    """Return at most one step for each target that has no order under way.
+
+    `rates` holds the demand by model and by adapter, as `model/adapter`, in
+    milliseconds of engine time a second.
+    """
+    rates_by_model = {name: rate for name, rate in rates.items() if "/" not in name}
+    wanted = wanted_replicas(rates_by_model, waiting, len(plans))
     counts = _replica_counts(plans)
     steps: list[ModelStep] = []
     free = []
@@ -67,7 +75,8 @@
             continue
         model = plan.intended_model
         if not model:
-            free.append(plan)
+            if not _is_last_for_adapters(plan, plans, rates):
+                free.append(plan)
         elif loads_allowed > 0 and plan.has_room(engine, model, ""):
             loads_allowed -= 1
             steps.append(ModelStep(plan.target_id, True, model, ""))
@@ -87,6 +96,21 @@
     return steps
 
 
+def _is_last_for_adapters(
+    plan: TargetPlan, plans: list[TargetPlan], rates: dict[str, float]
+) -> bool:
+    """Return whether no other target could load adapters of some model meanwhile.
+
+    A target loads no adapters while it loads or unloads a model.
+    """
+    others = [p for p in plans if p is not plan and not p.has_model_step]
+    with_adapters = {name.partition("/")[0] for name in rates if "/" in name}
+    return any(
+        model in with_adapters and not any(model in p.models for p in others)
+        for model in plan.models
+    )
+
+
 def _replica_counts(plans: list[TargetPlan]) -> dict[str, int]:
     counts: dict[str, int] = {}
     for plan in plans:
@@ -125,7 +149,7 @@
     rate = rates.get(model, 0.0)
     count = counts.get(model, 0)
     if count == 0 and model in waiting:
-        rate += WAITING_DEMAND
+        rate += WAITING_DEMAND_MS
     return rate / (count + 1)
 
 
@@ -141,7 +165,7 @@
 ) -> ModelStep | None:
     """Return the cheapest way to one more replica, or None where it costs too much."""
     needed_mb = engine.models_by_name[model].weights_mb
-    best: tuple[float, float, ModelStep] | None = None
+    best: tuple[float, ModelStep] | None = None
     for plan in plans:
         if model in plan.occupied_models() or model in plan.expected_models():
             continue
@@ -151,16 +175,16 @@
         )
         if room_mb >= needed_mb:
             step = ModelStep(plan.target_id, True, model, "")
-            option = (0.0, crowding, step)
+            option = (DISTURBANCE * crowding, step)
         else:
             victim, loss = _cheapest(plan, counts, wanted, rates, waiting)
             if victim is None or loss * GAIN_FACTOR >= gain:
                 continue
             step = ModelStep(plan.target_id, False, victim, model)
-            option = (loss + 1.0, crowding, step)
-        if best is None or option[:2] < best[:2]:
+            option = (loss + DISTURBANCE * crowding, step)
+        if best is None or option < best:
             best = option
-    return best[2] if best else None
+    return best[1] if best else None
 
 
 def _cheapest(
@@ -179,7 +203,7 @@
             continue
         loss = rate if count <= 1 else rate / count
         if count > wanted.get(model, 0) and count > 1:
-            loss *= 0.25
+            loss *= SURPLUS_LOSS
         if loss < best[1]:
             best = (model, loss)
     return best
--- a/packages/gateway/src/jaytray_gateway/process/rate_gifts.py
+++ b/packages/gateway/src/jaytray_gateway/process/rate_gifts.py
@@ -82,6 +82,7 @@
             messages.RATE_EXCEEDED,
             step=Step.ADMIT,
             retry_after_s=min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s)),
+            peer=account.name,
             account=account.name,
         )
 
--- a/packages/gateway/src/jaytray_gateway/process/target_choice.py
+++ b/packages/gateway/src/jaytray_gateway/process/target_choice.py
@@ -4,14 +4,13 @@
 from typing import NamedTuple
 
 from jaytray_core.rendezvous import owner_of
+from jaytray_gateway.process.engine_cost import PREFILL_TOKENS_PER_MS
 from jaytray_gateway.process.load_view import LoadView
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.process.target_health import TargetHealth
 from jaytray_gateway.request.routed_request import RoutedRequest
 from jaytray_gateway.version.route_table import Service
 
-# Prompt tokens that an engine reads in a millisecond, from the deployment sheets.
-PREFILL_TOKENS_PER_MS = 20.0
 # Milliseconds by which each running request lengthens the wait of another one.
 MS_PER_RUNNING = 1.5
 # Milliseconds that a request at a plain service takes, from the sheets.
--- a/packages/gateway/src/jaytray_gateway/request/request_path.py
+++ b/packages/gateway/src/jaytray_gateway/request/request_path.py
@@ -11,6 +11,7 @@
 from jaytray_gateway.ports import AnswerHead, Dispatch, PlatformAdapter
 from jaytray_gateway.process.crash_guard import CrashGuard
 from jaytray_gateway.process.demand_average import DemandAverage
+from jaytray_gateway.process.engine_cost import engine_ms
 from jaytray_gateway.process.load_view import LoadView
 from jaytray_gateway.process.rate_shares import RateShares
 from jaytray_gateway.process.repeat_budget import RepeatBudget
@@ -102,6 +103,7 @@
         self.tried: set[str] = set()
         self.target_id = ""
         self.events = EventBuffer() if admitted.route.is_resumable else None
+        self.sent_at_s: float | None = None
         self.first_piece_s: float | None = None
 
     @property
@@ -136,11 +138,11 @@
     if service is None:
         raise _refused(messages.NO_REPLICA, Step.ROUTE, name=name)
     request = admitted.request
-    if request.model:
-        tokens = request.prompt_tokens + request.output_tokens
-        services.replica_demand.add(request.model, tokens)
+    if request.model and service.engine is not None:
+        cost_ms = engine_ms(request, service.engine)
+        services.replica_demand.add(request.model, cost_ms)
         if request.adapter:
-            services.replica_demand.add(request.replica_name, tokens)
+            services.replica_demand.add(request.replica_name, cost_ms)
     digest = content_digest(request, admitted.account_name)
     services.crash_guard.check(digest)
     services.budget.note_request(name)
@@ -180,6 +182,7 @@
         services.admission.check_proof()
         is_sent = True
         run.sends += 1
+        run.sent_at_s = services.clock()
         return Dispatch(
             target_id=target.target_id,
             account=admitted.account_name,
@@ -201,7 +204,9 @@
         services.health.succeeded(target.target_id)
     except ExchangeBroken as err:
         is_late = err.progress is Progress.TIMED_OUT
-        if not is_late or run.first_piece_s is None:
+        if is_late:
+            services.health.answered_error(target.target_id)
+        else:
             services.health.failed(target.target_id, err.detail)
         if err.progress is Progress.NOT_SENT:
             services.pools.drop_target(target.target_id)
@@ -384,6 +389,13 @@
     )
 
 
+def _rate_state(error: JaytrayError | None, services: RequestServices) -> str:
+    """Return what a refusal by the account's rate was decided on."""
+    if error is None or error.code != messages.RATE_EXCEEDED.code:
+        return ""
+    return services.shares.describe(error.peer)
+
+
 def _log(
     request: RoutedRequest,
     run: _Run | None,
@@ -392,19 +404,24 @@
     services: RequestServices,
 ) -> None:
     admitted = run.admitted if run else None
+    arrived_s = request.received_at_s
     first_s = run.first_piece_s if run else None
+    sent_s = run.sent_at_s if run else None
     services.log.finished(
         request_id=request.request_id,
         route=admitted.route.name if admitted else "",
         account=admitted.account_name if admitted else "",
         version=admitted.table_version if admitted else 0,
         replica=request.replica_name,
+        tokens=request.prompt_tokens + request.output_tokens,
+        rate_state=_rate_state(error, services),
         target=run.target_id if run else "",
         sends=run.sends if run else 0,
         runs=run.runs if run else 0,
         status=reply.status,
         is_whole=reply.is_finished,
         error=error,
-        first_piece_s=None if first_s is None else first_s - request.received_at_s,
-        total_s=services.clock() - request.received_at_s,
+        sent_s=None if sent_s is None else sent_s - arrived_s,
+        first_piece_s=None if first_s is None else first_s - arrived_s,
+        total_s=services.clock() - arrived_s,
     )
--- a/packages/gateway/src/jaytray_gateway/request/target_search.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_search.py
@@ -16,7 +16,7 @@
 # Time to make room for a model before its load.
 MAKE_ROOM_S = 0.5
 # Longest wait for an adapter of a loaded model; a load takes tens of milliseconds.
-ADAPTER_WAIT_S = 1.2
+ADAPTER_WAIT_S = 1.7
 # Callers abandon a stream after the longest of these without an event.
 PATIENCE_S = 2.0
 PATIENCE_OBJECTIVES = 4.0
