--- a/packages/gateway/src/jaytray_gateway/ports.py
+++ b/packages/gateway/src/jaytray_gateway/ports.py
@@ -73,12 +73,14 @@
     """Outcome of an order to a target.
 
     `is_certain` is False when no answer came: the order may still take effect.
+    `is_unreachable` tells that it surely did not leave.
     `is_accepted` also holds when there was nothing to do. `is_fenced_off` tells that
     the target has seen a higher fencing number, `is_outdated` that it has another
     order under way or another `order_count` than expected.
     """
 
     is_certain: bool
+    is_unreachable: bool
     is_accepted: bool
     is_done: bool
     is_fenced_off: bool
--- a/packages/gateway/src/jaytray_gateway/process/directory.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -26,8 +26,9 @@
 WATCH_PAUSE_S = 0.25
 # Targets re-register within about 2 s of the service's return.
 REREGISTRATION_S = 2.2
-# Failed reads for longer than this count as an outage of the service.
-OUTAGE_S = 1.5
+# Failed reads for longer than this count as an outage of the service, in which
+# registrations may lapse.
+OUTAGE_S = 0.5
 
 OnChange = Callable[[], None]
 
@@ -63,6 +64,7 @@
         self._held_by_key: dict[str, _Held] = {}
         self._lapsed_until_s_by_id: dict[str, float] = {}
         self._revision = 0
+        self._away_since_s: float | None = None
         self._outage_ended_s = -float("inf")
         self._listeners: list[OnChange] = []
         self._read_wanted = asyncio.Event()
@@ -77,20 +79,16 @@
 
     async def run_reads(self) -> None:
         """Read everything at a fixed pace until cancelled."""
-        is_reachable = True
         while True:
             begun_s = self._clock()
             try:
                 await self._read(begun_s)
             except JaytrayError as err:
-                if is_reachable:
+                if self._away_since_s is None:
+                    self._away_since_s = begun_s
                     get_logger().warning("store_lost", error=str(err))
-                is_reachable = False
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
-            if not is_reachable:
-                get_logger().info("store_regained", revision=self._revision)
-            is_reachable = True
             self._read_wanted.clear()
             try:
                 async with asyncio.timeout(READ_INTERVAL_S):
@@ -119,8 +117,7 @@
     async def _read(self, begun_s: float) -> None:
         known_before = dict(self._held_by_key)
         records = await self._key_value.get_prefix("")
-        if begun_s - self.read_at_s > OUTAGE_S and self._revision:
-            self._outage_ended_s = self._clock()
+        self._end_outage()
         self.read_at_s = begun_s
         found = {record.key for record in records}
         removed = [
@@ -132,6 +129,22 @@
         self._end_lapses(found)
         self._apply([*records, *removed], removed_keys={r.key for r in removed})
 
+    def _end_outage(self) -> None:
+        if self._away_since_s is None:
+            return
+        now_s = self._clock()
+        away_s = now_s - self._away_since_s
+        self._away_since_s = None
+        get_logger().info("store_regained", away_s=round(away_s, 2))
+        if away_s > OUTAGE_S:
+            self._outage_ended_s = now_s
+            for target_id in self._lapsed_until_s_by_id:
+                self._lapsed_until_s_by_id[target_id] = now_s + REREGISTRATION_S
+
+    def _is_away(self) -> bool:
+        since_s = self._away_since_s
+        return since_s is not None and self._clock() - since_s > OUTAGE_S
+
     def _apply(
         self,
         records: list[KeyValueRecord],
@@ -210,8 +223,10 @@
     def _drop_target(self, target_id: str) -> None:
         if target_id not in self.targets_by_id:
             return
-        until_s = self._outage_ended_s + REREGISTRATION_S
-        if self._clock() < until_s and not self.targets_by_id[target_id].is_leaving:
+        now_s = self._clock()
+        outage_end_s = now_s if self._is_away() else self._outage_ended_s
+        until_s = outage_end_s + REREGISTRATION_S
+        if now_s < until_s and not self.targets_by_id[target_id].is_leaving:
             self._lapsed_until_s_by_id[target_id] = until_s
             get_logger().info("target_lapsed", target=target_id)
             return
--- a/packages/gateway/src/jaytray_gateway/process/load_view.py
+++ b/packages/gateway/src/jaytray_gateway/process/load_view.py
@@ -9,22 +9,26 @@
 
 
 class TargetLoad(NamedTuple):
-    """Requests running at a target and prompt tokens that it has yet to read."""
+    """Requests at a target and prompt tokens that it has yet to read, by priority."""
 
     running: int
-    waiting_tokens: int
-
+    waiting_tokens_by_priority: dict[int, int]
+
+    def waiting_tokens(self, priority: int) -> int:
+        """Return the tokens that are read before a request of this priority."""
+        return sum(
+            tokens
+            for rank, tokens in self.waiting_tokens_by_priority.items()
+            if rank <= priority
+        )
 
-class _InFlight:
-    """Own requests at one target: prompt tokens yet unread, and what they run on."""
 
-    def __init__(self) -> None:
-        self.waiting_tokens_by_run: dict[int, int] = {}
-        self.replica_by_run: dict[int, str] = {}
+class _Run(NamedTuple):
+    """One own request; `waiting_tokens` is 0 once its prompt has been read."""
 
-    def load(self) -> TargetLoad:
-        tokens = self.waiting_tokens_by_run.values()
-        return TargetLoad(len(tokens), sum(tokens))
+    waiting_tokens: int
+    priority: int
+    replica: str
 
 
 class _PeerLoad(NamedTuple):
@@ -38,35 +42,34 @@
 
     def __init__(self, *, clock: MonotonicClock) -> None:
         self._clock = clock
-        self._own_by_target: dict[str, _InFlight] = {}
+        self._own_by_target: dict[str, dict[int, _Run]] = {}
         self._peer_by_id: dict[str, _PeerLoad] = {}
         self._next_run = 0
 
-    def start(self, target_id: str, prompt_tokens: int, replica: str) -> int:
+    def start(
+        self, target_id: str, prompt_tokens: int, replica: str, *, priority: int
+    ) -> int:
         """Count a request that is being sent; returns its run number.
 
         `replica` is the model, or the model and adapter, that it runs on.
         """
         self._next_run += 1
-        in_flight = self._own_by_target.setdefault(target_id, _InFlight())
-        in_flight.waiting_tokens_by_run[self._next_run] = prompt_tokens
-        in_flight.replica_by_run[self._next_run] = replica
+        runs = self._own_by_target.setdefault(target_id, {})
+        runs[self._next_run] = _Run(prompt_tokens, priority, replica)
         return self._next_run
 
-    def first_piece(self, target_id: str, run: int) -> None:
+    def first_piece(self, target_id: str, number: int) -> None:
         """Note that the prompt has been read."""
-        in_flight = self._own_by_target.get(target_id)
-        if in_flight is not None and run in in_flight.waiting_tokens_by_run:
-            in_flight.waiting_tokens_by_run[run] = 0
+        runs = self._own_by_target.get(target_id, {})
+        if number in runs:
+            runs[number] = runs[number]._replace(waiting_tokens=0)
 
-    def finish(self, target_id: str, run: int) -> None:
+    def finish(self, target_id: str, number: int) -> None:
         """Stop counting a request."""
-        in_flight = self._own_by_target.get(target_id)
-        if in_flight is not None:
-            in_flight.waiting_tokens_by_run.pop(run, None)
-            in_flight.replica_by_run.pop(run, None)
-            if not in_flight.waiting_tokens_by_run:
-                del self._own_by_target[target_id]
+        runs = self._own_by_target.get(target_id, {})
+        runs.pop(number, None)
+        if not runs:
+            self._own_by_target.pop(target_id, None)
 
     def set_peer(
         self,
@@ -82,33 +85,43 @@
     def own_replicas(self) -> dict[str, list[str]]:
         """Return the replicas that own requests run on, by target."""
         return {
-            target: sorted(set(held.replica_by_run.values()))
-            for target, held in self._own_by_target.items()
+            target: sorted({run.replica for run in runs.values()})
+            for target, runs in self._own_by_target.items()
         }
 
     def replicas_in_use(self, target_id: str) -> set[str]:
         """Return the replicas at a target that any known request runs on."""
-        own = self._own_by_target.get(target_id)
-        in_use = set(own.replica_by_run.values()) if own else set()
+        own = self._own_by_target.get(target_id, {})
+        in_use = {run.replica for run in own.values()}
         for peer in self._fresh_peers():
             in_use.update(peer.replicas_by_target.get(target_id, ()))
         return in_use
 
     def own(self) -> dict[str, TargetLoad]:
         """Return the own requests in flight by target."""
-        return {target: held.load() for target, held in self._own_by_target.items()}
+        return {target: self._own_load(target) for target in self._own_by_target}
 
     def total(self, target_id: str) -> TargetLoad:
         """Return all known requests in flight at a target."""
-        own = self._own_by_target.get(target_id)
-        running, waiting = own.load() if own else (0, 0)
+        running, waiting = self._own_load(target_id)
         for peer in self._fresh_peers():
             load = peer.load_by_target.get(target_id)
             if load is not None:
                 running += load.running
-                waiting += load.waiting_tokens
+                for rank, tokens in load.waiting_tokens_by_priority.items():
+                    waiting[rank] = waiting.get(rank, 0) + tokens
         return TargetLoad(running, waiting)
 
+    def _own_load(self, target_id: str) -> TargetLoad:
+        runs = self._own_by_target.get(target_id, {})
+        waiting: dict[int, int] = {}
+        for run in runs.values():
+            if run.waiting_tokens:
+                waiting[run.priority] = (
+                    waiting.get(run.priority, 0) + run.waiting_tokens
+                )
+        return TargetLoad(len(runs), waiting)
+
     def _fresh_peers(self) -> list[_PeerLoad]:
         oldest_s = self._clock() - PEER_LIMIT_S
         return [p for p in self._peer_by_id.values() if p.heard_at_s >= oldest_s]
--- a/packages/gateway/src/jaytray_gateway/process/placement/duty.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/duty.py
@@ -21,10 +21,11 @@
 )
 from jaytray_gateway.process.placement.leadership import Leadership
 from jaytray_gateway.process.placement.load_pace import LoadPace
-from jaytray_gateway.process.placement.planner import ModelStep, next_steps
+from jaytray_gateway.process.placement.planner import Demand, ModelStep, next_steps
 from jaytray_gateway.process.placement.target_plan import PendingOrder, TargetPlan
 from jaytray_gateway.process.replicas import ReplicaNotice
 from jaytray_gateway.process.target_entry import TargetEntry
+from jaytray_gateway.process.target_health import TargetHealth
 from jaytray_gateway.version.route_table import Engine, Service
 
 # Below the adapter's own prefix: the leased record of the holder.
@@ -57,6 +58,7 @@
         directory: Directory,
         gossip: Gossip,
         loads: LoadView,
+        health: TargetHealth,
         metrics: GatewayMetrics,
         clock: MonotonicClock,
     ) -> None:
@@ -65,6 +67,7 @@
         self._directory = directory
         self._gossip = gossip
         self._loads = loads
+        self._health = health
         self._metrics = metrics
         self._clock = clock
         key = adapter.own_prefix + LEADER_KEY
@@ -86,6 +89,7 @@
         self._lock_by_id: dict[str, asyncio.Lock] = {}
         self._wish_by_replica: dict[tuple[str, str, str], _Wish] = {}
         self._loading_adapters: set[tuple[str, str, str]] = set()
+        self._asked_ids: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._reign = 0
         self._wished = asyncio.Event()
@@ -120,13 +124,13 @@
                 except TimeoutError:
                     pass
                 self._wished.clear()
-                await self._plan()
+                self._plan()
         finally:
             holding.cancel()
             for task in self._tasks:
                 task.cancel()
 
-    async def _plan(self) -> None:
+    def _plan(self) -> None:
         if not self._leadership.is_held():
             self._plan_by_id.clear()
             return
@@ -139,32 +143,20 @@
             return
         for service in table.services_by_name.values():
             if service.engine is not None:
-                await self._plan_service(service, service.engine)
+                self._plan_service(service, service.engine)
 
-    async def _plan_service(self, service: Service, engine: Engine) -> None:
+    def _plan_service(self, service: Service, engine: Engine) -> None:
         entries_by_id = {
             target.target_id: target
             for target in self._directory.targets_by_id.values()
             if target.service == service.name and not target.is_leaving
         }
-        plans = await self._current_plans(engine, entries_by_id)
+        plans = self._current_plans(engine, entries_by_id)
         self._load_wished_adapters(service, engine, plans, entries_by_id)
-        rates = {
-            name: rate
-            for name, rate in self._gossip.replica_rates().items()
-            if name.partition("/")[0] in engine.models_by_name
-        }
-        waiting = {
-            held.wish.model
-            for held in self._wish_by_replica.values()
-            if held.wish.service == service.name
-            and not any(held.wish.model in plan.models for plan in plans)
-        }
         steps = next_steps(
             engine,
             plans,
-            rates=rates,
-            waiting=waiting,
+            self._demand(service, engine, plans),
             loads_allowed=self._pace.allowed(engine.loads_per_s),
             now_s=self._clock(),
         )
@@ -174,41 +166,67 @@
             entry = entries_by_id[step.target_id]
             self._start(self._carry_out(step, plan, entry, engine))
 
-    async def _current_plans(
+    def _demand(
+        self, service: Service, engine: Engine, plans: list[TargetPlan]
+    ) -> Demand:
+        rates = {
+            name: rate
+            for name, rate in self._gossip.replica_rates().items()
+            if name.partition("/")[0] in engine.models_by_name
+        }
+        held = set().union(*(plan.models for plan in plans))
+        wished = {
+            made.wish.model
+            for made in self._wish_by_replica.values()
+            if made.wish.service == service.name
+        }
+        in_use_by_target = {
+            plan.target_id: self._loads.replicas_in_use(plan.target_id)
+            for plan in plans
+        }
+        return Demand(rates, wished - held, in_use_by_target)
+
+    def _current_plans(
         self, engine: Engine, entries_by_id: dict[str, TargetEntry]
     ) -> list[TargetPlan]:
-        """Return the plans of all targets, brought up to date."""
+        """Return the known plans, brought up to date; ask for those in doubt."""
         now_s = self._clock()
-        unknown = []
+        unknown: list[TargetEntry] = []
         for entry in entries_by_id.values():
             plan = self._plan_by_id.get(entry.target_id)
             if plan is None or plan.incarnation != entry.incarnation:
-                unknown.append(entry)
+                if not self._health.is_down(entry.target_id):
+                    unknown.append(entry)
                 continue
             plan.take_entry(entry, now_s)
             is_doubtful = plan.is_count_doubtful or plan.is_overdue(engine, now_s)
             if is_doubtful and plan.avoided_until_s <= now_s:
                 unknown.append(entry)
-        await asyncio.gather(*(self._read_report(entry) for entry in unknown))
+        for entry in unknown:
+            if entry.target_id not in self._asked_ids:
+                self._asked_ids.add(entry.target_id)
+                self._start(self._read_report(entry))
         return [
             self._plan_by_id[target_id]
             for target_id, entry in entries_by_id.items()
             if target_id in self._plan_by_id
             and self._plan_by_id[target_id].incarnation == entry.incarnation
+            and not self._health.is_down(target_id)
         ]
 
     async def _read_report(self, entry: TargetEntry) -> None:
         """Make a new plan from what the target itself says."""
-        before = self._plan_by_id.get(entry.target_id)
         try:
             report = await self._adapter.read_report(entry.address)
         except JaytrayError as err:
             get_logger().info(
                 "target_report_failed", target=entry.target_id, error=str(err)
             )
-            if before is not None:
-                before.avoided_until_s = self._clock() + AVOID_S
+            self._health.unreachable(entry.target_id, err.text)
             return
+        finally:
+            self._asked_ids.discard(entry.target_id)
+        before = self._plan_by_id.get(entry.target_id)
         plan = TargetPlan(
             entry=entry,
             adapters_by_model=report.adapters_by_model,
@@ -317,7 +335,8 @@
         )
         try:
             if step.is_load:
-                self._pace.note_load()
+                if step.model not in plan.models_at_hand:
+                    self._pace.note_load()
             else:
                 plan.intended_model = step.makes_room_for
                 plan.intended_since_s = self._clock()
@@ -363,6 +382,7 @@
             expected_order_count=plan.order_count,
             sent_at_s=self._clock(),
             is_certain=True,
+            was_listed=model in entry.adapters_by_model,
         )
         if not adapter:
             plan.model_order = order
@@ -411,7 +431,9 @@
         if plan.model_order is order:
             plan.model_order = None
         plan.avoided_until_s = self._clock() + AVOID_S
-        if not result.is_certain:
+        if result.is_unreachable:
+            self._health.unreachable(entry.target_id, result.detail)
+        elif not result.is_certain:
             plan.note_uncertain(order)
         elif result.is_fenced_off:
             self._leadership.abandon(f"{entry.target_id} knows a higher number")
--- a/packages/gateway/src/jaytray_gateway/process/placement/leadership.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/leadership.py
@@ -17,6 +17,9 @@
 from jaytray_core.logs import get_logger
 from jaytray_core.rendezvous import rank_members
 
+# Part of the time between two holders' orders for which a lease runs: a holder that
+# cannot renew is out of touch with the store, and models wait meanwhile.
+LEASE_PORTION = 0.66
 # Part of the lease after which an unrenewed holder stops.
 TRUSTED_PORTION = 0.75
 RENEWALS_PER_LEASE = 3.5
@@ -48,7 +51,7 @@
         self.fencing_number = 0
         self._own_id = own_id
         self._key = key
-        self._lease_s = lease_s
+        self._lease_s = lease_s * LEASE_PORTION
         self._key_value = key_value
         self._clock = clock
         self._read_record = read_record
--- a/packages/gateway/src/jaytray_gateway/process/placement/planner.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/planner.py
@@ -1,8 +1,9 @@
 """Which model should be loaded or unloaded next, from demand and what targets hold.
 
 Plain functions over values. The number of replicas that a model should have follows
-its part of the demand; a model that requests wait for comes first. Room is made by
-the model whose loss costs least, and only where the gain is clearly larger.
+the engine time that its requests take; a model that requests wait for comes early.
+Room is made by the model whose loss costs least, and only where the gain is clearly
+larger. All demand is in milliseconds of engine time a second.
 """
 
 import math
@@ -12,17 +13,35 @@
 from jaytray_gateway.version.route_table import Engine
 
 # Part of its time that an engine may be busy with one model's requests.
-BUSY_PORTION = 0.55
+BUSY_PORTION = 0.5
 # A model makes room for another whose gain is at least this many times its loss.
 GAIN_FACTOR = 1.4
-# Demand that a waiting request stands for, in milliseconds of engine time a second:
-# the measured one is still that of the time when nobody could ask for the model.
+# Demand that a waiting request stands for, as the measured one is still that of the
+# time when nobody could ask for the model.
 WAITING_DEMAND_MS = 60.0
 # Part of a replica's demand that is lost with it where the others have room for it.
 SURPLUS_LOSS = 0.02
+# What a load from the weight store costs more than one from the target's own disk: it
+# takes longer and counts against the store's ceiling.
+STORE_LOAD_COST_MS = 15.0
 # Part of a target's demand that a load or unload there costs: it loads no adapters
 # meanwhile.
 DISTURBANCE = 0.1
+# Cost of unloading a model on which requests run: the unload waits for their end.
+IN_USE_COST_MS = 100.0
+
+
+class Demand(NamedTuple):
+    """What requests ask for.
+
+    `rates` holds models and adapters, these as `model/adapter`. `waiting` are models
+    without a replica that requests wait for. `in_use_by_target` are the replicas on
+    which requests run.
+    """
+
+    rates: dict[str, float]
+    waiting: set[str]
+    in_use_by_target: dict[str, set[str]]
 
 
 class ModelStep(NamedTuple):
@@ -37,65 +56,82 @@
     makes_room_for: str
 
 
+class _Balance(NamedTuple):
+    """Replicas that models have, orders under way included, and should have."""
+
+    counts: dict[str, int]
+    wanted: dict[str, int]
+
+
 def wanted_replicas(
-    rates: dict[str, float], waiting: set[str], target_count: int
+    demand: Demand, engine: Engine, target_count: int
 ) -> dict[str, int]:
-    """Return the number of replicas by model; models without demand are left out.
-
-    `rates` holds the demand in milliseconds of engine time a second.
-    """
-    wanted = {}
-    for model in rates.keys() | waiting:
-        count = max(1, round(rates.get(model, 0.0) / 1000 / BUSY_PORTION))
-        wanted[model] = min(count, target_count)
-    return wanted
+    """Return the number of replicas by model; models without demand are left out."""
+    adapters: dict[str, int] = {}
+    counts: dict[str, int] = dict.fromkeys(demand.waiting, 1)
+    for name, rate in demand.rates.items():
+        model, _, adapter = name.partition("/")
+        if adapter:
+            adapters[model] = adapters.get(model, 0) + 1
+        else:
+            counts[model] = max(1, round(rate / 1000 / BUSY_PORTION))
+    places = max(engine.adapter_slots, 1)
+    for model, count in adapters.items():
+        counts[model] = max(counts.get(model, 1), math.ceil(count / places))
+    return {model: min(count, target_count) for model, count in counts.items()}
 
 
 def next_steps(
     engine: Engine,
     plans: list[TargetPlan],
+    demand: Demand,
     *,
-    rates: dict[str, float],
-    waiting: set[str],
     loads_allowed: int,
     now_s: float,
 ) -> list[ModelStep]:
-    """Return at most one step for each target that has no order under way.
-
-    `rates` holds the demand by model and by adapter, as `model/adapter`, in
-    milliseconds of engine time a second.
-    """
-    rates_by_model = {name: rate for name, rate in rates.items() if "/" not in name}
-    wanted = wanted_replicas(rates_by_model, waiting, len(plans))
-    counts = _replica_counts(plans)
+    """Return at most one step for each target that has no order under way."""
+    balance = _Balance(
+        counts=_replica_counts(plans),
+        wanted=wanted_replicas(demand, engine, len(plans)),
+    )
     steps: list[ModelStep] = []
-    free = []
+    free: list[TargetPlan] = []
     for plan in plans:
         if plan.has_model_step or plan.avoided_until_s > now_s:
             continue
-        model = plan.intended_model
-        if not model:
-            if not _is_last_for_adapters(plan, plans, rates):
+        if not plan.intended_model:
+            if not _is_last_for_adapters(plan, plans, demand.rates):
                 free.append(plan)
-        elif loads_allowed > 0 and plan.has_room(engine, model, ""):
-            loads_allowed -= 1
-            steps.append(ModelStep(plan.target_id, True, model, ""))
-    for model in _by_urgency(engine, wanted, counts, rates, waiting):
-        if not free:
-            break
-        gain = _gain(model, counts, rates, waiting)
-        step = _step_for(engine, model, gain, free, counts, wanted, rates, waiting)
-        if step is None or (step.is_load and loads_allowed <= 0):
             continue
-        loads_allowed -= step.is_load
+        is_from_store = plan.intended_model not in plan.models_at_hand
+        if plan.has_room(engine, plan.intended_model, "") and (
+            loads_allowed > 0 or not is_from_store
+        ):
+            loads_allowed -= is_from_store
+            steps.append(ModelStep(plan.target_id, True, plan.intended_model, ""))
+    for model in _lacking(engine, balance, demand):
+        able = [p for p in free if loads_allowed > 0 or model in p.models_at_hand]
+        found = _cheapest_way(engine, model, able, balance, demand)
+        if found is None:
+            continue
+        plan, step = found
+        loads_allowed -= step.is_load and model not in plan.models_at_hand
         steps.append(step)
-        free = [plan for plan in free if plan.target_id != step.target_id]
-        counts[model] = counts.get(model, 0) + 1
+        free.remove(plan)
+        balance.counts[model] = balance.counts.get(model, 0) + 1
         if not step.is_load:
-            counts[step.model] = counts.get(step.model, 0) - 1
+            balance.counts[step.model] = balance.counts.get(step.model, 0) - 1
     return steps
 
 
+def _replica_counts(plans: list[TargetPlan]) -> dict[str, int]:
+    counts: dict[str, int] = {}
+    for plan in plans:
+        for model in plan.expected_models():
+            counts[model] = counts.get(model, 0) + 1
+    return counts
+
+
 def _is_last_for_adapters(
     plan: TargetPlan, plans: list[TargetPlan], rates: dict[str, float]
 ) -> bool:
@@ -111,99 +147,81 @@
     )
 
 
-def _replica_counts(plans: list[TargetPlan]) -> dict[str, int]:
-    counts: dict[str, int] = {}
-    for plan in plans:
-        for model in plan.expected_models():
-            counts[model] = counts.get(model, 0) + 1
-    return counts
-
-
-def _by_urgency(
-    engine: Engine,
-    wanted: dict[str, int],
-    counts: dict[str, int],
-    rates: dict[str, float],
-    waiting: set[str],
-) -> list[str]:
-    """Return the models that lack replicas, the most urgent first."""
+def _lacking(engine: Engine, balance: _Balance, demand: Demand) -> list[str]:
+    """Return the models that lack replicas, the largest gain first."""
     lacking = [
         model
-        for model, count in wanted.items()
-        if model in engine.models_by_name and counts.get(model, 0) < count
+        for model, count in balance.wanted.items()
+        if model in engine.models_by_name and balance.counts.get(model, 0) < count
     ]
-    return sorted(
-        lacking,
-        key=lambda model: (
-            counts.get(model, 0) > 0 or model not in waiting,
-            -_gain(model, counts, rates, waiting),
-            model,
-        ),
-    )
+    return sorted(lacking, key=lambda model: (-_gain(model, balance, demand), model))
 
 
-def _gain(
-    model: str, counts: dict[str, int], rates: dict[str, float], waiting: set[str]
-) -> float:
+def _gain(model: str, balance: _Balance, demand: Demand) -> float:
     """Return the demand that one more replica would take."""
-    rate = rates.get(model, 0.0)
-    count = counts.get(model, 0)
-    if count == 0 and model in waiting:
+    rate = demand.rates.get(model, 0.0)
+    count = balance.counts.get(model, 0)
+    if count == 0 and model in demand.waiting:
         rate += WAITING_DEMAND_MS
     return rate / (count + 1)
 
 
-def _step_for(
+def _cheapest_way(
     engine: Engine,
     model: str,
-    gain: float,
     plans: list[TargetPlan],
-    counts: dict[str, int],
-    wanted: dict[str, int],
-    rates: dict[str, float],
-    waiting: set[str],
-) -> ModelStep | None:
-    """Return the cheapest way to one more replica, or None where it costs too much."""
+    balance: _Balance,
+    demand: Demand,
+) -> tuple[TargetPlan, ModelStep] | None:
+    """Return the best target for one more replica and the step that it takes."""
+    gain = _gain(model, balance, demand)
     needed_mb = engine.models_by_name[model].weights_mb
-    best: tuple[float, ModelStep] | None = None
+    best: tuple[float, TargetPlan, ModelStep] | None = None
     for plan in plans:
         if model in plan.occupied_models() or model in plan.expected_models():
             continue
-        room_mb = engine.weights_mb - plan.used_mb(engine)
-        crowding = sum(
-            rates.get(m, 0.0) / max(1, counts.get(m, 1)) for m in plan.models
-        )
-        if room_mb >= needed_mb:
+        cost = _disturbance(plan, balance, demand)
+        if model not in plan.models_at_hand:
+            cost += STORE_LOAD_COST_MS
+        if engine.weights_mb - plan.used_mb(engine) >= needed_mb:
             step = ModelStep(plan.target_id, True, model, "")
-            option = (DISTURBANCE * crowding, step)
         else:
-            victim, loss = _cheapest(plan, counts, wanted, rates, waiting)
+            victim, loss = _victim(plan, balance, demand)
             if victim is None or loss * GAIN_FACTOR >= gain:
                 continue
+            cost += loss
             step = ModelStep(plan.target_id, False, victim, model)
-            option = (loss + DISTURBANCE * crowding, step)
-        if best is None or option < best:
-            best = option
-    return best[1] if best else None
-
-
-def _cheapest(
-    plan: TargetPlan,
-    counts: dict[str, int],
-    wanted: dict[str, int],
-    rates: dict[str, float],
-    waiting: set[str],
+        if best is None or cost < best[0]:
+            best = (cost, plan, step)
+    return None if best is None else best[1:]
+
+
+def _disturbance(plan: TargetPlan, balance: _Balance, demand: Demand) -> float:
+    """Return what an order for a model costs the other models of a target."""
+    return DISTURBANCE * sum(
+        demand.rates.get(model, 0.0) / max(1, balance.counts.get(model, 1))
+        for model in plan.models
+    )
+
+
+def _victim(
+    plan: TargetPlan, balance: _Balance, demand: Demand
 ) -> tuple[str | None, float]:
     """Return the model whose loss at this target costs least, and that cost."""
+    in_use = {
+        name.partition("/")[0]
+        for name in demand.in_use_by_target.get(plan.target_id, ())
+    }
     best: tuple[str | None, float] = (None, math.inf)
     for model in sorted(plan.models):
-        count = counts.get(model, 1)
-        rate = rates.get(model, 0.0)
-        if model in waiting and count <= 1:
+        count = balance.counts.get(model, 1)
+        if model in demand.waiting and count <= 1:
             continue
-        loss = rate if count <= 1 else rate / count
-        if count > wanted.get(model, 0) and count > 1:
+        loss = demand.rates.get(model, 0.0) / max(count, 1)
+        if count > max(1, balance.wanted.get(model, 0)):
             loss *= SURPLUS_LOSS
+        if model in in_use:
+            loss += IN_USE_COST_MS
         if loss < best[1]:
             best = (model, loss)
     return best
--- a/packages/gateway/src/jaytray_gateway/process/placement/target_plan.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/target_plan.py
@@ -23,7 +23,10 @@
 
 
 class PendingOrder(NamedTuple):
-    """An order under way; `adapter` is empty for a whole model."""
+    """An order under way; `adapter` is empty for a whole model.
+
+    `was_listed` tells whether the directory showed the model when it was sent.
+    """
 
     is_load: bool
     model: str
@@ -31,6 +34,7 @@
     expected_order_count: int
     sent_at_s: float
     is_certain: bool
+    was_listed: bool
 
 
 class TargetPlan:
@@ -46,12 +50,15 @@
         self.target_id = entry.target_id
         self.incarnation = entry.incarnation
         self.order_count = order_count
+        self.models_at_hand = entry.models_at_hand
         self.used_at_s_by_adapter: dict[tuple[str, str], float] = {
             (model, adapter): 0.0
             for model, adapters in adapters_by_model.items()
             for adapter in adapters
         }
         self.models: set[str] = set(adapters_by_model)
+        # Unloaded during this reign; an older entry may still list them.
+        self.gone_models: set[str] = set()
         self.model_order: PendingOrder | None = None
         self.has_model_step = False
         self.intended_model = ""
@@ -149,18 +156,21 @@
 
     def take_entry(self, entry: TargetEntry, now_s: float) -> None:
         """Compare with what the target says of itself in the directory."""
+        self.models_at_hand = entry.models_at_hand
         self.uncertain = [
             late for late in self.uncertain if now_s - late.sent_at_s < LATE_ORDER_S
         ]
         if now_s - self.intended_since_s > INTENTION_LIMIT_S:
             self.intended_model = ""
         order = self.model_order
-        has_model = order is not None and order.model in entry.adapters_by_model
-        if order is not None and has_model == order.is_load:
+        listed = set(entry.adapters_by_model)
+        if order is not None and order.was_listed != (order.model in listed):
             self._finish_model_order(order)
-        if self.model_order is None:
-            self.models = set(entry.adapters_by_model)
-            self._drop_adapters_of_absent_models()
+        if self.model_order is not None and not self.model_order.is_load:
+            listed.discard(self.model_order.model)
+        # Models go only by orders, which are followed here; an entry that does not
+        # show one may be older than the target's own report.
+        self.models |= listed - self.gone_models
 
     def is_overdue(self, engine: Engine, now_s: float) -> bool:
         """Return whether the order under way should long be complete."""
@@ -178,8 +188,10 @@
         self.has_model_step = False
         if order.is_load:
             self.models.add(order.model)
+            self.gone_models.discard(order.model)
         else:
             self.models.discard(order.model)
+            self.gone_models.add(order.model)
             self._drop_adapters_of_absent_models()
 
     def _drop_adapters_of_absent_models(self) -> None:
--- a/packages/gateway/src/jaytray_gateway/process/rate_shares.py
+++ b/packages/gateway/src/jaytray_gateway/process/rate_shares.py
@@ -15,12 +15,14 @@
 
 # Part of each rate that is divided evenly, so that a member with no demand yet can
 # serve its first callers.
-EVEN_PORTION = 0.25
+EVEN_PORTION = 0.1
 # Time constant of the demand average: short against the quota window of 8 s.
 DEMAND_WINDOW_S = 2.5
 # Part of its cost that must be there for a request to be admitted; the rest is
 # made up before the next one.
 ADMISSION_PORTION = 0.5
+# A caller that comes back must not find the last token just short.
+WAIT_MARGIN = 1.02
 # A new process starts with this many seconds' worth of its rate.
 START_S = 0.3
 
@@ -97,7 +99,7 @@
         """Return how long the own part takes to earn what the request needs."""
         missing = self._needed(account, cost) - self._refilled(account).level
         rate = account.rate_per_s * self.part_of(account.name)
-        return max(0.0, missing / max(rate, 1e-9))
+        return max(0.0, missing / max(rate, 1e-9) * WAIT_MARGIN)
 
     def give(self, account: ClientAccount, tokens: float) -> float:
         """Take up to `tokens` out of the own part for another member."""
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -173,6 +173,7 @@
         directory=directory,
         gossip=gossip,
         loads=loads,
+        health=health,
         metrics=metrics,
         clock=clock,
     )
--- a/packages/gateway/src/jaytray_gateway/process/target_choice.py
+++ b/packages/gateway/src/jaytray_gateway/process/target_choice.py
@@ -24,10 +24,11 @@
 
 
 class Candidate(NamedTuple):
-    """A target and the wait expected there, in milliseconds."""
+    """A target, its cost in the choice, and the wait expected there in seconds."""
 
     target: TargetEntry
     cost_ms: float
+    wait_s: float
 
 
 class TargetChooser:
@@ -51,6 +52,7 @@
         request: RoutedRequest,
         service: Service,
         targets: list[TargetEntry],
+        priority: int,
     ) -> Candidate | None:
         """Return the best of `targets`, all of which could run the request."""
         usable = [t for t in targets if not self._health.is_avoided(t.target_id)]
@@ -59,7 +61,7 @@
             return None
         preferred = self._preferred(request, usable)
         candidates = [
-            Candidate(target, self._cost_ms(request, service, target, preferred))
+            self._candidate(request, service, target, preferred, priority)
             for target in usable
         ]
         return min(candidates, key=lambda c: (c.cost_ms, self._rng.random()))
@@ -75,24 +77,25 @@
             f"{request.replica_name}:{shared}", [t.target_id for t in targets]
         )
 
-    def _cost_ms(
+    def _candidate(
         self,
         request: RoutedRequest,
         service: Service,
         target: TargetEntry,
         preferred: str | None,
-    ) -> float:
+        priority: int,
+    ) -> Candidate:
         load = self._loads.total(target.target_id)
         cost_ms = MS_PER_FAILURE * self._health.failure_rate(target.target_id)
         if target.failure_domain != self._failure_domain:
             cost_ms += MS_PER_DISTANCE
         if service.engine is None:
-            slots = max(target.slots, 1)
-            return cost_ms + MS_PER_PLAIN_REQUEST * load.running / slots
-        cost_ms += load.waiting_tokens / PREFILL_TOKENS_PER_MS
-        cost_ms += MS_PER_RUNNING * load.running
-        cost_ms += MS_PER_QUEUED * max(0, load.running - service.engine.slots)
+            cost_ms += MS_PER_PLAIN_REQUEST * load.running / max(target.slots, 1)
+            return Candidate(target, cost_ms, 0.0)
+        wait_ms = load.waiting_tokens(priority) / PREFILL_TOKENS_PER_MS
+        wait_ms += MS_PER_QUEUED * max(0, load.running - service.engine.slots)
+        cost_ms += wait_ms + MS_PER_RUNNING * load.running
         if target.target_id != preferred:
             shared = sum(part.tokens for part in request.prompt_parts[:-1])
             cost_ms += shared / PREFILL_TOKENS_PER_MS
-        return cost_ms
+        return Candidate(target, cost_ms, wait_ms / 1000)
--- a/packages/gateway/src/jaytray_gateway/process/target_health.py
+++ b/packages/gateway/src/jaytray_gateway/process/target_health.py
@@ -22,9 +22,11 @@
         self._avoid_until_s_by_id: dict[str, float] = {}
         self._streak_by_id: dict[str, int] = {}
         self._failure_rate_by_id: dict[str, float] = {}
+        self._unreachable_ids: set[str] = set()
 
     def succeeded(self, target_id: str) -> None:
         """Note a whole answer."""
+        self._unreachable_ids.discard(target_id)
         if self._streak_by_id.pop(target_id, 0):
             self._avoid_until_s_by_id.pop(target_id, None)
             get_logger().info("target_healthy", target=target_id)
@@ -34,8 +36,17 @@
         """Note an error answer: the target is in reach and may be failing."""
         self._average(target_id, 1.0)
 
+    def unreachable(self, target_id: str, detail: str) -> None:
+        """Note that no connection to the target could be opened."""
+        self._unreachable_ids.add(target_id)
+        self.failed(target_id, detail)
+
+    def is_down(self, target_id: str) -> bool:
+        """Return whether the target was out of reach when last tried."""
+        return target_id in self._unreachable_ids and self.is_avoided(target_id)
+
     def failed(self, target_id: str, detail: str) -> None:
-        """Note that the target could not be reached or broke an answer off."""
+        """Note that the target broke an answer off."""
         streak = self._streak_by_id.get(target_id, 0) + 1
         self._streak_by_id[target_id] = streak
         self._average(target_id, 1.0)
@@ -60,6 +71,7 @@
 
     def keep(self, target_ids: frozenset[str]) -> None:
         """Forget targets that are no longer in the directory."""
+        self._unreachable_ids &= target_ids
         for by_id in (
             self._avoid_until_s_by_id,
             self._streak_by_id,
--- a/packages/gateway/src/jaytray_gateway/request/request_path.py
+++ b/packages/gateway/src/jaytray_gateway/request/request_path.py
@@ -173,7 +173,10 @@
 ) -> None:
     admitted, request = run.admitted, run.admitted.request
     in_flight = services.loads.start(
-        target.target_id, request.prompt_tokens, request.replica_name
+        target.target_id,
+        request.prompt_tokens,
+        request.replica_name,
+        priority=admitted.priority,
     )
     is_sent = False
 
@@ -204,13 +207,14 @@
         services.health.succeeded(target.target_id)
     except ExchangeBroken as err:
         is_late = err.progress is Progress.TIMED_OUT
+        if err.progress is Progress.NOT_SENT:
+            services.health.unreachable(target.target_id, err.detail)
+            services.pools.drop_target(target.target_id)
+            raise _TurnedAway(err.detail, has_arrived=False) from err
         if is_late:
             services.health.answered_error(target.target_id)
         else:
             services.health.failed(target.target_id, err.detail)
-        if err.progress is Progress.NOT_SENT:
-            services.pools.drop_target(target.target_id)
-            raise _TurnedAway(err.detail, has_arrived=False) from err
         run.runs += 1
         raise _Failed(err.detail, is_timeout=is_late) from err
     finally:
--- a/packages/gateway/src/jaytray_gateway/request/target_search.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_search.py
@@ -7,7 +7,7 @@
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.errors import JaytrayError, Step
 from jaytray_gateway.process.replicas import ReplicaNotice, Replicas
-from jaytray_gateway.process.target_choice import TargetChooser
+from jaytray_gateway.process.target_choice import Candidate, TargetChooser
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.request.admission import Admitted
 from jaytray_gateway.request.routed_request import RoutedRequest
@@ -27,6 +27,9 @@
 ASK_AGAIN_S = 0.25
 # Part of the time left that a request may wait before it is sent.
 WAIT_PORTION = 0.6
+# Wait at the best target, in objectives of the route, above which a request is refused
+# at once: served late it would make those behind it late as well.
+OVERLOAD_OBJECTIVES = 1.0
 # Time to come back when a service has no target.
 NO_TARGET_RETRY_S = 0.5
 STATUS_MISDIRECTED = 421
@@ -68,8 +71,10 @@
         while True:
             holders = self._holders(request, service)
             untried = [t for t in holders if t.target_id not in tried]
-            chosen = self._chooser.choose(request, service, untried)
+            chosen = self._chooser.choose(request, service, untried, admitted.priority)
             if chosen is not None:
+                if chosen.wait_s > admitted.route.objective_s * OVERLOAD_OBJECTIVES:
+                    raise _overloaded(chosen)
                 return chosen.target
             if wait is None:
                 raise _no_replica(request, service, NO_TARGET_RETRY_S)
@@ -131,6 +136,16 @@
     )
 
 
+def _overloaded(chosen: Candidate) -> JaytrayError:
+    return JaytrayError(
+        messages.QUEUE_FULL,
+        step=Step.QUEUE,
+        peer=chosen.target.target_id,
+        retry_after_s=chosen.wait_s,
+        name=chosen.target.service,
+    )
+
+
 def _no_replica(
     request: RoutedRequest, service: Service, retry_after_s: float
 ) -> JaytrayError:
--- /dev/null
+++ b/packages/gateway/tests/connection/test_target_connection.py
@@ -0,0 +1,174 @@
+"""Connections to targets: reuse, stray bytes, foreign, cut and unframed answers."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import h11
+from parameterized import parameterized
+from testtools import TestCase
+
+from jaytray_gateway.connection.target_connection import (
+    ExchangeBroken,
+    Progress,
+    TargetConnection,
+    open_connection,
+)
+
+WHOLE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+FOREIGN = b"HTTP/1.1 200 OK\r\nx-id: other\r\ncontent-length: 3\r\n\r\nnot"
+UNFRAMED = b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nok"
+SHORT = b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok"
+CHUNKED_CUT = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n"
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+CLOSING = WHOLE.replace(b"content", b"connection: close\r\ncontent")
+
+
+@asynccontextmanager
+async def target(answer: bytes, *, ends: str = "stays") -> AsyncIterator[str]:
+    """Serve `answer` to each request; then stay, close or reset the connection."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            try:
+                await reader.readuntil(b"\r\n\r\n")
+            except (asyncio.IncompleteReadError, ConnectionError):
+                break
+            writer.write(answer)
+            await writer.drain()
+            if ends == "closes":
+                break
+            if ends == "resets":
+                await asyncio.sleep(0.02)
+                raw = writer.get_extra_info("socket")
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+                writer.transport.abort()
+                return
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    async with server:
+        host, port = server.sockets[0].getsockname()
+        yield f"{host}:{port}"
+
+
+def send(connection: TargetConnection) -> None:
+    connection.send(b"GET", b"/a?b", [(b"host", b"h")], b"")
+
+
+async def read_body(connection: TargetConnection) -> bytes:
+    body = b""
+    while not isinstance(event := await connection.next_event(), h11.EndOfMessage):
+        if isinstance(event, h11.Data):
+            body += bytes(event.data)
+    return body
+
+
+class ReuseTests(TestCase):
+    @parameterized.expand(
+        [
+            ("whole", WHOLE, "stays", True),
+            ("bytes_after_it", WHOLE + b"HTTP/1.1 2", "stays", False),
+            ("second_answer", WHOLE + FOREIGN, "stays", False),
+            ("asked_to_close", CLOSING, "stays", False),
+            ("closed", WHOLE, "closes", False),
+            ("unframed", UNFRAMED, "closes", False),
+        ]
+    )
+    def test_connection_after(
+        self, _name: str, answer: bytes, ends: str, is_reused: bool
+    ) -> None:
+        async def run() -> tuple[bytes, bool]:
+            async with target(answer, ends=ends) as address:
+                connection = await open_connection(address, timeout_s=1.0)
+                send(connection)
+                body = await read_body(connection)
+                await asyncio.sleep(0.02)
+                is_kept = connection.finish(0.0)
+                connection.close()
+                return body, is_kept
+
+        self.assertEqual((b"ok", is_reused), asyncio.run(run()))
+
+    def test_bytes_while_idle_spoil_the_connection(self) -> None:
+        async def run() -> bool:
+            async with target(WHOLE) as address:
+                connection = await open_connection(address, timeout_s=1.0)
+                send(connection)
+                await read_body(connection)
+                assert connection.finish(0.0)
+                connection.data_received(b"HTTP/1.1 200 OK\r\n")
+                usable = connection.is_usable(0.0, 10.0)
+                connection.close()
+                return usable
+
+        self.assertEqual(False, asyncio.run(run()))
+
+    def test_answer_to_another_request_is_read_past(self) -> None:
+        async def run() -> tuple[bytes, bytes]:
+            async with target(FOREIGN + WHOLE) as address:
+                connection = await open_connection(address, timeout_s=1.0)
+                send(connection)
+                foreign = await read_body(connection)
+                assert connection.skip_foreign_answer()
+                own = await read_body(connection)
+                connection.close()
+                return foreign, own
+
+        self.assertEqual((b"not", b"ok"), asyncio.run(run()))
+
+
+class BrokenAnswerTests(TestCase):
+    @parameterized.expand(
+        [
+            ("short", SHORT, "closes"),
+            ("chunks_cut", CHUNKED_CUT, "closes"),
+            ("unframed_reset", UNFRAMED, "resets"),
+            ("no_http", b"\x00\x01\x02\r\n\r\n", "closes"),
+            ("nothing", b"", "closes"),
+            ("nothing_reset", b"", "resets"),
+        ]
+    )
+    def test_is_broken(self, _name: str, answer: bytes, ends: str) -> None:
+        async def run() -> Progress | None:
+            async with target(answer, ends=ends) as address:
+                connection = await open_connection(address, timeout_s=1.0)
+                send(connection)
+                try:
+                    await read_body(connection)
+                except ExchangeBroken as err:
+                    return err.progress
+                finally:
+                    connection.close()
+            return None
+
+        self.assertEqual(Progress.BROKEN, asyncio.run(run()))
+
+    def test_refused_connection_sent_nothing(self) -> None:
+        async def run() -> Progress | None:
+            async with target(WHOLE) as address:
+                pass
+            try:
+                await open_connection(address, timeout_s=1.0)
+            except ExchangeBroken as err:
+                return err.progress
+            return None
+
+        self.assertEqual(Progress.NOT_SENT, asyncio.run(run()))
+
+    def test_connection_closed_while_idle_sends_nothing(self) -> None:
+        async def run() -> Progress | None:
+            async with target(WHOLE, ends="closes") as address:
+                connection = await open_connection(address, timeout_s=1.0)
+                connection.eof_received()
+                try:
+                    send(connection)
+                except ExchangeBroken as err:
+                    return err.progress
+                finally:
+                    connection.close()
+            return None
+
+        self.assertEqual(Progress.NOT_SENT, asyncio.run(run()))
--- /dev/null
+++ b/packages/gateway/tests/process/test_directory.py
@@ -0,0 +1,182 @@
+"""The copy of the store: versions, targets that lapse, foreign entries."""
+
+import asyncio
+import json
+
+from testtools import TestCase
+
+from jaytray_core.codec import malformed_message
+from jaytray_core.keyvalue import ABSENT_REVISION
+from jaytray_gateway.ports import PlatformAdapter
+from jaytray_gateway.process.directory import REREGISTRATION_S, Directory
+from jaytray_gateway.process.target_entry import TargetEntry
+from jaytray_gateway.version.route_table import CallerLimits, RouteTable
+from jaytray_standins.faults import Fault, FaultKind, FaultSwitches
+from jaytray_standins.in_process import in_process_key_value
+from jaytray_standins.key_value.store import KeyValueStore
+from jaytray_standins.virtual_loop import run_virtual
+
+
+def decode_table(data: bytes) -> RouteTable:
+    return RouteTable(json.loads(data), {}, {}, {}, {}, CallerLimits(1, 1, 1.0, 1.0))
+
+
+def decode_target(target_id: str, data: bytes) -> TargetEntry:
+    if data == b"foreign":
+        raise malformed_message(peer=target_id, detail="foreign")
+    is_leaving = data == b"leaving"
+    return TargetEntry(
+        target_id, "1", "svc", "127.0.0.1:1", "a", is_leaving, 1, {}, frozenset()
+    )
+
+
+def unused(*_arguments: object) -> object:
+    raise AssertionError("not used by the directory")
+
+
+ADAPTER = PlatformAdapter(
+    route_table_key="op/table",
+    targets_prefix="targets/",
+    own_prefix="own/",
+    decode_route_table=decode_table,
+    decode_target=decode_target,
+    parse_request=unused,  # type: ignore[arg-type]
+    render_dispatch=unused,  # type: ignore[arg-type]
+    read_answer_head=unused,  # type: ignore[arg-type]
+    render_refusal=unused,  # type: ignore[arg-type]
+    send_order=unused,  # type: ignore[arg-type]
+    read_report=unused,  # type: ignore[arg-type]
+)
+
+
+class Site:
+    """A directory on virtual time, its store and its fault switches."""
+
+    def __init__(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.faults = FaultSwitches()
+        store = KeyValueStore(clock=loop.time)
+        self.plain = in_process_key_value(store, FaultSwitches())
+        self.directory = Directory(
+            key_value=in_process_key_value(store, self.faults),
+            adapter=ADAPTER,
+            clock=loop.time,
+        )
+        self.tasks = [
+            asyncio.create_task(self.directory.run_reads()),
+            asyncio.create_task(self.directory.run_watch()),
+        ]
+
+    async def put(self, key: str, value: bytes | None) -> None:
+        found = await self.plain.get(key)
+        revision = found.revision if found else ABSENT_REVISION
+        await self.plain.compare_and_swap(key, revision, value, "")
+
+    async def end(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+async def settle() -> None:
+    await asyncio.sleep(1.0)
+
+
+class DirectoryTests(TestCase):
+    def test_follows_table_targets_and_members(self) -> None:
+        async def run() -> None:
+            site = Site()
+            await site.put("op/table", b"3")
+            await site.put("targets/t1", b"ready")
+            await site.put("own/members/a", b"x")
+            await settle()
+            directory = site.directory
+            assert directory.route_table is not None
+            self.assertEqual(3, directory.route_table.version)
+            self.assertEqual({"t1"}, set(directory.targets_by_id))
+            self.assertEqual({"own/members/a": b"x"}, directory.members_by_key)
+            await site.put("targets/t1", b"leaving")
+            await settle()
+            self.assertTrue(directory.targets_by_id["t1"].is_leaving)
+            await site.put("targets/t1", None)
+            await settle()
+            self.assertEqual(set(), set(directory.targets_by_id))
+            await site.end()
+
+        run_virtual(run())
+
+    def test_version_never_goes_back(self) -> None:
+        async def run() -> None:
+            site = Site()
+            await site.put("op/table", b"3")
+            await settle()
+            await site.put("op/table", b"2")
+            await settle()
+            assert site.directory.route_table is not None
+            self.assertEqual(3, site.directory.route_table.version)
+            await site.end()
+
+        run_virtual(run())
+
+    def test_foreign_entry_names_no_target(self) -> None:
+        async def run() -> None:
+            site = Site()
+            await site.put("targets/t1", b"ready")
+            await settle()
+            await site.put("targets/t1", b"foreign")
+            await site.put("targets/t2", b"ready")
+            await settle()
+            self.assertEqual({"t2"}, set(site.directory.targets_by_id))
+            await site.end()
+
+        run_virtual(run())
+
+    def test_age_grows_while_the_store_is_away(self) -> None:
+        async def run() -> None:
+            site = Site()
+            await settle()
+            site.faults.set(Fault(FaultKind.DOWN))
+            await asyncio.sleep(10.0)
+            self.assertGreater(site.directory.age_s(), 8.0)
+            site.faults.clear()
+            await settle()
+            self.assertLess(site.directory.age_s(), 2.0)
+            await site.end()
+
+        run_virtual(run())
+
+    def test_target_that_lapsed_during_an_outage_stays_until_it_may_be_back(
+        self,
+    ) -> None:
+        async def run() -> None:
+            site = Site()
+            await site.put("targets/back", b"ready")
+            await site.put("targets/gone", b"ready")
+            await settle()
+            site.faults.set(Fault(FaultKind.DOWN))
+            await asyncio.sleep(6.0)
+            await site.put("targets/back", None)
+            await site.put("targets/gone", None)
+            site.faults.clear()
+            await settle()
+            both = {"back", "gone"}
+            self.assertEqual(both, set(site.directory.targets_by_id))
+            await site.put("targets/back", b"ready")
+            await asyncio.sleep(REREGISTRATION_S + 2.0)
+            self.assertEqual({"back"}, set(site.directory.targets_by_id))
+            await site.end()
+
+        run_virtual(run())
+
+    def test_change_that_no_watch_tells_is_read(self) -> None:
+        async def run() -> None:
+            site = Site()
+            await settle()
+            site.faults.set(Fault(FaultKind.SILENT, "watch"))
+            await site.put("op/table", b"7")
+            await asyncio.sleep(2.0)
+            assert site.directory.route_table is not None
+            self.assertEqual(7, site.directory.route_table.version)
+            await site.end()
+
+        run_virtual(run())
--- /dev/null
+++ b/packages/gateway/tests/process/test_small_parts.py
@@ -0,0 +1,119 @@
+"""Repeat budget, loads, health, crash guard, replicas' notices."""
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from jaytray_core.errors import JaytrayError
+from jaytray_gateway.process.crash_guard import HOLD_S, MAX_BREAKS, Break, CrashGuard
+from jaytray_gateway.process.load_view import PEER_LIMIT_S, LoadView, TargetLoad
+from jaytray_gateway.process.repeat_budget import RepeatBudget
+from jaytray_gateway.process.target_entry import TargetEntry
+from jaytray_gateway.process.target_health import FIRST_AVOID_S, TargetHealth
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now_s = 100.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+def entry(target_id: str, incarnation: str = "1") -> TargetEntry:
+    return TargetEntry(
+        target_id, incarnation, "svc", "127.0.0.1:1", "a", False, 4, {}, frozenset()
+    )
+
+
+class RepeatBudgetTests(TestCase):
+    @parameterized.expand([(1, 0), (8, 0), (8, 400), (64, 1000)])
+    def test_fleet_stays_within_the_budget(self, members: int, requests: int) -> None:
+        clock = Clock()
+        budgets = [
+            RepeatBudget(ratio=0.2, extra=56, window_s=10, clock=clock)
+            for _ in range(members)
+        ]
+        for budget in budgets:
+            budget.member_count = members
+        repeats = 0
+        for tick in range(100):
+            clock.now_s += 0.1
+            for number, budget in enumerate(budgets):
+                if requests and (tick * members + number) % 3 == 0:
+                    budget.note_request("svc")
+                while budget.take("svc"):
+                    repeats += 1
+        sent = requests and sum(
+            (tick * members + n) % 3 == 0 for tick in range(100) for n in range(members)
+        )
+        # One repeat for each member may be begun before it is earned.
+        self.assertLessEqual(repeats, 0.2 * sent + 56 + members)
+
+    def test_some_repeats_are_allowed_at_once(self) -> None:
+        budget = RepeatBudget(ratio=0.2, extra=56, window_s=10, clock=Clock())
+        self.assertTrue(budget.take("svc"))
+
+
+class LoadViewTests(TestCase):
+    def test_own_and_peers_requests_add_up(self) -> None:
+        clock = Clock()
+        loads = LoadView(clock=clock)
+        run = loads.start("t", 500, "m/a1", priority=1)
+        loads.set_peer("vm-2", {"t": TargetLoad(2, {0: 70})}, {"t": ["m/a2"]})
+        self.assertEqual(TargetLoad(3, {0: 70, 1: 500}), loads.total("t"))
+        self.assertEqual({"m/a1", "m/a2"}, loads.replicas_in_use("t"))
+        loads.first_piece("t", run)
+        self.assertEqual(TargetLoad(3, {0: 70}), loads.total("t"))
+        loads.finish("t", run)
+        clock.now_s += PEER_LIMIT_S + 0.1
+        self.assertEqual(TargetLoad(0, {}), loads.total("t"))
+        self.assertEqual(set(), loads.replicas_in_use("t"))
+
+
+class TargetHealthTests(TestCase):
+    def test_failures_avoid_for_longer_and_success_ends_it(self) -> None:
+        clock = Clock()
+        health = TargetHealth(clock=clock)
+        health.failed("t", "reset")
+        self.assertTrue(health.is_avoided("t"))
+        clock.now_s += FIRST_AVOID_S
+        self.assertFalse(health.is_avoided("t"))
+        health.failed("t", "reset")
+        clock.now_s += FIRST_AVOID_S
+        self.assertTrue(health.is_avoided("t"))
+        health.succeeded("t")
+        self.assertFalse(health.is_avoided("t"))
+
+    def test_an_error_answer_does_not_put_a_target_out_of_use(self) -> None:
+        health = TargetHealth(clock=Clock())
+        health.answered_error("t")
+        self.assertFalse(health.is_avoided("t"))
+        self.assertGreater(health.failure_rate("t"), 0.0)
+
+
+class CrashGuardTests(TestCase):
+    def test_is_refused_after_breaks_at_several_starts(self) -> None:
+        clock = Clock()
+        told: list[Break] = []
+        guard = CrashGuard(clock=clock, tell_peers=told.append)
+        for number in range(MAX_BREAKS):
+            guard.check("digest")
+            guard.note_break("digest", entry(f"t{number}"))
+        self.assertEqual(MAX_BREAKS, len(told))
+        err = self.assertRaises(JaytrayError, guard.check, "digest")
+        self.assertEqual("request_suspected", err.code)
+        guard.check("other")
+        clock.now_s += HOLD_S + 1
+        guard.check("digest")
+
+    def test_breaks_at_one_start_count_once(self) -> None:
+        guard = CrashGuard(clock=Clock(), tell_peers=lambda _found: None)
+        for _ in range(MAX_BREAKS + 2):
+            guard.note_break("digest", entry("t"))
+        guard.check("digest")
+
+    def test_breaks_that_peers_tell_count(self) -> None:
+        guard = CrashGuard(clock=Clock(), tell_peers=lambda _found: None)
+        for number in range(MAX_BREAKS):
+            guard.take(Break("digest", f"t{number}", "1"))
+        self.assertRaises(JaytrayError, guard.check, "digest")
--- /dev/null
+++ b/packages/gateway/tests/request/support.py
@@ -0,0 +1,434 @@
+"""A request path before scripted targets, with a plain wire format of its own.
+
+Requests carry `x-id`, `x-key`, `x-model`, `x-deadline` and `x-last`; answers carry
+`x-id`, `x-seal` and `x-not-run`.
+"""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+from typing import Any, NamedTuple
+
+from jaytray_core.clock import monotonic_clock
+from jaytray_gateway.connection.caller_app import make_caller_app
+from jaytray_gateway.connection.target_pool import TargetPools
+from jaytray_gateway.ports import (
+    AnswerHead,
+    Dispatch,
+    HeaderList,
+    PlatformAdapter,
+    Refusal,
+    RequestHead,
+)
+from jaytray_gateway.process.crash_guard import CrashGuard
+from jaytray_gateway.process.demand_average import DemandAverage
+from jaytray_gateway.process.directory import Directory
+from jaytray_gateway.process.lifecycle import Lifecycle
+from jaytray_gateway.process.load_view import LoadView
+from jaytray_gateway.process.metrics import GatewayMetrics
+from jaytray_gateway.process.rate_gifts import RateGifts
+from jaytray_gateway.process.rate_shares import RateShares
+from jaytray_gateway.process.repeat_budget import RepeatBudget
+from jaytray_gateway.process.replicas import Replicas
+from jaytray_gateway.process.request_log import RequestLog
+from jaytray_gateway.process.target_choice import TargetChooser
+from jaytray_gateway.process.target_entry import TargetEntry
+from jaytray_gateway.process.target_health import TargetHealth
+from jaytray_gateway.request.admission import Admission
+from jaytray_gateway.request.request_path import RequestServices
+from jaytray_gateway.request.routed_request import RoutedRequest
+from jaytray_gateway.request.target_search import TargetSearch
+from jaytray_gateway.version.route_table import (
+    CallerLimits,
+    ClientAccount,
+    RequestKind,
+    Route,
+    RouteTable,
+    Service,
+    WeightedService,
+    digest_key,
+    index_routes,
+)
+from jaytray_server.ports import PeerNetwork
+
+KEY = b"secret-key"
+ROUTE = Route(
+    name="r",
+    host="h",
+    path_prefix="/p/",
+    kind=RequestKind.NON_IDEMPOTENT,
+    timeout_s=1.0,
+    objective_s=0.1,
+    max_attempts=2,
+    priority=0,
+    is_public=False,
+    is_resumable=False,
+    max_pause_s=0.0,
+    services=(WeightedService("svc", 1.0),),
+)
+LIMITS = CallerLimits(16_384, 65_536, 3.0, 15.0)
+ACCOUNT = ClientAccount("barns", None, True, 200, 0.0, 0.0)
+
+
+def first(headers: HeaderList, name: bytes) -> bytes:
+    return next((value for key, value in headers if key == name), b"")
+
+
+def parse_request(head: RequestHead, body: bytes) -> RoutedRequest:
+    key = first(head.headers, b"x-key")
+    deadline = first(head.headers, b"x-deadline")
+    return RoutedRequest(
+        request_id=first(head.headers, b"x-id").decode(),
+        method=head.method.encode(),
+        target=head.target,
+        host="h",
+        path=head.target.decode(),
+        headers=(),
+        body=body,
+        deadline_s=float(deadline) if deadline else None,
+        key_digest=digest_key(key) if key else None,
+        model="",
+        adapter="",
+        is_metered=False,
+        prompt_tokens=0,
+        output_tokens=0,
+        prompt_parts=(),
+        last_event_id="",
+        received_at_s=head.received_at_s,
+    )
+
+
+def render_dispatch(request: RoutedRequest, dispatch: Dispatch) -> HeaderList:
+    return [
+        (b"host", b"h"),
+        (b"x-id", request.request_id.encode()),
+        (b"x-account", dispatch.account.encode()),
+        (b"x-last", dispatch.resume_after.encode()),
+        (b"content-length", b"%d" % len(request.body)),
+    ]
+
+
+def read_answer_head(status: int, headers: HeaderList) -> AnswerHead:
+    return AnswerHead(
+        status=status,
+        request_id=first(headers, b"x-id").decode(),
+        is_not_run=bool(first(headers, b"x-not-run")),
+        is_other_instance=status == 421,
+        is_sealed=bool(first(headers, b"x-seal")),
+        is_encoded=False,
+        headers=[pair for pair in headers if pair[0].startswith(b"x-")],
+        idle_timeout_s=None,
+    )
+
+
+def render_refusal(refusal: Refusal) -> tuple[HeaderList, bytes]:
+    headers: HeaderList = [(b"x-code", refusal.code.encode())]
+    if refusal.retry_after_s:
+        headers.append((b"retry-after", b"%.2f" % refusal.retry_after_s))
+    return headers, refusal.execution.encode()
+
+
+def not_used(*_arguments: Any) -> Any:
+    raise AssertionError("not used on the path of a request")
+
+
+ADAPTER = PlatformAdapter(
+    route_table_key="table",
+    targets_prefix="targets/",
+    own_prefix="own/",
+    decode_route_table=not_used,
+    decode_target=not_used,
+    parse_request=parse_request,
+    render_dispatch=render_dispatch,
+    read_answer_head=read_answer_head,
+    render_refusal=render_refusal,
+    send_order=not_used,
+    read_report=not_used,
+)
+
+
+class Answer(NamedTuple):
+    """What a scripted target does with a request.
+
+    `body` None sends nothing. `is_stream` leaves the length out and ends the body
+    properly only when `ends_well`. `ends_well` False closes the connection after it.
+    """
+
+    body: bytes | None = b"ok"
+    status: int = 200
+    is_sealed: bool = True
+    is_not_run: bool = False
+    is_stream: bool = False
+    ends_well: bool = True
+    delay_s: float = 0.0
+
+
+class ScriptedTarget:
+    """Answers requests in turn; the last answer repeats. Keeps what it saw."""
+
+    def __init__(self, *, target_id: str, answers: list[Answer]) -> None:
+        self.target_id = target_id
+        self.answers = list(answers)
+        self.heads: list[bytes] = []
+        self.open_connections = 0
+        self.address = "127.0.0.1:1"
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.open_connections += 1
+        try:
+            while await self._serve_one(reader, writer):
+                pass
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.open_connections -= 1
+            writer.close()
+
+    async def _serve_one(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = int(field(head, b"content-length") or b"0")
+        await reader.readexactly(length)
+        self.heads.append(head)
+        answer = self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
+        if answer.delay_s:
+            waiting = asyncio.ensure_future(asyncio.sleep(answer.delay_s))
+            leaving = asyncio.ensure_future(reader.read(1))
+            await asyncio.wait((waiting, leaving), return_when=asyncio.FIRST_COMPLETED)
+            if leaving.done():
+                return False
+            leaving.cancel()
+            await asyncio.gather(leaving, return_exceptions=True)
+        if answer.body is None:
+            return False
+        writer.write(_render(answer, field(head, b"x-id")))
+        await writer.drain()
+        return answer.ends_well
+
+
+def field(head: bytes, name: bytes) -> bytes:
+    for line in head.split(b"\r\n"):
+        key, _, value = line.partition(b": ")
+        if key.lower() == name:
+            return value
+    return b""
+
+
+def _render(answer: Answer, request_id: bytes) -> bytes:
+    assert answer.body is not None
+    lines = [b"HTTP/1.1 %d X" % answer.status, b"x-id: " + request_id]
+    if answer.is_sealed:
+        lines.append(b"x-seal: s")
+    if answer.is_not_run:
+        lines.append(b"x-not-run: 1")
+    body = answer.body
+    if answer.is_stream:
+        lines.append(b"transfer-encoding: chunked")
+        body = b"%x\r\n%s\r\n" % (len(body), body) if body else b""
+        body += b"0\r\n\r\n" if answer.ends_well else b""
+    else:
+        lines.append(b"content-length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+class Received(NamedTuple):
+    """What the caller got; `is_whole` tells whether the answer was ended."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+    is_whole: bool
+
+
+class Site:
+    """The path of requests before scripted targets."""
+
+    def __init__(self, *, route: Route, targets: list[ScriptedTarget]) -> None:
+        self.targets = targets
+        self.directory = Directory(
+            key_value=not_used,  # type: ignore[arg-type]
+            adapter=ADAPTER,
+            clock=monotonic_clock,
+        )
+        self.directory.route_table = RouteTable(
+            version=1,
+            routes_by_host=index_routes([route]),
+            services_by_name={"svc": Service("svc", "/health", 10, None)},
+            accounts_by_name={"barns": ACCOUNT},
+            account_by_key_digest={digest_key(KEY): "barns"},
+            limits=LIMITS,
+        )
+        self.directory.read_at_s = monotonic_clock()
+        self.lifecycle = Lifecycle()
+        self.pools = TargetPools(clock=monotonic_clock)
+        self.loads = LoadView(clock=monotonic_clock)
+        self.crash_guard = CrashGuard(
+            clock=monotonic_clock, tell_peers=lambda _found: None
+        )
+        self.app = make_caller_app(
+            self._services(),
+            lifecycle=self.lifecycle,
+            current_limits=lambda: LIMITS,
+            clock=monotonic_clock,
+        )
+
+    def list_targets(self) -> None:
+        """Put the targets into the directory."""
+        self.directory.targets_by_id = {
+            target.target_id: TargetEntry(
+                target.target_id,
+                "1",
+                "svc",
+                target.address,
+                "a",
+                False,
+                4,
+                {},
+                frozenset(),
+            )
+            for target in self.targets
+        }
+
+    async def ask(
+        self,
+        *,
+        headers: HeaderList | None = None,
+        target: str = "/p/x",
+        body: bytes = b"data",
+        leaves_after_s: float | None = None,
+    ) -> Received:
+        """Send one request as a caller and return what came back."""
+        sent: list[dict[str, Any]] = []
+        state = {"is_read": False}
+
+        async def receive() -> dict[str, Any]:
+            if not state["is_read"]:
+                state["is_read"] = True
+                return {"type": "http.request", "body": body, "more_body": False}
+            await asyncio.sleep(30.0 if leaves_after_s is None else leaves_after_s)
+            return {"type": "http.disconnect"}
+
+        async def send(message: dict[str, Any]) -> None:
+            sent.append(message)
+
+        path, _, query = target.partition("?")
+        scope = {
+            "type": "http",
+            "method": "POST",
+            "raw_path": path.encode(),
+            "query_string": query.encode(),
+            "headers": headers if headers is not None else default_headers(),
+        }
+        await self.app(scope, receive, send)
+        start: dict[str, Any] = sent[0] if sent else {"status": 0, "headers": []}
+        pieces = sent[1:]
+        return Received(
+            status=start["status"],
+            headers=dict(start["headers"]),
+            body=b"".join(piece["body"] for piece in pieces),
+            is_whole=bool(pieces) and not pieces[-1].get("more_body", False),
+        )
+
+    def _services(self) -> RequestServices:
+        clock, rng = monotonic_clock, random.Random(1)
+        health = TargetHealth(clock=clock)
+        replicas = Replicas(directory=self.directory, clock=clock)
+        shares = RateShares(own_id="vm", clock=clock)
+        gifts = RateGifts(
+            shares=shares,
+            peers=_silent_peers(),
+            current_table=lambda: self.directory.route_table,
+        )
+        return RequestServices(
+            adapter=ADAPTER,
+            admission=Admission(
+                directory=self.directory,
+                lifecycle=self.lifecycle,
+                gifts=gifts,
+                max_proof_age_s=4.0,
+            ),
+            search=TargetSearch(
+                replicas=replicas,
+                chooser=TargetChooser(
+                    failure_domain="a", loads=self.loads, health=health, rng=rng
+                ),
+                ask_for_replica=not_used,
+                clock=clock,
+            ),
+            shares=shares,
+            budget=RepeatBudget(ratio=0.2, extra=56, window_s=10, clock=clock),
+            loads=self.loads,
+            health=health,
+            pools=self.pools,
+            crash_guard=self.crash_guard,
+            replica_demand=DemandAverage(clock=clock, window_s=5.0),
+            log=RequestLog(metrics=GatewayMetrics()),
+            clock=clock,
+            rng=rng,
+        )
+
+
+def default_headers() -> HeaderList:
+    return [(b"x-id", b"r1"), (b"x-key", KEY)]
+
+
+def _silent_peers() -> PeerNetwork:
+    return PeerNetwork(
+        vm_id="vm",
+        send=lambda _to, _topic, _body: False,
+        broadcast=lambda _topic, _body: None,
+        set_handler=lambda _topic, _handler: None,
+        neighbours=lambda: [],
+        listed_vms=lambda: [],
+    )
+
+
+@asynccontextmanager
+async def site(
+    *answers: list[Answer], route: Route = ROUTE, unreachable: int = 0
+) -> AsyncIterator[Site]:
+    """Give a site with one target for each list of answers.
+
+    Targets are chosen in order; `unreachable` further ones come first.
+    """
+    targets = [
+        ScriptedTarget(target_id=f"t{number + unreachable}", answers=list(script))
+        for number, script in enumerate(answers)
+    ]
+    async with AsyncExitStack() as stack:
+        for target in targets:
+            server = await asyncio.start_server(target.serve, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            target.address = f"{host}:{port}"
+            stack.callback(server.close)
+        dark = [
+            ScriptedTarget(target_id=f"t{number}", answers=[])
+            for number in range(unreachable)
+        ]
+        made = Site(route=route, targets=[*dark, *targets])
+        made.list_targets()
+        stack.callback(made.pools.close)
+        # Each target beyond the first looks busier, so that the order is known.
+        for number, target in enumerate(made.targets):
+            for _ in range(number * 4):
+                made.loads.start(target.target_id, 0, "", priority=0)
+        yield made
+
+
+def run_site(
+    check: Callable[[Site], Awaitable[None]],
+    *answers: list[Answer],
+    route: Route = ROUTE,
+    unreachable: int = 0,
+) -> None:
+    """Run `check` on a fresh site."""
+
+    async def run() -> None:
+        async with site(*answers, route=route, unreachable=unreachable) as made:
+            await check(made)
+
+    asyncio.run(run())
--- /dev/null
+++ b/packages/gateway/tests/request/test_event_buffer.py
@@ -0,0 +1,44 @@
+"""Whole events out of arbitrary pieces."""
+
+from hypothesis import given, strategies as st
+from testtools import TestCase
+
+from jaytray_gateway.request.event_buffer import EventBuffer
+
+
+def stream(count: int, line_end: bytes) -> bytes:
+    lines = [
+        b"id: %d%sdata: x%d%s%s" % (n, line_end, n, line_end, line_end)
+        for n in range(1, count + 1)
+    ]
+    return b"".join(lines)
+
+
+class EventBufferTests(TestCase):
+    @given(
+        st.integers(0, 8),
+        st.sampled_from([b"\n", b"\r\n"]),
+        st.lists(st.integers(0, 200)),
+    )
+    def test_pieces_join_to_whole_events(
+        self, count: int, line_end: bytes, cuts: list[int]
+    ) -> None:
+        data = stream(count, line_end)
+        points = sorted({min(cut, len(data)) for cut in cuts} | {0, len(data)})
+        buffer = EventBuffer()
+        passed = b""
+        for begin, end in zip(points, points[1:], strict=False):
+            passed += buffer.take(data[begin:end])
+            self.assertTrue(passed == b"" or passed.endswith(line_end * 2))
+            self.assertEqual(
+                str(passed.count(b"id:")) if passed else "", buffer.last_event_id
+            )
+        self.assertEqual(data, passed)
+        self.assertFalse(buffer.has_partial)
+
+    def test_dropped_part_is_not_passed_on(self) -> None:
+        buffer = EventBuffer()
+        self.assertEqual(b"id: 1\n\n", buffer.take(b"id: 1\n\nid: 2\nda"))
+        self.assertTrue(buffer.has_partial)
+        buffer.drop_partial()
+        self.assertEqual(b"id: 2\n\n", buffer.take(b"id: 2\n\n"))
--- a/tests/contracts/implementations.py
+++ b/tests/contracts/implementations.py
@@ -73,7 +73,7 @@
     async with serve_key_value(store, faults) as address:
         opened = open_key_value(address=address, timeout_s=HTTP_TIMEOUT_S)
         plain = in_process_key_value(store, FaultSwitches())
-        yield KeyValueBench(opened.service, plain, faults.set, _both_times(clock))
+        yield KeyValueBench(opened.service, plain, faults.set, both_times(clock))
         await opened.close()
 
 
@@ -115,7 +115,7 @@
             connection = connect_target(
                 name="target-1", address=address, timeouts=_TIMEOUTS
             )
-            yield bench(connection, _both_times(clock))
+            yield bench(connection, both_times(clock))
             await connection.close()
     else:
         yield bench(in_process_target(state, faults), clock.advance)
@@ -142,7 +142,7 @@
     ran = state.ran_requests
     async with serve_service(state, faults) as address:
         connection = connect_target(name="rounds", address=address, timeouts=_TIMEOUTS)
-        pass_time = _both_times(clock)
+        pass_time = both_times(clock)
         yield ServiceBench(connection, faults.set, pass_time, lambda: list(ran))
         await connection.close()
 
@@ -189,7 +189,7 @@
         await vm_list.close()
 
 
-def _both_times(clock: VirtualClock) -> PassTime:
+def both_times(clock: VirtualClock) -> PassTime:
     """Return a function that lets virtual time and a little real time pass."""
 
     async def pass_time(seconds: float) -> None:
