Leave adapters out of use out of account; wait for another holder's order

And any adapter asked for in the last minute kept its model's last target from loading models.

Change: a report that shows an unknown order under way is read again until that is over; adapters count only while they are in demand.

--- a/packages/gateway/src/jaytray_gateway/process/placement/duty.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/duty.py
@@ -242,6 +242,9 @@
             for key in plan.used_at_s_by_adapter:
                 plan.used_at_s_by_adapter[key] = before.used_at_s_by_adapter.get(key, 0)
         elif report.is_busy:
+            # An order of another holder is under way, and what it loads is not known
+            # before it is done.
+            plan.is_count_doubtful = True
             plan.avoided_until_s = self._clock() + AVOID_S
         self._plan_by_id[entry.target_id] = plan
 
--- a/packages/gateway/src/jaytray_gateway/process/placement/planner.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/planner.py
@@ -14,6 +14,9 @@
 
 # Part of its time that an engine may be busy with one model's requests.
 BUSY_PORTION = 0.5
+# Demand below which an adapter counts as out of use: a single short request's, some
+# seconds old.
+MIN_ADAPTER_DEMAND_MS = 3.0
 # A model makes room for another whose gain is at least this many times its loss.
 GAIN_FACTOR = 1.4
 # Demand that a waiting request stands for, as the measured one is still that of the
@@ -72,7 +75,7 @@
     for name, rate in demand.rates.items():
         model, _, adapter = name.partition("/")
         if adapter:
-            adapters[model] = adapters.get(model, 0) + 1
+            adapters[model] = adapters.get(model, 0) + (rate > MIN_ADAPTER_DEMAND_MS)
         else:
             counts[model] = max(1, round(rate / 1000 / BUSY_PORTION))
     places = max(engine.adapter_slots, 1)
@@ -140,7 +143,11 @@
     A target loads no adapters while it loads or unloads a model.
     """
     others = [p for p in plans if p is not plan and not p.has_model_step]
-    with_adapters = {name.partition("/")[0] for name in rates if "/" in name}
+    with_adapters = {
+        name.partition("/")[0]
+        for name, rate in rates.items()
+        if "/" in name and rate > MIN_ADAPTER_DEMAND_MS
+    }
     return any(
         model in with_adapters and not any(model in p.models for p in others)
         for model in plan.models
