--- a/packages/gateway/src/jaytray_gateway/connection/caller_app.py
+++ b/packages/gateway/src/jaytray_gateway/connection/caller_app.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import Any
 
 from jaytray_core import message_registry as messages
@@ -20,6 +21,7 @@
     serve_request,
 )
 from jaytray_gateway.version.route_table import CallerLimits
+from jaytray_server.request.caller_presence import CallerLeft, until_caller_leaves
 
 Receive = Callable[[], Awaitable[Any]]
 Send = Callable[[Any], Awaitable[None]]
@@ -33,10 +35,6 @@
 BODY_PAUSE_S = 5.0
 
 
-class CallerLeft(Exception):
-    """The caller closed the connection before its request was read."""
-
-
 def make_caller_app(
     services: RequestServices,
     *,
@@ -49,7 +47,7 @@
     async def serve(scope: Any, receive: Receive, send: Send) -> None:
         if scope["type"] != "http":
             return
-        reply = CallerReply(send=send, close_after=lambda: lifecycle.is_stopping)
+        reply = CallerReply(send=send, closes_connection=lifecycle.is_stopping)
         lifecycle.running_requests += 1
         try:
             await _serve_one(scope, receive, reply)
@@ -66,19 +64,12 @@
         except CallerLeft:
             return
         except JaytrayError as err:
+            # What follows an unusable request on its connection is not read.
+            reply.closes_connection = True
             await send_refusal(err, "", reply, services.adapter)
             return
-        serving = asyncio.ensure_future(serve_request(request, reply, services))
-        leaving = asyncio.ensure_future(_wait_for_disconnect(receive))
-        try:
-            await asyncio.wait((serving, leaving), return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            leaving.cancel()
-            if not serving.done():
-                serving.cancel()
-        await asyncio.gather(serving, leaving, return_exceptions=True)
-        if not serving.cancelled() and serving.exception() is not None:
-            raise serving.exception() or RuntimeError("unreachable")
+        with suppress(CallerLeft):
+            await until_caller_leaves(receive, serve_request(request, reply, services))
 
     return serve
 
@@ -88,7 +79,7 @@
 
     async def probe(scope: Any, _receive: Receive, send: Send) -> None:
         if scope["type"] == "http":
-            reply = CallerReply(send=send, close_after=lambda: False)
+            reply = CallerReply(send=send, closes_connection=False)
             await reply.send_whole(200 if is_ready() else 503, [], b"")
 
     return probe
@@ -115,13 +106,6 @@
             part="header section",
             limit=limits.header_bytes,
         )
-    names = [name for name, _ in head.headers]
-    if b"content-length" in names and b"transfer-encoding" in names:
-        raise JaytrayError(
-            messages.INVALID_REQUEST,
-            step=Step.DECODE,
-            detail="both Content-Length and Transfer-Encoding are given",
-        )
 
 
 async def _read_body(receive: Receive, limit_bytes: int) -> bytes:
@@ -146,8 +130,3 @@
         parts.append(part)
         if not message.get("more_body", False):
             return parts[0] if len(parts) == 1 else b"".join(parts)
-
-
-async def _wait_for_disconnect(receive: Receive) -> None:
-    while (await receive())["type"] != "http.disconnect":
-        pass
--- a/packages/gateway/src/jaytray_gateway/ports.py
+++ b/packages/gateway/src/jaytray_gateway/ports.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
+from jaytray_core.errors import JaytrayError
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.request.routed_request import RoutedRequest
 from jaytray_gateway.version.route_table import RouteTable
@@ -58,17 +59,6 @@
     idle_timeout_s: float | None
 
 
-class Refusal(NamedTuple):
-    """A final answer of the gateway itself; `retry_after_s` 0 states no time."""
-
-    status: int
-    code: str
-    message: str
-    execution: str
-    request_id: str
-    retry_after_s: float
-
-
 class OrderResult(NamedTuple):
     """Outcome of an order to a target.
 
@@ -110,6 +100,7 @@
 class PlatformAdapter(NamedTuple):
     """The functions of the adapter.
 
+    `render_refusal` takes the error and the request's id.
     `decode_route_table` and `decode_target` raise `JaytrayError` for bytes that
     cannot be used. `parse_request` raises it for a request that cannot be forwarded.
     `send_order` and `read_report` raise nothing but `JaytrayError`.
@@ -123,6 +114,6 @@
     parse_request: Callable[[RequestHead, bytes], RoutedRequest]
     render_dispatch: Callable[[RoutedRequest, Dispatch], HeaderList]
     read_answer_head: Callable[[int, HeaderList], AnswerHead]
-    render_refusal: Callable[[Refusal], tuple[HeaderList, bytes]]
+    render_refusal: Callable[[JaytrayError, str], tuple[HeaderList, bytes]]
     send_order: Callable[[str, str, TargetOrder], Awaitable[OrderResult]]
     read_report: Callable[[str], Awaitable[TargetReport]]
--- a/packages/gateway/src/jaytray_gateway/process/placement/planner.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/planner.py
@@ -30,6 +30,8 @@
 # Part of a target's demand that a load or unload there costs: it loads no adapters
 # meanwhile.
 DISTURBANCE = 0.1
+# Cost of making room at all, where another target has some.
+UNLOAD_COST_MS = 5.0
 # Cost of unloading a model on which requests run: the unload waits for their end.
 IN_USE_COST_MS = 100.0
 
@@ -196,7 +198,7 @@
             victim, loss = _victim(plan, balance, demand)
             if victim is None or loss * GAIN_FACTOR >= gain:
                 continue
-            cost += loss
+            cost += loss + UNLOAD_COST_MS
             step = ModelStep(plan.target_id, False, victim, model)
         if best is None or cost < best[0]:
             best = (cost, plan, step)
--- a/packages/gateway/src/jaytray_gateway/request/reply.py
+++ b/packages/gateway/src/jaytray_gateway/request/reply.py
@@ -11,19 +11,19 @@
 class CallerReply:
     """State of one answer; at most one `start`, then pieces, then `finish`."""
 
-    def __init__(self, *, send: Send, close_after: Callable[[], bool]) -> None:
+    def __init__(self, *, send: Send, closes_connection: bool) -> None:
         self.is_started = False
         self.is_finished = False
         self.status = 0
         self.bytes_sent = 0
+        self.closes_connection = closes_connection
         self._send = send
-        self._close_after = close_after
 
     async def start(self, status: int, headers: HeaderList) -> None:
         """Send status and headers."""
         self.is_started = True
         self.status = status
-        if self._close_after():
+        if self.closes_connection:
             headers = [*headers, (b"connection", b"close")]
         await self._send(
             {"type": "http.response.start", "status": status, "headers": headers}
--- a/packages/gateway/src/jaytray_gateway/request/request_path.py
+++ b/packages/gateway/src/jaytray_gateway/request/request_path.py
@@ -20,7 +20,7 @@
 from jaytray_gateway.process.target_health import TargetHealth
 from jaytray_gateway.request.admission import Admission, Admitted
 from jaytray_gateway.request.event_buffer import EventBuffer
-from jaytray_gateway.request.refusals import make_refusal
+from jaytray_gateway.request.refusals import refusal_status
 from jaytray_gateway.request.reply import CallerReply
 from jaytray_gateway.request.routed_request import RoutedRequest, content_digest
 from jaytray_gateway.request.target_exchange import TargetExchange, exchange_with
@@ -368,9 +368,8 @@
     err: JaytrayError, request_id: str, reply: CallerReply, adapter: PlatformAdapter
 ) -> None:
     """Render and send a refusal with a status that is true of its execution."""
-    refusal = make_refusal(err, request_id)
-    headers, body = adapter.render_refusal(refusal)
-    await reply.send_whole(refusal.status, headers, body)
+    headers, body = adapter.render_refusal(err, request_id)
+    await reply.send_whole(refusal_status(err), headers, body)
 
 
 def _refused(
--- /dev/null
+++ b/packages/gateway/tests/process/placement/test_planner.py
@@ -0,0 +1,234 @@
+"""Decisions of the planner, and that steps never overfill a target."""
+
+from hypothesis import given, strategies as st
+from parameterized import parameterized
+from testtools import TestCase
+
+from jaytray_gateway.process.placement.planner import (
+    Demand,
+    ModelStep,
+    next_steps,
+    wanted_replicas,
+)
+from jaytray_gateway.process.placement.target_plan import PendingOrder, TargetPlan
+from jaytray_gateway.process.target_entry import TargetEntry
+from jaytray_gateway.version.route_table import Engine, EngineModel
+
+NAMES = tuple("abcdefgh")
+
+
+def make_engine(names: tuple[str, ...] = NAMES) -> Engine:
+    models = {n: EngineModel(n, 70.0, 2.4, 1.6, 1.2, 4, 1.0) for n in names}
+    return Engine(64, 100_000, 230.0, 4, 2.0, models)
+
+
+ENGINE = make_engine()
+
+
+def entry(target_id: str, models: str, at_hand: str = "") -> TargetEntry:
+    return TargetEntry(
+        target_id,
+        "1",
+        "svc",
+        "127.0.0.1:1",
+        "a",
+        False,
+        64,
+        {name: frozenset() for name in models},
+        frozenset(at_hand),
+    )
+
+
+def plan(target_id: str, models: str, at_hand: str = "") -> TargetPlan:
+    found = entry(target_id, models, at_hand)
+    return TargetPlan(
+        entry=found, adapters_by_model=found.adapters_by_model, order_count=0
+    )
+
+
+def demand(waiting: str = "", **rates: float) -> Demand:
+    return Demand(rates, set(waiting), {})
+
+
+def steps(plans: list[TargetPlan], asked: Demand, loads: int = 9) -> list[ModelStep]:
+    return next_steps(ENGINE, plans, asked, loads_allowed=loads, now_s=1.0)
+
+
+class WantedTests(TestCase):
+    def test_follows_engine_time(self) -> None:
+        wanted = wanted_replicas(demand(a=1500.0, b=100.0), ENGINE, 6)
+        self.assertEqual({"a": 3, "b": 1}, wanted)
+
+    def test_never_exceeds_the_targets(self) -> None:
+        self.assertEqual({"a": 2}, wanted_replicas(demand(a=9000.0), ENGINE, 2))
+
+    def test_has_places_for_the_adapters_in_demand(self) -> None:
+        rates = {"a": 100.0, **{f"a/a{n}": 10.0 for n in range(9)}, "a/old": 0.5}
+        asked = Demand(rates, set(), {})
+        self.assertEqual(3, wanted_replicas(asked, ENGINE, 6)["a"])
+
+
+class StepTests(TestCase):
+    def test_free_room_is_used_first(self) -> None:
+        found = steps([plan("t1", "abc"), plan("t2", "ab")], demand("d"))
+        self.assertEqual([ModelStep("t2", True, "d", "")], found)
+
+    def test_least_wanted_model_makes_room(self) -> None:
+        found = steps([plan("t1", "abc")], demand("d", a=500.0, b=300.0))
+        self.assertEqual([ModelStep("t1", False, "c", "d")], found)
+
+    def test_surplus_replica_goes_before_a_last_one(self) -> None:
+        plans = [plan("t1", "abc"), plan("t2", "abd")]
+        asked = demand("e", a=100.0, b=900.0, c=30.0, d=30.0)
+        (step,) = steps(plans, asked)
+        self.assertEqual("a", step.model)
+
+    def test_model_in_use_is_left_where_another_will_do(self) -> None:
+        plans = [plan("t1", "abc"), plan("t2", "abd")]
+        asked = Demand({}, {"e"}, {"t1": {"a", "b", "c"}})
+        (step,) = steps(plans, asked)
+        self.assertEqual("t2", step.target_id)
+
+    def test_target_with_the_weights_at_hand_is_preferred(self) -> None:
+        plans = [plan("t1", "ab"), plan("t2", "ab", at_hand="d")]
+        (step,) = steps(plans, demand("d"))
+        self.assertEqual("t2", step.target_id)
+
+    def test_store_loads_wait_for_the_ceiling_and_others_do_not(self) -> None:
+        plans = [plan("t1", "ab"), plan("t2", "ab", at_hand="d")]
+        found = steps(plans, demand("de"), loads=0)
+        self.assertEqual([ModelStep("t2", True, "d", "")], found)
+
+    def test_hot_model_goes_before_a_rare_one(self) -> None:
+        (step,) = steps([plan("t1", "ab")], demand("de", d=20.0, e=900.0))
+        self.assertEqual("e", step.model)
+
+    def test_no_swap_without_a_clear_gain(self) -> None:
+        rates = dict.fromkeys("abc", 60.0)
+        self.assertEqual([], steps([plan("t1", "abc")], demand("d", **rates)))
+
+    def test_room_that_was_made_is_used_for_its_model(self) -> None:
+        made = plan("t1", "ab")
+        made.intended_model = "d"
+        found = steps([made, plan("t2", "abc")], demand("d"))
+        self.assertEqual([ModelStep("t1", True, "d", "")], found)
+
+    @parameterized.expand([("step",), ("avoided",)])
+    def test_busy_target_gets_no_step(self, reason: str) -> None:
+        busy = plan("t1", "ab")
+        busy.has_model_step = reason == "step"
+        busy.avoided_until_s = 2.0 if reason == "avoided" else 0.0
+        self.assertEqual([], steps([busy], demand("d")))
+
+    def test_last_target_that_can_load_adapters_is_left_alone(self) -> None:
+        busy, last = plan("t1", "abc"), plan("t2", "abd")
+        busy.has_model_step = True
+        rates = {"a": 500.0, "a/a1": 50.0}
+        self.assertEqual([], steps([busy, last], Demand(rates, {"e"}, {})))
+
+    @given(
+        st.lists(st.sets(st.sampled_from(NAMES), max_size=3), min_size=1, max_size=6),
+        st.dictionaries(st.sampled_from(NAMES), st.floats(0, 5000)),
+        st.sets(st.sampled_from(NAMES)),
+        st.integers(0, 5),
+    )
+    def test_steps_fit(
+        self,
+        held: list[set[str]],
+        rates: dict[str, float],
+        waiting: set[str],
+        loads: int,
+    ) -> None:
+        plans = [plan(f"t{n}", "".join(sorted(m))) for n, m in enumerate(held)]
+        found = steps(plans, Demand(rates, waiting, {}), loads)
+        by_id = {p.target_id: p for p in plans}
+        self.assertEqual(len(found), len({step.target_id for step in found}))
+        self.assertLessEqual(sum(step.is_load for step in found), loads)
+        for step in found:
+            if step.is_load:
+                self.assertTrue(by_id[step.target_id].has_room(ENGINE, step.model, ""))
+            else:
+                self.assertIn(step.model, by_id[step.target_id].models)
+
+
+def order(
+    is_load: bool, model: str, *, listed: bool, adapter: str = ""
+) -> PendingOrder:
+    return PendingOrder(is_load, model, adapter, 0, 1.0, True, listed)
+
+
+class TargetPlanTests(TestCase):
+    def test_entry_older_than_the_report_frees_no_room(self) -> None:
+        # After an outage the directory still shows the time before a load.
+        made = plan("t1", "abc")
+        made.take_entry(entry("t1", "ab"), 2.0)
+        self.assertFalse(made.has_room(ENGINE, "d", ""))
+
+    def test_load_under_way_takes_room_until_it_is_listed(self) -> None:
+        made = plan("t1", "ab")
+        made.note_accepted(order(True, "c", listed=False), is_done=False)
+        self.assertFalse(made.has_room(ENGINE, "d", ""))
+        made.take_entry(entry("t1", "ab"), 2.0)
+        self.assertIsNotNone(made.model_order)
+        made.take_entry(entry("t1", "abc"), 3.0)
+        self.assertIsNone(made.model_order)
+        self.assertEqual({"a", "b", "c"}, made.models)
+
+    def test_unload_frees_room_only_once_it_is_seen(self) -> None:
+        made = plan("t1", "abc")
+        made.note_accepted(order(False, "c", listed=True), is_done=False)
+        made.take_entry(entry("t1", "abc"), 2.0)
+        self.assertFalse(made.has_room(ENGINE, "d", ""))
+        made.take_entry(entry("t1", "ab"), 3.0)
+        self.assertTrue(made.has_room(ENGINE, "d", ""))
+        made.take_entry(entry("t1", "abc"), 3.5)
+        self.assertTrue(made.has_room(ENGINE, "d", ""))
+
+    def test_unload_of_a_model_that_was_not_listed_waits_for_a_report(self) -> None:
+        made = plan("t1", "abc")
+        made.note_accepted(order(False, "c", listed=False), is_done=False)
+        made.take_entry(entry("t1", "ab"), 2.0)
+        self.assertFalse(made.has_room(ENGINE, "d", ""))
+        self.assertTrue(made.is_overdue(ENGINE, 20.0))
+
+    def test_order_without_an_answer_counts_until_the_count_moves_on(self) -> None:
+        made = plan("t1", "ab")
+        made.note_uncertain(order(True, "c", listed=False))
+        self.assertFalse(made.has_room(ENGINE, "d", ""))
+        made.note_accepted(order(False, "a", listed=True), is_done=False)
+        made.take_entry(entry("t1", "b"), 2.0)
+        self.assertTrue(made.has_room(ENGINE, "d", ""))
+
+    def test_order_without_an_answer_counts_for_as_long_as_it_may_be_late(self) -> None:
+        made = plan("t1", "ab")
+        made.note_uncertain(order(True, "c", listed=False))
+        made.take_entry(entry("t1", "ab"), 10.0)
+        self.assertFalse(made.has_room(ENGINE, "d", ""))
+        made.take_entry(entry("t1", "ab"), 20.0)
+        self.assertTrue(made.has_room(ENGINE, "d", ""))
+
+    def test_adapters_never_exceed_their_places(self) -> None:
+        made = plan("t1", "a")
+        for number in range(4):
+            name = f"a{number}"
+            self.assertTrue(made.has_room(ENGINE, "a", name))
+            load = order(True, "a", listed=True, adapter=name)
+            made.note_accepted(load, is_done=False)
+        self.assertFalse(made.has_room(ENGINE, "a", "a9"))
+        made.note_accepted(order(False, "a", listed=True, adapter="a0"), is_done=True)
+        self.assertTrue(made.has_room(ENGINE, "a", "a9"))
+
+    @parameterized.expand(
+        [
+            ("accepted", True, "", False, 1),
+            ("already_there", True, "x", True, 0),
+            ("dropped_at_once", False, "x", True, 1),
+        ]
+    )
+    def test_count_of_orders(
+        self, _name: str, is_load: bool, adapter: str, is_done: bool, count: int
+    ) -> None:
+        made = plan("t1", "a")
+        given = order(is_load, "a", listed=True, adapter=adapter)
+        made.note_accepted(given, is_done=is_done)
+        self.assertEqual(count, made.order_count)
--- a/packages/gateway/tests/request/support.py
+++ b/packages/gateway/tests/request/support.py
@@ -11,6 +11,7 @@
 from typing import Any, NamedTuple
 
 from jaytray_core.clock import monotonic_clock
+from jaytray_core.errors import JaytrayError
 from jaytray_gateway.connection.caller_app import make_caller_app
 from jaytray_gateway.connection.target_pool import TargetPools
 from jaytray_gateway.ports import (
@@ -18,7 +19,6 @@
     Dispatch,
     HeaderList,
     PlatformAdapter,
-    Refusal,
     RequestHead,
 )
 from jaytray_gateway.process.crash_guard import CrashGuard
@@ -122,11 +122,11 @@
     )
 
 
-def render_refusal(refusal: Refusal) -> tuple[HeaderList, bytes]:
-    headers: HeaderList = [(b"x-code", refusal.code.encode())]
-    if refusal.retry_after_s:
-        headers.append((b"retry-after", b"%.2f" % refusal.retry_after_s))
-    return headers, refusal.execution.encode()
+def render_refusal(err: JaytrayError, _request_id: str) -> tuple[HeaderList, bytes]:
+    headers: HeaderList = [(b"x-code", err.code.encode())]
+    if err.retry_after_s:
+        headers.append((b"retry-after", b"%.2f" % err.retry_after_s))
+    return headers, err.execution.value.encode()
 
 
 def not_used(*_arguments: Any) -> Any:
--- a/packages/gateway/tests/request/test_request_path.py
+++ b/packages/gateway/tests/request/test_request_path.py
@@ -142,8 +142,6 @@
             self.assertEqual(401, (await site.ask(headers=no_key)).status)
             self.assertEqual(404, (await site.ask(target="/other/")).status)
             self.assertEqual(413, (await site.ask(body=b"x" * 70_000)).status)
-            both = [(b"content-length", b"4"), (b"transfer-encoding", b"chunked")]
-            self.assertEqual(400, (await site.ask(headers=both)).status)
             long = [(b"x-id", b"r"), (b"x-long", b"y" * 20_000)]
             self.assertEqual(431, (await site.ask(headers=long)).status)
             self.assertEqual([], site.targets[0].heads)
--- /dev/null
+++ b/packages/server/src/jaytray_server/connection/caller_protocol.py
@@ -0,0 +1,103 @@
+"""HTTP/1.1 towards callers, strict about what uvicorn leaves open.
+
+A request whose framing is given twice is refused, and nothing after it is read. A
+header that is begun and not finished in time ends the connection. Bytes that are no
+HTTP get a refusal of the usual shape.
+"""
+
+import asyncio
+from typing import Any
+
+import h11
+from uvicorn.protocols.http.h11_impl import H11Protocol
+
+from jaytray_core import message_registry as messages
+from jaytray_core.errors import JaytrayError, Step
+from jaytray_core.refusal_body import encode_refusal
+
+# Longest time from the first byte of a header to its end, in seconds.
+HEADER_TIMEOUT_S = 5.0
+_FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
+
+
+def refuse_double_framing(app: Any) -> Any:
+    """Return `app` behind a check that a request's length is given once."""
+
+    async def guarded(scope: Any, receive: Any, send: Any) -> None:
+        names = {name for name, _ in scope.get("headers", ())}
+        if names.issuperset(_FRAMING_HEADERS):
+            detail = "both Content-Length and Transfer-Encoding are given"
+            await _send_refusal(_malformed(detail), send)
+        else:
+            await app(scope, receive, send)
+
+    return guarded
+
+
+class CallerProtocol(H11Protocol):
+    """One caller's connection."""
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self._header_timer: asyncio.TimerHandle | None = None
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes and watch over a header that is under way."""
+        super().data_received(data)
+        is_header_begun = (
+            self.conn.their_state is h11.IDLE and self.conn.trailing_data[0] != b""
+        )
+        if is_header_begun and self._header_timer is None:
+            self._header_timer = self.loop.call_later(
+                HEADER_TIMEOUT_S, self.transport.close
+            )
+        elif not is_header_begun:
+            self._stop_header_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the connection."""
+        self._stop_header_timer()
+        super().connection_lost(exc)
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuse what is no HTTP, in the shape of every refusal."""
+        error = _malformed(msg)
+        body = encode_refusal(error)
+        headers = _closing_headers(body)
+        if self.conn.our_state is h11.IDLE:
+            for event in (
+                h11.Response(status_code=error.status, headers=headers),
+                h11.Data(data=body),
+                h11.EndOfMessage(),
+            ):
+                self.transport.write(self.conn.send(event) or b"")
+        self.transport.close()
+
+    def _stop_header_timer(self) -> None:
+        if self._header_timer is not None:
+            self._header_timer.cancel()
+            self._header_timer = None
+
+
+def _malformed(detail: str) -> JaytrayError:
+    return JaytrayError(messages.MALFORMED_MESSAGE, step=Step.DECODE, detail=detail)
+
+
+def _closing_headers(body: bytes) -> list[tuple[bytes, bytes]]:
+    return [
+        (b"content-type", b"application/json"),
+        (b"content-length", b"%d" % len(body)),
+        (b"connection", b"close"),
+    ]
+
+
+async def _send_refusal(error: JaytrayError, send: Any) -> None:
+    body = encode_refusal(error)
+    await send(
+        {
+            "type": "http.response.start",
+            "status": error.status,
+            "headers": _closing_headers(body),
+        }
+    )
+    await send({"type": "http.response.body", "body": body})
--- a/packages/server/src/jaytray_server/connection/callers.py
+++ b/packages/server/src/jaytray_server/connection/callers.py
@@ -12,6 +12,10 @@
 import uvicorn
 
 from jaytray_core.addresses import parse_address
+from jaytray_server.connection.caller_protocol import (
+    CallerProtocol,
+    refuse_double_framing,
+)
 
 KEEPALIVE_IDLE_S = 10
 KEEPALIVE_INTERVAL_S = 5
@@ -58,9 +62,9 @@
     """Return the HTTP server for `app`; run it with `serve(sockets=[...])`."""
     return CallerServer(
         uvicorn.Config(
-            app,
+            refuse_double_framing(app),
             loop="asyncio",
-            http="h11",
+            http=CallerProtocol,
             ws="none",
             lifespan="off",
             interface="asgi3",
--- a/packages/server/src/jaytray_server/process/deferred/runner.py
+++ b/packages/server/src/jaytray_server/process/deferred/runner.py
@@ -14,6 +14,7 @@
 from jaytray_core.clock import MonotonicClock, WallClock
 from jaytray_core.errors import Execution, JaytrayError, Step
 from jaytray_core.logs import get_logger
+from jaytray_core.refusal_body import encode_refusal
 from jaytray_core.targets import WholeAnswer
 from jaytray_server.process.deferred.leases import ShardLeases
 from jaytray_server.process.deferred.records import (
@@ -23,7 +24,7 @@
     JobResult,
 )
 from jaytray_server.process.deferred.store import DeferredStore
-from jaytray_server.request.refusals import encode_refusal, internal_error
+from jaytray_server.request.refusals import internal_error
 
 # The lease is renewed at this interval, and shards with jobs are read again.
 POLL_INTERVAL_S = 4.0
--- /dev/null
+++ b/packages/server/src/jaytray_server/request/caller_presence.py
@@ -0,0 +1,36 @@
+"""Work that ends when its caller closes the connection."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, TypeVar
+
+T = TypeVar("T")
+Receive = Callable[[], Awaitable[Any]]
+
+
+class CallerLeft(Exception):
+    """The caller closed its connection or stopped reading."""
+
+
+async def until_caller_leaves(receive: Receive, work: Coroutine[Any, Any, T]) -> T:
+    """Return the result of `work`; cancel it and raise `CallerLeft` on disconnect."""
+    task = asyncio.ensure_future(work)
+    watch = asyncio.ensure_future(wait_for_disconnect(receive))
+    try:
+        await asyncio.wait((task, watch), return_when=asyncio.FIRST_COMPLETED)
+        if not task.done():
+            raise CallerLeft
+        return task.result()
+    finally:
+        watch.cancel()
+        if not task.done():
+            task.cancel()
+        await asyncio.gather(task, watch, return_exceptions=True)
+
+
+async def wait_for_disconnect(receive: Receive) -> None:
+    """Return when the caller has closed its connection."""
+    while True:
+        event = await receive()
+        if event["type"] == "http.disconnect":
+            return
--- a/packages/server/src/jaytray_server/request/completions.py
+++ b/packages/server/src/jaytray_server/request/completions.py
@@ -1,5 +1,6 @@
 """Endpoint of chat and text completions, whole and streamed."""
 
+from jaytray_server.request.caller_presence import until_caller_leaves
 from jaytray_server.request.dispatch import dispatch_whole
 from jaytray_server.request.endpoint import Exchange, authenticated
 from jaytray_server.request.parsing import parse_completion
@@ -7,7 +8,6 @@
     StreamEnding,
     send_stream,
     send_whole,
-    until_caller_leaves,
 )
 from jaytray_server.request.services import RequestServices
 from jaytray_server.request.stream import dispatch_stream
--- a/packages/server/src/jaytray_server/request/endpoint.py
+++ b/packages/server/src/jaytray_server/request/endpoint.py
@@ -11,8 +11,9 @@
 from jaytray_core import message_registry as messages
 from jaytray_core.errors import JaytrayError, Step
 from jaytray_core.logs import get_logger
+from jaytray_server.request.caller_presence import CallerLeft
 from jaytray_server.request.refusals import internal_error, invalid_request
-from jaytray_server.request.responses import CallerLeft, send_refusal
+from jaytray_server.request.responses import send_refusal
 from jaytray_server.request.services import Phase, RequestServices
 from jaytray_server.request.tracker import DispatchTracker
 from jaytray_server.version.authentication import Caller, authenticate
--- a/packages/server/src/jaytray_server/request/http_api.py
+++ b/packages/server/src/jaytray_server/request/http_api.py
@@ -16,6 +16,7 @@
 
 from jaytray_core.errors import JaytrayError
 from jaytray_core.logs import get_logger
+from jaytray_core.refusal_body import encode_refusal
 from jaytray_server.request.completions import answer_completion
 from jaytray_server.request.deferred_routes import (
     DEFERRED_PATH,
@@ -26,7 +27,6 @@
 from jaytray_server.request.models_list import answer_models
 from jaytray_server.request.parsing import CHAT_PATH, COMPLETIONS_PATH
 from jaytray_server.request.refusals import (
-    encode_refusal,
     error_from_http,
     internal_error,
     refusal_headers,
--- a/packages/server/src/jaytray_server/request/refusals.py
+++ b/packages/server/src/jaytray_server/request/refusals.py
@@ -1,46 +1,13 @@
-"""The one JSON shape of every refusal, and its HTTP status and headers."""
+"""HTTP headers of refusals, and the refusals for errors that the library found."""
 
 import math
-from typing import TypedDict
 
 from litestar.exceptions import HTTPException
 
 from jaytray_core import message_registry as messages
-from jaytray_core.codec import encode_json
 from jaytray_core.errors import Execution, JaytrayError, Step
 
 
-class RefusalDetails(TypedDict):
-    """Contents of a refusal; `code` is stable and listed in docs/ERRORS.md."""
-
-    code: str
-    message: str
-    type: str
-    execution: str
-    step: str
-    peer: str
-
-
-class RefusalBody(TypedDict):
-    """JSON body of a refusal."""
-
-    error: RefusalDetails
-
-
-def refusal_body(error: JaytrayError) -> RefusalBody:
-    """Return the body that a caller gets for `error`."""
-    is_callers_fault = error.status < 500
-    details = RefusalDetails(
-        code=error.code,
-        message=error.text,
-        type="invalid_request_error" if is_callers_fault else "server_error",
-        execution=error.execution.value,
-        step=error.step.value,
-        peer=error.peer,
-    )
-    return RefusalBody(error=details)
-
-
 def refusal_headers(error: JaytrayError) -> list[tuple[str, str]]:
     """Return the headers of a refusal; `Retry-After` is in whole seconds."""
     headers = [("content-type", "application/json")]
@@ -49,11 +16,6 @@
     return headers
 
 
-def encode_refusal(error: JaytrayError) -> bytes:
-    """Return the JSON of a refusal."""
-    return encode_json(refusal_body(error))
-
-
 def error_from_http(
     error: HTTPException, *, method: str, path: str, body_limit: int
 ) -> JaytrayError:
--- a/packages/server/src/jaytray_server/request/responses.py
+++ b/packages/server/src/jaytray_server/request/responses.py
@@ -13,8 +13,10 @@
 from litestar.types import Receive, Send
 
 from jaytray_core.errors import JaytrayError
+from jaytray_core.refusal_body import encode_refusal
 from jaytray_core.targets import StreamPiece
-from jaytray_server.request.refusals import encode_refusal, refusal_headers
+from jaytray_server.request.caller_presence import CallerLeft, until_caller_leaves
+from jaytray_server.request.refusals import refusal_headers
 from jaytray_server.request.stall_guard import StallGuard
 
 T = TypeVar("T")
@@ -37,26 +39,6 @@
 )
 
 
-class CallerLeft(Exception):
-    """The caller closed its connection or stopped reading."""
-
-
-async def until_caller_leaves(receive: Receive, work: Coroutine[Any, Any, T]) -> T:
-    """Return the result of `work`; cancel it and raise `CallerLeft` on disconnect."""
-    task = asyncio.ensure_future(work)
-    watch = asyncio.ensure_future(_wait_for_disconnect(receive))
-    try:
-        await asyncio.wait((task, watch), return_when=asyncio.FIRST_COMPLETED)
-        if not task.done():
-            raise CallerLeft
-        return task.result()
-    finally:
-        watch.cancel()
-        if not task.done():
-            task.cancel()
-        await asyncio.gather(task, watch, return_exceptions=True)
-
-
 async def until_caller_leaves_running(
     receive: Receive, work: Coroutine[Any, Any, T]
 ) -> T:
@@ -209,13 +191,6 @@
     )
 
 
-async def _wait_for_disconnect(receive: Receive) -> None:
-    while True:
-        event = await receive()
-        if event["type"] == "http.disconnect":
-            return
-
-
 class _StreamBuffer:
     """Chunks between the reader of a target and the writer to a caller."""
 
--- a/packages/server/src/jaytray_server/request/service_routes.py
+++ b/packages/server/src/jaytray_server/request/service_routes.py
@@ -11,11 +11,11 @@
     make_call,
     run_once,
 )
+from jaytray_server.request.caller_presence import until_caller_leaves
 from jaytray_server.request.endpoint import Exchange, authenticated
 from jaytray_server.request.refusals import invalid_request
 from jaytray_server.request.responses import (
     send_whole,
-    until_caller_leaves,
     until_caller_leaves_running,
 )
 from jaytray_server.request.service_call import dispatch_service_call
