Log each try and decision in a table of events; tell a request's story from logs

Change: lines for tries that did not end a request, a table of all events compared with the code, repeated events summed, the VM on each line, and 'jaytray explain logs REQUEST_ID FILE...'. Watches of members that hold no lease pause longer, the holder tells of finished loads; refusals under overload count the request's own reading and state a longer time to come back.

--- a/packages/cli/src/jaytray_cli/command.py
+++ b/packages/cli/src/jaytray_cli/command.py
@@ -26,7 +26,8 @@
 class Command(NamedTuple):
     """A sub-command; `name` may have two words, `arguments` are the positional ones.
 
-    An argument in brackets may be left out.
+    An argument in brackets may be left out; the last one may be given several times
+    when it ends in three dots.
     """
 
     name: str
--- /dev/null
+++ b/packages/cli/src/jaytray_cli/log_story.py
@@ -0,0 +1,85 @@
+"""The story of one request out of the logs of several VMs.
+
+Lines are key=value pairs; what stands before the first pair is ignored, so that logs
+with a prefix of their own can be read as well.
+"""
+
+import re
+from collections.abc import Iterable
+from typing import NamedTuple
+
+_PAIR = re.compile(r'(\w+)=("(?:[^"\\\\]|\\\\.)*"|\S*)')
+# Seconds before a request's end in which a belief may have decided it.
+BELIEF_WINDOW_S = 15.0
+# Events that concern every request of their VM.
+_OWN_BELIEFS = frozenset(
+    (
+        "route_table_in_force",
+        "store_lost",
+        "store_regained",
+        "members_changed",
+        "drain_started",
+        "gateway_started",
+    )
+)
+# Events about the placement of models, on whichever VM.
+_PLACEMENT = frozenset(
+    ("placement_step", "placement_taken", "placement_lost", "order_given")
+)
+
+
+class LogLine(NamedTuple):
+    """One line: its fields, and its time in seconds of the day."""
+
+    time_s: float
+    fields: dict[str, str]
+    text: str
+
+
+def parse_line(text: str) -> LogLine | None:
+    """Return the line, None where it has no event and time."""
+    fields = {key: value.strip('"') for key, value in _PAIR.findall(text)}
+    stamp = re.search(r"T(\d+):(\d+):([\d.]+)", fields.get("timestamp", ""))
+    if stamp is None or "event" not in fields:
+        return None
+    hours, minutes, seconds = (float(part) for part in stamp.groups())
+    start = text.index("event=")
+    return LogLine(hours * 3600 + minutes * 60 + seconds, fields, text[start:].strip())
+
+
+def tell_story(request_id: str, lines: Iterable[LogLine]) -> list[LogLine]:
+    """Return the request's own lines and the beliefs that decided it, by time."""
+    known = sorted(lines, key=lambda line: line.time_s)
+    own = [line for line in known if line.fields.get("request_id") == request_id]
+    if not own:
+        return []
+    end_s = own[-1].time_s
+    vms = {line.fields.get("vm", "") for line in own}
+    targets = {line.fields.get("target", "") for line in own} - {""}
+    models = {line.fields.get("replica", "").partition("/")[0] for line in own} - {""}
+    story = [
+        line
+        for line in known
+        if 0 <= end_s - line.time_s <= BELIEF_WINDOW_S
+        and _decides(line.fields, vms, targets, models)
+    ]
+    return sorted({line.text: line for line in [*story, *own]}.values())
+
+
+def _decides(
+    fields: dict[str, str], vms: set[str], targets: set[str], models: set[str]
+) -> bool:
+    event = fields["event"]
+    if "request_id" in fields:
+        return False
+    if event in _PLACEMENT:
+        named = {
+            fields.get(key, "").partition("/")[0]
+            for key in ("model", "replica", "makes_room_for")
+        }
+        return event.startswith(("placement_taken", "placement_lost")) or bool(
+            named & models
+        )
+    if fields.get("vm", "") not in vms:
+        return False
+    return event in _OWN_BELIEFS or fields.get("target", "") in targets
--- a/packages/cli/src/jaytray_cli/main.py
+++ b/packages/cli/src/jaytray_cli/main.py
@@ -6,7 +6,12 @@
 
 from absl import flags as absl_flags
 
-from jaytray_cli import document_commands, site_commands, vm_commands
+from jaytray_cli import (
+    document_commands,
+    log_commands,
+    site_commands,
+    vm_commands,
+)
 from jaytray_cli.command import Command, Invocation, define_output_flags, usage
 from jaytray_cli.results import (
     ExitCode,
@@ -22,7 +27,7 @@
 
 COMMANDS_BY_NAME: dict[str, Command] = {
     command.name: command
-    for module in (document_commands, site_commands, vm_commands)
+    for module in (document_commands, site_commands, vm_commands, log_commands)
     for command in module.COMMANDS
 }
 
@@ -80,7 +85,9 @@
 
 def _check_positional(command: Command, positional: list[str]) -> None:
     required = [name for name in command.arguments if not name.startswith("[")]
-    if not len(required) <= len(positional) <= len(command.arguments):
+    takes_more = command.arguments[-1:] and command.arguments[-1].endswith("...")
+    most = len(positional) if takes_more else len(command.arguments)
+    if not len(required) <= len(positional) <= most:
         raise UsageError(f"takes {' '.join(command.arguments) or 'no arguments'}")
 
 
--- a/packages/core/src/jaytray_core/logs.py
+++ b/packages/core/src/jaytray_core/logs.py
@@ -6,7 +6,7 @@
 
 import logging
 import sys
-from collections.abc import MutableMapping
+from collections.abc import Callable, MutableMapping
 from typing import Any, TextIO
 
 import structlog
@@ -14,12 +14,26 @@
 _SECRET_FIELDS = ("key", "authorization", "secret", "curve_secret_key")
 
 
-def configure_logs(*, stream: TextIO = sys.stderr, level: int = logging.INFO) -> None:
-    """Send key=value lines to `stream` and silence libraries' request lines."""
+# Takes the logger, the method's name and the event; returns it or drops it.
+Processor = Callable[[Any, str, MutableMapping[str, Any]], MutableMapping[str, Any]]
+
+
+def configure_logs(
+    *,
+    stream: TextIO = sys.stderr,
+    level: int = logging.INFO,
+    limit_volume: Processor | None = None,
+) -> None:
+    """Send key=value lines to `stream` and silence libraries' request lines.
+
+    `limit_volume` may drop an event by raising `structlog.DropEvent`.
+    """
+    volume = [limit_volume] if limit_volume is not None else []
     for noisy in ("httpx", "httpcore", "uvicorn", "uvicorn.access", "litestar"):
         logging.getLogger(noisy).setLevel(logging.WARNING)
     structlog.configure(
         processors=[
+            *volume,
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -0,0 +1,53 @@
+"""All events that the gateway logs, with their fields; a test compares the code.
+
+`vm` stands on every line. Durations end in `_s` or `_ms`. Keys and bodies are never
+logged.
+"""
+
+from collections.abc import Sequence
+
+EVENTS: dict[str, Sequence[str]] = {
+    # One for each request, and one for each try that did not end it.
+    "request_finished": (
+        "request_id outcome status route account version replica tokens rate_state "
+        "target sends runs sent_ms first_piece_ms total_ms error"
+    ).split(),
+    "request_try_ended": "request_id target outcome sends runs detail".split(),
+    "request_quarantined": ("digest",),
+    # What the process believes of targets.
+    "target_known": "target service incarnation is_leaving revision".split(),
+    "target_unreadable": "target error".split(),
+    "target_lapsed": ("target",),
+    "target_gone": "target lapsed".split(),
+    "target_failing": "target streak avoid_s detail".split(),
+    "target_healthy": ("target",),
+    "target_report_failed": "target error".split(),
+    # The route table and the store.
+    "route_table_in_force": "version revision routes accounts".split(),
+    "route_table_older": ("version",),
+    "route_table_unreadable": ("error",),
+    "store_lost": ("error",),
+    "store_regained": ("away_s",),
+    "store_watch_ended": ("error",),
+    # Members.
+    "member_recorded": "is_written lease".split(),
+    "member_unreadable": "member error".split(),
+    "member_lease_not_renewed": ("error",),
+    "member_lease_not_ended": ("error",),
+    "members_changed": ("members",),
+    # Placement.
+    "placement_taken": ("fencing_number",),
+    "placement_lost": ("reason",),
+    "placement_record_unreadable": ("error",),
+    "placement_lease_call_failed": ("error",),
+    "placement_step": "target operation model makes_room_for".split(),
+    "placement_task_failed": ("error",),
+    "order_given": (
+        "target operation replica expected_order_count fencing_number outcome detail"
+    ).split(),
+    # The process.
+    "gateway_started": ("members",),
+    "gateway_stopped": (),
+    "drain_started": ("running",),
+    "drain_finished": ("running",),
+}
--- a/packages/gateway/src/jaytray_gateway/process/directory.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -17,13 +17,16 @@
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.version.route_table import RouteTable
 
-# Pace of full reads: several within the shortest bound on a change (2 s).
-READ_INTERVAL_S = 1.2
+# Pace of full reads: within the shortest bound on a change (2 s), also when no watch
+# tells of it.
+READ_INTERVAL_S = 1.5
 # Pause after a failed call; short, as the copy's age ends serving.
 RETRY_PAUSE_S = 0.25
 WATCH_WAIT_S = 10.0
-# Changes that follow each other closely are taken by one call.
-WATCH_PAUSE_S = 0.25
+# Changes within the pause after a watch are taken by one call, as calls are paid for.
+# The holder of the placement lease waits for targets to complete its orders.
+WATCH_PAUSE_S = 0.6
+HOLDER_WATCH_PAUSE_S = 0.2
 # Targets re-register within about 2 s of the service's return.
 REREGISTRATION_S = 2.2
 # Failed reads for longer than this count as an outage of the service, in which
@@ -57,6 +60,7 @@
         self.route_table: RouteTable | None = None
         self.targets_by_id: dict[str, TargetEntry] = {}
         self.members_by_key: dict[str, bytes] = {}
+        self.watch_pause_s = WATCH_PAUSE_S
         self.read_at_s = -float("inf")
         self._key_value = key_value
         self._adapter = adapter
@@ -100,7 +104,7 @@
         """Take changes as they come until cancelled."""
         while True:
             if self._revision == 0:
-                await asyncio.sleep(WATCH_PAUSE_S)
+                await asyncio.sleep(HOLDER_WATCH_PAUSE_S)
                 continue
             try:
                 batch = await self._key_value.watch("", self._revision, WATCH_WAIT_S)
@@ -112,7 +116,7 @@
             if batch.records:
                 self._apply(batch.records)
             self._revision = max(self._revision, batch.revision)
-            await asyncio.sleep(WATCH_PAUSE_S)
+            await asyncio.sleep(self.watch_pause_s)
 
     async def _read(self, begun_s: float) -> None:
         known_before = dict(self._held_by_key)
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/process/log_volume.py
@@ -0,0 +1,48 @@
+"""Keeps one cause from filling the log: repeated events are summed.
+
+In each second the first lines of an event are written; the next line of that event
+tells how many were left out before it. The final line of a request is never left out,
+as there is one for each request.
+"""
+
+from collections.abc import MutableMapping
+from typing import Any
+
+import structlog
+
+from jaytray_core.clock import MonotonicClock
+
+# Lines of one event that are written in a second.
+LINES_PER_SECOND = 20
+ALWAYS_WRITTEN = frozenset(("request_finished",))
+
+
+class LogVolume:
+    """Counts of each event in the current second."""
+
+    def __init__(self, *, clock: MonotonicClock) -> None:
+        self._clock = clock
+        self._second = 0
+        self._count_by_event: dict[str, int] = {}
+        self._left_out_by_event: dict[str, int] = {}
+
+    def limit(
+        self, _logger: Any, _method: str, event: MutableMapping[str, Any]
+    ) -> MutableMapping[str, Any]:
+        """Return the event, or raise `DropEvent` where it has come too often."""
+        name = event["event"]
+        if name in ALWAYS_WRITTEN:
+            return event
+        second = int(self._clock())
+        if second != self._second:
+            self._second = second
+            self._count_by_event.clear()
+        count = self._count_by_event.get(name, 0) + 1
+        self._count_by_event[name] = count
+        if count > LINES_PER_SECOND:
+            self._left_out_by_event[name] = self._left_out_by_event.get(name, 0) + 1
+            raise structlog.DropEvent
+        left_out = self._left_out_by_event.pop(name, 0)
+        if left_out:
+            event["left_out_before"] = left_out
+        return event
--- a/packages/gateway/src/jaytray_gateway/process/placement/duty.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/duty.py
@@ -9,7 +9,11 @@
 from jaytray_core.keyvalue import KeyValueService
 from jaytray_core.logs import get_logger
 from jaytray_gateway.ports import OrderResult, PlatformAdapter, TargetOrder
-from jaytray_gateway.process.directory import Directory
+from jaytray_gateway.process.directory import (
+    HOLDER_WATCH_PAUSE_S,
+    WATCH_PAUSE_S,
+    Directory,
+)
 from jaytray_gateway.process.gossip import Gossip, ReplicaWish
 from jaytray_gateway.process.load_view import LoadView
 from jaytray_gateway.process.metrics import GatewayMetrics
@@ -131,7 +135,11 @@
                 task.cancel()
 
     def _plan(self) -> None:
-        if not self._leadership.is_held():
+        is_held = self._leadership.is_held()
+        self._directory.watch_pause_s = (
+            HOLDER_WATCH_PAUSE_S if is_held else WATCH_PAUSE_S
+        )
+        if not is_held:
             self._plan_by_id.clear()
             return
         if self._reign != self._leadership.fencing_number:
@@ -198,7 +206,9 @@
                 if not self._health.is_down(entry.target_id):
                     unknown.append(entry)
                 continue
-            plan.take_entry(entry, now_s)
+            loaded = plan.take_entry(entry, now_s)
+            if loaded is not None:
+                self._tell(entry, loaded, is_present=True)
             is_doubtful = plan.is_count_doubtful or plan.is_overdue(engine, now_s)
             if is_doubtful and plan.avoided_until_s <= now_s:
                 unknown.append(entry)
--- a/packages/gateway/src/jaytray_gateway/process/placement/target_plan.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/target_plan.py
@@ -154,8 +154,11 @@
         """Take an order that got no answer."""
         self.uncertain.append(order._replace(is_certain=False))
 
-    def take_entry(self, entry: TargetEntry, now_s: float) -> None:
-        """Compare with what the target says of itself in the directory."""
+    def take_entry(self, entry: TargetEntry, now_s: float) -> str | None:
+        """Compare with what the target says of itself in the directory.
+
+        Returns the model whose load it shows to be complete, if any.
+        """
         self.models_at_hand = entry.models_at_hand
         self.uncertain = [
             late for late in self.uncertain if now_s - late.sent_at_s < LATE_ORDER_S
@@ -164,13 +167,16 @@
             self.intended_model = ""
         order = self.model_order
         listed = set(entry.adapters_by_model)
+        loaded = None
         if order is not None and order.was_listed != (order.model in listed):
             self._finish_model_order(order)
+            loaded = order.model if order.is_load else None
         if self.model_order is not None and not self.model_order.is_load:
             listed.discard(self.model_order.model)
         # Models go only by orders, which are followed here; an entry that does not
         # show one may be older than the target's own report.
         self.models |= listed - self.gone_models
+        return loaded
 
     def is_overdue(self, engine: Engine, now_s: float) -> bool:
         """Return whether the order under way should long be complete."""
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -110,10 +110,10 @@
         await stack.enter_async_context(_serving(probe_app, options.probe_address))
         await stack.enter_async_context(_supervised(_duties(parts, options)))
         async with _serving(caller_app, options.callers_address) as end_callers:
-            get_logger().info("gateway_started", vm=options.vm_id)
+            get_logger().info("gateway_started", members=len(parts.shares.member_ids))
             await stop.wait()
             await _drain(parts, options, clock, end_callers)
-    get_logger().info("gateway_stopped", vm=options.vm_id)
+    get_logger().info("gateway_stopped")
 
 
 def _build(
--- a/packages/gateway/src/jaytray_gateway/request/request_path.py
+++ b/packages/gateway/src/jaytray_gateway/request/request_path.py
@@ -6,6 +6,7 @@
 from jaytray_core import message_registry as messages
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.errors import Execution, JaytrayError, Step
+from jaytray_core.logs import get_logger
 from jaytray_gateway.connection.target_connection import ExchangeBroken, Progress
 from jaytray_gateway.connection.target_pool import TargetPools
 from jaytray_gateway.ports import AnswerHead, Dispatch, PlatformAdapter
@@ -161,6 +162,7 @@
         except _TurnedAway as err:
             _after_turned_away(run, err, services)
         except _Retryable as err:
+            _log_try(run, "error_answer", str(err))
             if not _may_run_again(run, services):
                 await reply.send_whole(err.head.status, err.head.headers, err.body)
                 return
@@ -300,9 +302,23 @@
     return min(expires_at_s, now_s + max(portion_s, least_s))
 
 
+def _log_try(run: _Run, outcome: str, detail: str) -> None:
+    """Log a try that ended without the request's final answer."""
+    get_logger().info(
+        "request_try_ended",
+        request_id=run.admitted.request.request_id,
+        target=run.target_id,
+        outcome=outcome,
+        sends=run.sends,
+        runs=run.runs,
+        detail=detail,
+    )
+
+
 def _after_turned_away(run: _Run, err: _TurnedAway, services: RequestServices) -> None:
     """Return if the request may be sent to another target; raises otherwise."""
     run.turned_away += 1
+    _log_try(run, "not_run", err.detail)
     is_allowed = run.turned_away < MAX_TURNED_AWAY and (
         not err.has_arrived or services.budget.take(run.service.name)
     )
@@ -323,6 +339,7 @@
     services: RequestServices,
 ) -> None:
     """Return if the request may run once more; raises otherwise."""
+    _log_try(run, "timed_out" if err.is_timeout else "broken", err.detail)
     if not err.is_timeout:
         digest = content_digest(run.admitted.request, run.admitted.account_name)
         services.crash_guard.note_break(digest, target)
--- a/packages/gateway/src/jaytray_gateway/request/target_search.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_search.py
@@ -6,6 +6,7 @@
 from jaytray_core import message_registry as messages
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.errors import JaytrayError, Step
+from jaytray_gateway.process.engine_cost import PREFILL_TOKENS_PER_MS
 from jaytray_gateway.process.replicas import ReplicaNotice, Replicas
 from jaytray_gateway.process.target_choice import Candidate, TargetChooser
 from jaytray_gateway.process.target_entry import TargetEntry
@@ -27,9 +28,12 @@
 ASK_AGAIN_S = 0.25
 # Part of the time left that a request may wait before it is sent.
 WAIT_PORTION = 0.6
-# Wait at the best target, in objectives of the route, above which a request is refused
-# at once: served late it would make those behind it late as well.
-OVERLOAD_OBJECTIVES = 1.0
+# A request whose first piece would be late behind those that wait at the best target
+# is refused at once: served late it would make those behind it late as well. It is
+# told to come back after a multiple of that wait, when a burst should be over.
+OVERLOAD_RETRY_WAITS = 3.0
+OVERLOAD_MIN_RETRY_S = 1.0
+OVERLOAD_MAX_RETRY_S = 3.0
 # Time to come back when a service has no target.
 NO_TARGET_RETRY_S = 0.5
 STATUS_MISDIRECTED = 421
@@ -73,7 +77,8 @@
             untried = [t for t in holders if t.target_id not in tried]
             chosen = self._chooser.choose(request, service, untried, admitted.priority)
             if chosen is not None:
-                if chosen.wait_s > admitted.route.objective_s * OVERLOAD_OBJECTIVES:
+                own_s = request.prompt_tokens / PREFILL_TOKENS_PER_MS / 1000
+                if chosen.wait_s and chosen.wait_s + own_s > admitted.route.objective_s:
                     raise _overloaded(chosen)
                 return chosen.target
             if wait is None:
@@ -141,7 +146,10 @@
         messages.QUEUE_FULL,
         step=Step.QUEUE,
         peer=chosen.target.target_id,
-        retry_after_s=chosen.wait_s,
+        retry_after_s=min(
+            OVERLOAD_MAX_RETRY_S,
+            max(OVERLOAD_MIN_RETRY_S, chosen.wait_s * OVERLOAD_RETRY_WAITS),
+        ),
         name=chosen.target.service,
     )
 
--- /dev/null
+++ b/packages/gateway/tests/test_logs.py
@@ -0,0 +1,98 @@
+"""The table of events, the bounded volume, and a reader that stands still."""
+
+import ast
+import io
+import pathlib
+import threading
+import time
+from collections.abc import Iterator
+
+import structlog
+from testtools import TestCase
+
+import jaytray_gateway
+from jaytray_gateway.log_events import EVENTS
+from jaytray_gateway.process.log_volume import LINES_PER_SECOND, LogVolume
+from jaytray_gateway.process.log_writer import QUEUE_LINES, bounded_log_stream
+
+SOURCES = pathlib.Path(jaytray_gateway.__file__).parent
+LEVELS = ("debug", "info", "warning", "error")
+
+
+def logged() -> Iterator[tuple[str, set[str]]]:
+    """Give event and fields of each call of a logger in the package."""
+    for path in SOURCES.rglob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(node, ast.Call) or not isinstance(
+                node.func, ast.Attribute
+            ):
+                continue
+            if node.func.attr in LEVELS and node.args:
+                name, *_ = node.args
+                assert isinstance(name, ast.Constant), path
+                yield str(name.value), {str(k.arg) for k in node.keywords}
+
+
+class EventTableTests(TestCase):
+    def test_table_lists_what_is_logged(self) -> None:
+        found: dict[str, set[str]] = {}
+        for event, fields in logged():
+            found.setdefault(event, set()).update(fields)
+        listed = {event: set(fields) for event, fields in EVENTS.items()}
+        self.assertEqual(listed, found)
+
+    def test_no_event_names_a_key_or_a_body(self) -> None:
+        fields = {field for fields in EVENTS.values() for field in fields}
+        self.assertEqual(set(), fields & {"key", "api_key", "body", "headers"})
+
+
+class VolumeTests(TestCase):
+    def test_repeated_events_are_summed(self) -> None:
+        now_s = [1.0]
+        volume = LogVolume(clock=lambda: now_s[0])
+        written = 0
+        for _ in range(100):
+            try:
+                volume.limit(None, "info", {"event": "target_failing"})
+                written += 1
+            except structlog.DropEvent:
+                pass
+        self.assertEqual(LINES_PER_SECOND, written)
+        now_s[0] += 1.0
+        event = volume.limit(None, "info", {"event": "target_failing"})
+        self.assertEqual(100 - LINES_PER_SECOND, event["left_out_before"])
+
+    def test_each_request_has_its_line(self) -> None:
+        volume = LogVolume(clock=lambda: 1.0)
+        for _ in range(500):
+            volume.limit(None, "info", {"event": "request_finished"})
+
+
+class StalledReader(io.StringIO):
+    """A reader that takes nothing until it is let go."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.let_go = threading.Event()
+
+    def write(self, text: str) -> int:
+        self.let_go.wait(10.0)
+        return super().write(text)
+
+
+class StalledReaderTests(TestCase):
+    def test_holds_nobody_back_and_the_loss_is_told(self) -> None:
+        reader = StalledReader()
+        dropped: list[int] = []
+        with bounded_log_stream(reader, set_dropped=dropped.append) as stream:
+            time.sleep(0.3)
+            begun_s = time.monotonic()
+            for number in range(3 * QUEUE_LINES):
+                stream.write(f"event=x number={number}\n")
+            self.assertLess(time.monotonic() - begun_s, 1.0)
+            reader.let_go.set()
+            time.sleep(0.4)
+        text = reader.getvalue()
+        self.assertIn("event=x number=0\n", text)
+        self.assertIn("event=log_lines_dropped", text)
+        self.assertGreater(dropped[-1], 0)
