Swap models without waiting for the directory; keep parts of rates below one at starts

Change: after an unload the load is tried each 50 ms until the target takes it; loads cost by the time that they take at a target; members that have not reported keep an even part and take no more; reports are read with no order under way.

--- a/packages/gateway/src/jaytray_gateway/process/gossip.py
+++ b/packages/gateway/src/jaytray_gateway/process/gossip.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import itertools
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -22,6 +23,10 @@
 REPORT_INTERVAL_S = 0.2
 REPORT_S_PER_MEMBER = 0.02
 
+# Reports after which the others have surely heard of a new member: links to it are
+# opened within the first ones.
+REPORTS_UNTIL_HEARD = 6
+
 _REPORT = "gateway.report"
 _BREAK = "gateway.break"
 _NOTICES = "gateway.notices"
@@ -91,10 +96,11 @@
 
     async def run(self) -> None:
         """Report to all members until cancelled."""
-        while True:
+        for report_number in itertools.count(1):
             members = self._other_members()
             if members:
                 self._send_all(_REPORT, encode_msgpack(self._report()))
+            self._shares.has_reported = report_number > REPORTS_UNTIL_HEARD
             scaled_s = REPORT_S_PER_MEMBER * len(members)
             await asyncio.sleep(max(REPORT_INTERVAL_S, scaled_s))
 
--- a/packages/gateway/src/jaytray_gateway/process/placement/duty.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/duty.py
@@ -40,6 +40,9 @@
 WISH_LIMIT_S = 4.0
 # Time that an adapter takes to load, from the sheets' 9 to 29 ms and the way back.
 ADAPTER_LOAD_S = 0.032
+# Pace and longest time of trying a load after the unload that makes room for it.
+SWAP_TRY_INTERVAL_S = 0.05
+SWAP_TRIES_S = 0.6
 # Time for which a target that refused an order, or could not be asked, gets none;
 # longer than its reports lag.
 AVOID_S = 0.3
@@ -221,13 +224,18 @@
             for target_id, entry in entries_by_id.items()
             if target_id in self._plan_by_id
             and self._plan_by_id[target_id].incarnation == entry.incarnation
+            and not self._plan_by_id[target_id].is_count_doubtful
             and not self._health.is_down(target_id)
         ]
 
     async def _read_report(self, entry: TargetEntry) -> None:
-        """Make a new plan from what the target itself says."""
+        """Make a new plan from what the target itself says.
+
+        No order is under way meanwhile, so the old plan knows how its last one ended.
+        """
         try:
-            report = await self._adapter.read_report(entry.address)
+            async with self._lock_of(entry.target_id):
+                report = await self._adapter.read_report(entry.address)
         except JaytrayError as err:
             get_logger().info(
                 "target_report_failed", target=entry.target_id, error=str(err)
@@ -346,29 +354,49 @@
             model=step.model,
             makes_room_for=step.makes_room_for,
         )
+        if not plan.is_at_hand(step.makes_room_for or step.model):
+            self._pace.note_load()
         try:
-            if step.is_load:
-                if step.model not in plan.models_at_hand:
-                    self._pace.note_load()
-            else:
-                plan.intended_model = step.makes_room_for
-                plan.intended_since_s = self._clock()
-                self._tell(entry, step.model, is_present=False)
             async with self._lock_of(entry.target_id):
-                is_accepted = await self._order(
-                    plan,
-                    entry,
-                    engine,
-                    is_load=step.is_load,
-                    model=step.model,
-                    adapter="",
-                )
-            if not is_accepted and not step.is_load:
-                plan.intended_model = ""
-                self._tell(entry, step.model, is_present=True)
+                if step.is_load:
+                    await self._order_load(plan, entry, engine, step.model)
+                else:
+                    await self._swap(step, plan, entry, engine)
         finally:
             plan.has_model_step = plan.model_order is not None
 
+    async def _swap(
+        self, step: ModelStep, plan: TargetPlan, entry: TargetEntry, engine: Engine
+    ) -> None:
+        """Unload a model and load the one that it makes room for.
+
+        The load is tried until the target takes it, which it does as soon as the
+        unload is complete; the directory shows that only later.
+        """
+        plan.intended_model = step.makes_room_for
+        plan.intended_since_s = self._clock()
+        self._tell(entry, step.model, is_present=False)
+        if not await self._order(
+            plan, entry, engine, is_load=False, model=step.model, adapter=""
+        ):
+            plan.intended_model = ""
+            self._tell(entry, step.model, is_present=True)
+            return
+        until_s = self._clock() + SWAP_TRIES_S
+        while plan.intended_model and self._clock() < until_s:
+            await asyncio.sleep(SWAP_TRY_INTERVAL_S)
+            if plan.avoided_until_s > self._clock():
+                return
+            if await self._order_load(plan, entry, engine, step.makes_room_for):
+                return
+
+    async def _order_load(
+        self, plan: TargetPlan, entry: TargetEntry, engine: Engine, model: str
+    ) -> bool:
+        return await self._order(
+            plan, entry, engine, is_load=True, model=model, adapter=""
+        )
+
     async def _order(
         self,
         plan: TargetPlan,
@@ -386,8 +414,12 @@
         """
         if plan.incarnation != entry.incarnation or not self._leadership.is_held():
             return False
-        if is_load and not plan.has_room(engine, model, adapter):
+        is_after_unload = is_load and not adapter and plan.model_order is not None
+        if is_after_unload and not plan.has_room_after_unload(engine, model):
             return False
+        if is_load and not is_after_unload:
+            if not plan.has_room(engine, model, adapter):
+                return False
         order = PendingOrder(
             is_load=is_load,
             model=model,
@@ -397,9 +429,13 @@
             is_certain=True,
             was_listed=model in entry.adapters_by_model,
         )
-        if not adapter:
+        if not adapter and not is_after_unload:
             plan.model_order = order
         result = await self._send(entry, order)
+        if is_after_unload and result.is_certain and result.is_outdated:
+            return False
+        if is_after_unload and result.is_accepted:
+            plan.note_unload_done()
         return self._take_result(plan, entry, order, result)
 
     def _lock_of(self, target_id: str) -> asyncio.Lock:
--- a/packages/gateway/src/jaytray_gateway/process/placement/planner.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/planner.py
@@ -24,9 +24,8 @@
 WAITING_DEMAND_MS = 60.0
 # Part of a replica's demand that is lost with it where the others have room for it.
 SURPLUS_LOSS = 0.02
-# What a load from the weight store costs more than one from the target's own disk: it
-# takes longer and counts against the store's ceiling.
-STORE_LOAD_COST_MS = 15.0
+# Cost of each second that a load takes, as requests wait for it.
+LOAD_SECOND_COST_MS = 10.0
 # Part of a target's demand that a load or unload there costs: it loads no adapters
 # meanwhile.
 DISTURBANCE = 0.1
@@ -108,19 +107,19 @@
             if not _is_last_for_adapters(plan, plans, demand.rates):
                 free.append(plan)
             continue
-        is_from_store = plan.intended_model not in plan.models_at_hand
+        is_from_store = not plan.is_at_hand(plan.intended_model)
         if plan.has_room(engine, plan.intended_model, "") and (
             loads_allowed > 0 or not is_from_store
         ):
             loads_allowed -= is_from_store
             steps.append(ModelStep(plan.target_id, True, plan.intended_model, ""))
     for model in _lacking(engine, balance, demand):
-        able = [p for p in free if loads_allowed > 0 or model in p.models_at_hand]
+        able = [p for p in free if loads_allowed > 0 or p.is_at_hand(model)]
         found = _cheapest_way(engine, model, able, balance, demand)
         if found is None:
             continue
         plan, step = found
-        loads_allowed -= step.is_load and model not in plan.models_at_hand
+        loads_allowed -= not plan.is_at_hand(model)
         steps.append(step)
         free.remove(plan)
         balance.counts[model] = balance.counts.get(model, 0) + 1
@@ -190,8 +189,7 @@
         if model in plan.occupied_models() or model in plan.expected_models():
             continue
         cost = _disturbance(plan, balance, demand)
-        if model not in plan.models_at_hand:
-            cost += STORE_LOAD_COST_MS
+        cost += LOAD_SECOND_COST_MS * plan.load_time_s(engine, model)
         if engine.weights_mb - plan.used_mb(engine) >= needed_mb:
             step = ModelStep(plan.target_id, True, model, "")
         else:
--- a/packages/gateway/src/jaytray_gateway/process/placement/target_plan.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/target_plan.py
@@ -50,7 +50,8 @@
         self.target_id = entry.target_id
         self.incarnation = entry.incarnation
         self.order_count = order_count
-        self.models_at_hand = entry.models_at_hand
+        self.models_in_memory = entry.models_in_memory
+        self.models_on_disk = entry.models_on_disk
         self.used_at_s_by_adapter: dict[tuple[str, str], float] = {
             (model, adapter): 0.0
             for model, adapters in adapters_by_model.items()
@@ -115,6 +116,29 @@
             if model in models
         )
 
+    def is_at_hand(self, model: str) -> bool:
+        """Return whether a load would not come from the weight store."""
+        return model in self.models_in_memory or model in self.models_on_disk
+
+    def load_time_s(self, engine: Engine, model: str) -> float:
+        """Return how long a load of the model takes at this target."""
+        found = engine.models_by_name[model]
+        if model in self.models_in_memory:
+            return found.memory_load_s
+        return found.disk_load_s if model in self.models_on_disk else found.load_s
+
+    def has_room_after_unload(self, engine: Engine, model: str) -> bool:
+        """Return whether a model would fit once the unload under way is complete."""
+        order = self.model_order
+        if order is None or order.is_load:
+            return False
+        freed = engine.models_by_name.get(order.model)
+        needed = engine.models_by_name.get(model)
+        if freed is None or needed is None:
+            return False
+        used_mb = self.used_mb(engine) - freed.weights_mb
+        return used_mb + needed.weights_mb <= engine.weights_mb
+
     def has_room(self, engine: Engine, model: str, adapter: str) -> bool:
         """Return whether a load would fit whatever becomes of earlier orders."""
         found = engine.models_by_name.get(model)
@@ -150,6 +174,11 @@
         if order.is_load and order.model == self.intended_model and not order.adapter:
             self.intended_model = ""
 
+    def note_unload_done(self) -> None:
+        """Take the unload under way as complete: the target has taken a new order."""
+        if self.model_order is not None and not self.model_order.is_load:
+            self._finish_model_order(self.model_order)
+
     def note_uncertain(self, order: PendingOrder) -> None:
         """Take an order that got no answer."""
         self.uncertain.append(order._replace(is_certain=False))
@@ -159,7 +188,8 @@
 
         Returns the model whose load it shows to be complete, if any.
         """
-        self.models_at_hand = entry.models_at_hand
+        self.models_in_memory = entry.models_in_memory
+        self.models_on_disk = entry.models_on_disk
         self.uncertain = [
             late for late in self.uncertain if now_s - late.sent_at_s < LATE_ORDER_S
         ]
--- a/packages/gateway/src/jaytray_gateway/process/rate_shares.py
+++ b/packages/gateway/src/jaytray_gateway/process/rate_shares.py
@@ -24,7 +24,7 @@
 # A caller that comes back must not find the last token just short.
 WAIT_MARGIN = 1.02
 # A new process starts with this many seconds' worth of its rate.
-START_S = 0.3
+START_S = 0.1
 
 
 class Charge(NamedTuple):
@@ -49,11 +49,16 @@
 
 
 class RateShares:
-    """The own parts; `member_ids` must include this member."""
+    """The own parts.
+
+    `has_reported` tells that the others have heard of this member's demand; until
+    then they leave an even part to it, and it takes no more.
+    """
 
     def __init__(self, *, own_id: str, clock: MonotonicClock) -> None:
         self.own_id = own_id
         self.member_ids: frozenset[str] = frozenset((own_id,))
+        self.has_reported = False
         self.demand = DemandAverage(clock=clock, window_s=DEMAND_WINDOW_S)
         self._clock = clock
         self._demand_by_member: dict[str, dict[str, float]] = {}
@@ -76,14 +81,17 @@
         """Return this member's part of the account, between 0 and 1."""
         even = 1.0 / len(self.member_ids)
         own = self.demand.rates().get(account, 0.0)
-        others = sum(
+        reported = [
             rates.get(account, 0.0)
             for member, rates in self._demand_by_member.items()
             if member != self.own_id
-        )
-        total = own + others
-        by_demand = own / total if total > 0 else even
-        return EVEN_PORTION * even + (1 - EVEN_PORTION) * by_demand
+        ]
+        total = own + sum(reported)
+        # Members that have not reported yet keep an even part each.
+        known = even * (len(reported) + 1)
+        by_demand = known * own / total if total > 0 else even
+        part = EVEN_PORTION * even + (1 - EVEN_PORTION) * by_demand
+        return part if self.has_reported else min(part, even)
 
     def try_charge(self, account: ClientAccount, cost: float) -> Charge | None:
         """Take a request's tokens from the own part; None when it is used up."""
--- a/packages/gateway/src/jaytray_gateway/process/target_entry.py
+++ b/packages/gateway/src/jaytray_gateway/process/target_entry.py
@@ -7,9 +7,9 @@
     """One registered target.
 
     `incarnation` changes with each start of the target. `adapters_by_model` lists
-    the loaded models and their adapters. `models_at_hand` are those whose weights the
-    target keeps in its memory or on its disk, so that loading them is fast and does
-    not count at the weight store.
+    the loaded models and their adapters. `models_in_memory` and `models_on_disk` are
+    those whose weights the target keeps at hand: loading them is faster and does not
+    count at the weight store.
     """
 
     target_id: str
@@ -20,4 +20,5 @@
     is_leaving: bool
     slots: int
     adapters_by_model: dict[str, frozenset[str]]
-    models_at_hand: frozenset[str]
+    models_in_memory: frozenset[str]
+    models_on_disk: frozenset[str]
--- a/packages/gateway/tests/process/placement/test_planner.py
+++ b/packages/gateway/tests/process/placement/test_planner.py
@@ -35,6 +35,7 @@
         False,
         64,
         {name: frozenset() for name in models},
+        frozenset(),
         frozenset(at_hand),
     )
 
--- a/packages/gateway/tests/process/test_directory.py
+++ b/packages/gateway/tests/process/test_directory.py
@@ -26,7 +26,16 @@
         raise malformed_message(peer=target_id, detail="foreign")
     is_leaving = data == b"leaving"
     return TargetEntry(
-        target_id, "1", "svc", "127.0.0.1:1", "a", is_leaving, 1, {}, frozenset()
+        target_id,
+        "1",
+        "svc",
+        "127.0.0.1:1",
+        "a",
+        is_leaving,
+        1,
+        {},
+        frozenset(),
+        frozenset(),
     )
 
 
--- a/packages/gateway/tests/process/test_rate_shares.py
+++ b/packages/gateway/tests/process/test_rate_shares.py
@@ -53,6 +53,7 @@
 
     def gossip(self) -> None:
         for vm, shares in self.shares.items():
+            shares.has_reported = True
             for other in self.ids - {vm}:
                 self.shares[other].set_peer_demand(vm, shares.demand.rates())
                 self.gifts[other].set_peer_levels(vm, shares.levels(TABLE))
@@ -101,6 +102,25 @@
         total = sum(shares.part_of("barns") for shares in fleet.shares.values())
         self.assertAlmostEqual(1.0, total, places=6)
 
+    @given(
+        st.lists(st.tuples(st.floats(0, 1e5), st.booleans()), min_size=1, max_size=12)
+    )
+    def test_parts_never_exceed_one_before_all_have_reported(
+        self, members: list[tuple[float, bool]]
+    ) -> None:
+        # All processes have started anew; some are not heard from yet.
+        fleet, _ = make_fleet(len(members))
+        ids = sorted(fleet.ids)
+        for vm, (demand, _) in zip(ids, members, strict=True):
+            fleet.shares[vm].demand.add("barns", demand)
+        for vm, (_, has_reported) in zip(ids, members, strict=True):
+            fleet.shares[vm].has_reported = has_reported
+            rates = fleet.shares[vm].demand.rates()
+            for other in fleet.ids - {vm} if has_reported else ():
+                fleet.shares[other].set_peer_demand(vm, rates)
+        total = sum(shares.part_of("barns") for shares in fleet.shares.values())
+        self.assertLessEqual(total, 1.0 + 1e-6)
+
     def test_member_that_is_silent_keeps_its_part(self) -> None:
         fleet, _ = make_fleet(4)
         for vm in fleet.ids:
@@ -119,6 +139,7 @@
 class GiftTests(TestCase):
     def test_one_busy_member_gets_the_whole_rate(self) -> None:
         fleet, clock = make_fleet(8)
+        clock.now_s += 1.0
         admitted = 0
         for step in range(100):
             clock.now_s += 0.1
--- a/packages/gateway/tests/process/test_small_parts.py
+++ b/packages/gateway/tests/process/test_small_parts.py
@@ -21,7 +21,16 @@
 
 def entry(target_id: str, incarnation: str = "1") -> TargetEntry:
     return TargetEntry(
-        target_id, incarnation, "svc", "127.0.0.1:1", "a", False, 4, {}, frozenset()
+        target_id,
+        incarnation,
+        "svc",
+        "127.0.0.1:1",
+        "a",
+        False,
+        4,
+        {},
+        frozenset(),
+        frozenset(),
     )
 
 
--- a/packages/gateway/tests/request/support.py
+++ b/packages/gateway/tests/request/support.py
@@ -289,6 +289,7 @@
                 4,
                 {},
                 frozenset(),
+                frozenset(),
             )
             for target in self.targets
         }
