--- a/packages/gateway/src/jaytray_gateway/process/directory.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -17,15 +17,18 @@
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.version.route_table import RouteTable
 
-# Pace of full reads: within the shortest bound on a change (2 s), also when no watch
-# tells of it.
-READ_INTERVAL_S = 1.5
+# Part of the bound on a change after which everything is read again: it is then in
+# force in time also when no watch tells of it.
+READ_PORTION = 0.75
 # Pause after a failed call; short, as the copy's age ends serving.
 RETRY_PAUSE_S = 0.25
 WATCH_WAIT_S = 10.0
-# Changes within the pause after a watch are taken by one call, as calls are paid for.
-# The holder of the placement lease waits for targets to complete its orders.
-WATCH_PAUSE_S = 0.6
+# Changes within the pause after a watch are taken by one call. All members' calls are
+# paid for, so the pause grows with their number, up to a part of the bound. The holder
+# of the placement lease waits for targets to complete its orders.
+WATCH_PAUSE_S = 0.4
+WATCH_PAUSE_S_PER_MEMBER = 0.025
+WATCH_PAUSE_PORTION = 0.6
 HOLDER_WATCH_PAUSE_S = 0.2
 # Targets re-register within about 2 s of the service's return.
 REREGISTRATION_S = 2.2
@@ -46,6 +49,8 @@
 class Directory:
     """State of the copy.
 
+    `bound_s` is the shortest time within which a change must be in force.
+
     `read_at_s` is when the last successful full read was begun, by a clock that
     runs while the VM is suspended: whatever changed before is known.
     """
@@ -56,11 +61,14 @@
         key_value: KeyValueService,
         adapter: PlatformAdapter,
         clock: MonotonicClock,
+        bound_s: float,
     ) -> None:
         self.route_table: RouteTable | None = None
         self.targets_by_id: dict[str, TargetEntry] = {}
         self.members_by_key: dict[str, bytes] = {}
-        self.watch_pause_s = WATCH_PAUSE_S
+        self.member_count = 1
+        self.is_placement_holder = False
+        self._bound_s = bound_s
         self.read_at_s = -float("inf")
         self._key_value = key_value
         self._adapter = adapter
@@ -95,7 +103,7 @@
                 continue
             self._read_wanted.clear()
             try:
-                async with asyncio.timeout(READ_INTERVAL_S):
+                async with asyncio.timeout(self._bound_s * READ_PORTION):
                     await self._read_wanted.wait()
             except TimeoutError:
                 pass
@@ -116,7 +124,13 @@
             if batch.records:
                 self._apply(batch.records)
             self._revision = max(self._revision, batch.revision)
-            await asyncio.sleep(self.watch_pause_s)
+            await asyncio.sleep(self._watch_pause_s())
+
+    def _watch_pause_s(self) -> float:
+        if self.is_placement_holder:
+            return HOLDER_WATCH_PAUSE_S
+        pause_s = WATCH_PAUSE_S + WATCH_PAUSE_S_PER_MEMBER * self.member_count
+        return min(pause_s, WATCH_PAUSE_PORTION * self._bound_s)
 
     async def _read(self, begun_s: float) -> None:
         known_before = dict(self._held_by_key)
--- a/packages/gateway/src/jaytray_gateway/process/options.py
+++ b/packages/gateway/src/jaytray_gateway/process/options.py
@@ -7,7 +7,8 @@
     """Everything that a process learns from its settings; durations in seconds.
 
     Addresses are `IP:port`. `revocation_s` is the time within which a withdrawn key
-    stops working and `grace_s` the time between the stop signal and the kill.
+    stops working, `change_s` that within which any other change must be in force, and
+    `grace_s` the time between the stop signal and the kill.
     `repeat_ratio`, `repeat_extra` and `repeat_window_s` bound repeats over the fleet.
     `lease_s` is the shortest time between orders of two holders to one target, and
     `reads_per_s` the rate of reads that the store allows all members together.
@@ -21,6 +22,7 @@
     metrics_address: str
     key_value_address: str
     revocation_s: float
+    change_s: float
     grace_s: float
     repeat_ratio: float
     repeat_extra: float
--- a/packages/gateway/src/jaytray_gateway/process/placement/duty.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/duty.py
@@ -8,12 +8,13 @@
 from jaytray_core.errors import JaytrayError
 from jaytray_core.keyvalue import KeyValueService
 from jaytray_core.logs import get_logger
-from jaytray_gateway.ports import OrderResult, PlatformAdapter, TargetOrder
-from jaytray_gateway.process.directory import (
-    HOLDER_WATCH_PAUSE_S,
-    WATCH_PAUSE_S,
-    Directory,
+from jaytray_gateway.ports import (
+    OrderResult,
+    PlatformAdapter,
+    TargetOrder,
+    TargetReport,
 )
+from jaytray_gateway.process.directory import Directory
 from jaytray_gateway.process.gossip import Gossip, ReplicaWish
 from jaytray_gateway.process.load_view import LoadView
 from jaytray_gateway.process.metrics import GatewayMetrics
@@ -139,9 +140,7 @@
 
     def _plan(self) -> None:
         is_held = self._leadership.is_held()
-        self._directory.watch_pause_s = (
-            HOLDER_WATCH_PAUSE_S if is_held else WATCH_PAUSE_S
-        )
+        self._directory.is_placement_holder = is_held
         if not is_held:
             self._plan_by_id.clear()
             return
@@ -245,24 +244,10 @@
         finally:
             self._asked_ids.discard(entry.target_id)
         before = self._plan_by_id.get(entry.target_id)
-        plan = TargetPlan(
-            entry=entry,
-            adapters_by_model=report.adapters_by_model,
-            order_count=report.order_count,
-        )
-        if before is not None and before.incarnation == entry.incarnation:
-            plan.uncertain = before.uncertain
-            plan.intended_model = before.intended_model
-            plan.intended_since_s = before.intended_since_s
-            if report.is_busy:
-                plan.model_order = before.model_order
-                plan.has_model_step = before.model_order is not None
-            for key in plan.used_at_s_by_adapter:
-                plan.used_at_s_by_adapter[key] = before.used_at_s_by_adapter.get(key, 0)
-        elif report.is_busy:
-            # An order of another holder is under way, and what it loads is not known
-            # before it is done.
-            plan.is_count_doubtful = True
+        if before is not None and before.incarnation != entry.incarnation:
+            before = None
+        plan = _plan_from_report(entry, report, before)
+        if plan.is_count_doubtful:
             plan.avoided_until_s = self._clock() + AVOID_S
         self._plan_by_id[entry.target_id] = plan
 
@@ -516,6 +501,42 @@
             get_logger().error("placement_task_failed", error=repr(task.exception()))
 
 
+def _plan_from_report(
+    entry: TargetEntry, report: TargetReport, before: TargetPlan | None
+) -> TargetPlan:
+    """Return a plan made from a report and what is still true of the plan before.
+
+    Parts of a report lag by some 100 ms, each by its own time, so one report alone is
+    not trusted: an order that was just completed may show neither as under way nor in
+    the models. Two that agree and show none under way are, taken further apart.
+    """
+    plan = TargetPlan(
+        entry=entry,
+        adapters_by_model=report.adapters_by_model,
+        order_count=report.order_count,
+    )
+    plan.was_report_busy = report.is_busy
+    if before is None:
+        plan.is_count_doubtful = True
+        return plan
+    plan.uncertain = before.uncertain
+    plan.intended_model = before.intended_model
+    plan.intended_since_s = before.intended_since_s
+    for key in plan.used_at_s_by_adapter:
+        plan.used_at_s_by_adapter[key] = before.used_at_s_by_adapter.get(key, 0.0)
+    if report.is_busy and before.model_order is not None:
+        plan.model_order = before.model_order
+        plan.has_model_step = True
+        return plan
+    plan.is_count_doubtful = (
+        report.is_busy
+        or before.was_report_busy
+        or before.models != plan.models
+        or before.order_count != plan.order_count
+    )
+    return plan
+
+
 def _outcome(result: OrderResult) -> str:
     if not result.is_certain:
         return "unknown"
--- a/packages/gateway/src/jaytray_gateway/process/placement/target_plan.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/target_plan.py
@@ -67,6 +67,7 @@
         self.uncertain: list[PendingOrder] = []
         self.avoided_until_s = 0.0
         self.is_count_doubtful = False
+        self.was_report_busy = False
 
     def expected_models(self) -> set[str]:
         """Return the models that will be there once all orders are carried out."""
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -131,7 +131,9 @@
 ) -> _Parts:
     rng = random.Random()
     public_key, secret_key = zmq.curve_keypair()
-    directory = Directory(key_value=key_value, adapter=adapter, clock=clock)
+    directory = Directory(
+        key_value=key_value, adapter=adapter, clock=clock, bound_s=options.change_s
+    )
     hub = PeerHub(
         vm_id=options.vm_id,
         boot_epoch_ms=time.time_ns() // 1_000_000,
@@ -260,6 +262,7 @@
         get_logger().info("members_changed", members=",".join(sorted(members_by_id)))
     parts.shares.set_members(frozenset(members_by_id))
     parts.budget.member_count = len(members_by_id)
+    parts.directory.member_count = len(members_by_id)
 
 
 def _is_ready(parts: _Parts) -> bool:
--- a/packages/gateway/src/jaytray_gateway/process/target_choice.py
+++ b/packages/gateway/src/jaytray_gateway/process/target_choice.py
@@ -15,8 +15,9 @@
 MS_PER_RUNNING = 1.5
 # Milliseconds that a request at a plain service takes, from the sheets.
 MS_PER_PLAIN_REQUEST = 20.0
-# Milliseconds that a target in another failure domain costs.
-MS_PER_DISTANCE = 1.0
+# Milliseconds that a target in another failure domain costs: bytes between domains
+# are paid for.
+MS_PER_DISTANCE = 4.0
 # Milliseconds that a recent failure in every exchange would cost.
 MS_PER_FAILURE = 200.0
 # Requests at an engine beyond its slots wait a whole run.
--- a/packages/gateway/tests/process/placement/test_duty.py
+++ b/packages/gateway/tests/process/placement/test_duty.py
@@ -37,6 +37,7 @@
     metrics_address="",
     key_value_address="127.0.0.1:4",
     revocation_s=5.0,
+    change_s=2.0,
     grace_s=8.0,
     repeat_ratio=0.2,
     repeat_extra=56.0,
@@ -46,6 +47,7 @@
     load_window_factor=1.1,
 )
 LOAD_S = 1.0
+REPORT_LAG_S = 0.15
 
 
 class Engine:
@@ -58,6 +60,8 @@
     def __init__(self, *, target_id: str, models: str) -> None:
         self.target_id = target_id
         self.models = set(models)
+        # The models of reports lag behind; whether an order is under way does not.
+        self.reported_models = set(models)
         self.adapters: set[tuple[str, str]] = set()
         self.order_count = 0
         self.is_busy = False
@@ -75,10 +79,19 @@
         await asyncio.sleep(0.6)
         return result(is_certain=False)
 
+    def complete_foreign_load(self, model: str) -> None:
+        self.models.add(model)
+        self.is_busy = False
+        self._later(self._report_models_later())
+
+    async def _report_models_later(self) -> None:
+        await asyncio.sleep(REPORT_LAG_S)
+        self.reported_models = set(self.models)
+
     def report(self) -> TargetReport:
         by_model = {
             model: frozenset(a for m, a in self.adapters if m == model)
-            for model in self.models
+            for model in self.reported_models
         }
         return TargetReport(by_model, self.is_busy, self.order_count)
 
@@ -137,6 +150,7 @@
         else:
             self.models.discard(order.model)
         self.is_busy = False
+        await self._report_models_later()
 
     def _later(self, work: Awaitable[None]) -> None:
         task = asyncio.ensure_future(work)
@@ -166,7 +180,9 @@
         store = KeyValueStore(clock=clock)
         key_value = in_process_key_value(store, FaultSwitches())
         adapter = ADAPTER._replace(send_order=self._send, read_report=self._report)
-        self.directory = Directory(key_value=key_value, adapter=adapter, clock=clock)
+        self.directory = Directory(
+            key_value=key_value, adapter=adapter, clock=clock, bound_s=2.0
+        )
         self.directory.route_table = RouteTable(
             1,
             {},
@@ -333,17 +349,17 @@
 
         run_site(check, engine)
 
+    @parameterized.expand([(step / 20,) for step in range(8)])
     def test_target_busy_with_another_holders_order_is_left_until_it_is_done(
-        self,
+        self, after_s: float
     ) -> None:
         engine = Engine(target_id="t1", models="ab")
         engine.is_busy = True
 
         async def check(site: Site) -> None:
             site.duty.ask("svc", "d", "")
-            await asyncio.sleep(1.0)
-            engine.models.add("c")
-            engine.is_busy = False
+            await asyncio.sleep(1.0 + after_s)
+            engine.complete_foreign_load("c")
             await site.until(lambda: asks_for(site, "d"), 6.0)
             self.assertFalse(engine.is_overfilled)
 
--- a/packages/gateway/tests/process/test_directory.py
+++ b/packages/gateway/tests/process/test_directory.py
@@ -70,6 +70,7 @@
             key_value=in_process_key_value(store, self.faults),
             adapter=ADAPTER,
             clock=loop.time,
+            bound_s=2.0,
         )
         self.tasks = [
             asyncio.create_task(self.directory.run_reads()),
