--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -48,6 +48,8 @@
     # The process.
     "gateway_started": ("members",),
     "gateway_stopped": (),
+    "settings_reread": ("changed",),
+    "settings_unusable": ("error",),
     "drain_started": ("running",),
     "drain_finished": ("running",),
 }
--- a/packages/gateway/src/jaytray_gateway/process/crash_guard.py
+++ b/packages/gateway/src/jaytray_gateway/process/crash_guard.py
@@ -1,8 +1,9 @@
 """Requests that break the targets which run them, recognised by their content.
 
 Each broken answer is counted for the request's digest and told to the peers before
-the caller gets the failure. After a few breaks on different targets' starts the
-request is refused for a time.
+the caller gets the failure. After a few breaks on different targets' starts, with no
+whole answer in between, the request is refused for a time. Requests that are alike,
+such as reads without a body, so clear each other.
 """
 
 from collections import OrderedDict
@@ -17,18 +18,22 @@
 
 # Breaks after which a request is refused, as the contract allows three runs.
 MAX_BREAKS = 3
+# Breaks closer to each other count as one: something between broke several runs of
+# requests that are alike. A caller's next try comes later than that.
+COMMON_CAUSE_S = 0.5
 # Time after the last break for which it stays refused.
 HOLD_S = 60.0
 RETRY_S = 5.0
 MAX_DIGESTS = 2_000
 
 
-class Break(NamedTuple):
-    """One broken answer: the request's digest and the target's start."""
+class RunEnd(NamedTuple):
+    """How a run of the request with this digest ended at a start of a target."""
 
     digest: str
     target_id: str
     incarnation: str
+    is_broken: bool
 
 
 class _Suspect(NamedTuple):
@@ -37,10 +42,10 @@
 
 
 class CrashGuard:
-    """Breaks by content digest; `tell_peers` passes a new one on."""
+    """Breaks by content digest; `tell_peers` passes on what changes them."""
 
     def __init__(
-        self, *, clock: MonotonicClock, tell_peers: Callable[[Break], None]
+        self, *, clock: MonotonicClock, tell_peers: Callable[[RunEnd], None]
     ) -> None:
         self._clock = clock
         self._tell_peers = tell_peers
@@ -62,17 +67,30 @@
 
     def note_break(self, digest: str, target: TargetEntry) -> None:
         """Count an answer that broke off here, and tell the peers."""
-        found = Break(digest, target.target_id, target.incarnation)
+        found = RunEnd(digest, target.target_id, target.incarnation, True)
         self.take(found)
         self._tell_peers(found)
 
-    def take(self, found: Break) -> None:
-        """Count a break, also one that a peer tells of."""
-        before = self._suspect_by_digest.pop(found.digest, _Suspect((), 0.0))
+    def note_whole(self, digest: str, target: TargetEntry) -> None:
+        """Clear a request that had a whole answer, and tell the peers."""
+        if digest in self._suspect_by_digest:
+            found = RunEnd(digest, target.target_id, target.incarnation, False)
+            self.take(found)
+            self._tell_peers(found)
+
+    def take(self, found: RunEnd) -> None:
+        """Take the end of a run, also one that a peer tells of."""
+        if not found.is_broken:
+            self._suspect_by_digest.pop(found.digest, None)
+            return
+        before = self._suspect_by_digest.pop(found.digest, _Suspect((), -HOLD_S))
+        now_s = self._clock()
         place = (found.target_id, found.incarnation)
-        breaks = before.breaks if place in before.breaks else (*before.breaks, place)
-        self._suspect_by_digest[found.digest] = _Suspect(breaks, self._clock())
-        if len(breaks) == MAX_BREAKS:
+        is_same_cause = place in before.breaks or now_s - before.last_s < COMMON_CAUSE_S
+        breaks = before.breaks if is_same_cause else (*before.breaks, place)
+        last_s = before.last_s if is_same_cause else now_s
+        self._suspect_by_digest[found.digest] = _Suspect(breaks, last_s)
+        if len(breaks) == MAX_BREAKS and not is_same_cause:
             get_logger().warning("request_quarantined", digest=found.digest)
         while len(self._suspect_by_digest) > MAX_DIGESTS:
             self._suspect_by_digest.popitem(last=False)
--- a/packages/gateway/src/jaytray_gateway/process/gossip.py
+++ b/packages/gateway/src/jaytray_gateway/process/gossip.py
@@ -1,4 +1,4 @@
-"""What members tell each other: load, demand, broken answers, replicas, wishes.
+"""What members tell each other: load, demand, ends of runs, replicas, wishes.
 
 Messages are small, idempotent and may be lost; each goes straight to every member.
 """
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from jaytray_core.codec import decode_msgpack, encode_msgpack
-from jaytray_gateway.process.crash_guard import Break, CrashGuard
+from jaytray_gateway.process.crash_guard import CrashGuard, RunEnd
 from jaytray_gateway.process.demand_average import DemandAverage
 from jaytray_gateway.process.load_view import LoadView, TargetLoad
 from jaytray_gateway.process.rate_gifts import RateGifts
@@ -28,7 +28,7 @@
 REPORTS_UNTIL_HEARD = 6
 
 _REPORT = "gateway.report"
-_BREAK = "gateway.break"
+_RUN_END = "gateway.run_end"
 _NOTICES = "gateway.notices"
 _WISH = "gateway.wish"
 
@@ -79,15 +79,15 @@
     ) -> None:
         """Route what the others send to the subsystems."""
 
-        def on_break(sender: str, body: bytes) -> None:
-            crash_guard.take(decode_msgpack(body, Break, peer=sender))
+        def on_run_end(sender: str, body: bytes) -> None:
+            crash_guard.take(decode_msgpack(body, RunEnd, peer=sender))
 
         def on_wish(sender: str, body: bytes) -> None:
             take_wish(decode_msgpack(body, ReplicaWish, peer=sender))
 
         self._peers.set_handler(_REPORT, self._take_report)
         self._peers.set_handler(_NOTICES, self._take_notices)
-        self._peers.set_handler(_BREAK, on_break)
+        self._peers.set_handler(_RUN_END, on_run_end)
         self._peers.set_handler(_WISH, on_wish)
 
     def member_ids(self) -> frozenset[str]:
@@ -104,9 +104,9 @@
             scaled_s = REPORT_S_PER_MEMBER * len(members)
             await asyncio.sleep(max(REPORT_INTERVAL_S, scaled_s))
 
-    def tell_break(self, found: Break) -> None:
-        """Tell all members of a broken answer."""
-        self._send_all(_BREAK, encode_msgpack(found))
+    def tell_run_end(self, found: RunEnd) -> None:
+        """Tell all members of a broken answer, or of a whole one after it."""
+        self._send_all(_RUN_END, encode_msgpack(found))
 
     def tell_notices(self, notices: list[ReplicaNotice]) -> None:
         """Tell all members which replicas came or go, this one included."""
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import signal
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -11,6 +12,7 @@
 
 from jaytray_core.addresses import parse_address
 from jaytray_core.clock import MonotonicClock, monotonic_clock
+from jaytray_core.errors import JaytrayError
 from jaytray_core.keyvalue import KeyValueService
 from jaytray_core.logs import get_logger
 from jaytray_core.vm_list import VmEntry, VmState
@@ -86,14 +88,19 @@
     key_value: KeyValueService,
     lease_key_value: KeyValueService,
     metrics: GatewayMetrics,
+    read_options: Callable[[], GatewayOptions],
     clock: MonotonicClock = monotonic_clock,
 ) -> None:
     """Serve until a planned stop has finished.
 
+    `read_options` reads the settings again, on SIGHUP; it may raise `JaytrayError`.
     `lease_key_value` is a connection that gives calls up sooner, for a lease that is
     renewed several times a second.
     """
     stop = install_stop_signals()
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGHUP, lambda: _log_reload(options, read_options)
+    )
     parts = _build(options, adapter, key_value, lease_key_value, metrics, clock)
     async with AsyncExitStack() as stack:
         if options.metrics_address:
@@ -121,6 +128,23 @@
     get_logger().info("gateway_stopped")
 
 
+def _log_reload(
+    options: GatewayOptions, read_options: Callable[[], GatewayOptions]
+) -> None:
+    """Check the settings and tell what the next start will take from them.
+
+    Addresses and bounds are fixed for the life of a process.
+    """
+    try:
+        fresh = read_options()._asdict()
+    except JaytrayError as err:
+        get_logger().error("settings_unusable", error=str(err))
+        return
+    in_force = options._asdict()
+    changed = sorted(name for name in fresh if fresh[name] != in_force[name])
+    get_logger().info("settings_reread", changed=",".join(changed) or "-")
+
+
 def _build(
     options: GatewayOptions,
     adapter: PlatformAdapter,
@@ -173,7 +197,7 @@
         replicas=replicas,
         replica_demand=replica_demand,
     )
-    crash_guard = CrashGuard(clock=clock, tell_peers=gossip.tell_break)
+    crash_guard = CrashGuard(clock=clock, tell_peers=gossip.tell_run_end)
     placement = PlacementDuty(
         options=options,
         key_value=lease_key_value,
--- a/packages/gateway/src/jaytray_gateway/request/request_path.py
+++ b/packages/gateway/src/jaytray_gateway/request/request_path.py
@@ -95,8 +95,9 @@
 class _Run:
     """State of one admitted request."""
 
-    def __init__(self, *, admitted: Admitted, service: Service) -> None:
+    def __init__(self, *, admitted: Admitted, service: Service, digest: str) -> None:
         self.admitted = admitted
+        self.digest = digest
         self.service = service
         self.sends = 0
         self.runs = 0
@@ -147,7 +148,7 @@
     digest = content_digest(request, admitted.account_name)
     services.crash_guard.check(digest)
     services.budget.note_request(name)
-    return _Run(admitted=admitted, service=service)
+    return _Run(admitted=admitted, service=service, digest=digest)
 
 
 async def _answer(run: _Run, reply: CallerReply, services: RequestServices) -> None:
@@ -207,6 +208,7 @@
         ) as exchange:
             await _take_answer(run, target, in_flight, exchange, reply, services)
         services.health.succeeded(target.target_id)
+        services.crash_guard.note_whole(run.digest, target)
     except ExchangeBroken as err:
         is_late = err.progress is Progress.TIMED_OUT
         if err.progress is Progress.NOT_SENT:
@@ -341,8 +343,7 @@
     """Return if the request may run once more; raises otherwise."""
     _log_try(run, "timed_out" if err.is_timeout else "broken", err.detail)
     if not err.is_timeout:
-        digest = content_digest(run.admitted.request, run.admitted.account_name)
-        services.crash_guard.note_break(digest, target)
+        services.crash_guard.note_break(run.digest, target)
     if run.events is not None:
         run.events.drop_partial()
     if _may_run_again(run, services):
