--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src)):$(CURDIR)/$(PLATFORM)/src:$(CURDIR)
 
 .PHONY: pages setup test check format lint types unit demo serve faults bench-path \
-	bench-limits bench-policy capacity
+	bench-limits bench-policy capacity soak
 
 setup: $(VENV)/.installed
 
@@ -70,3 +70,10 @@
 
 capacity: setup
 	$(PYTHON) -m tools.capacity
+
+# Plays COUNT seeds of the fault soak from SEED on.
+SEED ?= 1
+COUNT ?= 5
+
+soak: setup
+	$(PYTHON) -m jaytray_platform_tests.soak --seed=$(SEED) --count=$(COUNT)
--- a/packages/gateway/src/jaytray_gateway/process/placement/duty.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/duty.py
@@ -5,15 +5,9 @@
 from typing import Any, NamedTuple
 
 from jaytray_core.clock import MonotonicClock
-from jaytray_core.errors import JaytrayError
 from jaytray_core.keyvalue import KeyValueService
 from jaytray_core.logs import get_logger
-from jaytray_gateway.ports import (
-    OrderResult,
-    PlatformAdapter,
-    TargetOrder,
-    TargetReport,
-)
+from jaytray_gateway.ports import PlatformAdapter
 from jaytray_gateway.process.directory import Directory
 from jaytray_gateway.process.gossip import Gossip, ReplicaWish
 from jaytray_gateway.process.load_view import LoadView
@@ -26,8 +20,10 @@
 )
 from jaytray_gateway.process.placement.leadership import Leadership
 from jaytray_gateway.process.placement.load_pace import LoadPace
+from jaytray_gateway.process.placement.orders import OrderGiver
+from jaytray_gateway.process.placement.plan_book import PlanBook
 from jaytray_gateway.process.placement.planner import Demand, ModelStep, next_steps
-from jaytray_gateway.process.placement.target_plan import PendingOrder, TargetPlan
+from jaytray_gateway.process.placement.target_plan import TargetPlan
 from jaytray_gateway.process.replicas import ReplicaNotice
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.process.target_health import TargetHealth
@@ -44,9 +40,6 @@
 # Pace and longest time of trying a load after the unload that makes room for it.
 SWAP_TRY_INTERVAL_S = 0.05
 SWAP_TRIES_S = 0.6
-# Time for which a target that refused an order, or could not be asked, gets none;
-# longer than its reports lag.
-AVOID_S = 0.3
 
 
 class _Wish(NamedTuple):
@@ -71,12 +64,9 @@
         clock: MonotonicClock,
     ) -> None:
         self._own_id = options.vm_id
-        self._adapter = adapter
         self._directory = directory
         self._gossip = gossip
         self._loads = loads
-        self._health = health
-        self._metrics = metrics
         self._clock = clock
         key = adapter.own_prefix + LEADER_KEY
         self._leadership = Leadership(
@@ -93,11 +83,24 @@
             factor=options.load_window_factor,
             clock=clock,
         )
-        self._plan_by_id: dict[str, TargetPlan] = {}
-        self._lock_by_id: dict[str, asyncio.Lock] = {}
+        self._orders = OrderGiver(
+            own_id=options.vm_id,
+            adapter=adapter,
+            leadership=self._leadership,
+            health=health,
+            metrics=metrics,
+            clock=clock,
+        )
+        self._plans = PlanBook(
+            adapter=adapter,
+            orders=self._orders,
+            health=health,
+            clock=clock,
+            on_loaded=lambda entry, model: self._tell(entry, model, is_present=True),
+            start=self._start,
+        )
         self._wish_by_replica: dict[tuple[str, str, str], _Wish] = {}
         self._loading_adapters: set[tuple[str, str, str]] = set()
-        self._asked_ids: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._reign = 0
         self._wished = asyncio.Event()
@@ -142,11 +145,11 @@
         is_held = self._leadership.is_held()
         self._directory.is_placement_holder = is_held
         if not is_held:
-            self._plan_by_id.clear()
+            self._plans.clear()
             return
         if self._reign != self._leadership.fencing_number:
             self._reign = self._leadership.fencing_number
-            self._plan_by_id.clear()
+            self._plans.clear()
         self._drop_old_wishes()
         table = self._directory.route_table
         if table is None:
@@ -161,7 +164,7 @@
             for target in self._directory.targets_by_id.values()
             if target.service == service.name and not target.is_leaving
         }
-        plans = self._current_plans(engine, entries_by_id)
+        plans = self._plans.current(engine, entries_by_id)
         self._load_wished_adapters(service, engine, plans, entries_by_id)
         steps = next_steps(
             engine,
@@ -170,8 +173,9 @@
             loads_allowed=self._pace.allowed(engine.loads_per_s),
             now_s=self._clock(),
         )
+        plan_by_id = {plan.target_id: plan for plan in plans}
         for step in steps:
-            plan = self._plan_by_id[step.target_id]
+            plan = plan_by_id[step.target_id]
             plan.has_model_step = True
             entry = entries_by_id[step.target_id]
             self._start(self._carry_out(step, plan, entry, engine))
@@ -196,61 +200,6 @@
         }
         return Demand(rates, wished - held, in_use_by_target)
 
-    def _current_plans(
-        self, engine: Engine, entries_by_id: dict[str, TargetEntry]
-    ) -> list[TargetPlan]:
-        """Return the known plans, brought up to date; ask for those in doubt."""
-        now_s = self._clock()
-        unknown: list[TargetEntry] = []
-        for entry in entries_by_id.values():
-            plan = self._plan_by_id.get(entry.target_id)
-            if plan is None or plan.incarnation != entry.incarnation:
-                if not self._health.is_down(entry.target_id):
-                    unknown.append(entry)
-                continue
-            loaded = plan.take_entry(entry, now_s)
-            if loaded is not None:
-                self._tell(entry, loaded, is_present=True)
-            is_doubtful = plan.is_count_doubtful or plan.is_overdue(engine, now_s)
-            if is_doubtful and plan.avoided_until_s <= now_s:
-                unknown.append(entry)
-        for entry in unknown:
-            if entry.target_id not in self._asked_ids:
-                self._asked_ids.add(entry.target_id)
-                self._start(self._read_report(entry))
-        return [
-            self._plan_by_id[target_id]
-            for target_id, entry in entries_by_id.items()
-            if target_id in self._plan_by_id
-            and self._plan_by_id[target_id].incarnation == entry.incarnation
-            and not self._plan_by_id[target_id].is_count_doubtful
-            and not self._health.is_down(target_id)
-        ]
-
-    async def _read_report(self, entry: TargetEntry) -> None:
-        """Make a new plan from what the target itself says.
-
-        No order is under way meanwhile, so the old plan knows how its last one ended.
-        """
-        try:
-            async with self._lock_of(entry.target_id):
-                report = await self._adapter.read_report(entry.address)
-        except JaytrayError as err:
-            get_logger().info(
-                "target_report_failed", target=entry.target_id, error=str(err)
-            )
-            self._health.unreachable(entry.target_id, err.text)
-            return
-        finally:
-            self._asked_ids.discard(entry.target_id)
-        before = self._plan_by_id.get(entry.target_id)
-        if before is not None and before.incarnation != entry.incarnation:
-            before = None
-        plan = _plan_from_report(entry, report, before)
-        if plan.is_count_doubtful:
-            plan.avoided_until_s = self._clock() + AVOID_S
-        self._plan_by_id[entry.target_id] = plan
-
     def _load_wished_adapters(
         self,
         service: Service,
@@ -288,7 +237,7 @@
             if target_id is None:
                 return
             entry = entries_by_id[target_id]
-            async with self._lock_of(target_id):
+            async with self._orders.lock_of(target_id):
                 ready_in_s = await self._place_adapter(wish, entry, engine)
             if ready_in_s is not None:
                 await asyncio.sleep(ready_in_s)
@@ -304,7 +253,7 @@
 
         Returns the seconds until the adapter is there, None if it will not be.
         """
-        plan = self._plan_by_id.get(entry.target_id)
+        plan = self._plans.find(entry.target_id)
         if plan is None or plan.has_model_step:
             return None
         if (wish.model, wish.adapter) in plan.used_at_s_by_adapter:
@@ -319,12 +268,12 @@
             if victim is None:
                 return None
             self._tell(entry, "/".join(victim), is_present=False)
-            if not await self._order(
+            if not await self._orders.give(
                 plan, entry, engine, is_load=False, model=victim[0], adapter=victim[1]
             ):
                 plan.used_at_s_by_adapter[victim] = self._clock()
                 return None
-        is_accepted = await self._order(
+        is_accepted = await self._orders.give(
             plan, entry, engine, is_load=True, model=wish.model, adapter=wish.adapter
         )
         return ADAPTER_LOAD_S if is_accepted else None
@@ -342,7 +291,7 @@
         if not plan.is_at_hand(step.makes_room_for or step.model):
             self._pace.note_load()
         try:
-            async with self._lock_of(entry.target_id):
+            async with self._orders.lock_of(entry.target_id):
                 if step.is_load:
                     await self._order_load(plan, entry, engine, step.model)
                 else:
@@ -361,7 +310,7 @@
         plan.intended_model = step.makes_room_for
         plan.intended_since_s = self._clock()
         self._tell(entry, step.model, is_present=False)
-        if not await self._order(
+        if not await self._orders.give(
             plan, entry, engine, is_load=False, model=step.model, adapter=""
         ):
             plan.intended_model = ""
@@ -378,103 +327,10 @@
     async def _order_load(
         self, plan: TargetPlan, entry: TargetEntry, engine: Engine, model: str
     ) -> bool:
-        return await self._order(
+        return await self._orders.give(
             plan, entry, engine, is_load=True, model=model, adapter=""
         )
 
-    async def _order(
-        self,
-        plan: TargetPlan,
-        entry: TargetEntry,
-        engine: Engine,
-        *,
-        is_load: bool,
-        model: str,
-        adapter: str,
-    ) -> bool:
-        """Send one order with the target's lock held; True when it was accepted.
-
-        Each order states the count of those before it, so they go one after the
-        other; whether there is room is checked right before sending.
-        """
-        if plan.incarnation != entry.incarnation or not self._leadership.is_held():
-            return False
-        is_after_unload = is_load and not adapter and plan.model_order is not None
-        if is_after_unload and not plan.has_room_after_unload(engine, model):
-            return False
-        if is_load and not is_after_unload:
-            if not plan.has_room(engine, model, adapter):
-                return False
-        order = PendingOrder(
-            is_load=is_load,
-            model=model,
-            adapter=adapter,
-            expected_order_count=plan.order_count,
-            sent_at_s=self._clock(),
-            is_certain=True,
-            was_listed=model in entry.adapters_by_model,
-        )
-        if not adapter and not is_after_unload:
-            plan.model_order = order
-        result = await self._send(entry, order)
-        if is_after_unload and result.is_certain and result.is_outdated:
-            return False
-        if is_after_unload and result.is_accepted:
-            plan.note_unload_done()
-        return self._take_result(plan, entry, order, result)
-
-    def _lock_of(self, target_id: str) -> asyncio.Lock:
-        return self._lock_by_id.setdefault(target_id, asyncio.Lock())
-
-    async def _send(self, entry: TargetEntry, order: PendingOrder) -> OrderResult:
-        wire_order = TargetOrder(
-            is_load=order.is_load,
-            model=order.model,
-            adapter=order.adapter,
-            expected_order_count=order.expected_order_count,
-            holder=self._own_id,
-            fencing_number=self._leadership.fencing_number,
-        )
-        return await self._adapter.send_order(
-            entry.address, entry.target_id, wire_order
-        )
-
-    def _take_result(
-        self,
-        plan: TargetPlan,
-        entry: TargetEntry,
-        order: PendingOrder,
-        result: OrderResult,
-    ) -> bool:
-        outcome = _outcome(result)
-        operation = "load" if order.is_load else "unload"
-        self._metrics.orders.labels(operation, outcome).inc()
-        get_logger().info(
-            "order_given",
-            target=entry.target_id,
-            operation=operation,
-            replica=f"{order.model}/{order.adapter}" if order.adapter else order.model,
-            expected_order_count=order.expected_order_count,
-            fencing_number=self._leadership.fencing_number,
-            outcome=outcome,
-            detail=result.detail,
-        )
-        if result.is_accepted:
-            plan.note_accepted(order, is_done=result.is_done)
-            return True
-        if plan.model_order is order:
-            plan.model_order = None
-        plan.avoided_until_s = self._clock() + AVOID_S
-        if result.is_unreachable:
-            self._health.unreachable(entry.target_id, result.detail)
-        elif not result.is_certain:
-            plan.note_uncertain(order)
-        elif result.is_fenced_off:
-            self._leadership.abandon(f"{entry.target_id} knows a higher number")
-        elif result.is_outdated:
-            plan.is_count_doubtful = True
-        return False
-
     def _tell(self, entry: TargetEntry, replica: str, *, is_present: bool) -> None:
         notice = ReplicaNotice(
             target_id=entry.target_id,
@@ -499,49 +355,3 @@
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             get_logger().error("placement_task_failed", error=repr(task.exception()))
-
-
-def _plan_from_report(
-    entry: TargetEntry, report: TargetReport, before: TargetPlan | None
-) -> TargetPlan:
-    """Return a plan made from a report and what is still true of the plan before.
-
-    Parts of a report lag by some 100 ms, each by its own time, so one report alone is
-    not trusted: an order that was just completed may show neither as under way nor in
-    the models. Two that agree and show none under way are, taken further apart.
-    """
-    plan = TargetPlan(
-        entry=entry,
-        adapters_by_model=report.adapters_by_model,
-        order_count=report.order_count,
-    )
-    plan.was_report_busy = report.is_busy
-    if before is None:
-        plan.is_count_doubtful = True
-        return plan
-    plan.uncertain = before.uncertain
-    plan.intended_model = before.intended_model
-    plan.intended_since_s = before.intended_since_s
-    for key in plan.used_at_s_by_adapter:
-        plan.used_at_s_by_adapter[key] = before.used_at_s_by_adapter.get(key, 0.0)
-    if report.is_busy and before.model_order is not None:
-        plan.model_order = before.model_order
-        plan.has_model_step = True
-        return plan
-    plan.is_count_doubtful = (
-        report.is_busy
-        or before.was_report_busy
-        or before.models != plan.models
-        or before.order_count != plan.order_count
-    )
-    return plan
-
-
-def _outcome(result: OrderResult) -> str:
-    if not result.is_certain:
-        return "unknown"
-    if result.is_accepted:
-        return "accepted"
-    if result.is_fenced_off:
-        return "fenced_off"
-    return "outdated" if result.is_outdated else "refused"
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/process/placement/orders.py
@@ -0,0 +1,143 @@
+"""Orders to targets: one after the other for each, with room and lease checked."""
+
+import asyncio
+
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.logs import get_logger
+from jaytray_gateway.ports import OrderResult, PlatformAdapter, TargetOrder
+from jaytray_gateway.process.metrics import GatewayMetrics
+from jaytray_gateway.process.placement.leadership import Leadership
+from jaytray_gateway.process.placement.target_plan import PendingOrder, TargetPlan
+from jaytray_gateway.process.target_entry import TargetEntry
+from jaytray_gateway.process.target_health import TargetHealth
+from jaytray_gateway.version.route_table import Engine
+
+# Time for which a target that refused an order, or whose report is in doubt, gets none;
+# longer than its reports lag.
+AVOID_S = 0.3
+
+
+class OrderGiver:
+    """Gives the holder's orders and takes their results into the targets' plans."""
+
+    def __init__(
+        self,
+        *,
+        own_id: str,
+        adapter: PlatformAdapter,
+        leadership: Leadership,
+        health: TargetHealth,
+        metrics: GatewayMetrics,
+        clock: MonotonicClock,
+    ) -> None:
+        self._own_id = own_id
+        self._adapter = adapter
+        self._leadership = leadership
+        self._health = health
+        self._metrics = metrics
+        self._clock = clock
+        self._lock_by_id: dict[str, asyncio.Lock] = {}
+
+    def lock_of(self, target_id: str) -> asyncio.Lock:
+        """Return the lock that is held while an order to the target is under way."""
+        return self._lock_by_id.setdefault(target_id, asyncio.Lock())
+
+    async def give(
+        self,
+        plan: TargetPlan,
+        entry: TargetEntry,
+        engine: Engine,
+        *,
+        is_load: bool,
+        model: str,
+        adapter: str,
+    ) -> bool:
+        """Send one order with the target's lock held; True when it was accepted.
+
+        Each order states the count of those before it, so they go one after the
+        other; whether there is room is checked right before sending.
+        """
+        if plan.incarnation != entry.incarnation or not self._leadership.is_held():
+            return False
+        is_after_unload = is_load and not adapter and plan.model_order is not None
+        if is_after_unload and not plan.has_room_after_unload(engine, model):
+            return False
+        if is_load and not is_after_unload:
+            if not plan.has_room(engine, model, adapter):
+                return False
+        order = PendingOrder(
+            is_load=is_load,
+            model=model,
+            adapter=adapter,
+            expected_order_count=plan.order_count,
+            sent_at_s=self._clock(),
+            is_certain=True,
+            was_listed=model in entry.adapters_by_model,
+        )
+        if not adapter and not is_after_unload:
+            plan.model_order = order
+        result = await self._send(entry, order)
+        if is_after_unload and result.is_certain and result.is_outdated:
+            return False
+        if is_after_unload and result.is_accepted:
+            plan.note_unload_done()
+        return self._take_result(plan, entry, order, result)
+
+    async def _send(self, entry: TargetEntry, order: PendingOrder) -> OrderResult:
+        wire_order = TargetOrder(
+            is_load=order.is_load,
+            model=order.model,
+            adapter=order.adapter,
+            expected_order_count=order.expected_order_count,
+            holder=self._own_id,
+            fencing_number=self._leadership.fencing_number,
+        )
+        return await self._adapter.send_order(
+            entry.address, entry.target_id, wire_order
+        )
+
+    def _take_result(
+        self,
+        plan: TargetPlan,
+        entry: TargetEntry,
+        order: PendingOrder,
+        result: OrderResult,
+    ) -> bool:
+        outcome = _outcome(result)
+        operation = "load" if order.is_load else "unload"
+        self._metrics.orders.labels(operation, outcome).inc()
+        get_logger().info(
+            "order_given",
+            target=entry.target_id,
+            operation=operation,
+            replica=f"{order.model}/{order.adapter}" if order.adapter else order.model,
+            expected_order_count=order.expected_order_count,
+            fencing_number=self._leadership.fencing_number,
+            outcome=outcome,
+            detail=result.detail,
+        )
+        if result.is_accepted:
+            plan.note_accepted(order, is_done=result.is_done)
+            return True
+        if plan.model_order is order:
+            plan.model_order = None
+        plan.avoided_until_s = self._clock() + AVOID_S
+        if result.is_unreachable:
+            self._health.unreachable(entry.target_id, result.detail)
+        elif not result.is_certain:
+            plan.note_uncertain(order)
+        elif result.is_fenced_off:
+            self._leadership.abandon(f"{entry.target_id} knows a higher number")
+        elif result.is_outdated:
+            plan.is_count_doubtful = True
+        return False
+
+
+def _outcome(result: OrderResult) -> str:
+    if not result.is_certain:
+        return "unknown"
+    if result.is_accepted:
+        return "accepted"
+    if result.is_fenced_off:
+        return "fenced_off"
+    return "outdated" if result.is_outdated else "refused"
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/process/placement/plan_book.py
@@ -0,0 +1,141 @@
+"""The holder's plans of all targets, from the directory and from reports."""
+
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.errors import JaytrayError
+from jaytray_core.logs import get_logger
+from jaytray_gateway.ports import PlatformAdapter, TargetReport
+from jaytray_gateway.process.placement.orders import AVOID_S, OrderGiver
+from jaytray_gateway.process.placement.target_plan import TargetPlan
+from jaytray_gateway.process.target_entry import TargetEntry
+from jaytray_gateway.process.target_health import TargetHealth
+from jaytray_gateway.version.route_table import Engine
+
+# Takes a target and the model whose load it shows to be complete.
+OnLoaded = Callable[[TargetEntry, str], None]
+# Runs work in the background.
+Start = Callable[[Coroutine[Any, Any, None]], None]
+
+
+class PlanBook:
+    """Plans by target id, for one reign of the holder."""
+
+    def __init__(
+        self,
+        *,
+        adapter: PlatformAdapter,
+        orders: OrderGiver,
+        health: TargetHealth,
+        clock: MonotonicClock,
+        on_loaded: OnLoaded,
+        start: Start,
+    ) -> None:
+        self._adapter = adapter
+        self._orders = orders
+        self._health = health
+        self._clock = clock
+        self._on_loaded = on_loaded
+        self._start = start
+        self._plan_by_id: dict[str, TargetPlan] = {}
+        self._asked_ids: set[str] = set()
+
+    def clear(self) -> None:
+        """Forget all plans, at the end of a reign."""
+        self._plan_by_id.clear()
+
+    def find(self, target_id: str) -> TargetPlan | None:
+        """Return the plan of a target, if there is one."""
+        return self._plan_by_id.get(target_id)
+
+    def current(
+        self, engine: Engine, entries_by_id: dict[str, TargetEntry]
+    ) -> list[TargetPlan]:
+        """Return the known plans, brought up to date; ask for those in doubt."""
+        now_s = self._clock()
+        unknown: list[TargetEntry] = []
+        for entry in entries_by_id.values():
+            plan = self._plan_by_id.get(entry.target_id)
+            if plan is None or plan.incarnation != entry.incarnation:
+                if not self._health.is_down(entry.target_id):
+                    unknown.append(entry)
+                continue
+            loaded = plan.take_entry(entry, now_s)
+            if loaded is not None:
+                self._on_loaded(entry, loaded)
+            is_doubtful = plan.is_count_doubtful or plan.is_overdue(engine, now_s)
+            if is_doubtful and plan.avoided_until_s <= now_s:
+                unknown.append(entry)
+        for entry in unknown:
+            if entry.target_id not in self._asked_ids:
+                self._asked_ids.add(entry.target_id)
+                self._start(self._read_report(entry))
+        return [
+            self._plan_by_id[target_id]
+            for target_id, entry in entries_by_id.items()
+            if target_id in self._plan_by_id
+            and self._plan_by_id[target_id].incarnation == entry.incarnation
+            and not self._plan_by_id[target_id].is_count_doubtful
+            and not self._health.is_down(target_id)
+        ]
+
+    async def _read_report(self, entry: TargetEntry) -> None:
+        """Make a new plan from what the target itself says.
+
+        No order is under way meanwhile, so the old plan knows how its last one ended.
+        """
+        try:
+            async with self._orders.lock_of(entry.target_id):
+                report = await self._adapter.read_report(entry.address)
+        except JaytrayError as err:
+            get_logger().info(
+                "target_report_failed", target=entry.target_id, error=str(err)
+            )
+            self._health.unreachable(entry.target_id, err.text)
+            return
+        finally:
+            self._asked_ids.discard(entry.target_id)
+        before = self._plan_by_id.get(entry.target_id)
+        if before is not None and before.incarnation != entry.incarnation:
+            before = None
+        plan = _plan_from_report(entry, report, before)
+        if plan.is_count_doubtful:
+            plan.avoided_until_s = self._clock() + AVOID_S
+        self._plan_by_id[entry.target_id] = plan
+
+
+def _plan_from_report(
+    entry: TargetEntry, report: TargetReport, before: TargetPlan | None
+) -> TargetPlan:
+    """Return a plan made from a report and what is still true of the plan before.
+
+    Parts of a report lag by some 100 ms, each by its own time, so one report alone is
+    not trusted: an order that was just completed may show neither as under way nor in
+    the models. Two that agree and show none under way are, taken further apart.
+    """
+    plan = TargetPlan(
+        entry=entry,
+        adapters_by_model=report.adapters_by_model,
+        order_count=report.order_count,
+    )
+    plan.was_report_busy = report.is_busy
+    if before is None:
+        plan.is_count_doubtful = True
+        return plan
+    plan.uncertain = before.uncertain
+    plan.intended_model = before.intended_model
+    plan.intended_since_s = before.intended_since_s
+    for key in plan.used_at_s_by_adapter:
+        plan.used_at_s_by_adapter[key] = before.used_at_s_by_adapter.get(key, 0.0)
+    if report.is_busy and before.model_order is not None:
+        plan.model_order = before.model_order
+        plan.has_model_step = True
+        return plan
+    plan.is_count_doubtful = (
+        report.is_busy
+        or before.was_report_busy
+        or before.models != plan.models
+        or before.order_count != plan.order_count
+    )
+    return plan
--- a/packages/gateway/src/jaytray_gateway/request/admission.py
+++ b/packages/gateway/src/jaytray_gateway/request/admission.py
@@ -64,6 +64,11 @@
         self.check_proof()
         return table
 
+    def version(self) -> int:
+        """Return the version in force, 0 when none is known, for the log."""
+        table = self._directory.route_table
+        return table.version if table is not None else 0
+
     def check_proof(self) -> None:
         """Raise unless the version in force was recently seen to be the newest.
 
--- a/packages/gateway/src/jaytray_gateway/request/request_path.py
+++ b/packages/gateway/src/jaytray_gateway/request/request_path.py
@@ -1,12 +1,11 @@
 """The path of one request: admit, choose a target, send, relay, repeat, refuse."""
 
 import random
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from jaytray_core import message_registry as messages
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.errors import Execution, JaytrayError, Step
-from jaytray_core.logs import get_logger
 from jaytray_gateway.connection.target_connection import ExchangeBroken, Progress
 from jaytray_gateway.connection.target_pool import TargetPools
 from jaytray_gateway.ports import AnswerHead, Dispatch, PlatformAdapter
@@ -20,20 +19,25 @@
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.process.target_health import TargetHealth
 from jaytray_gateway.request.admission import Admission, Admitted
-from jaytray_gateway.request.event_buffer import EventBuffer
 from jaytray_gateway.request.refusals import refusal_status
 from jaytray_gateway.request.reply import CallerReply
 from jaytray_gateway.request.routed_request import RoutedRequest, content_digest
+from jaytray_gateway.request.run_state import (
+    ErrorAnswer,
+    Failed,
+    Run,
+    TurnedAway,
+    log_try,
+    may_have_run,
+    refused,
+)
 from jaytray_gateway.request.target_exchange import TargetExchange, exchange_with
 from jaytray_gateway.request.target_search import TargetSearch
 from jaytray_gateway.version.route_table import (
     RequestKind,
-    Service,
     choose_service,
 )
 
-# Time to come back after a target stated that it did not run the request.
-REFUSED_RETRY_S = 0.25
 # Sends of one request that targets may turn away before it is refused.
 MAX_TURNED_AWAY = 3
 # Part of the time left that one try of an idempotent request may take while
@@ -47,33 +51,6 @@
 HTTP_SERVER_ERROR = 500
 
 
-class _TurnedAway(Exception):
-    """The target surely did not and will not run the request."""
-
-    def __init__(self, detail: str, *, has_arrived: bool) -> None:
-        super().__init__(detail)
-        self.detail = detail
-        self.has_arrived = has_arrived
-
-
-class _Failed(Exception):
-    """The target may have run the request; `status` 0 means that no answer came."""
-
-    def __init__(self, detail: str, *, is_timeout: bool) -> None:
-        super().__init__(detail)
-        self.detail = detail
-        self.is_timeout = is_timeout
-
-
-class _Retryable(Exception):
-    """A whole error answer of a target to a request that may be repeated."""
-
-    def __init__(self, head: AnswerHead, body: bytes) -> None:
-        super().__init__(f"status {head.status}")
-        self.head = head
-        self.body = body
-
-
 class RequestServices(NamedTuple):
     """What the path of a request uses of the process."""
 
@@ -92,34 +69,11 @@
     rng: random.Random
 
 
-class _Run:
-    """State of one admitted request."""
-
-    def __init__(self, *, admitted: Admitted, service: Service, digest: str) -> None:
-        self.admitted = admitted
-        self.digest = digest
-        self.service = service
-        self.sends = 0
-        self.runs = 0
-        self.turned_away = 0
-        self.tried: set[str] = set()
-        self.target_id = ""
-        self.events = EventBuffer() if admitted.route.is_resumable else None
-        self.sent_at_s: float | None = None
-        self.first_piece_s: float | None = None
-
-    @property
-    def may_repeat(self) -> bool:
-        """Return whether the request may run more than once."""
-        route = self.admitted.route
-        return route.kind is RequestKind.IDEMPOTENT or route.is_resumable
-
-
 async def serve_request(
     request: RoutedRequest, reply: CallerReply, services: RequestServices
 ) -> None:
     """Give `request` its one final answer; cancelled when the caller leaves."""
-    run: _Run | None = None
+    run: Run | None = None
     error: JaytrayError | None = None
     try:
         admitted = await services.admission.admit(request)
@@ -133,12 +87,12 @@
         _log(request, run, reply, error, services)
 
 
-def _start_run(admitted: Admitted, services: RequestServices) -> _Run:
+def _start_run(admitted: Admitted, services: RequestServices) -> Run:
     table = services.admission.table()
     name = choose_service(admitted.route, services.rng.random())
     service = table.services_by_name.get(name)
     if service is None:
-        raise _refused(messages.NO_REPLICA, Step.ROUTE, name=name)
+        raise refused(messages.NO_REPLICA, Step.ROUTE, name=name)
     request = admitted.request
     if request.model and service.engine is not None:
         cost_ms = engine_ms(request, service.engine)
@@ -148,10 +102,10 @@
     digest = content_digest(request, admitted.account_name)
     services.crash_guard.check(digest)
     services.budget.note_request(name)
-    return _Run(admitted=admitted, service=service, digest=digest)
+    return Run(admitted=admitted, service=service, digest=digest)
 
 
-async def _answer(run: _Run, reply: CallerReply, services: RequestServices) -> None:
+async def _answer(run: Run, reply: CallerReply, services: RequestServices) -> None:
     """Send the request until a target has answered it or it must be given up."""
     while True:
         target = await services.search.find(run.admitted, run.service, run.tried)
@@ -160,19 +114,19 @@
         try:
             await _send_once(run, target, reply, services)
             return
-        except _TurnedAway as err:
+        except TurnedAway as err:
             _after_turned_away(run, err, services)
-        except _Retryable as err:
-            _log_try(run, "error_answer", str(err))
+        except ErrorAnswer as err:
+            log_try(run, "error_answer", str(err))
             if not _may_run_again(run, services):
                 await reply.send_whole(err.head.status, err.head.headers, err.body)
                 return
-        except _Failed as err:
+        except Failed as err:
             _after_failure(run, target, err, reply, services)
 
 
 async def _send_once(
-    run: _Run, target: TargetEntry, reply: CallerReply, services: RequestServices
+    run: Run, target: TargetEntry, reply: CallerReply, services: RequestServices
 ) -> None:
     admitted, request = run.admitted, run.admitted.request
     in_flight = services.loads.start(
@@ -214,19 +168,19 @@
         if err.progress is Progress.NOT_SENT:
             services.health.unreachable(target.target_id, err.detail)
             services.pools.drop_target(target.target_id)
-            raise _TurnedAway(err.detail, has_arrived=False) from err
+            raise TurnedAway(err.detail, has_arrived=False) from err
         if is_late:
             services.health.answered_error(target.target_id)
         else:
             services.health.failed(target.target_id, err.detail)
         run.runs += 1
-        raise _Failed(err.detail, is_timeout=is_late) from err
+        raise Failed(err.detail, is_timeout=is_late) from err
     finally:
         services.loads.finish(target.target_id, in_flight)
 
 
 async def _take_answer(
-    run: _Run,
+    run: Run,
     target: TargetEntry,
     in_flight: int,
     exchange: TargetExchange,
@@ -238,7 +192,7 @@
     if head.is_not_run or head.is_other_instance:
         await exchange.read_body(until_s)
         services.search.note_turned_away(run.admitted.request, target, head.status)
-        raise _TurnedAway(f"status {head.status}", has_arrived=True)
+        raise TurnedAway(f"status {head.status}", has_arrived=True)
     is_success = head.status in HTTP_SUCCESS
     if head.is_encoded or (is_success and not head.is_sealed):
         raise ExchangeBroken(Progress.BROKEN, "the answer is not the target's own")
@@ -250,14 +204,14 @@
     if head.status >= HTTP_SERVER_ERROR:
         services.health.answered_error(target.target_id)
         if run.may_repeat:
-            raise _Retryable(head, body)
+            raise ErrorAnswer(head, body)
     if reply.is_started:
-        raise _Failed(f"status {head.status} on resumption", is_timeout=False)
+        raise Failed(f"status {head.status} on resumption", is_timeout=False)
     await reply.send_whole(head.status, head.headers, body)
 
 
 async def _relay_stream(
-    run: _Run,
+    run: Run,
     target: TargetEntry,
     in_flight: int,
     exchange: TargetExchange,
@@ -292,7 +246,7 @@
     await reply.finish()
 
 
-def _head_until_s(run: _Run, services: RequestServices) -> float:
+def _head_until_s(run: Run, services: RequestServices) -> float:
     """Return until when this try may wait for the head of an answer."""
     route = run.admitted.route
     expires_at_s = run.admitted.expires_at_s
@@ -304,44 +258,31 @@
     return min(expires_at_s, now_s + max(portion_s, least_s))
 
 
-def _log_try(run: _Run, outcome: str, detail: str) -> None:
-    """Log a try that ended without the request's final answer."""
-    get_logger().info(
-        "request_try_ended",
-        request_id=run.admitted.request.request_id,
-        target=run.target_id,
-        outcome=outcome,
-        sends=run.sends,
-        runs=run.runs,
-        detail=detail,
-    )
-
-
-def _after_turned_away(run: _Run, err: _TurnedAway, services: RequestServices) -> None:
+def _after_turned_away(run: Run, err: TurnedAway, services: RequestServices) -> None:
     """Return if the request may be sent to another target; raises otherwise."""
     run.turned_away += 1
-    _log_try(run, "not_run", err.detail)
+    log_try(run, "not_run", err.detail)
     is_allowed = run.turned_away < MAX_TURNED_AWAY and (
         not err.has_arrived or services.budget.take(run.service.name)
     )
     if is_allowed:
         return
     if run.runs:
-        raise _may_have_run(messages.TARGET_FAILED, run, detail=err.detail)
-    raise _refused(
+        raise may_have_run(messages.TARGET_FAILED, run, detail=err.detail)
+    raise refused(
         messages.TARGET_REFUSED, Step.DISPATCH, peer=run.target_id, detail=err.detail
     )
 
 
 def _after_failure(
-    run: _Run,
+    run: Run,
     target: TargetEntry,
-    err: _Failed,
+    err: Failed,
     reply: CallerReply,
     services: RequestServices,
 ) -> None:
     """Return if the request may run once more; raises otherwise."""
-    _log_try(run, "timed_out" if err.is_timeout else "broken", err.detail)
+    log_try(run, "timed_out" if err.is_timeout else "broken", err.detail)
     if not err.is_timeout:
         services.crash_guard.note_break(run.digest, target)
     if run.events is not None:
@@ -350,11 +291,11 @@
         return
     if err.is_timeout:
         limit_s = run.admitted.expires_at_s - run.admitted.request.received_at_s
-        raise _may_have_run(messages.TARGET_TIMEOUT, run, timeout_s=round(limit_s, 3))
-    raise _may_have_run(messages.ANSWER_INCOMPLETE, run, detail=err.detail)
+        raise may_have_run(messages.TARGET_TIMEOUT, run, timeout_s=round(limit_s, 3))
+    raise may_have_run(messages.ANSWER_INCOMPLETE, run, detail=err.detail)
 
 
-def _may_run_again(run: _Run, services: RequestServices) -> bool:
+def _may_run_again(run: Run, services: RequestServices) -> bool:
     return (
         run.may_repeat
         and run.runs < run.admitted.route.max_attempts
@@ -363,7 +304,7 @@
     )
 
 
-def _settle(run: _Run | None, err: JaytrayError, services: RequestServices) -> None:
+def _settle(run: Run | None, err: JaytrayError, services: RequestServices) -> None:
     """Give the tokens back when the request surely was not run."""
     if run is None or run.runs or err.execution is not Execution.NOT_RUN:
         return
@@ -390,26 +331,6 @@
     await reply.send_whole(refusal_status(err), headers, body)
 
 
-def _refused(
-    template: messages.MessageTemplate, step: Step, *, peer: str = "", **details: Any
-) -> JaytrayError:
-    return JaytrayError(
-        template, step=step, peer=peer, retry_after_s=REFUSED_RETRY_S, **details
-    )
-
-
-def _may_have_run(
-    template: messages.MessageTemplate, run: _Run, **details: Any
-) -> JaytrayError:
-    return JaytrayError(
-        template,
-        step=Step.DISPATCH,
-        peer=run.target_id,
-        execution=Execution.MAY_HAVE_RUN,
-        **details,
-    )
-
-
 def _rate_state(error: JaytrayError | None, services: RequestServices) -> str:
     """Return what a refusal by the account's rate was decided on."""
     if error is None or error.code != messages.RATE_EXCEEDED.code:
@@ -419,7 +340,7 @@
 
 def _log(
     request: RoutedRequest,
-    run: _Run | None,
+    run: Run | None,
     reply: CallerReply,
     error: JaytrayError | None,
     services: RequestServices,
@@ -432,7 +353,7 @@
         request_id=request.request_id,
         route=admitted.route.name if admitted else "",
         account=admitted.account_name if admitted else "",
-        version=admitted.table_version if admitted else 0,
+        version=(admitted.table_version if admitted else services.admission.version()),
         replica=request.replica_name,
         tokens=request.prompt_tokens + request.output_tokens,
         rate_state=_rate_state(error, services),
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/request/run_state.py
@@ -0,0 +1,97 @@
+"""State of one admitted request, how its tries may end, and its refusals."""
+
+from typing import Any
+
+from jaytray_core import message_registry as messages
+from jaytray_core.errors import Execution, JaytrayError, Step
+from jaytray_core.logs import get_logger
+from jaytray_gateway.ports import AnswerHead
+from jaytray_gateway.request.admission import Admitted
+from jaytray_gateway.request.event_buffer import EventBuffer
+from jaytray_gateway.version.route_table import RequestKind, Service
+
+# Time to come back after a target stated that it did not run the request.
+REFUSED_RETRY_S = 0.25
+
+
+class TurnedAway(Exception):
+    """The target surely did not and will not run the request."""
+
+    def __init__(self, detail: str, *, has_arrived: bool) -> None:
+        super().__init__(detail)
+        self.detail = detail
+        self.has_arrived = has_arrived
+
+
+class Failed(Exception):
+    """The target may have run the request and gave no whole answer."""
+
+    def __init__(self, detail: str, *, is_timeout: bool) -> None:
+        super().__init__(detail)
+        self.detail = detail
+        self.is_timeout = is_timeout
+
+
+class ErrorAnswer(Exception):
+    """A whole error answer of a target to a request that may be repeated."""
+
+    def __init__(self, head: AnswerHead, body: bytes) -> None:
+        super().__init__(f"status {head.status}")
+        self.head = head
+        self.body = body
+
+
+class Run:
+    """State of one admitted request."""
+
+    def __init__(self, *, admitted: Admitted, service: Service, digest: str) -> None:
+        self.admitted = admitted
+        self.digest = digest
+        self.service = service
+        self.sends = 0
+        self.runs = 0
+        self.turned_away = 0
+        self.tried: set[str] = set()
+        self.target_id = ""
+        self.events = EventBuffer() if admitted.route.is_resumable else None
+        self.sent_at_s: float | None = None
+        self.first_piece_s: float | None = None
+
+    @property
+    def may_repeat(self) -> bool:
+        """Return whether the request may run more than once."""
+        route = self.admitted.route
+        return route.kind is RequestKind.IDEMPOTENT or route.is_resumable
+
+
+def log_try(run: Run, outcome: str, detail: str) -> None:
+    """Log a try that ended without the request's final answer."""
+    get_logger().info(
+        "request_try_ended",
+        request_id=run.admitted.request.request_id,
+        target=run.target_id,
+        outcome=outcome,
+        sends=run.sends,
+        runs=run.runs,
+        detail=detail,
+    )
+
+
+def refused(
+    template: messages.MessageTemplate, step: Step, *, peer: str = "", **details: Any
+) -> JaytrayError:
+    return JaytrayError(
+        template, step=step, peer=peer, retry_after_s=REFUSED_RETRY_S, **details
+    )
+
+
+def may_have_run(
+    template: messages.MessageTemplate, run: Run, **details: Any
+) -> JaytrayError:
+    return JaytrayError(
+        template,
+        step=Step.DISPATCH,
+        peer=run.target_id,
+        execution=Execution.MAY_HAVE_RUN,
+        **details,
+    )
