--- a/packages/cli/src/jaytray_cli/log_commands.py
+++ b/packages/cli/src/jaytray_cli/log_commands.py
@@ -5,23 +5,23 @@
 from typing import Any
 
 from jaytray_cli.command import Command, Invocation
-from jaytray_cli.log_story import LogLine, parse_line, tell_story
+from jaytray_cli.request_timeline import LogLine, parse_line, request_timeline
 from jaytray_cli.results import ExitCode, Result, UsageError
 
 
 async def run_explain_logs(invocation: Invocation) -> Result:
-    """Tell the story of one request from the logs of several VMs."""
+    """Show the timeline of one request from the logs of several VMs."""
     request_id, *names = invocation.arguments
-    story = tell_story(request_id, _read_lines(names))
+    timeline = request_timeline(request_id, _read_lines(names))
     lines = [
-        f"{line.time_s - story[0].time_s:8.3f} s  {line.fields.get('vm', '?'):20} "
+        f"{line.time_s - timeline[0].time_s:8.3f} s  {line.fields.get('vm', '?'):20} "
         f"{line.text}"
-        for line in story
+        for line in timeline
     ]
-    if not story:
+    if not timeline:
         lines = [f"no line of these files names the request {request_id}"]
-    exit_code = ExitCode.DONE if story else ExitCode.UNCONFIRMED
-    return Result(exit_code, {"events": [line.fields for line in story]}, lines)
+    exit_code = ExitCode.DONE if timeline else ExitCode.UNCONFIRMED
+    return Result(exit_code, {"events": [line.fields for line in timeline]}, lines)
 
 
 def _read_lines(names: list[str]) -> Iterator[LogLine]:
@@ -44,7 +44,7 @@
     Command(
         "explain logs",
         ("REQUEST_ID", "FILE..."),
-        "Tell the story of a request from log files of several VMs.",
+        "Show the timeline of a request from log files of several VMs.",
         _define_no_flags,
         run_explain_logs,
     ),
--- a/packages/cli/src/jaytray_cli/log_story.py
+++ b/packages/cli/src/jaytray_cli/request_timeline.py
@@ -1,4 +1,4 @@
-"""The story of one request out of the logs of several VMs.
+"""The timeline of one request out of the logs of several VMs.
 
 Lines are key=value pairs; what stands before the first pair is ignored, so that logs
 with a prefix of their own can be read as well.
@@ -9,10 +9,10 @@
 from typing import NamedTuple
 
 _PAIR = re.compile(r'(\w+)=("(?:[^"\\\\]|\\\\.)*"|\S*)')
-# Seconds before a request's end in which a belief may have decided it.
-BELIEF_WINDOW_S = 15.0
+# Seconds before a request's end in which a change of state may have decided it.
+STATE_WINDOW_S = 15.0
 # Events that concern every request of their VM.
-_OWN_BELIEFS = frozenset(
+_OWN_STATE = frozenset(
     (
         "route_table_in_force",
         "store_lost",
@@ -47,8 +47,8 @@
     return LogLine(hours * 3600 + minutes * 60 + seconds, fields, text[start:].strip())
 
 
-def tell_story(request_id: str, lines: Iterable[LogLine]) -> list[LogLine]:
-    """Return the request's own lines and the beliefs that decided it, by time."""
+def request_timeline(request_id: str, lines: Iterable[LogLine]) -> list[LogLine]:
+    """Return the request's own lines and the changes that decided it, by time."""
     known = sorted(lines, key=lambda line: line.time_s)
     own = [line for line in known if line.fields.get("request_id") == request_id]
     if not own:
@@ -57,13 +57,13 @@
     vms = {line.fields.get("vm", "") for line in own}
     targets = {line.fields.get("target", "") for line in own} - {""}
     models = {line.fields.get("replica", "").partition("/")[0] for line in own} - {""}
-    story = [
+    timeline = [
         line
         for line in known
-        if 0 <= end_s - line.time_s <= BELIEF_WINDOW_S
+        if 0 <= end_s - line.time_s <= STATE_WINDOW_S
         and _decides(line.fields, vms, targets, models)
     ]
-    return sorted({line.text: line for line in [*story, *own]}.values())
+    return sorted({line.text: line for line in [*timeline, *own]}.values())
 
 
 def _decides(
@@ -82,4 +82,4 @@
         )
     if fields.get("vm", "") not in vms:
         return False
-    return event in _OWN_BELIEFS or fields.get("target", "") in targets
+    return event in _OWN_STATE or fields.get("target", "") in targets
--- a/packages/cli/tests/test_log_story.py
+++ b/packages/cli/tests/test_request_timeline.py
@@ -1,4 +1,4 @@
-"""The story of a request from the lines of several VMs."""
+"""The timeline of a request from the lines of several VMs."""
 
 import io
 import pathlib
@@ -6,8 +6,8 @@
 
 from testtools import TestCase
 
-from jaytray_cli.log_story import parse_line, tell_story
 from jaytray_cli.main import run
+from jaytray_cli.request_timeline import parse_line, request_timeline
 from jaytray_cli.results import ExitCode
 
 
@@ -33,10 +33,10 @@
 )
 
 
-class StoryTests(TestCase):
-    def test_own_lines_and_the_beliefs_that_decided_them(self) -> None:
+class TimelineTests(TestCase):
+    def test_own_lines_and_the_state_that_decided_them(self) -> None:
         parsed = [line for text in LINES.splitlines() if (line := parse_line(text))]
-        story = tell_story("r1", reversed(parsed))
+        timeline = request_timeline("r1", reversed(parsed))
         self.assertEqual(
             [
                 ("route_table_in_force", "a"),
@@ -45,12 +45,12 @@
                 ("request_try_ended", "a"),
                 ("request_finished", "a"),
             ],
-            [(line.fields["event"], line.fields["vm"]) for line in story],
+            [(line.fields["event"], line.fields["vm"]) for line in timeline],
         )
-        self.assertEqual("reset by peer", story[1].fields["detail"])
+        self.assertEqual("reset by peer", timeline[1].fields["detail"])
 
-    def test_unknown_request_has_no_story(self) -> None:
-        self.assertEqual([], tell_story("r7", []))
+    def test_unknown_request_has_no_timeline(self) -> None:
+        self.assertEqual([], request_timeline("r7", []))
 
     def test_command_reads_files(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -14,7 +14,7 @@
     ).split(),
     "request_try_ended": "request_id target outcome sends runs detail".split(),
     "request_quarantined": ("digest",),
-    # What the process believes of targets.
+    # State of targets, as the process knows it.
     "target_known": "target service incarnation is_leaving revision".split(),
     "target_unreadable": "target error".split(),
     "target_lapsed": ("target",),
--- a/packages/gateway/src/jaytray_gateway/process/gossip.py
+++ b/packages/gateway/src/jaytray_gateway/process/gossip.py
@@ -1,4 +1,4 @@
-"""What members tell each other: load, demand, ends of runs, replicas, wishes.
+"""What members tell each other: load, demand, ends of runs, replicas.
 
 Messages are small, idempotent and may be lost; each goes straight to every member.
 """
@@ -30,7 +30,7 @@
 _REPORT = "gateway.report"
 _RUN_END = "gateway.run_end"
 _NOTICES = "gateway.notices"
-_WISH = "gateway.wish"
+_REPLICA_REQUEST = "gateway.replica_request"
 
 
 class Report(NamedTuple):
@@ -43,8 +43,8 @@
     replicas_by_target: dict[str, list[str]]
 
 
-class ReplicaWish(NamedTuple):
-    """A member's request waits for this model or adapter."""
+class ReplicaRequest(NamedTuple):
+    """A caller's request at some member waits for this model or adapter."""
 
     service: str
     model: str
@@ -75,20 +75,22 @@
         self._replica_demand = replica_demand
 
     def subscribe(
-        self, crash_guard: CrashGuard, take_wish: Callable[[ReplicaWish], None]
+        self,
+        crash_guard: CrashGuard,
+        take_replica_request: Callable[[ReplicaRequest], None],
     ) -> None:
         """Route what the others send to the subsystems."""
 
         def on_run_end(sender: str, body: bytes) -> None:
             crash_guard.take(decode_msgpack(body, RunEnd, peer=sender))
 
-        def on_wish(sender: str, body: bytes) -> None:
-            take_wish(decode_msgpack(body, ReplicaWish, peer=sender))
+        def on_replica_request(sender: str, body: bytes) -> None:
+            take_replica_request(decode_msgpack(body, ReplicaRequest, peer=sender))
 
         self._peers.set_handler(_REPORT, self._take_report)
         self._peers.set_handler(_NOTICES, self._take_notices)
         self._peers.set_handler(_RUN_END, on_run_end)
-        self._peers.set_handler(_WISH, on_wish)
+        self._peers.set_handler(_REPLICA_REQUEST, on_replica_request)
 
     def member_ids(self) -> frozenset[str]:
         """Return the members whose leases may still run, this one included."""
@@ -114,9 +116,9 @@
             self._replicas.take_notice(notice)
         self._send_all(_NOTICES, encode_msgpack(notices))
 
-    def send_wish(self, leader: str, wish: ReplicaWish) -> None:
+    def send_replica_request(self, leader: str, wanted: ReplicaRequest) -> None:
         """Ask the placement leader for a replica."""
-        self._peers.send(leader, _WISH, encode_msgpack(wish))
+        self._peers.send(leader, _REPLICA_REQUEST, encode_msgpack(wanted))
 
     def replica_rates(self) -> dict[str, float]:
         """Return the demand by replica over all members, in engine ms a second."""
--- a/packages/gateway/src/jaytray_gateway/process/placement/duty.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/duty.py
@@ -9,7 +9,7 @@
 from jaytray_core.logs import get_logger
 from jaytray_gateway.ports import PlatformAdapter
 from jaytray_gateway.process.directory import Directory
-from jaytray_gateway.process.gossip import Gossip, ReplicaWish
+from jaytray_gateway.process.gossip import Gossip, ReplicaRequest
 from jaytray_gateway.process.load_view import LoadView
 from jaytray_gateway.process.metrics import GatewayMetrics
 from jaytray_gateway.process.options import GatewayOptions
@@ -20,10 +20,10 @@
 )
 from jaytray_gateway.process.placement.leadership import Leadership
 from jaytray_gateway.process.placement.load_pace import LoadPace
-from jaytray_gateway.process.placement.orders import OrderGiver
-from jaytray_gateway.process.placement.plan_book import PlanBook
+from jaytray_gateway.process.placement.orders import OrderSender
 from jaytray_gateway.process.placement.planner import Demand, ModelStep, next_steps
 from jaytray_gateway.process.placement.target_plan import TargetPlan
+from jaytray_gateway.process.placement.target_plans import TargetPlans
 from jaytray_gateway.process.replicas import ReplicaNotice
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.process.target_health import TargetHealth
@@ -32,9 +32,9 @@
 # Below the adapter's own prefix: the leased record of the holder.
 LEADER_KEY = "placement"
 PLAN_INTERVAL_S = 0.25
-# A wish that was not repeated for this long is no longer waited for; a caller that
-# was told to come back does so within it.
-WISH_LIMIT_S = 4.0
+# A replica that was not asked for again for this long is no longer waited for; a
+# caller that was told to come back does so within it.
+REPLICA_REQUEST_LIMIT_S = 4.0
 # Time that an adapter takes to load, from the sheets' 9 to 29 ms and the way back.
 ADAPTER_LOAD_S = 0.032
 # Pace and longest time of trying a load after the unload that makes room for it.
@@ -42,8 +42,8 @@
 SWAP_TRIES_S = 0.6
 
 
-class _Wish(NamedTuple):
-    wish: ReplicaWish
+class _Requested(NamedTuple):
+    wanted: ReplicaRequest
     made_at_s: float
 
 
@@ -83,7 +83,7 @@
             factor=options.load_window_factor,
             clock=clock,
         )
-        self._orders = OrderGiver(
+        self._orders = OrderSender(
             own_id=options.vm_id,
             adapter=adapter,
             leadership=self._leadership,
@@ -91,7 +91,7 @@
             metrics=metrics,
             clock=clock,
         )
-        self._plans = PlanBook(
+        self._plans = TargetPlans(
             adapter=adapter,
             orders=self._orders,
             health=health,
@@ -99,26 +99,26 @@
             on_loaded=lambda entry, model: self._tell(entry, model, is_present=True),
             start=self._start,
         )
-        self._wish_by_replica: dict[tuple[str, str, str], _Wish] = {}
+        self._requested_by_replica: dict[tuple[str, str, str], _Requested] = {}
         self._loading_adapters: set[tuple[str, str, str]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._reign = 0
-        self._wished = asyncio.Event()
+        self._term = 0
+        self._has_requests = asyncio.Event()
 
     def ask(self, service: str, model: str, adapter: str) -> None:
         """Ask the holder for a replica, on behalf of a request that waits for it."""
-        wish = ReplicaWish(service, model, adapter)
+        wanted = ReplicaRequest(service, model, adapter)
         holder = self._leadership.holder()
         if holder == self._own_id:
-            self.take_wish(wish)
+            self.take_replica_request(wanted)
         elif holder is not None:
-            self._gossip.send_wish(holder, wish)
+            self._gossip.send_replica_request(holder, wanted)
 
-    def take_wish(self, wish: ReplicaWish) -> None:
-        """Take a wish of this member or another one."""
-        key = (wish.service, wish.model, wish.adapter)
-        self._wish_by_replica[key] = _Wish(wish, self._clock())
-        self._wished.set()
+    def take_replica_request(self, wanted: ReplicaRequest) -> None:
+        """Take a request for a replica from this member or another one."""
+        key = (wanted.service, wanted.model, wanted.adapter)
+        self._requested_by_replica[key] = _Requested(wanted, self._clock())
+        self._has_requests.set()
 
     def stop(self) -> None:
         """Give no more orders."""
@@ -131,10 +131,10 @@
             while True:
                 try:
                     async with asyncio.timeout(PLAN_INTERVAL_S):
-                        await self._wished.wait()
+                        await self._has_requests.wait()
                 except TimeoutError:
                     pass
-                self._wished.clear()
+                self._has_requests.clear()
                 self._plan()
         finally:
             holding.cancel()
@@ -147,10 +147,10 @@
         if not is_held:
             self._plans.clear()
             return
-        if self._reign != self._leadership.fencing_number:
-            self._reign = self._leadership.fencing_number
+        if self._term != self._leadership.fencing_number:
+            self._term = self._leadership.fencing_number
             self._plans.clear()
-        self._drop_old_wishes()
+        self._drop_old_requests()
         table = self._directory.route_table
         if table is None:
             return
@@ -165,7 +165,7 @@
             if target.service == service.name and not target.is_leaving
         }
         plans = self._plans.current(engine, entries_by_id)
-        self._load_wished_adapters(service, engine, plans, entries_by_id)
+        self._load_requested_adapters(service, engine, plans, entries_by_id)
         steps = next_steps(
             engine,
             plans,
@@ -189,47 +189,47 @@
             if name.partition("/")[0] in engine.models_by_name
         }
         held = set().union(*(plan.models for plan in plans))
-        wished = {
-            made.wish.model
-            for made in self._wish_by_replica.values()
-            if made.wish.service == service.name
+        requested = {
+            made.wanted.model
+            for made in self._requested_by_replica.values()
+            if made.wanted.service == service.name
         }
         in_use_by_target = {
             plan.target_id: self._loads.replicas_in_use(plan.target_id)
             for plan in plans
         }
-        return Demand(rates, wished - held, in_use_by_target)
+        return Demand(rates, requested - held, in_use_by_target)
 
-    def _load_wished_adapters(
+    def _load_requested_adapters(
         self,
         service: Service,
         engine: Engine,
         plans: list[TargetPlan],
         entries_by_id: dict[str, TargetEntry],
     ) -> None:
-        for key, held in list(self._wish_by_replica.items()):
-            wish = held.wish
-            is_adapter_wish = wish.service == service.name and wish.adapter
-            if not is_adapter_wish or key in self._loading_adapters:
+        for key, held in list(self._requested_by_replica.items()):
+            wanted = held.wanted
+            is_for_adapter = wanted.service == service.name and wanted.adapter
+            if not is_for_adapter or key in self._loading_adapters:
                 continue
             self._loading_adapters.add(key)
-            self._start(self._load_adapter(wish, engine, plans, entries_by_id))
+            self._start(self._load_adapter(wanted, engine, plans, entries_by_id))
 
     async def _load_adapter(
         self,
-        wish: ReplicaWish,
+        wanted: ReplicaRequest,
         engine: Engine,
         plans: list[TargetPlan],
         entries_by_id: dict[str, TargetEntry],
     ) -> None:
         """Load an adapter where its model is, dropping one that is out of use."""
-        key = (wish.service, wish.model, wish.adapter)
+        key = (wanted.service, wanted.model, wanted.adapter)
         try:
             target_id = choose_target(
                 engine,
                 plans,
-                wish.model,
-                wish.adapter,
+                wanted.model,
+                wanted.adapter,
                 rates=self._gossip.replica_rates(),
                 loads=self._loads,
                 now_s=self._clock(),
@@ -238,16 +238,16 @@
                 return
             entry = entries_by_id[target_id]
             async with self._orders.lock_of(target_id):
-                ready_in_s = await self._place_adapter(wish, entry, engine)
+                ready_in_s = await self._place_adapter(wanted, entry, engine)
             if ready_in_s is not None:
                 await asyncio.sleep(ready_in_s)
-                self._tell(entry, f"{wish.model}/{wish.adapter}", is_present=True)
-                self._wish_by_replica.pop(key, None)
+                self._tell(entry, f"{wanted.model}/{wanted.adapter}", is_present=True)
+                self._requested_by_replica.pop(key, None)
         finally:
             self._loading_adapters.discard(key)
 
     async def _place_adapter(
-        self, wish: ReplicaWish, entry: TargetEntry, engine: Engine
+        self, wanted: ReplicaRequest, entry: TargetEntry, engine: Engine
     ) -> float | None:
         """Make room and load, with the target's lock held.
 
@@ -256,7 +256,7 @@
         plan = self._plans.find(entry.target_id)
         if plan is None or plan.has_model_step:
             return None
-        if (wish.model, wish.adapter) in plan.used_at_s_by_adapter:
+        if (wanted.model, wanted.adapter) in plan.used_at_s_by_adapter:
             return 0.0
         if is_full(engine, plan):
             victim = choose_victim(
@@ -268,13 +268,18 @@
             if victim is None:
                 return None
             self._tell(entry, "/".join(victim), is_present=False)
-            if not await self._orders.give(
+            if not await self._orders.send(
                 plan, entry, engine, is_load=False, model=victim[0], adapter=victim[1]
             ):
                 plan.used_at_s_by_adapter[victim] = self._clock()
                 return None
-        is_accepted = await self._orders.give(
-            plan, entry, engine, is_load=True, model=wish.model, adapter=wish.adapter
+        is_accepted = await self._orders.send(
+            plan,
+            entry,
+            engine,
+            is_load=True,
+            model=wanted.model,
+            adapter=wanted.adapter,
         )
         return ADAPTER_LOAD_S if is_accepted else None
 
@@ -310,7 +315,7 @@
         plan.intended_model = step.makes_room_for
         plan.intended_since_s = self._clock()
         self._tell(entry, step.model, is_present=False)
-        if not await self._orders.give(
+        if not await self._orders.send(
             plan, entry, engine, is_load=False, model=step.model, adapter=""
         ):
             plan.intended_model = ""
@@ -327,7 +332,7 @@
     async def _order_load(
         self, plan: TargetPlan, entry: TargetEntry, engine: Engine, model: str
     ) -> bool:
-        return await self._orders.give(
+        return await self._orders.send(
             plan, entry, engine, is_load=True, model=model, adapter=""
         )
 
@@ -340,11 +345,11 @@
         )
         self._gossip.tell_notices([notice])
 
-    def _drop_old_wishes(self) -> None:
-        oldest_s = self._clock() - WISH_LIMIT_S
-        for key, held in list(self._wish_by_replica.items()):
+    def _drop_old_requests(self) -> None:
+        oldest_s = self._clock() - REPLICA_REQUEST_LIMIT_S
+        for key, held in list(self._requested_by_replica.items()):
             if held.made_at_s < oldest_s:
-                del self._wish_by_replica[key]
+                del self._requested_by_replica[key]
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
--- a/packages/gateway/src/jaytray_gateway/process/placement/orders.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/orders.py
@@ -17,8 +17,8 @@
 AVOID_S = 0.3
 
 
-class OrderGiver:
-    """Gives the holder's orders and takes their results into the targets' plans."""
+class OrderSender:
+    """Sends the holder's orders and takes their results into the targets' plans."""
 
     def __init__(
         self,
@@ -42,7 +42,7 @@
         """Return the lock that is held while an order to the target is under way."""
         return self._lock_by_id.setdefault(target_id, asyncio.Lock())
 
-    async def give(
+    async def send(
         self,
         plan: TargetPlan,
         entry: TargetEntry,
--- a/packages/gateway/src/jaytray_gateway/process/placement/target_plan.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/target_plan.py
@@ -38,7 +38,7 @@
 
 
 class TargetPlan:
-    """State of one target during one reign of the holder."""
+    """State of one target during one term of the holder."""
 
     def __init__(
         self,
@@ -58,7 +58,7 @@
             for adapter in adapters
         }
         self.models: set[str] = set(adapters_by_model)
-        # Unloaded during this reign; an older entry may still list them.
+        # Unloaded during this term; an older entry may still list them.
         self.gone_models: set[str] = set()
         self.model_order: PendingOrder | None = None
         self.has_model_step = False
--- a/packages/gateway/src/jaytray_gateway/process/placement/plan_book.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/target_plans.py
@@ -7,7 +7,7 @@
 from jaytray_core.errors import JaytrayError
 from jaytray_core.logs import get_logger
 from jaytray_gateway.ports import PlatformAdapter, TargetReport
-from jaytray_gateway.process.placement.orders import AVOID_S, OrderGiver
+from jaytray_gateway.process.placement.orders import AVOID_S, OrderSender
 from jaytray_gateway.process.placement.target_plan import TargetPlan
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.process.target_health import TargetHealth
@@ -19,14 +19,14 @@
 Start = Callable[[Coroutine[Any, Any, None]], None]
 
 
-class PlanBook:
-    """Plans by target id, for one reign of the holder."""
+class TargetPlans:
+    """Plans by target id, for one term of the holder."""
 
     def __init__(
         self,
         *,
         adapter: PlatformAdapter,
-        orders: OrderGiver,
+        orders: OrderSender,
         health: TargetHealth,
         clock: MonotonicClock,
         on_loaded: OnLoaded,
@@ -42,7 +42,7 @@
         self._asked_ids: set[str] = set()
 
     def clear(self) -> None:
-        """Forget all plans, at the end of a reign."""
+        """Forget all plans, at the end of a term."""
         self._plan_by_id.clear()
 
     def find(self, target_id: str) -> TargetPlan | None:
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -209,7 +209,7 @@
         metrics=metrics,
         clock=clock,
     )
-    gossip.subscribe(crash_guard, placement.take_wish)
+    gossip.subscribe(crash_guard, placement.take_replica_request)
     lifecycle = Lifecycle()
     admission = Admission(
         directory=directory,
--- a/packages/gateway/src/jaytray_gateway/request/target_search.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_search.py
@@ -24,7 +24,7 @@
 PATIENCE_PAUSES = 8.0
 # Part of a caller's patience that a wait may take.
 PATIENCE_PORTION = 0.85
-# Pace at which a wish for a model or adapter is sent again while it waits.
+# Pace at which a wanted for a model or adapter is sent again while it waits.
 ASK_AGAIN_S = 0.25
 # Part of the time left that a request may wait before it is sent.
 WAIT_PORTION = 0.6
--- a/packages/gateway/tests/process/placement/test_duty.py
+++ b/packages/gateway/tests/process/placement/test_duty.py
@@ -9,7 +9,7 @@
 from jaytray_gateway.ports import OrderResult, TargetOrder, TargetReport
 from jaytray_gateway.process.demand_average import DemandAverage
 from jaytray_gateway.process.directory import Directory
-from jaytray_gateway.process.gossip import Gossip, ReplicaWish
+from jaytray_gateway.process.gossip import Gossip, ReplicaRequest
 from jaytray_gateway.process.load_view import LoadView
 from jaytray_gateway.process.metrics import GatewayMetrics
 from jaytray_gateway.process.options import GatewayOptions
@@ -369,7 +369,7 @@
         engine = Engine(target_id="t1", models="ab")
 
         async def check(site: Site) -> None:
-            site.duty.take_wish(ReplicaWish("svc", "c", ""))
+            site.duty.take_replica_request(ReplicaRequest("svc", "c", ""))
             await site.until(lambda: site.holds("c"), 5.0)
 
         run_site(check, engine)
