Never call a request not run after an earlier try of it may have run

Cause, found by reading: where a second try of a repeatable request found no target, a full queue, or a copy of the keys that had grown old, the answer was 503 'not run' although the first try had run; a test had accepted either. Tokens of a request that was refused after its charge and before its first send were not given back.

Change: such a request gets the first target's error answer if there was one, else 502 'may have run'; the charge is returned whenever the request surely was not run.

--- a/packages/gateway/src/jaytray_gateway/request/request_path.py
+++ b/packages/gateway/src/jaytray_gateway/request/request_path.py
@@ -33,10 +33,7 @@
 )
 from jaytray_gateway.request.target_exchange import TargetExchange, exchange_with
 from jaytray_gateway.request.target_search import TargetSearch
-from jaytray_gateway.version.route_table import (
-    RequestKind,
-    choose_service,
-)
+from jaytray_gateway.version.route_table import RequestKind, choose_service
 
 # Sends of one request that targets may turn away before it is refused.
 MAX_TURNED_AWAY = 3
@@ -73,6 +70,7 @@
     request: RoutedRequest, reply: CallerReply, services: RequestServices
 ) -> None:
     """Give `request` its one final answer; cancelled when the caller leaves."""
+    admitted: Admitted | None = None
     run: Run | None = None
     error: JaytrayError | None = None
     try:
@@ -80,9 +78,12 @@
         run = _start_run(admitted, services)
         await _answer(run, reply, services)
     except JaytrayError as err:
-        error = err
-        _settle(run, err, services)
-        await _refuse(err, request, reply, services)
+        error = _with_earlier_runs(err, run)
+        _settle(admitted, error, services)
+        if run is not None and run.error_answer is not None and not reply.is_started:
+            await _send_error_answer(run.error_answer, reply)
+        else:
+            await _refuse(error, request, reply, services)
     finally:
         _log(request, run, reply, error, services)
 
@@ -118,13 +119,19 @@
             _after_turned_away(run, err, services)
         except ErrorAnswer as err:
             log_try(run, "error_answer", str(err))
+            run.error_answer = err
             if not _may_run_again(run, services):
-                await reply.send_whole(err.head.status, err.head.headers, err.body)
+                await _send_error_answer(err, reply)
                 return
         except Failed as err:
             _after_failure(run, target, err, reply, services)
 
 
+async def _send_error_answer(answer: ErrorAnswer, reply: CallerReply) -> None:
+    head = answer.head
+    await reply.send_whole(head.status, head.headers, answer.body)
+
+
 async def _send_once(
     run: Run, target: TargetEntry, reply: CallerReply, services: RequestServices
 ) -> None:
@@ -135,12 +142,9 @@
         request.replica_name,
         priority=admitted.priority,
     )
-    is_sent = False
 
     def make_dispatch() -> Dispatch:
-        nonlocal is_sent
         services.admission.check_proof()
-        is_sent = True
         run.sends += 1
         run.sent_at_s = services.clock()
         return Dispatch(
@@ -304,12 +308,20 @@
     )
 
 
-def _settle(run: Run | None, err: JaytrayError, services: RequestServices) -> None:
+def _with_earlier_runs(err: JaytrayError, run: Run | None) -> JaytrayError:
+    """Return the error of a request that is given up, true of its earlier tries too."""
+    if run is None or not run.runs or err.execution is Execution.MAY_HAVE_RUN:
+        return err
+    return may_have_run(messages.TARGET_FAILED, run, detail=err.text)
+
+
+def _settle(
+    admitted: Admitted | None, err: JaytrayError, services: RequestServices
+) -> None:
     """Give the tokens back when the request surely was not run."""
-    if run is None or run.runs or err.execution is not Execution.NOT_RUN:
-        return
-    if run.admitted.charge is not None:
-        services.shares.refund(run.admitted.charge)
+    is_not_run = err.execution is Execution.NOT_RUN
+    if is_not_run and admitted is not None and admitted.charge is not None:
+        services.shares.refund(admitted.charge)
 
 
 async def _refuse(
--- a/packages/gateway/src/jaytray_gateway/request/run_state.py
+++ b/packages/gateway/src/jaytray_gateway/request/run_state.py
@@ -33,7 +33,10 @@
 
 
 class ErrorAnswer(Exception):
-    """A whole error answer of a target to a request that may be repeated."""
+    """A whole error answer of a target to a request that may be repeated.
+
+    It is the request's answer where no other try gives a better one.
+    """
 
     def __init__(self, head: AnswerHead, body: bytes) -> None:
         super().__init__(f"status {head.status}")
@@ -52,6 +55,7 @@
         self.runs = 0
         self.turned_away = 0
         self.tried: set[str] = set()
+        self.error_answer: ErrorAnswer | None = None
         self.target_id = ""
         self.events = EventBuffer() if admitted.route.is_resumable else None
         self.sent_at_s: float | None = None
--- a/packages/gateway/tests/request/support.py
+++ b/packages/gateway/tests/request/support.py
@@ -295,6 +295,21 @@
             for target in self.targets
         }
 
+    def table(self) -> RouteTable:
+        """Return the route table in force."""
+        assert self.directory.route_table is not None
+        return self.directory.route_table
+
+    def set_account(self, account: ClientAccount) -> None:
+        """Put another contract in force, with its bucket filled."""
+        accounts = {account.name: account}
+        self.directory.route_table = self.table()._replace(accounts_by_name=accounts)
+        self.shares.receive(account, account.burst)
+
+    def remove_services(self) -> None:
+        """Put a table in force whose routes lead nowhere."""
+        self.directory.route_table = self.table()._replace(services_by_name={})
+
     async def ask(
         self,
         *,
@@ -339,7 +354,7 @@
         clock, rng = monotonic_clock, random.Random(1)
         health = TargetHealth(clock=clock)
         replicas = Replicas(directory=self.directory, clock=clock)
-        shares = RateShares(own_id="vm", clock=clock)
+        self.shares = shares = RateShares(own_id="vm", clock=clock)
         gifts = RateGifts(
             shares=shares,
             peers=_silent_peers(),
--- a/packages/gateway/tests/request/test_request_path.py
+++ b/packages/gateway/tests/request/test_request_path.py
@@ -10,6 +10,7 @@
 from jaytray_gateway.process.crash_guard import COMMON_CAUSE_S
 from jaytray_gateway.version.route_table import RequestKind, Route
 from packages.gateway.tests.request.support import (
+    ACCOUNT,
     KEY,
     ROUTE,
     Answer,
@@ -183,11 +184,36 @@
             await asyncio.sleep(0.1)
             site.directory.read_at_s -= 4.5
             received: Received = await asking
-            self.assertIn(received.status, (502, 503))
+            self.assertEqual((502, b"may_have_run"), (received.status, received.body))
             self.assertEqual([], site.targets[1].heads)
 
         run_site(check, [SLOW], [OK], route=IDEMPOTENT)
 
+    @parameterized.expand(
+        [("cut", CUT, 502, b"may_have_run"), ("error", ERROR, 500, b"bad")]
+    )
+    def test_no_second_target_does_not_hide_the_first_run(
+        self, _name: str, answer: Answer, status: int, body: bytes
+    ) -> None:
+        async def check(site: Site) -> None:
+            received = await site.ask()
+            self.assertEqual((status, body), (received.status, received.body))
+
+        run_site(check, [answer], route=IDEMPOTENT)
+
+    def test_tokens_of_a_request_that_is_not_sent_are_given_back(self) -> None:
+        async def check(site: Site) -> None:
+            site.set_account(ACCOUNT._replace(rate_per_s=100.0, burst=1000.0))
+            site.directory.targets_by_id = {}
+            before = site.shares.levels(site.table())["barns"]
+            self.assertEqual(503, (await site.ask()).status)
+            site.remove_services()
+            self.assertEqual(503, (await site.ask()).status)
+            after = site.shares.levels(site.table())["barns"]
+            self.assertGreaterEqual(after, before)
+
+        run_site(check, [OK])
+
     def test_no_target_is_refused_at_once(self) -> None:
         async def check(site: Site) -> None:
             site.directory.targets_by_id = {}
