--- a/packages/gateway/tests/request/test_request_path.py
+++ b/packages/gateway/tests/request/test_request_path.py
@@ -9,15 +9,17 @@
 from jaytray_core.clock import monotonic_clock
 from jaytray_gateway.process.crash_guard import COMMON_CAUSE_S
 from jaytray_gateway.version.route_table import RequestKind, Route
+from packages.gateway.tests.request.scripted_target import (
+    Answer,
+    ScriptedTarget,
+    field,
+)
 from packages.gateway.tests.request.support import (
     ACCOUNT,
     KEY,
     ROUTE,
-    Answer,
     Received,
-    ScriptedTarget,
     Site,
-    field,
     run_site,
 )
 
