Refuse requests that still wait for a model before the process ends

Change: waiting requests are refused 0.7 s before the last answers are broken off. The test failed before (it waited for 6.8 s).

--- a/packages/gateway/src/jaytray_gateway/process/lifecycle.py
+++ b/packages/gateway/src/jaytray_gateway/process/lifecycle.py
@@ -2,7 +2,10 @@
 
 
 class Lifecycle:
-    """Whether the process takes requests; `is_stopping` never goes back."""
+    """Whether the process takes requests; `is_stopping` never goes back.
+
+    `is_refusing` also ends the wait of requests that have not been sent.
+    """
 
     def __init__(self) -> None:
         self.is_stopping = False
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -56,6 +56,9 @@
 LEAVE_BALANCER_S = 2.6
 # Part of the grace time after which answers still running are broken off.
 GRACE_PORTION = 0.95
+# Time before that end in which requests that still wait for a model are refused: they
+# look at it four times a second.
+LAST_REFUSALS_S = 0.7
 HOUSEKEEPING_INTERVAL_S = 1.0
 # Time constant of the demand for models: rare ones are asked for every few seconds.
 REPLICA_DEMAND_WINDOW_S = 6.0
@@ -227,6 +230,7 @@
             replicas=replicas,
             chooser=chooser,
             ask_for_replica=placement.ask,
+            lifecycle=lifecycle,
             clock=clock,
         ),
         shares=shares,
@@ -343,6 +347,7 @@
     end_callers()
     ends_s = signalled_s + options.grace_s * GRACE_PORTION
     while parts.lifecycle.running_requests and clock() < ends_s:
+        parts.lifecycle.is_refusing = clock() > ends_s - LAST_REFUSALS_S
         await asyncio.sleep(0.05)
     parts.lifecycle.is_refusing = True
     await parts.membership.leave()
--- a/packages/gateway/src/jaytray_gateway/request/target_search.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_search.py
@@ -7,6 +7,7 @@
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.errors import JaytrayError, Step
 from jaytray_gateway.process.engine_cost import PREFILL_TOKENS_PER_MS
+from jaytray_gateway.process.lifecycle import Lifecycle
 from jaytray_gateway.process.replicas import ReplicaNotice, Replicas
 from jaytray_gateway.process.target_choice import Candidate, TargetChooser
 from jaytray_gateway.process.target_entry import TargetEntry
@@ -58,11 +59,13 @@
         replicas: Replicas,
         chooser: TargetChooser,
         ask_for_replica: AskForReplica,
+        lifecycle: Lifecycle,
         clock: MonotonicClock,
     ) -> None:
         self._replicas = replicas
         self._chooser = chooser
         self._ask_for_replica = ask_for_replica
+        self._lifecycle = lifecycle
         self._clock = clock
 
     async def find(
@@ -83,6 +86,12 @@
                 return chosen.target
             if wait is None:
                 raise _no_replica(request, service, NO_TARGET_RETRY_S)
+            if self._lifecycle.is_refusing:
+                raise JaytrayError(
+                    messages.SHUTTING_DOWN,
+                    step=Step.QUEUE,
+                    retry_after_s=NO_TARGET_RETRY_S,
+                )
             self._ask_for_replica(service.name, request.model, request.adapter)
             left_s = wait.until_s - self._clock()
             if left_s <= 0:
--- a/packages/gateway/tests/request/support.py
+++ b/packages/gateway/tests/request/support.py
@@ -42,6 +42,8 @@
 from jaytray_gateway.version.route_table import (
     CallerLimits,
     ClientAccount,
+    Engine,
+    EngineModel,
     RequestKind,
     Route,
     RouteTable,
@@ -89,7 +91,7 @@
         body=body,
         deadline_s=float(deadline) if deadline else None,
         key_digest=digest_key(key) if key else None,
-        model="",
+        model=first(head.headers, b"x-model").decode(),
         adapter="",
         is_metered=False,
         prompt_tokens=0,
@@ -220,6 +222,13 @@
         self.directory.route_table = self.table()._replace(accounts_by_name=accounts)
         self.shares.receive(account, account.burst)
 
+    def ask_for_absent_model(self) -> None:
+        """Put a table in force whose service has an engine that lacks the model."""
+        model = EngineModel("m", 70.0, 0.1, 0.1, 0.1, 0, 0.0)
+        engine = Engine(64, 1000, 230.0, 8, 1.0, {"m": model})
+        services = {"svc": Service("svc", "/health", 10, engine)}
+        self.directory.route_table = self.table()._replace(services_by_name=services)
+
     def remove_services(self) -> None:
         """Put a table in force whose routes lead nowhere."""
         self.directory.route_table = self.table()._replace(services_by_name={})
@@ -287,7 +296,8 @@
                 chooser=TargetChooser(
                     failure_domain="a", loads=self.loads, health=health, rng=rng
                 ),
-                ask_for_replica=not_used,
+                ask_for_replica=lambda _service, _model, _adapter: None,
+                lifecycle=self.lifecycle,
                 clock=clock,
             ),
             shares=shares,
--- a/packages/gateway/tests/request/test_request_path.py
+++ b/packages/gateway/tests/request/test_request_path.py
@@ -20,6 +20,7 @@
     ROUTE,
     Received,
     Site,
+    default_headers,
     run_site,
 )
 
@@ -251,6 +252,22 @@
 
         run_site(check, [OK])
 
+    def test_request_that_waits_for_a_model_is_refused_before_the_end(self) -> None:
+        # Hoofline trouble-2, seed 942565361552: the process ended while it waited.
+        async def check(site: Site) -> None:
+            site.ask_for_absent_model()
+            headers = [*default_headers(), (b"x-model", b"m")]
+            asking = asyncio.ensure_future(site.ask(headers=headers))
+            await asyncio.sleep(0.1)
+            self.assertFalse(asking.done())
+            site.lifecycle.is_refusing = True
+            async with asyncio.timeout(0.5):
+                received = await asking
+            self.assertEqual((503, b"not_run"), (received.status, received.body))
+            self.assertIn(b"retry-after", received.headers)
+
+        run_site(check, [OK], route=ROUTE._replace(timeout_s=10.0))
+
 
 class CrashingRequestTests(TestCase):
     def test_is_refused_after_it_broke_several_targets(self) -> None:
--- a/packages/gateway/tests/test_logs.py
+++ b/packages/gateway/tests/test_logs.py
@@ -73,9 +73,11 @@
 
     def __init__(self) -> None:
         super().__init__()
+        self.is_stalled = threading.Event()
         self.let_go = threading.Event()
 
     def write(self, text: str) -> int:
+        self.is_stalled.set()
         self.let_go.wait(10.0)
         return super().write(text)
 
@@ -85,13 +87,14 @@
         reader = StalledReader()
         dropped: list[int] = []
         with bounded_log_stream(reader, set_dropped=dropped.append) as stream:
-            time.sleep(0.3)
+            # The writer is held up with one line before the others are logged.
+            stream.write("event=first\n")
+            self.assertTrue(reader.is_stalled.wait(10.0))
             begun_s = time.monotonic()
             for number in range(3 * QUEUE_LINES):
                 stream.write(f"event=x number={number}\n")
             self.assertLess(time.monotonic() - begun_s, 1.0)
             reader.let_go.set()
-            time.sleep(0.4)
         text = reader.getvalue()
         self.assertIn("event=x number=0\n", text)
         self.assertIn("event=log_lines_dropped", text)
