--- a/packages/gateway/tests/request/test_request_path.py
+++ b/packages/gateway/tests/request/test_request_path.py
@@ -184,7 +184,8 @@
     def test_copy_that_grows_old_during_a_repeat_stops_it(self) -> None:
         async def check(site: Site) -> None:
             asking = asyncio.ensure_future(site.ask())
-            await asyncio.sleep(0.1)
+            while not site.targets[0].heads:
+                await asyncio.sleep(0.005)
             site.directory.read_at_s -= 4.5
             received: Received = await asking
             self.assertEqual((502, b"may_have_run"), (received.status, received.body))
