Move the messages about documents out of the message registry

Change: document_messages.py holds the twenty messages about documents and their versions; their users import them from there. by_code still collects all, and the test of unique codes looks at both modules. docs/ERRORS.md comes out unchanged.

--- a/packages/cli/src/jaytray_cli/results.py
+++ b/packages/cli/src/jaytray_cli/results.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 from typing import Any, NamedTuple
 
-from jaytray_core import message_registry as messages
+from jaytray_core import document_messages, message_registry as messages
 from jaytray_core.errors import JaytrayError
 
 
@@ -36,11 +36,11 @@
 
 
 _EXIT_CODE_BY_MESSAGE = {
-    messages.DOCUMENT_INVALID.code: ExitCode.FAULTS,
+    document_messages.DOCUMENT_INVALID.code: ExitCode.FAULTS,
     messages.KEY_VALUE_UNAVAILABLE.code: ExitCode.UNAVAILABLE,
     messages.VM_LIST_UNAVAILABLE.code: ExitCode.UNAVAILABLE,
     messages.KEY_VALUE_UNCERTAIN.code: ExitCode.UNCERTAIN,
-    messages.VERSION_CONFLICT.code: ExitCode.CONFLICT,
+    document_messages.VERSION_CONFLICT.code: ExitCode.CONFLICT,
 }
 
 
--- a/packages/cli/src/jaytray_cli/vm_commands.py
+++ b/packages/cli/src/jaytray_cli/vm_commands.py
@@ -15,7 +15,7 @@
 from jaytray_cli.results import ExitCode, Result, table
 from jaytray_cli.site import Site
 from jaytray_cli.vms import VmReport, read_reports, require_running
-from jaytray_core import message_registry as messages
+from jaytray_core import document_messages
 from jaytray_core.document.changes import refuse_unsafe_promotion, require_valid
 from jaytray_core.document.model import PRODUCTION
 from jaytray_core.document.store import read_head, require_based_on
@@ -54,7 +54,7 @@
         trial, sections = await read_in_force(site, TRIAL)
         if trial.head is None:
             raise JaytrayError(
-                messages.PROMOTION_REFUSED,
+                document_messages.PROMOTION_REFUSED,
                 step=Step.CONFIGURATION,
                 detail="it has no document",
             )
--- a/packages/cli/src/jaytray_cli/vms.py
+++ b/packages/cli/src/jaytray_cli/vms.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from jaytray_cli.site import Site
-from jaytray_core import message_registry as messages
+from jaytray_core import document_messages
 from jaytray_core.clock import monotonic_clock
 from jaytray_core.document.parts import Head
 from jaytray_core.document.status import DocumentStatus
@@ -122,5 +122,5 @@
 
 def _refused(detail: str) -> JaytrayError:
     return JaytrayError(
-        messages.PROMOTION_REFUSED, step=Step.CONFIGURATION, detail=detail
+        document_messages.PROMOTION_REFUSED, step=Step.CONFIGURATION, detail=detail
     )
--- a/packages/core/src/jaytray_core/document/changes.py
+++ b/packages/core/src/jaytray_core/document/changes.py
@@ -7,7 +7,7 @@
 
 from typing import Any
 
-from jaytray_core import message_registry as messages
+from jaytray_core import document_messages, message_registry as messages
 from jaytray_core.document.checker import CheckReport, check_parsed
 from jaytray_core.document.options import SECTION_KINDS_BY_NAME
 from jaytray_core.document.parser import build_document
@@ -48,12 +48,14 @@
     trial_valid = _valid_names_by_digest(trial)
     for digest in sorted(_withdrawn_digests(production) & trial_valid.keys()):
         raise _error(
-            messages.KEY_REVIVED, name=trial_valid[digest], environment="production"
+            document_messages.KEY_REVIVED,
+            name=trial_valid[digest],
+            environment="production",
         )
     production_valid = _valid_names_by_digest(production)
     for digest in sorted(production_valid.keys() - trial_valid.keys()):
         raise _error(
-            messages.KEY_DROPPED,
+            document_messages.KEY_DROPPED,
             name=production_valid[digest],
             environment="production",
         )
@@ -61,7 +63,7 @@
     if undrained:
         names = ", ".join(sorted(undrained))
         detail = f"production drains {names}, which trial does not"
-        raise _error(messages.PROMOTION_REFUSED, detail=detail)
+        raise _error(document_messages.PROMOTION_REFUSED, detail=detail)
 
 
 def create_key(
@@ -113,7 +115,7 @@
     report = check_parsed(parsed)
     if report.faults:
         raise _error(
-            messages.DOCUMENT_INVALID,
+            document_messages.DOCUMENT_INVALID,
             faults=len(report.faults),
             detail=report.faults[0].text,
         )
--- a/packages/core/src/jaytray_core/document/checker.py
+++ b/packages/core/src/jaytray_core/document/checker.py
@@ -6,7 +6,7 @@
 
 from typing import NamedTuple
 
-from jaytray_core import message_registry as messages
+from jaytray_core import document_messages
 from jaytray_core.document.model import PRODUCTION, Document, with_targets_of
 from jaytray_core.document.options import SECTION_KINDS_BY_NAME
 from jaytray_core.document.packing import (
@@ -61,7 +61,7 @@
     if whole.outcome is Reachability.IMPOSSIBLE:
         faults.append(
             make_fault(
-                messages.REPLICAS_DO_NOT_FIT,
+                document_messages.REPLICAS_DO_NOT_FIT,
                 0,
                 needed=whole.needed_mib,
                 available=whole.available_mib,
@@ -85,7 +85,7 @@
             if name not in known:
                 faults.append(
                     make_fault(
-                        messages.REFERENCE_UNKNOWN,
+                        document_messages.REFERENCE_UNKNOWN,
                         lines.find(section.title, option),
                         section=section.title,
                         option=option,
@@ -137,7 +137,7 @@
 
 def _doubled(title: str, first_title: str, lines: SourceLines) -> Fault:
     return make_fault(
-        messages.NAME_DOUBLED,
+        document_messages.NAME_DOUBLED,
         lines.find(title),
         name=f"what [{title}] stands for",
         first=lines.find(first_title),
@@ -147,7 +147,7 @@
 def _check_accounts(document: Document, lines: SourceLines) -> list[Fault]:
     return [
         make_fault(
-            messages.BURST_BELOW_RATE,
+            document_messages.BURST_BELOW_RATE,
             lines.find(f"account {account.name}", "burst_tokens"),
             name=account.name,
             burst=account.burst_tokens,
@@ -179,7 +179,7 @@
     if model.min_replicas > model.max_replicas:
         faults.append(
             make_fault(
-                messages.REPLICA_BOUNDS_CROSSED,
+                document_messages.REPLICA_BOUNDS_CROSSED,
                 lines.find(title, "min_replicas"),
                 name=name,
                 minimum=model.min_replicas,
@@ -193,7 +193,7 @@
     elif possible < model.min_replicas:
         faults.append(
             make_fault(
-                messages.REPLICAS_EXCEED_ACCELERATORS,
+                document_messages.REPLICAS_EXCEED_ACCELERATORS,
                 lines.find(title, "min_replicas"),
                 name=name,
                 minimum=model.min_replicas,
@@ -221,7 +221,7 @@
 
 def _fits_nowhere(title: str, needed: int, largest: int, lines: SourceLines) -> Fault:
     return make_fault(
-        messages.MODEL_FITS_NOWHERE,
+        document_messages.MODEL_FITS_NOWHERE,
         lines.find(title, "memory_mib"),
         section=title,
         memory=needed,
--- a/packages/core/src/jaytray_core/document/parser.py
+++ b/packages/core/src/jaytray_core/document/parser.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
-from jaytray_core import message_registry as messages
+from jaytray_core import document_messages
 from jaytray_core.document.model import (
     Adapter,
     ClientAccount,
@@ -156,7 +156,7 @@
         if first != name:
             faults.append(
                 make_fault(
-                    messages.NAME_DOUBLED,
+                    document_messages.NAME_DOUBLED,
                     lines.find(f"key {name}", "digest"),
                     name=f"digest of [key {name}]",
                     first=lines.find(f"key {first}", "digest"),
@@ -172,11 +172,15 @@
     word, _, name = section.title.partition(" ")
     kind = SECTION_KINDS_BY_NAME.get(word)
     if kind is None:
-        fault = make_fault(messages.SECTION_UNKNOWN, line, section=section.title)
+        fault = make_fault(
+            document_messages.SECTION_UNKNOWN, line, section=section.title
+        )
         return None, "", [fault]
     is_valid = NAME_PATTERN.fullmatch(name) if kind.is_named else not name
     if not is_valid:
-        fault = make_fault(messages.SECTION_NAME_INVALID, line, section=section.title)
+        fault = make_fault(
+            document_messages.SECTION_NAME_INVALID, line, section=section.title
+        )
         return None, "", [fault]
     return kind, name, []
 
@@ -186,7 +190,7 @@
 ) -> tuple[dict[str, Any], list[Fault]]:
     faults = [
         make_fault(
-            messages.OPTION_UNKNOWN,
+            document_messages.OPTION_UNKNOWN,
             lines.find(section.title, name),
             section=section.title,
             option=name,
@@ -201,7 +205,7 @@
         except ValueError as err:
             faults.append(
                 make_fault(
-                    messages.OPTION_INVALID,
+                    document_messages.OPTION_INVALID,
                     lines.find(section.title, option.name),
                     section=section.title,
                     option=option.name,
--- a/packages/core/src/jaytray_core/document/parts.py
+++ b/packages/core/src/jaytray_core/document/parts.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from jaytray_core import codec, message_registry as messages
+from jaytray_core import codec, document_messages
 from jaytray_core.document.model import Document
 from jaytray_core.document.parser import (
     Declaration,
@@ -171,7 +171,7 @@
     data = parts_by_digest.get(digest)
     if data is None or digest_of(data) != digest:
         raise JaytrayError(
-            messages.DOCUMENT_INCOMPLETE,
+            document_messages.DOCUMENT_INCOMPLETE,
             step=Step.CONFIGURATION,
             peer=peer,
             version=head.version,
@@ -194,7 +194,7 @@
 def _raise_first(faults: list[Fault], peer: str) -> None:
     if faults:
         raise JaytrayError(
-            messages.DOCUMENT_INVALID,
+            document_messages.DOCUMENT_INVALID,
             step=Step.CONFIGURATION,
             peer=peer,
             faults=len(faults),
--- a/packages/core/src/jaytray_core/document/sections.py
+++ b/packages/core/src/jaytray_core/document/sections.py
@@ -8,7 +8,7 @@
 import io
 from typing import NamedTuple
 
-from jaytray_core import message_registry as messages
+from jaytray_core import document_messages
 from jaytray_core.message_registry import MessageTemplate
 
 
@@ -117,7 +117,7 @@
 def _doubled(name: str, line: int, first: int) -> list[Fault]:
     if line == first:
         return []
-    return [make_fault(messages.NAME_DOUBLED, line, name=name, first=first)]
+    return [make_fault(document_messages.NAME_DOUBLED, line, name=name, first=first)]
 
 
 def _syntax_fault(err: configparser.Error) -> Fault:
@@ -126,4 +126,4 @@
     if errors:
         line = errors[0][0]
     reason = "this line is neither a section, an option nor a comment"
-    return make_fault(messages.DOCUMENT_SYNTAX, line, detail=reason)
+    return make_fault(document_messages.DOCUMENT_SYNTAX, line, detail=reason)
--- a/packages/core/src/jaytray_core/document/store.py
+++ b/packages/core/src/jaytray_core/document/store.py
@@ -12,7 +12,7 @@
 from contextlib import asynccontextmanager
 from typing import NamedTuple
 
-from jaytray_core import message_registry as messages
+from jaytray_core import document_messages, message_registry as messages
 from jaytray_core.clock import WallClock, wall_clock
 from jaytray_core.document.model import Document
 from jaytray_core.document.part_store import (
@@ -140,7 +140,7 @@
     record = await key_value.get(_history_key(environment, version))
     if record is None:
         raise JaytrayError(
-            messages.VERSION_UNKNOWN,
+            document_messages.VERSION_UNKNOWN,
             step=Step.CONFIGURATION,
             environment=environment,
             version=version,
@@ -197,7 +197,7 @@
     try:
         found = await read_version(key_value, head.environment, head.version)
     except JaytrayError as err:
-        if err.code != messages.VERSION_UNKNOWN.code:
+        if err.code != document_messages.VERSION_UNKNOWN.code:
             raise
         return False
     return found.writer_id == head.writer_id
@@ -240,7 +240,7 @@
 
 def _conflict(environment: str, based_on: int, current: Head | None) -> JaytrayError:
     return JaytrayError(
-        messages.VERSION_CONFLICT,
+        document_messages.VERSION_CONFLICT,
         step=Step.CONFIGURATION,
         peer="kv",
         environment=environment,
--- a/packages/core/tests/document/test_store.py
+++ b/packages/core/tests/document/test_store.py
@@ -7,7 +7,7 @@
 from parameterized import parameterized
 from testtools import TestCase
 
-from jaytray_core import message_registry as messages
+from jaytray_core import document_messages, message_registry as messages
 from jaytray_core.document import store
 from jaytray_core.document.garbage import collect_parts
 from jaytray_core.document.part_store import PARTS_PREFIX, UNUSED_PART_GRACE_S
@@ -171,7 +171,7 @@
                 await service.apply(key_value, based_on, based_on)
             await service.apply(key_value, 4, 0)
             orphan = await outcome(service.apply(key_value, 3, 99))
-            self.assertEqual(messages.VERSION_CONFLICT.code, orphan)
+            self.assertEqual(document_messages.VERSION_CONFLICT.code, orphan)
             body = make_body([Section("model orphan", {})])
             for digest, data in body.parts_by_digest.items():
                 await key_value.compare_and_swap(
@@ -251,7 +251,10 @@
     violations = [
         f"{a} done, not kept" for a, o in told if o == "done" and a not in in_force
     ]
-    lost = (messages.VERSION_CONFLICT.code, messages.KEY_VALUE_UNAVAILABLE.code)
+    lost = (
+        document_messages.VERSION_CONFLICT.code,
+        messages.KEY_VALUE_UNAVAILABLE.code,
+    )
     violations += [f"{a} {o}, yet kept" for a, o in told if o in lost and a in in_force]
     if [h.version for h in heads] != list(range(len(heads), 0, -1)):
         violations.append("versions are not linear")
--- a/packages/server/src/jaytray_server/version/follower.py
+++ b/packages/server/src/jaytray_server/version/follower.py
@@ -9,7 +9,7 @@
 import random
 from collections.abc import Callable
 
-from jaytray_core import message_registry as messages
+from jaytray_core import document_messages
 from jaytray_core.clock import MonotonicClock, monotonic_clock
 from jaytray_core.document.model import Document
 from jaytray_core.document.parts import Head
@@ -228,7 +228,7 @@
             "document_contradictory",
             version,
             peer,
-            detail=messages.DOCUMENT_CONTRADICTORY.text,
+            detail=document_messages.DOCUMENT_CONTRADICTORY.text,
         )
 
     def _raise_alarm(
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -6,7 +6,7 @@
 
 from testtools import TestCase
 
-from jaytray_core import message_registry
+from jaytray_core import document_messages, message_registry
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 # Headers, calls and keys of the users' platform.
@@ -18,7 +18,8 @@
     def test_message_codes_are_unique(self) -> None:
         templates = [
             value
-            for value in vars(message_registry).values()
+            for module in (message_registry, document_messages)
+            for value in vars(module).values()
             if isinstance(value, message_registry.MessageTemplate)
         ]
         self.assertEqual(len(templates), len(message_registry.by_code()))
