--- a/packages/core/src/jaytray_core/adapters/http_pool.py
+++ b/packages/core/src/jaytray_core/adapters/http_pool.py
@@ -7,7 +7,6 @@
 because whatever lost track of one may have lost track of the others.
 """
 
-import enum
 import functools
 import ssl
 from collections.abc import AsyncIterator
@@ -16,6 +15,8 @@
 
 import httpx
 
+from jaytray_core.exchange_errors import ExchangeError, Progress
+
 Headers = list[tuple[str, str]]
 
 DEFAULT_CONNECT_TIMEOUT_S = 0.5
@@ -39,23 +40,6 @@
 _BODILESS_STATUSES = (204, 304)
 
 
-class Progress(enum.Enum):
-    """How far a failed exchange got."""
-
-    NOT_SENT = "not_sent"
-    TIMED_OUT = "timed_out"
-    BROKEN = "broken"
-
-
-class ExchangeError(Exception):
-    """An exchange without a whole answer; its connection was closed."""
-
-    def __init__(self, *, progress: Progress, detail: str) -> None:
-        super().__init__(detail)
-        self.progress = progress
-        self.detail = detail
-
-
 class HttpRequest(NamedTuple):
     """One request; `raw_path` is path and query as sent.
 
@@ -91,8 +75,8 @@
     async def exchange(self, request: HttpRequest) -> AsyncIterator[httpx.Response]:
         """Send a request and give its response, the body still unread.
 
-        Raises `ExchangeError`, also for failures while the body is read. Leaving
-        before the body was read to its end closes the connection.
+        Raises `ExchangeError`, also for failures while the body is read; the
+        connection is then closed. So it is on leaving before the body's end.
         """
         transport = self._transport
         users = self._users_by_transport.get(transport, 0)
--- a/packages/core/src/jaytray_core/adapters/key_value_http.py
+++ b/packages/core/src/jaytray_core/adapters/key_value_http.py
@@ -4,14 +4,16 @@
 base64 strings.
 """
 
-from collections.abc import Awaitable, Callable
-from typing import Any, NamedTuple, TypeVar
+from typing import Any, TypeVar
 
-from jaytray_core.adapters.http_pool import ExchangeError, HttpPool, Progress
+from jaytray_core.adapters.http_pool import HttpPool
 from jaytray_core.adapters.remote_call import RemoteAnswer, remote_call
+from jaytray_core.adapters.service_connection import ServiceConnection
 from jaytray_core.codec import decode_json
 from jaytray_core.errors import JaytrayError
+from jaytray_core.exchange_errors import ExchangeError
 from jaytray_core.key_value_errors import (
+    exchange_failed,
     service_unavailable,
     service_uncertain,
     value_too_large,
@@ -31,14 +33,9 @@
 _STATUS_OK = 201
 
 
-class KeyValueConnection(NamedTuple):
-    """The service and the function that closes its connections."""
-
-    service: KeyValueService
-    close: Callable[[], Awaitable[None]]
-
-
-def open_key_value(*, address: str, timeout_s: float) -> KeyValueConnection:
+def open_key_value(
+    *, address: str, timeout_s: float
+) -> ServiceConnection[KeyValueService]:
     """Return a connection whose calls wait at most `timeout_s` seconds.
 
     A watch waits that much longer than it was asked to.
@@ -51,7 +48,7 @@
                 pool, f"/kv/{function}", arguments, timeout_s=timeout_s + wait_s
             )
         except ExchangeError as err:
-            raise _failed(function, err) from err
+            raise exchange_failed(function, err, is_read=function in _READS) from err
         _check_status(function, answer)
         return answer.body
 
@@ -92,7 +89,7 @@
         revoke_lease=revoke_lease,
         watch=watch,
     )
-    return KeyValueConnection(service, pool.close)
+    return ServiceConnection(service, pool.close)
 
 
 def connect_key_value(*, address: str, timeout_s: float) -> KeyValueService:
@@ -120,10 +117,3 @@
     if answer.is_not_run or function in _READS:
         raise service_unavailable(detail)
     raise service_uncertain(detail)
-
-
-def _failed(function: str, err: ExchangeError) -> JaytrayError:
-    detail = f"{function}: {err.detail}"
-    if err.progress == Progress.NOT_SENT or function in _READS:
-        return service_unavailable(detail)
-    return service_uncertain(detail)
--- a/packages/core/src/jaytray_core/adapters/remote_call.py
+++ b/packages/core/src/jaytray_core/adapters/remote_call.py
@@ -8,18 +8,13 @@
 from collections.abc import Sequence
 from typing import Any, NamedTuple
 
-from jaytray_core.adapters.http_pool import (
-    ExchangeError,
-    HttpPool,
-    HttpRequest,
-    Progress,
-    read_body,
-)
+from jaytray_core.adapters.http_pool import HttpPool, HttpRequest, read_body
 from jaytray_core.codec import encode_json
+from jaytray_core.exchange_errors import ExchangeError, Progress
 
 EXECUTION_HEADER = "x-execution"
 NOT_RUN = "not_run"
-_JSON_TYPE = ("content-type", "application/json")
+JSON_TYPE = ("content-type", "application/json")
 _MAX_ANSWER_BYTES = 64_000_000
 
 
@@ -36,7 +31,7 @@
 ) -> RemoteAnswer:
     """POST `arguments`; raises `ExchangeError` without a whole answer."""
     body = encode_json(list(arguments))
-    request = HttpRequest("POST", path, [_JSON_TYPE], body, timeout_s)
+    request = HttpRequest("POST", path, [JSON_TYPE], body, timeout_s)
     return await exchange_whole(pool, request)
 
 
--- a/packages/core/src/jaytray_core/adapters/target_errors.py
+++ b/packages/core/src/jaytray_core/adapters/target_errors.py
@@ -1,8 +1,8 @@
 """Errors of one target, with `execution` computed from the exchange."""
 
 from jaytray_core import message_registry as messages
-from jaytray_core.adapters.http_pool import ExchangeError, Progress
 from jaytray_core.errors import Execution, JaytrayError, Step
+from jaytray_core.exchange_errors import ExchangeError, Progress
 
 _ERROR_DETAIL_CHARACTERS = 200
 # Statuses by which an engine says that the request itself is wrong.
--- a/packages/core/src/jaytray_core/adapters/target_http.py
+++ b/packages/core/src/jaytray_core/adapters/target_http.py
@@ -22,7 +22,6 @@
 from jaytray_core.adapters.http_pool import (
     DEFAULT_CONNECT_TIMEOUT_S,
     DEFAULT_IDLE_EXPIRY_S,
-    ExchangeError,
     HttpPool,
     HttpRequest,
     read_body,
@@ -36,6 +35,7 @@
 from jaytray_core.adapters.target_errors import TargetErrors
 from jaytray_core.codec import decode_json, encode_json
 from jaytray_core.errors import JaytrayError
+from jaytray_core.exchange_errors import ExchangeError
 from jaytray_core.targets import (
     CacheEvent,
     InferRequest,
--- a/packages/core/src/jaytray_core/adapters/vm_list_http.py
+++ b/packages/core/src/jaytray_core/adapters/vm_list_http.py
@@ -1,26 +1,18 @@
 """Client of the platform's list of VMs over HTTP: GET `/vms`."""
 
-from collections.abc import Awaitable, Callable
-from typing import NamedTuple
-
 from jaytray_core import message_registry as messages
-from jaytray_core.adapters.http_pool import ExchangeError, HttpPool
+from jaytray_core.adapters.http_pool import HttpPool
 from jaytray_core.adapters.remote_call import remote_read
+from jaytray_core.adapters.service_connection import ServiceConnection
 from jaytray_core.codec import decode_json
 from jaytray_core.errors import JaytrayError, Step
+from jaytray_core.exchange_errors import ExchangeError
 from jaytray_core.vm_list import VmEntry, VmList
 
 _PEER = "vm_list"
 
 
-class VmListConnection(NamedTuple):
-    """The list and the function that closes its connections."""
-
-    service: VmList
-    close: Callable[[], Awaitable[None]]
-
-
-def open_vm_list(*, address: str, timeout_s: float) -> VmListConnection:
+def open_vm_list(*, address: str, timeout_s: float) -> ServiceConnection[VmList]:
     """Return a connection whose calls wait at most `timeout_s` seconds."""
     pool = HttpPool(address=address, connect_timeout_s=timeout_s)
 
@@ -36,7 +28,7 @@
             ) from err
         return decode_json(answer.body, list[VmEntry], peer=_PEER)
 
-    return VmListConnection(VmList(list_vms=list_vms), pool.close)
+    return ServiceConnection(VmList(list_vms=list_vms), pool.close)
 
 
 def connect_vm_list(*, address: str, timeout_s: float) -> VmList:
--- a/packages/core/src/jaytray_core/adapters/weight_store_http.py
+++ b/packages/core/src/jaytray_core/adapters/weight_store_http.py
@@ -1,26 +1,20 @@
 """Client of the weight store over HTTP: GET `/status`."""
 
-from collections.abc import Awaitable, Callable
-from typing import NamedTuple
-
 from jaytray_core import message_registry as messages
-from jaytray_core.adapters.http_pool import ExchangeError, HttpPool
+from jaytray_core.adapters.http_pool import HttpPool
 from jaytray_core.adapters.remote_call import remote_read
+from jaytray_core.adapters.service_connection import ServiceConnection
 from jaytray_core.codec import decode_json
 from jaytray_core.errors import JaytrayError, Step
+from jaytray_core.exchange_errors import ExchangeError
 from jaytray_core.weight_store import WeightStore, WeightStoreStatus
 
 _PEER = "weight_store"
 
 
-class WeightStoreConnection(NamedTuple):
-    """The weight store and the function that closes its connections."""
-
-    service: WeightStore
-    close: Callable[[], Awaitable[None]]
-
-
-def open_weight_store(*, address: str, timeout_s: float) -> WeightStoreConnection:
+def open_weight_store(
+    *, address: str, timeout_s: float
+) -> ServiceConnection[WeightStore]:
     """Return a connection whose calls wait at most `timeout_s` seconds."""
     pool = HttpPool(address=address, connect_timeout_s=timeout_s)
 
@@ -36,7 +30,7 @@
             ) from err
         return decode_json(answer.body, WeightStoreStatus, peer=_PEER)
 
-    return WeightStoreConnection(WeightStore(status=status), pool.close)
+    return ServiceConnection(WeightStore(status=status), pool.close)
 
 
 def connect_weight_store(*, address: str, timeout_s: float) -> WeightStore:
--- a/packages/core/src/jaytray_core/key_value_errors.py
+++ b/packages/core/src/jaytray_core/key_value_errors.py
@@ -2,6 +2,7 @@
 
 from jaytray_core import message_registry as messages
 from jaytray_core.errors import Execution, JaytrayError, Step
+from jaytray_core.exchange_errors import ExchangeError, Progress
 from jaytray_core.keyvalue import MAX_VALUE_BYTES
 
 KEY_VALUE_PEER = "kv"
@@ -28,6 +29,16 @@
     )
 
 
+def exchange_failed(
+    function: str, err: ExchangeError, *, is_read: bool
+) -> JaytrayError:
+    """Return the error of a call that got no whole answer."""
+    detail = f"{function}: {err.detail}"
+    if is_read or err.progress is Progress.NOT_SENT:
+        return service_unavailable(detail)
+    return service_uncertain(detail)
+
+
 def value_too_large(key: str, limit: int = MAX_VALUE_BYTES) -> JaytrayError:
     """Return the error of a value above `limit` bytes."""
     return JaytrayError(
--- /dev/null
+++ b/packages/core/src/jaytray_core/tcp_options.py
@@ -0,0 +1,29 @@
+"""TCP options by which the vanishing of a connection's other end is noticed."""
+
+import socket
+from typing import NamedTuple
+
+
+class KeepAlive(NamedTuple):
+    """When a silent connection is probed and given up.
+
+    `idle_s` passes before the first probe and `interval_s` between probes. Written
+    data may stay unacknowledged for `user_timeout_ms`.
+    """
+
+    idle_s: int
+    interval_s: int
+    probes: int
+    user_timeout_ms: int
+
+
+def set_keep_alive(connection: socket.socket, limits: KeepAlive) -> None:
+    """Set the options; connections accepted by a listening socket inherit them."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, limits.idle_s),
+        (socket.TCP_KEEPINTVL, limits.interval_s),
+        (socket.TCP_KEEPCNT, limits.probes),
+        (socket.TCP_USER_TIMEOUT, limits.user_timeout_ms),
+    ):
+        connection.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/packages/core/tests/adapters/test_connection_reuse.py
+++ b/packages/core/tests/adapters/test_connection_reuse.py
@@ -9,9 +9,10 @@
 from parameterized import parameterized
 from testtools import TestCase
 
-from jaytray_core.adapters.http_pool import ExchangeError, HttpPool, HttpRequest
+from jaytray_core.adapters.http_pool import HttpPool, HttpRequest
 from jaytray_core.adapters.target_http import TargetTimeouts, connect_target
 from jaytray_core.errors import Execution, JaytrayError
+from jaytray_core.exchange_errors import ExchangeError
 from jaytray_core.targets import InferRequest, ServiceCall, TargetConnection
 
 _TIMEOUT_S = 0.1
--- a/packages/gateway/src/jaytray_gateway/connection/target_connection.py
+++ b/packages/gateway/src/jaytray_gateway/connection/target_connection.py
@@ -6,48 +6,27 @@
 """
 
 import asyncio
-import enum
-import socket
 
 import h11
 
 from jaytray_core.addresses import parse_address
+from jaytray_core.exchange_errors import ExchangeError, Progress
+from jaytray_core.tcp_options import KeepAlive, set_keep_alive
 from jaytray_gateway.ports import HeaderList
 
-# Written data unacknowledged for this long means that the target is out of reach.
-USER_TIMEOUT_MS = 2_000
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
+# A target that is silent for about this long is out of reach.
+KEEP_ALIVE = KeepAlive(idle_s=1, interval_s=1, probes=2, user_timeout_ms=2_000)
 # Received bytes held for a slow caller before the target is no longer read from.
 MAX_BUFFERED_BYTES = 262_144
 _HOST = [(b"host", b"-")]
 
 
-class Progress(enum.Enum):
-    """How far a failed exchange got."""
-
-    NOT_SENT = "not_sent"
-    BROKEN = "broken"
-    TIMED_OUT = "timed_out"
-
-
-class ExchangeBroken(Exception):
-    """The exchange ended without a whole answer."""
-
-    def __init__(self, progress: Progress, detail: str) -> None:
-        super().__init__(detail)
-        self.progress = progress
-        self.detail = detail
-
-
 class TargetConnection(asyncio.Protocol):
     """An open connection; `open_connection` makes one."""
 
     def __init__(self) -> None:
         self.idle_since_s = 0.0
         self.idle_timeout_s: float | None = None
-        self.uses = 0
         self._http = h11.Connection(h11.CLIENT)
         self._transport: asyncio.Transport | None = None
         self._request: h11.Request | None = None
@@ -61,15 +40,7 @@
         """Set the socket's options."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        raw = transport.get_extra_info("socket")
-        raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        for option, value in (
-            (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-            (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-            (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-            (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
-        ):
-            raw.setsockopt(socket.IPPROTO_TCP, option, value)
+        set_keep_alive(transport.get_extra_info("socket"), KEEP_ALIVE)
 
     def data_received(self, data: bytes) -> None:
         """Take bytes; any that come between requests spoil the connection."""
@@ -107,10 +78,11 @@
     def send(
         self, method: bytes, target: bytes, headers: HeaderList, body: bytes
     ) -> None:
-        """Write a whole request; raises `ExchangeBroken` when nothing has left."""
+        """Write a whole request; raises `ExchangeError` when nothing has left."""
         if self._is_closed or self._transport is None:
-            raise ExchangeBroken(Progress.NOT_SENT, "connection closed while idle")
-        self.uses += 1
+            raise ExchangeError(
+                progress=Progress.NOT_SENT, detail="connection closed while idle"
+            )
         self._request = h11.Request(method=method, target=target, headers=headers)
         parts = [self._http.send(self._request)]
         if body:
@@ -119,19 +91,19 @@
         self._transport.write(b"".join(part for part in parts if part))
 
     async def next_event(self) -> h11.Response | h11.Data | h11.EndOfMessage:
-        """Return the next piece of the answer; raises `ExchangeBroken`."""
+        """Return the next piece of the answer; raises `ExchangeError`."""
         while True:
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as err:
-                raise ExchangeBroken(Progress.BROKEN, str(err)) from err
+                raise ExchangeError(progress=Progress.BROKEN, detail=str(err)) from err
             if isinstance(event, (h11.Response, h11.Data, h11.EndOfMessage)):
                 return event
             if isinstance(event, h11.InformationalResponse):
                 continue
             if self._failure is not None or event is not h11.NEED_DATA:
                 detail = self._failure or "connection closed before the answer"
-                raise ExchangeBroken(Progress.BROKEN, detail)
+                raise ExchangeError(progress=Progress.BROKEN, detail=detail)
             await self._wait_for_data()
 
     def skip_foreign_answer(self) -> bool:
@@ -194,7 +166,7 @@
 
 
 async def open_connection(address: str, *, timeout_s: float) -> TargetConnection:
-    """Connect to `IP:port`; raises `ExchangeBroken` with NOT_SENT."""
+    """Connect to `IP:port`; raises `ExchangeError` with NOT_SENT."""
     host, port = parse_address(address)
     loop = asyncio.get_running_loop()
     try:
@@ -202,5 +174,5 @@
             _, connection = await loop.create_connection(TargetConnection, host, port)
     except (OSError, TimeoutError) as err:
         detail = str(err) or "connection timed out"
-        raise ExchangeBroken(Progress.NOT_SENT, detail) from err
+        raise ExchangeError(progress=Progress.NOT_SENT, detail=detail) from err
     return connection
--- a/packages/gateway/src/jaytray_gateway/connection/target_pool.py
+++ b/packages/gateway/src/jaytray_gateway/connection/target_pool.py
@@ -38,7 +38,7 @@
         self._idle_by_target: dict[tuple[str, str], list[TargetConnection]] = {}
 
     async def acquire(self, target_id: str, address: str) -> TargetConnection:
-        """Return a connection to the target; raises `ExchangeBroken`."""
+        """Return a connection to the target; raises `ExchangeError`."""
         idle = self._idle_by_target.get((target_id, address), [])
         now_s = self._clock()
         while idle:
--- a/packages/gateway/src/jaytray_gateway/process/directory.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -89,6 +89,14 @@
         """Return how old the copy may be."""
         return self._clock() - self.read_at_s
 
+    def targets_of(self, service: str) -> list[TargetEntry]:
+        """Return the targets of a service that take new requests."""
+        return [
+            target
+            for target in self.targets_by_id.values()
+            if target.service == service and not target.is_leaving
+        ]
+
     async def run_reads(self) -> None:
         """Read everything at a fixed pace until cancelled."""
         while True:
--- a/packages/gateway/src/jaytray_gateway/process/engine_cost.py
+++ b/packages/gateway/src/jaytray_gateway/process/engine_cost.py
@@ -15,8 +15,12 @@
 OUTPUT_PORTION = 0.6
 
 
+def prefill_ms(prompt_tokens: int) -> float:
+    """Return the milliseconds in which an engine reads so many prompt tokens."""
+    return prompt_tokens / PREFILL_TOKENS_PER_MS
+
+
 def engine_ms(request: RoutedRequest, engine: Engine) -> float:
     """Return the milliseconds of one engine that the request uses up."""
     steps = request.output_tokens * OUTPUT_PORTION
-    prefill_ms = request.prompt_tokens / PREFILL_TOKENS_PER_MS
-    return prefill_ms + steps * STEP_MS / max(engine.slots, 1)
+    return prefill_ms(request.prompt_tokens) + steps * STEP_MS / max(engine.slots, 1)
--- a/packages/gateway/src/jaytray_gateway/process/membership.py
+++ b/packages/gateway/src/jaytray_gateway/process/membership.py
@@ -9,7 +9,6 @@
 import asyncio
 from typing import NamedTuple
 
-from jaytray_core.clock import MonotonicClock
 from jaytray_core.codec import decode_json, encode_json
 from jaytray_core.errors import JaytrayError
 from jaytray_core.keyvalue import ABSENT_REVISION, KeyValueService
@@ -55,30 +54,22 @@
         own: Member,
         prefix: str,
         key_value: KeyValueService,
-        clock: MonotonicClock,
     ) -> None:
         self.own = own
-        self.renewed_at_s = -float("inf")
         self._key = prefix + own.vm_id
         self._key_value = key_value
-        self._clock = clock
         self._lease_id = ""
 
     async def run(self) -> None:
         """Keep the record in the store until cancelled."""
         while True:
-            begun_s = self._clock()
             try:
                 is_kept = await self._renew()
             except JaytrayError as err:
                 get_logger().info("member_lease_not_renewed", error=str(err))
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
-            if is_kept:
-                self.renewed_at_s = begun_s
-                await asyncio.sleep(RENEW_INTERVAL_S)
-            else:
-                await asyncio.sleep(RETRY_PAUSE_S)
+            await asyncio.sleep(RENEW_INTERVAL_S if is_kept else RETRY_PAUSE_S)
 
     async def leave(self) -> None:
         """End the lease, which removes the record."""
--- a/packages/gateway/src/jaytray_gateway/process/metrics.py
+++ b/packages/gateway/src/jaytray_gateway/process/metrics.py
@@ -1,9 +1,7 @@
 """Counters, gauges and latency histograms, served as text on the metrics address."""
 
-import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
-from wsgiref.simple_server import WSGIServer
 
 from prometheus_client import (
     CollectorRegistry,
@@ -79,13 +77,11 @@
 
 
 @contextmanager
-def serve_metrics(
-    metrics: GatewayMetrics, *, host: str, port: int
-) -> Iterator[tuple[WSGIServer, threading.Thread]]:
+def serve_metrics(metrics: GatewayMetrics, *, host: str, port: int) -> Iterator[None]:
     """Serve the metrics' text over HTTP until the context ends."""
-    server, thread = start_http_server(port, addr=host, registry=metrics.registry)
+    server, _ = start_http_server(port, addr=host, registry=metrics.registry)
     try:
-        yield server, thread
+        yield
     finally:
         server.shutdown()
         server.server_close()
--- a/packages/gateway/src/jaytray_gateway/process/options.py
+++ b/packages/gateway/src/jaytray_gateway/process/options.py
@@ -10,8 +10,8 @@
     stops working, `change_s` that within which any other change must be in force, and
     `grace_s` the time between the stop signal and the kill.
     `repeat_ratio`, `repeat_extra` and `repeat_window_s` bound repeats over the fleet.
-    `lease_s` is the shortest time between orders of two holders to one target, and
-    `reads_per_s` the rate of reads that the store allows all members together.
+    `lease_s` is the shortest time between orders of two holders to one target. Within
+    `load_window_s` loads may begin at `load_window_factor` times the stated rate.
     """
 
     vm_id: str
--- a/packages/gateway/src/jaytray_gateway/process/placement/adapter_choice.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/adapter_choice.py
@@ -2,6 +2,7 @@
 
 from jaytray_gateway.process.load_view import LoadView
 from jaytray_gateway.process.placement.target_plan import TargetPlan
+from jaytray_gateway.replica_names import replica_name
 from jaytray_gateway.version.route_table import Engine
 
 # An adapter that was loaded, or found in use, this recently is not dropped.
@@ -32,7 +33,7 @@
             victim = choose_victim(plan, rates=rates, loads=loads, now_s=now_s)
             if victim is None:
                 continue
-            loss = rates.get("/".join(victim), 0.0)
+            loss = rates.get(replica_name(*victim), 0.0)
         cost = (loss, loads.total(plan.target_id).running, plan.target_id)
         if best is None or cost < best:
             best = cost
@@ -52,8 +53,8 @@
     unused = [
         key
         for key, used_at_s in plan.used_at_s_by_adapter.items()
-        if now_s - used_at_s > KEEP_S and "/".join(key) not in in_use
+        if now_s - used_at_s > KEEP_S and replica_name(*key) not in in_use
     ]
     return min(
-        unused, key=lambda key: (rates.get("/".join(key), 0.0), key), default=None
+        unused, key=lambda key: (rates.get(replica_name(*key), 0.0), key), default=None
     )
--- a/packages/gateway/src/jaytray_gateway/process/placement/duty.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/duty.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine
-from typing import Any, NamedTuple
+from typing import Any
 
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.keyvalue import KeyValueService
@@ -27,6 +27,7 @@
 from jaytray_gateway.process.replicas import ReplicaNotice
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.process.target_health import TargetHealth
+from jaytray_gateway.replica_names import replica_name, split_replica
 from jaytray_gateway.version.route_table import Engine, Service
 
 # Below the adapter's own prefix: the leased record of the holder.
@@ -42,11 +43,6 @@
 SWAP_TRIES_S = 0.6
 
 
-class _Requested(NamedTuple):
-    wanted: ReplicaRequest
-    made_at_s: float
-
-
 class PlacementDuty:
     """State of the duty; only the holder of the lease acts."""
 
@@ -99,8 +95,8 @@
             on_loaded=lambda entry, model: self._tell(entry, model, is_present=True),
             start=self._start,
         )
-        self._requested_by_replica: dict[tuple[str, str, str], _Requested] = {}
-        self._loading_adapters: set[tuple[str, str, str]] = set()
+        self._requested_at_s: dict[ReplicaRequest, float] = {}
+        self._loading_adapters: set[ReplicaRequest] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._term = 0
         self._has_requests = asyncio.Event()
@@ -116,8 +112,7 @@
 
     def take_replica_request(self, wanted: ReplicaRequest) -> None:
         """Take a request for a replica from this member or another one."""
-        key = (wanted.service, wanted.model, wanted.adapter)
-        self._requested_by_replica[key] = _Requested(wanted, self._clock())
+        self._requested_at_s[wanted] = self._clock()
         self._has_requests.set()
 
     def stop(self) -> None:
@@ -161,8 +156,7 @@
     def _plan_service(self, service: Service, engine: Engine) -> None:
         entries_by_id = {
             target.target_id: target
-            for target in self._directory.targets_by_id.values()
-            if target.service == service.name and not target.is_leaving
+            for target in self._directory.targets_of(service.name)
         }
         plans = self._plans.current(engine, entries_by_id)
         self._load_requested_adapters(service, engine, plans, entries_by_id)
@@ -186,13 +180,13 @@
         rates = {
             name: rate
             for name, rate in self._gossip.replica_rates().items()
-            if name.partition("/")[0] in engine.models_by_name
+            if split_replica(name)[0] in engine.models_by_name
         }
         held = set().union(*(plan.models for plan in plans))
         requested = {
-            made.wanted.model
-            for made in self._requested_by_replica.values()
-            if made.wanted.service == service.name
+            wanted.model
+            for wanted in self._requested_at_s
+            if wanted.service == service.name
         }
         in_use_by_target = {
             plan.target_id: self._loads.replicas_in_use(plan.target_id)
@@ -207,12 +201,11 @@
         plans: list[TargetPlan],
         entries_by_id: dict[str, TargetEntry],
     ) -> None:
-        for key, held in list(self._requested_by_replica.items()):
-            wanted = held.wanted
+        for wanted in self._requested_at_s:
             is_for_adapter = wanted.service == service.name and wanted.adapter
-            if not is_for_adapter or key in self._loading_adapters:
+            if not is_for_adapter or wanted in self._loading_adapters:
                 continue
-            self._loading_adapters.add(key)
+            self._loading_adapters.add(wanted)
             self._start(self._load_adapter(wanted, engine, plans, entries_by_id))
 
     async def _load_adapter(
@@ -223,7 +216,6 @@
         entries_by_id: dict[str, TargetEntry],
     ) -> None:
         """Load an adapter where its model is, dropping one that is out of use."""
-        key = (wanted.service, wanted.model, wanted.adapter)
         try:
             target_id = choose_target(
                 engine,
@@ -241,10 +233,11 @@
                 ready_in_s = await self._place_adapter(wanted, entry, engine)
             if ready_in_s is not None:
                 await asyncio.sleep(ready_in_s)
-                self._tell(entry, f"{wanted.model}/{wanted.adapter}", is_present=True)
-                self._requested_by_replica.pop(key, None)
+                name = replica_name(wanted.model, wanted.adapter)
+                self._tell(entry, name, is_present=True)
+                self._requested_at_s.pop(wanted, None)
         finally:
-            self._loading_adapters.discard(key)
+            self._loading_adapters.discard(wanted)
 
     async def _place_adapter(
         self, wanted: ReplicaRequest, entry: TargetEntry, engine: Engine
@@ -267,7 +260,7 @@
             )
             if victim is None:
                 return None
-            self._tell(entry, "/".join(victim), is_present=False)
+            self._tell(entry, replica_name(*victim), is_present=False)
             if not await self._orders.send(
                 plan, entry, engine, is_load=False, model=victim[0], adapter=victim[1]
             ):
@@ -347,9 +340,9 @@
 
     def _drop_old_requests(self) -> None:
         oldest_s = self._clock() - REPLICA_REQUEST_LIMIT_S
-        for key, held in list(self._requested_by_replica.items()):
-            if held.made_at_s < oldest_s:
-                del self._requested_by_replica[key]
+        for wanted, requested_at_s in list(self._requested_at_s.items()):
+            if requested_at_s < oldest_s:
+                del self._requested_at_s[wanted]
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
--- a/packages/gateway/src/jaytray_gateway/process/placement/orders.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/orders.py
@@ -10,6 +10,7 @@
 from jaytray_gateway.process.placement.target_plan import PendingOrder, TargetPlan
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.process.target_health import TargetHealth
+from jaytray_gateway.replica_names import replica_name
 from jaytray_gateway.version.route_table import Engine
 
 # Time for which a target that refused an order, or whose report is in doubt, gets none;
@@ -71,7 +72,6 @@
             adapter=adapter,
             expected_order_count=plan.order_count,
             sent_at_s=self._clock(),
-            is_certain=True,
             was_listed=model in entry.adapters_by_model,
         )
         if not adapter and not is_after_unload:
@@ -110,7 +110,7 @@
             "order_given",
             target=entry.target_id,
             operation=operation,
-            replica=f"{order.model}/{order.adapter}" if order.adapter else order.model,
+            replica=replica_name(order.model, order.adapter),
             expected_order_count=order.expected_order_count,
             fencing_number=self._leadership.fencing_number,
             outcome=outcome,
--- a/packages/gateway/src/jaytray_gateway/process/placement/planner.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/planner.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from jaytray_gateway.process.placement.target_plan import TargetPlan
+from jaytray_gateway.replica_names import split_replica
 from jaytray_gateway.version.route_table import Engine
 
 # Part of its time that an engine may be busy with one model's requests.
@@ -74,7 +75,7 @@
     adapters: dict[str, int] = {}
     counts: dict[str, int] = dict.fromkeys(demand.waiting, 1)
     for name, rate in demand.rates.items():
-        model, _, adapter = name.partition("/")
+        model, adapter = split_replica(name)
         if adapter:
             adapters[model] = adapters.get(model, 0) + (rate > MIN_ADAPTER_DEMAND_MS)
         else:
@@ -145,7 +146,7 @@
     """
     others = [p for p in plans if p is not plan and not p.has_model_step]
     with_adapters = {
-        name.partition("/")[0]
+        split_replica(name)[0]
         for name, rate in rates.items()
         if "/" in name and rate > MIN_ADAPTER_DEMAND_MS
     }
@@ -216,7 +217,7 @@
 ) -> tuple[str | None, float]:
     """Return the model whose loss at this target costs least, and that cost."""
     in_use = {
-        name.partition("/")[0]
+        split_replica(name)[0]
         for name in demand.in_use_by_target.get(plan.target_id, ())
     }
     best: tuple[str | None, float] = (None, math.inf)
--- a/packages/gateway/src/jaytray_gateway/process/placement/target_plan.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/target_plan.py
@@ -16,8 +16,6 @@
 OVERDUE_FACTOR = 3.0
 # Time for which an unload may wait for its runs before the target is asked.
 UNLOAD_OVERDUE_S = 6.0
-
-
 # Time after which room that was made for a model may be used for another.
 INTENTION_LIMIT_S = 8.0
 
@@ -33,7 +31,6 @@
     adapter: str
     expected_order_count: int
     sent_at_s: float
-    is_certain: bool
     was_listed: bool
 
 
@@ -182,7 +179,7 @@
 
     def note_uncertain(self, order: PendingOrder) -> None:
         """Take an order that got no answer."""
-        self.uncertain.append(order._replace(is_certain=False))
+        self.uncertain.append(order)
 
     def take_entry(self, entry: TargetEntry, now_s: float) -> str | None:
         """Compare with what the target says of itself in the directory.
--- a/packages/gateway/src/jaytray_gateway/process/placement/target_plans.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/target_plans.py
@@ -54,31 +54,29 @@
     ) -> list[TargetPlan]:
         """Return the known plans, brought up to date; ask for those in doubt."""
         now_s = self._clock()
-        unknown: list[TargetEntry] = []
+        plans: list[TargetPlan] = []
         for entry in entries_by_id.values():
             plan = self._plan_by_id.get(entry.target_id)
             if plan is None or plan.incarnation != entry.incarnation:
                 if not self._health.is_down(entry.target_id):
-                    unknown.append(entry)
+                    self._ask(entry)
                 continue
             loaded = plan.take_entry(entry, now_s)
             if loaded is not None:
                 self._on_loaded(entry, loaded)
             is_doubtful = plan.is_count_doubtful or plan.is_overdue(engine, now_s)
             if is_doubtful and plan.avoided_until_s <= now_s:
-                unknown.append(entry)
-        for entry in unknown:
-            if entry.target_id not in self._asked_ids:
-                self._asked_ids.add(entry.target_id)
-                self._start(self._read_report(entry))
-        return [
-            self._plan_by_id[target_id]
-            for target_id, entry in entries_by_id.items()
-            if target_id in self._plan_by_id
-            and self._plan_by_id[target_id].incarnation == entry.incarnation
-            and not self._plan_by_id[target_id].is_count_doubtful
-            and not self._health.is_down(target_id)
-        ]
+                self._ask(entry)
+            is_known = not plan.is_count_doubtful
+            if is_known and not self._health.is_down(entry.target_id):
+                plans.append(plan)
+        return plans
+
+    def _ask(self, entry: TargetEntry) -> None:
+        """Read the target's report, unless that is under way."""
+        if entry.target_id not in self._asked_ids:
+            self._asked_ids.add(entry.target_id)
+            self._start(self._read_report(entry))
 
     async def _read_report(self, entry: TargetEntry) -> None:
         """Make a new plan from what the target itself says.
--- a/packages/gateway/src/jaytray_gateway/process/rate_shares.py
+++ b/packages/gateway/src/jaytray_gateway/process/rate_shares.py
@@ -80,7 +80,7 @@
     def part_of(self, account: str) -> float:
         """Return this member's part of the account, between 0 and 1."""
         even = 1.0 / len(self.member_ids)
-        own = self.demand.rates().get(account, 0.0)
+        own = self.demand.rate(account)
         reported = [
             rates.get(account, 0.0)
             for member, rates in self._demand_by_member.items()
--- a/packages/gateway/src/jaytray_gateway/process/replicas.py
+++ b/packages/gateway/src/jaytray_gateway/process/replicas.py
@@ -11,6 +11,7 @@
 from jaytray_core.clock import MonotonicClock
 from jaytray_gateway.process.directory import Directory
 from jaytray_gateway.process.target_entry import TargetEntry
+from jaytray_gateway.replica_names import replica_name
 
 # Several heartbeats: by then the directory shows what a notice told.
 NOTICE_LIMIT_S = 5.0
@@ -62,17 +63,13 @@
 
     def targets_of(self, service: str) -> list[TargetEntry]:
         """Return the targets of a service that take new requests."""
-        return [
-            target
-            for target in self._directory.targets_by_id.values()
-            if target.service == service and not target.is_leaving
-        ]
+        return self._directory.targets_of(service)
 
     def holders_of(self, service: str, model: str, adapter: str) -> list[TargetEntry]:
         """Return the targets of a service that can serve the model or adapter now."""
         return [
             target
-            for target in self.targets_of(service)
+            for target in self._directory.targets_of(service)
             if self._holds(target, model, adapter)
         ]
 
@@ -89,7 +86,7 @@
             has_model = model in target.adapters_by_model
         if not adapter or not has_model:
             return has_model
-        has_adapter = self._noted(target, f"{model}/{adapter}")
+        has_adapter = self._noted(target, replica_name(model, adapter))
         if has_adapter is None:
             has_adapter = adapter in target.adapters_by_model.get(model, frozenset())
         return has_adapter
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -251,7 +251,6 @@
             own=own,
             prefix=adapter.own_prefix + MEMBERS,
             key_value=key_value,
-            clock=clock,
         ),
         hub=hub,
         shares=shares,
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/replica_names.py
@@ -0,0 +1,12 @@
+"""Names of replicas: a model, or an adapter of it as `model/adapter`."""
+
+
+def replica_name(model: str, adapter: str) -> str:
+    """Return the name of the model, or of its adapter if there is one."""
+    return f"{model}/{adapter}" if adapter else model
+
+
+def split_replica(name: str) -> tuple[str, str]:
+    """Return model and adapter, the latter empty in the name of a model."""
+    model, _, adapter = name.partition("/")
+    return model, adapter
--- a/packages/gateway/src/jaytray_gateway/request/reply.py
+++ b/packages/gateway/src/jaytray_gateway/request/reply.py
@@ -15,7 +15,6 @@
         self.is_started = False
         self.is_finished = False
         self.status = 0
-        self.bytes_sent = 0
         self.closes_connection = closes_connection
         self._send = send
 
@@ -31,7 +30,6 @@
 
     async def send(self, data: bytes) -> None:
         """Send a piece of the body; waits while the caller does not read."""
-        self.bytes_sent += len(data)
         await self._send(
             {"type": "http.response.body", "body": data, "more_body": True}
         )
@@ -39,7 +37,6 @@
     async def finish(self, data: bytes = b"") -> None:
         """Send the last piece and end the answer."""
         self.is_finished = True
-        self.bytes_sent += len(data)
         await self._send({"type": "http.response.body", "body": data})
 
     async def send_whole(self, status: int, headers: HeaderList, body: bytes) -> None:
--- a/packages/gateway/src/jaytray_gateway/request/request_path.py
+++ b/packages/gateway/src/jaytray_gateway/request/request_path.py
@@ -6,7 +6,7 @@
 from jaytray_core import message_registry as messages
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.errors import Execution, JaytrayError, Step
-from jaytray_gateway.connection.target_connection import ExchangeBroken, Progress
+from jaytray_core.exchange_errors import ExchangeError, Progress
 from jaytray_gateway.connection.target_pool import TargetPools
 from jaytray_gateway.ports import AnswerHead, Dispatch, PlatformAdapter
 from jaytray_gateway.process.crash_guard import CrashGuard
@@ -167,7 +167,7 @@
             await _take_answer(run, target, in_flight, exchange, reply, services)
         services.health.succeeded(target.target_id)
         services.crash_guard.note_whole(run.digest, target)
-    except ExchangeBroken as err:
+    except ExchangeError as err:
         is_late = err.progress is Progress.TIMED_OUT
         if err.progress is Progress.NOT_SENT:
             services.health.unreachable(target.target_id, err.detail)
@@ -199,7 +199,9 @@
         raise TurnedAway(f"status {head.status}", has_arrived=True)
     is_success = head.status in HTTP_SUCCESS
     if head.is_encoded or (is_success and not head.is_sealed):
-        raise ExchangeBroken(Progress.BROKEN, "the answer is not the target's own")
+        raise ExchangeError(
+            progress=Progress.BROKEN, detail="the answer is not the target's own"
+        )
     if is_success and run.admitted.route.kind is RequestKind.STREAM:
         await _relay_stream(run, target, in_flight, exchange, head, reply, services)
         return
@@ -243,7 +245,9 @@
             await reply.start(head.status, head.headers)
         await reply.send(piece)
     if run.events is not None and run.events.has_partial:
-        raise ExchangeBroken(Progress.BROKEN, "the stream ended within an event")
+        raise ExchangeError(
+            progress=Progress.BROKEN, detail="the stream ended within an event"
+        )
     run.runs += 1
     if not reply.is_started:
         await reply.start(head.status, head.headers)
--- a/packages/gateway/src/jaytray_gateway/request/routed_request.py
+++ b/packages/gateway/src/jaytray_gateway/request/routed_request.py
@@ -3,6 +3,8 @@
 import hashlib
 from typing import NamedTuple
 
+from jaytray_gateway.replica_names import replica_name
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
@@ -44,7 +46,7 @@
     @property
     def replica_name(self) -> str:
         """Return the model, with its adapter after a slash if there is one."""
-        return f"{self.model}/{self.adapter}" if self.adapter else self.model
+        return replica_name(self.model, self.adapter)
 
 
 def content_digest(request: RoutedRequest, account: str) -> str:
--- a/packages/gateway/src/jaytray_gateway/request/target_exchange.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_exchange.py
@@ -7,11 +7,8 @@
 import h11
 
 from jaytray_core.clock import MonotonicClock
-from jaytray_gateway.connection.target_connection import (
-    ExchangeBroken,
-    Progress,
-    TargetConnection,
-)
+from jaytray_core.exchange_errors import ExchangeError, Progress
+from jaytray_gateway.connection.target_connection import TargetConnection
 from jaytray_gateway.connection.target_pool import TargetPools
 from jaytray_gateway.ports import AnswerHead, Dispatch, HeaderList, PlatformAdapter
 from jaytray_gateway.process.target_entry import TargetEntry
@@ -44,11 +41,13 @@
         self._clock = clock
 
     async def read_head(self, until_s: float) -> AnswerHead:
-        """Return the head of the request's own answer; raises `ExchangeBroken`."""
+        """Return the head of the request's own answer; raises `ExchangeError`."""
         for _ in range(MAX_FOREIGN_ANSWERS + 1):
             event = await self._next(until_s)
             if not isinstance(event, h11.Response):
-                raise ExchangeBroken(Progress.BROKEN, "an answer without a head")
+                raise ExchangeError(
+                    progress=Progress.BROKEN, detail="an answer without a head"
+                )
             headers: HeaderList = list(event.headers)
             head = self._adapter.read_answer_head(event.status_code, headers)
             if head.request_id in ("", self._request.request_id):
@@ -58,7 +57,9 @@
                 pass
             if not self._connection.skip_foreign_answer():
                 break
-        raise ExchangeBroken(Progress.BROKEN, "an answer to another request")
+        raise ExchangeError(
+            progress=Progress.BROKEN, detail="an answer to another request"
+        )
 
     async def read_piece(self, until_s: float) -> bytes | None:
         """Return the next piece of the body, None at its end."""
@@ -66,7 +67,7 @@
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if not isinstance(event, h11.EndOfMessage):
-            raise ExchangeBroken(Progress.BROKEN, "a second head")
+            raise ExchangeError(progress=Progress.BROKEN, detail="a second head")
         self.is_complete = True
         return None
 
@@ -77,19 +78,23 @@
         while (piece := await self.read_piece(until_s)) is not None:
             size += len(piece)
             if size > MAX_WHOLE_BODY_BYTES:
-                raise ExchangeBroken(Progress.BROKEN, "the body is too long")
+                raise ExchangeError(
+                    progress=Progress.BROKEN, detail="the body is too long"
+                )
             parts.append(piece)
         return b"".join(parts)
 
     async def _next(self, until_s: float) -> h11.Response | h11.Data | h11.EndOfMessage:
         left_s = until_s - self._clock()
         if left_s <= 0:
-            raise ExchangeBroken(Progress.TIMED_OUT, "no time left")
+            raise ExchangeError(progress=Progress.TIMED_OUT, detail="no time left")
         try:
             async with asyncio.timeout(left_s):
                 return await self._connection.next_event()
         except TimeoutError as err:
-            raise ExchangeBroken(Progress.TIMED_OUT, "no answer in time") from err
+            raise ExchangeError(
+                progress=Progress.TIMED_OUT, detail="no answer in time"
+            ) from err
 
 
 @asynccontextmanager
--- a/packages/gateway/src/jaytray_gateway/request/target_search.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_search.py
@@ -6,7 +6,7 @@
 from jaytray_core import message_registry as messages
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.errors import JaytrayError, Step
-from jaytray_gateway.process.engine_cost import PREFILL_TOKENS_PER_MS
+from jaytray_gateway.process.engine_cost import prefill_ms
 from jaytray_gateway.process.lifecycle import Lifecycle
 from jaytray_gateway.process.replicas import ReplicaNotice, Replicas
 from jaytray_gateway.process.target_choice import Candidate, TargetChooser
@@ -80,7 +80,7 @@
             untried = [t for t in holders if t.target_id not in tried]
             chosen = self._chooser.choose(request, service, untried, admitted.priority)
             if chosen is not None:
-                own_s = request.prompt_tokens / PREFILL_TOKENS_PER_MS / 1000
+                own_s = prefill_ms(request.prompt_tokens) / 1000
                 if chosen.wait_s and chosen.wait_s + own_s > admitted.route.objective_s:
                     raise _overloaded(chosen)
                 return chosen.target
--- a/packages/gateway/tests/connection/test_target_connection.py
+++ b/packages/gateway/tests/connection/test_target_connection.py
@@ -10,9 +10,8 @@
 from parameterized import parameterized
 from testtools import TestCase
 
+from jaytray_core.exchange_errors import ExchangeError, Progress
 from jaytray_gateway.connection.target_connection import (
-    ExchangeBroken,
-    Progress,
     TargetConnection,
     open_connection,
 )
@@ -138,7 +137,7 @@
                 send(connection)
                 try:
                     await read_body(connection)
-                except ExchangeBroken as err:
+                except ExchangeError as err:
                     return err.progress
                 finally:
                     connection.close()
@@ -152,7 +151,7 @@
                 pass
             try:
                 await open_connection(address, timeout_s=1.0)
-            except ExchangeBroken as err:
+            except ExchangeError as err:
                 return err.progress
             return None
 
@@ -165,7 +164,7 @@
                 connection.eof_received()
                 try:
                     send(connection)
-                except ExchangeBroken as err:
+                except ExchangeError as err:
                     return err.progress
                 finally:
                     connection.close()
--- a/packages/gateway/tests/process/placement/test_planner.py
+++ b/packages/gateway/tests/process/placement/test_planner.py
@@ -155,7 +155,7 @@
 def order(
     is_load: bool, model: str, *, listed: bool, adapter: str = ""
 ) -> PendingOrder:
-    return PendingOrder(is_load, model, adapter, 0, 1.0, True, listed)
+    return PendingOrder(is_load, model, adapter, 0, 1.0, listed)
 
 
 class TargetPlanTests(TestCase):
--- a/packages/server/src/jaytray_server/connection/callers.py
+++ b/packages/server/src/jaytray_server/connection/callers.py
@@ -12,16 +12,14 @@
 import uvicorn
 
 from jaytray_core.addresses import parse_address
+from jaytray_core.tcp_options import KeepAlive, set_keep_alive
 from jaytray_server.connection.caller_protocol import (
     CallerProtocol,
     refuse_double_framing,
 )
 
-KEEPALIVE_IDLE_S = 10
-KEEPALIVE_INTERVAL_S = 5
-KEEPALIVE_PROBES = 3
-# Longest time that written data may stay unacknowledged, in milliseconds.
-USER_TIMEOUT_MS = 20_000
+# Callers on slow networks may be silent longer than targets, which are near.
+KEEP_ALIVE = KeepAlive(idle_s=10, interval_s=5, probes=3, user_timeout_ms=20_000)
 # An idle caller connection is closed after this time, in seconds.
 IDLE_TIMEOUT_S = 75
 LISTEN_BACKLOG = 512
@@ -35,14 +33,7 @@
     # asyncio sends small writes at once only where the protocol is given as TCP.
     with socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP) as listener:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        for option, value in (
-            (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-            (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-            (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-            (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
-        ):
-            listener.setsockopt(socket.IPPROTO_TCP, option, value)
+        set_keep_alive(listener, KEEP_ALIVE)
         listener.bind((host, port))
         listener.listen(LISTEN_BACKLOG)
         listener.setblocking(False)
--- a/packages/server/src/jaytray_server/process/placement/changes.py
+++ b/packages/server/src/jaytray_server/process/placement/changes.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from jaytray_core.document.model import Adapter, Model
-from jaytray_core.targets import OrderKind
+from jaytray_core.targets import Order, OrderKind
 from jaytray_server.process.placement.state import Accelerator, Replica
 
 
@@ -48,6 +48,20 @@
     reason: str
 
 
+def order_for(change: PlannedChange, order_id: str, *, fencing_number: int) -> Order:
+    """Return the order that carries out a change."""
+    return Order(
+        order_id,
+        change.kind,
+        change.name,
+        change.model,
+        change.version,
+        change.accelerator,
+        change.memory_mib,
+        fencing_number,
+    )
+
+
 def load_change(
     accelerator: Accelerator, model: Model, urgency: Urgency, reason: str = ""
 ) -> PlannedChange:
--- a/packages/server/src/jaytray_server/process/placement/executor.py
+++ b/packages/server/src/jaytray_server/process/placement/executor.py
@@ -22,7 +22,11 @@
 from jaytray_server.ports import ConnectionTo, CurrentDocument
 from jaytray_server.process.decision_log import DecisionLog, DecisionRecord
 from jaytray_server.process.demand import DemandMeter
-from jaytray_server.process.placement.changes import PlannedChange, PlanSettings
+from jaytray_server.process.placement.changes import (
+    PlannedChange,
+    PlanSettings,
+    order_for,
+)
 from jaytray_server.process.placement.groups import Group
 from jaytray_server.process.placement.lease import GroupLease
 from jaytray_server.process.placement.ledger import SafetyRules, TargetLedger
@@ -249,7 +253,7 @@
     async def _order(self, target: Target, change: PlannedChange) -> bool:
         """Write the order to the record and send it; return whether it was sent."""
         ledger = self._ledger(target.name)
-        order = _new_order(change, self._new_order_id())
+        order = order_for(change, self._new_order_id(), fencing_number=0)
         if not ledger.allows(order, target) or ledger.report is None:
             return False
         live_ids = frozenset(o.order_id for o in ledger.live_orders(target))
@@ -352,19 +356,6 @@
             self._wake.clear()
 
 
-def _new_order(change: PlannedChange, order_id: str) -> Order:
-    return Order(
-        order_id,
-        change.kind,
-        change.name,
-        change.model,
-        change.version,
-        change.accelerator,
-        change.memory_mib,
-        0,
-    )
-
-
 def _loading(states: list[TargetState]) -> tuple[int, int]:
     """Return how many models and adapters are being loaded or may be."""
     places: set[tuple[str, int, str, bool]] = set()
--- a/packages/server/src/jaytray_server/process/placement/ledger.py
+++ b/packages/server/src/jaytray_server/process/placement/ledger.py
@@ -23,7 +23,6 @@
     EMPTY_RECORD,
     StoredRecord,
     is_usable_report,
-    to_order,
 )
 from jaytray_server.process.placement.state import TargetState
 
@@ -102,7 +101,7 @@
         """Return the orders that may still take effect."""
         if not self._rules.counts_orders:
             return []
-        orders = [to_order(written) for written in self.record.value.orders]
+        orders = self.record.value.orders
         return [order for order in orders if not self._is_dead(order, target)]
 
     def unsettled_orders(self, target: Target) -> list[Order]:
--- a/packages/server/src/jaytray_server/process/placement/record.py
+++ b/packages/server/src/jaytray_server/process/placement/record.py
@@ -9,7 +9,7 @@
 
 from jaytray_core.codec import decode_json, encode_json
 from jaytray_core.keyvalue import ABSENT_REVISION, KeyValueRecord
-from jaytray_core.targets import LoadReport, Order, OrderKind
+from jaytray_core.targets import LoadReport, Order
 
 KEY_PREFIX = "placement/targets/"
 MAX_PAST_BOOTS = 8
@@ -17,30 +17,18 @@
 _THIS_REVISION = 0
 
 
-class WrittenOrder(NamedTuple):
-    """An order as it stands in a record; `fencing_number` 0 is its own revision."""
-
-    order_id: str
-    kind: OrderKind
-    name: str
-    model: str
-    version: str
-    accelerator: int
-    memory_mib: int
-    fencing_number: int
-
-
 class TargetRecord(NamedTuple):
     """The value of a target's record.
 
     `report_taken_at_s` and `boot_id` name the load report by which orders were
-    last dropped; older reports must not be used with this record.
+    last dropped; older reports must not be used with this record. As written, the
+    fencing number of the last order is 0 and stands for the record's own revision.
     """
 
     boot_id: str
     past_boot_ids: list[str]
     report_taken_at_s: float
-    orders: list[WrittenOrder]
+    orders: list[Order]
 
 
 EMPTY_RECORD = TargetRecord("", [], float("-inf"), [])
@@ -102,10 +90,5 @@
     if record.boot_id and record.boot_id != report.boot_id:
         past = [*past, record.boot_id][-MAX_PAST_BOOTS:]
     kept = [old for old in record.orders if old.order_id in live_order_ids]
-    written = WrittenOrder(*order._replace(fencing_number=_THIS_REVISION))
+    written = order._replace(fencing_number=_THIS_REVISION)
     return TargetRecord(report.boot_id, past, report.taken_at_s, [*kept, written])
-
-
-def to_order(written: WrittenOrder) -> Order:
-    """Return the order as it is sent."""
-    return Order(*written)
--- a/packages/server/src/jaytray_server/request/completions.py
+++ b/packages/server/src/jaytray_server/request/completions.py
@@ -6,8 +6,8 @@
 from jaytray_server.request.parsing import parse_completion
 from jaytray_server.request.responses import (
     StreamEnding,
+    send_answer,
     send_stream,
-    send_whole,
 )
 from jaytray_server.request.services import RequestServices
 from jaytray_server.request.stream import dispatch_stream
@@ -34,13 +34,7 @@
     answer = await until_caller_leaves(
         exchange.receive, dispatch_whole(services, work, exchange.tracker)
     )
-    await send_whole(
-        exchange.send,
-        request_id=exchange.request_id,
-        status=answer.status,
-        headers=answer.headers,
-        body=answer.body,
-    )
+    await send_answer(exchange.send, request_id=exchange.request_id, answer=answer)
 
 
 async def _answer_stream(
--- a/packages/server/src/jaytray_server/request/responses.py
+++ b/packages/server/src/jaytray_server/request/responses.py
@@ -14,7 +14,7 @@
 
 from jaytray_core.errors import JaytrayError
 from jaytray_core.refusal_body import encode_refusal
-from jaytray_core.targets import StreamPiece
+from jaytray_core.targets import StreamPiece, WholeAnswer
 from jaytray_server.request.caller_presence import CallerLeft, until_caller_leaves
 from jaytray_server.request.refusals import refusal_headers
 from jaytray_server.request.stall_guard import StallGuard
@@ -67,6 +67,17 @@
     await send({"type": "http.response.body", "body": body, "more_body": False})
 
 
+async def send_answer(send: Send, *, request_id: str, answer: WholeAnswer) -> None:
+    """Send a target's whole answer under the caller's request id."""
+    await send_whole(
+        send,
+        request_id=request_id,
+        status=answer.status,
+        headers=answer.headers,
+        body=answer.body,
+    )
+
+
 async def send_refusal(send: Send, *, request_id: str, error: JaytrayError) -> None:
     """Send a refusal in the one shape."""
     await send_whole(
--- a/packages/server/src/jaytray_server/request/service_routes.py
+++ b/packages/server/src/jaytray_server/request/service_routes.py
@@ -15,7 +15,7 @@
 from jaytray_server.request.endpoint import Exchange, authenticated
 from jaytray_server.request.refusals import invalid_request
 from jaytray_server.request.responses import (
-    send_whole,
+    send_answer,
     until_caller_leaves_running,
 )
 from jaytray_server.request.service_call import dispatch_service_call
@@ -44,13 +44,7 @@
         answer = await until_caller_leaves_running(exchange.receive, counted)
     else:
         answer = await until_caller_leaves(exchange.receive, work)
-    await send_whole(
-        exchange.send,
-        request_id=exchange.request_id,
-        status=answer.status,
-        headers=answer.headers,
-        body=answer.body,
-    )
+    await send_answer(exchange.send, request_id=exchange.request_id, answer=answer)
 
 
 async def run_service_call(
--- a/packages/server/tests/request/support.py
+++ b/packages/server/tests/request/support.py
@@ -45,6 +45,7 @@
     Timeouts,
 )
 from jaytray_server.version.authentication import digest_key
+from jaytray_standins.asgi_scope import http_scope
 from jaytray_standins.faults import FaultSwitches
 from jaytray_standins.in_process import in_process_key_value, in_process_target
 from jaytray_standins.key_value.store import KeyValueStore
@@ -173,21 +174,7 @@
     ) -> dict[str, Any]:
         """Return the ASGI scope of a request with the caller's key."""
         pairs = {"authorization": f"Bearer {KEY}", **(headers or {})}
-        return {
-            "type": "http",
-            "asgi": {"version": "3.0", "spec_version": "2.3"},
-            "http_version": "1.1",
-            "method": method,
-            "scheme": "http",
-            "path": path,
-            "raw_path": path.encode(),
-            "root_path": "",
-            "query_string": b"",
-            "headers": [(k.encode(), v.encode()) for k, v in pairs.items()],
-            "client": ("127.0.0.1", 1),
-            "server": ("127.0.0.1", 2),
-            "state": {},
-        }
+        return http_scope(method, path, list(pairs.items()))
 
 
 def make_site(
--- a/tools/fault_cases/callers.py
+++ b/tools/fault_cases/callers.py
@@ -7,6 +7,7 @@
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
+from jaytray_standins.asgi_scope import http_scope
 from packages.server.tests.request.support import KEY, MODEL
 from tools.fault_cases.fleet import Fleet
 
@@ -169,18 +170,4 @@
     ]
     if call.kind is CallKind.BOOK_KEYED:
         headers.append(("idempotency-key", call.marker))
-    return {
-        "type": "http",
-        "asgi": {"version": "3.0", "spec_version": "2.3"},
-        "http_version": "1.1",
-        "method": method,
-        "scheme": "http",
-        "path": path,
-        "raw_path": path.encode(),
-        "root_path": "",
-        "query_string": b"",
-        "headers": [(k.encode(), v.encode()) for k, v in headers],
-        "client": ("127.0.0.1", 1),
-        "server": ("127.0.0.1", 2),
-        "state": {},
-    }
+    return http_scope(method, path, headers)
--- a/tools/policy_model/world.py
+++ b/tools/policy_model/world.py
@@ -14,7 +14,11 @@
 from jaytray_server.ports import Router, RoutingRequest
 from jaytray_server.process.cache_index import CacheIndex
 from jaytray_server.process.demand import Demand, DemandMeter
-from jaytray_server.process.placement.changes import PlannedChange, PlanSettings
+from jaytray_server.process.placement.changes import (
+    PlannedChange,
+    PlanSettings,
+    order_for,
+)
 from jaytray_server.process.placement.memory import LOADS
 from jaytray_server.process.placement.pacing import LoadLimits, LoadPacer
 from jaytray_server.process.placement.planner import plan
@@ -292,16 +296,8 @@
     def _give(self, change: PlannedChange, *, ready_at_s: float) -> None:
         target = self.targets[change.target]
         self.orders += 1
-        order = Order(
-            f"order-{self.orders}",
-            change.kind,
-            change.name,
-            change.model,
-            change.version,
-            change.accelerator,
-            change.memory_mib,
-            self.orders,
-        )
+        order_id = f"order-{self.orders}"
+        order = order_for(change, order_id, fencing_number=self.orders)
         self.unsettled[change.target].append(order)
         target.order(order, now=self.clock(), ready_at_s=ready_at_s)
         self.moves += change.kind is OrderKind.LOAD_MODEL
