Apply the stated times for callers' headers and idle connections

Cause: the configuration's header and idle times were decoded and not used; callers were held to constants of 5 s and 75 s, and a connection without a request had no limit.

Change: the gateway's connections take the times in force when they begin. A pipelined request is no longer in danger from the timer of the answer before it.

--- a/packages/gateway/src/jaytray_gateway/connection/caller_app.py
+++ b/packages/gateway/src/jaytray_gateway/connection/caller_app.py
@@ -27,10 +27,6 @@
 Send = Callable[[Any], Awaitable[None]]
 App = Callable[[Any, Receive, Send], Awaitable[None]]
 
-# Applied until the first route table states others.
-DEFAULT_LIMITS = CallerLimits(
-    header_bytes=16_384, body_bytes=4_194_304, header_timeout_s=3.0, idle_timeout_s=15.0
-)
 # Longest wait for the next part of a body.
 BODY_PAUSE_S = 5.0
 
@@ -39,7 +35,7 @@
     services: RequestServices,
     *,
     lifecycle: Lifecycle,
-    current_limits: Callable[[], CallerLimits | None],
+    current_limits: Callable[[], CallerLimits],
     clock: MonotonicClock,
 ) -> App:
     """Return the application that forwards callers' requests."""
@@ -57,7 +53,7 @@
     async def _serve_one(scope: Any, receive: Receive, reply: CallerReply) -> None:
         head = _read_head(scope, clock())
         try:
-            limits = current_limits() or DEFAULT_LIMITS
+            limits = current_limits()
             _check_head(head, limits)
             body = await _read_body(receive, limits.body_bytes)
             request = services.adapter.parse_request(head, body)
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -39,7 +39,13 @@
 from jaytray_gateway.request.admission import Admission
 from jaytray_gateway.request.request_path import RequestServices
 from jaytray_gateway.request.target_search import TargetSearch
-from jaytray_server.connection.callers import make_caller_server, open_caller_socket
+from jaytray_gateway.version.route_table import DEFAULT_LIMITS, CallerLimits
+from jaytray_server.connection.caller_protocol import CallerTimeouts
+from jaytray_server.connection.callers import (
+    DEFAULT_TIMEOUTS,
+    make_caller_server,
+    open_caller_socket,
+)
 from jaytray_server.connection.peer_link import CurveKeys
 from jaytray_server.connection.peer_network import PeerHub
 from jaytray_server.process.stop_signals import install_stop_signals
@@ -115,16 +121,16 @@
         caller_app = make_caller_app(
             parts.services,
             lifecycle=parts.lifecycle,
-            current_limits=lambda: (
-                parts.directory.route_table.limits
-                if parts.directory.route_table
-                else None
-            ),
+            current_limits=lambda: _caller_limits(parts),
             clock=clock,
         )
         await stack.enter_async_context(_serving(probe_app, options.probe_address))
         await stack.enter_async_context(_supervised(_duties(parts, options)))
-        async with _serving(caller_app, options.callers_address) as end_callers:
+        async with _serving(
+            caller_app,
+            options.callers_address,
+            current_timeouts=lambda: _caller_timeouts(parts),
+        ) as end_callers:
             get_logger().info("gateway_started", members=len(parts.shares.member_ids))
             await stop.wait()
             await _drain(parts, options, clock, end_callers)
@@ -301,6 +307,16 @@
     )
 
 
+def _caller_limits(parts: _Parts) -> CallerLimits:
+    table = parts.directory.route_table
+    return DEFAULT_LIMITS if table is None else table.limits
+
+
+def _caller_timeouts(parts: _Parts) -> CallerTimeouts:
+    limits = _caller_limits(parts)
+    return CallerTimeouts(limits.header_timeout_s, limits.idle_timeout_s)
+
+
 def _duties(
     parts: _Parts, options: GatewayOptions
 ) -> dict[str, Callable[[], Awaitable[None]]]:
@@ -370,14 +386,18 @@
 
 
 @asynccontextmanager
-async def _serving(app: object, address: str) -> AsyncIterator[Callable[[], None]]:
+async def _serving(
+    app: object,
+    address: str,
+    current_timeouts: Callable[[], CallerTimeouts] = lambda: DEFAULT_TIMEOUTS,
+) -> AsyncIterator[Callable[[], None]]:
     """Serve HTTP on `address`; gives a function that begins the server's end.
 
     After it was called, no connection is accepted, idle ones are closed, and each
     of the others closes with its answer.
     """
     with open_caller_socket(address) as listener:
-        server = make_caller_server(app)
+        server = make_caller_server(app, current_timeouts=current_timeouts)
         serving = asyncio.create_task(server.serve(sockets=[listener]))
 
         def end() -> None:
--- a/packages/gateway/src/jaytray_gateway/version/route_table.py
+++ b/packages/gateway/src/jaytray_gateway/version/route_table.py
@@ -107,6 +107,12 @@
     idle_timeout_s: float
 
 
+# Applied until the first route table states others.
+DEFAULT_LIMITS = CallerLimits(
+    header_bytes=16_384, body_bytes=4_194_304, header_timeout_s=3.0, idle_timeout_s=15.0
+)
+
+
 class RouteTable(NamedTuple):
     """One version of the operator's declarations.
 
--- a/packages/server/src/jaytray_server/connection/caller_protocol.py
+++ b/packages/server/src/jaytray_server/connection/caller_protocol.py
@@ -1,12 +1,13 @@
 """HTTP/1.1 towards callers, strict about what uvicorn leaves open.
 
 A request whose framing is given twice is refused, and nothing after it is read. A
-header that is begun and not finished in time ends the connection. Bytes that are no
-HTTP get a refusal of the usual shape.
+header that is begun and not finished in time ends the connection, as does a
+connection that stays idle. Bytes that are no HTTP get a refusal of the usual shape.
 """
 
 import asyncio
-from typing import Any
+from collections.abc import Callable
+from typing import Any, NamedTuple
 
 import h11
 from uvicorn.protocols.http.h11_impl import H11Protocol
@@ -15,11 +16,20 @@
 from jaytray_core.errors import JaytrayError, Step
 from jaytray_core.refusal_body import encode_refusal
 
-# Longest time from the first byte of a header to its end, in seconds.
-HEADER_TIMEOUT_S = 5.0
 _FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 
 
+class CallerTimeouts(NamedTuple):
+    """How long callers may take, in seconds.
+
+    `header_s` runs from the first byte of a header to its end, `idle_s` from the end
+    of an answer, or from the connection's start, to the next request's first byte.
+    """
+
+    header_s: float
+    idle_s: float
+
+
 def refuse_double_framing(app: Any) -> Any:
     """Return `app` behind a check that a request's length is given once."""
 
@@ -35,12 +45,32 @@
 
 
 class CallerProtocol(H11Protocol):
-    """One caller's connection."""
-
-    def __init__(self, *arguments: Any, **options: Any) -> None:
-        super().__init__(*arguments, **options)
+    """One caller's connection; the times in force when it begins hold for its life."""
+
+    def __init__(
+        self, *, current_timeouts: Callable[[], CallerTimeouts], **options: Any
+    ) -> None:
+        super().__init__(**options)
+        timeouts = current_timeouts()
+        self._header_timeout_s = timeouts.header_s
+        # uvicorn only hands it to the loop's timer, which takes parts of a second.
+        self.timeout_keep_alive = timeouts.idle_s  # type: ignore[assignment]
         self._header_timer: asyncio.TimerHandle | None = None
 
+    def connection_made(  # type: ignore[override]
+        self, transport: asyncio.Transport
+    ) -> None:
+        """Close the connection if no request comes."""
+        super().connection_made(transport)
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self.timeout_keep_alive, self.timeout_keep_alive_handler
+        )
+
+    def timeout_keep_alive_handler(self) -> None:
+        """Close an idle connection; a pipelined request may have begun meanwhile."""
+        if self.conn.our_state not in (h11.SEND_RESPONSE, h11.SEND_BODY):
+            super().timeout_keep_alive_handler()
+
     def data_received(self, data: bytes) -> None:
         """Take bytes and watch over a header that is under way."""
         super().data_received(data)
@@ -49,7 +79,7 @@
         )
         if is_header_begun and self._header_timer is None:
             self._header_timer = self.loop.call_later(
-                HEADER_TIMEOUT_S, self.transport.close
+                self._header_timeout_s, self.transport.close
             )
         elif not is_header_begun:
             self._stop_header_timer()
--- a/packages/server/src/jaytray_server/connection/callers.py
+++ b/packages/server/src/jaytray_server/connection/callers.py
@@ -5,8 +5,9 @@
 """
 
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from functools import partial
 from typing import Any
 
 import uvicorn
@@ -15,13 +16,15 @@
 from jaytray_core.tcp_options import KeepAlive, set_keep_alive
 from jaytray_server.connection.caller_protocol import (
     CallerProtocol,
+    CallerTimeouts,
     refuse_double_framing,
 )
 
 # Callers on slow networks may be silent longer than targets, which are near.
 KEEP_ALIVE = KeepAlive(idle_s=10, interval_s=5, probes=3, user_timeout_ms=20_000)
-# An idle caller connection is closed after this time, in seconds.
-IDLE_TIMEOUT_S = 75
+# Applied where nothing else is stated: a header comes in one piece but on bad networks;
+# an idle connection is kept for a little longer than common balancers do.
+DEFAULT_TIMEOUTS = CallerTimeouts(header_s=5.0, idle_s=75.0)
 LISTEN_BACKLOG = 512
 
 
@@ -49,20 +52,27 @@
         yield
 
 
-def make_caller_server(app: Any) -> CallerServer:
-    """Return the HTTP server for `app`; run it with `serve(sockets=[...])`."""
+def make_caller_server(
+    app: Any,
+    *,
+    current_timeouts: Callable[[], CallerTimeouts] = lambda: DEFAULT_TIMEOUTS,
+) -> CallerServer:
+    """Return the HTTP server for `app`; run it with `serve(sockets=[...])`.
+
+    `current_timeouts` is asked once for each connection.
+    """
+    protocol: Any = partial(CallerProtocol, current_timeouts=current_timeouts)
     return CallerServer(
         uvicorn.Config(
             refuse_double_framing(app),
             loop="asyncio",
-            http=CallerProtocol,
+            http=protocol,
             ws="none",
             lifespan="off",
             interface="asgi3",
             log_config=None,
             access_log=False,
             server_header=False,
-            timeout_keep_alive=IDLE_TIMEOUT_S,
         )
     )
 
--- a/packages/server/tests/connection/test_caller_protocol.py
+++ b/packages/server/tests/connection/test_caller_protocol.py
@@ -3,13 +3,13 @@
 import asyncio
 import json
 from typing import Any
-from unittest import mock
 
 from parameterized import parameterized
 from testtools import TestCase
 
-from jaytray_server.connection import caller_protocol
+from jaytray_server.connection.caller_protocol import CallerTimeouts
 from jaytray_server.connection.callers import (
+    DEFAULT_TIMEOUTS,
     bound_address,
     make_caller_server,
     open_caller_socket,
@@ -42,13 +42,18 @@
         await send({"type": "http.response.body", "body": b"ok"})
 
 
-def talk(sent: list[bytes], *, pause_s: float = 0.05) -> tuple[bytes, list[str]]:
+def talk(
+    sent: list[bytes],
+    *,
+    pause_s: float = 0.05,
+    timeouts: CallerTimeouts = DEFAULT_TIMEOUTS,
+) -> tuple[bytes, list[str]]:
     """Return what comes back for `sent`, ending in CLOSED if it was closed."""
     app = Served()
 
     async def run() -> bytes:
         with open_caller_socket("127.0.0.1:0") as listener:
-            server = make_caller_server(app)
+            server = make_caller_server(app, current_timeouts=lambda: timeouts)
             serving = asyncio.create_task(server.serve(sockets=[listener]))
             host, port = bound_address(listener).split(":")
             reader, writer = await asyncio.open_connection(host, int(port))
@@ -103,10 +108,29 @@
         self.assertEqual(2, received.count(b"HTTP/1.1 200"))
 
     def test_header_that_is_never_finished_ends_the_connection(self) -> None:
-        with mock.patch.object(caller_protocol, "HEADER_TIMEOUT_S", 0.1):
-            received, _ = talk([b"GET / HTTP/1.1\r\nX-Slow: "], pause_s=0.2)
+        received, _ = talk(
+            [b"GET / HTTP/1.1\r\nX-Slow: "],
+            pause_s=0.2,
+            timeouts=DEFAULT_TIMEOUTS._replace(header_s=0.1),
+        )
         self.assertEqual(CLOSED, received)
 
+    def test_connection_without_a_request_ends_after_the_idle_time(self) -> None:
+        received, _ = talk([], timeouts=DEFAULT_TIMEOUTS._replace(idle_s=0.1))
+        self.assertEqual(CLOSED, received)
+
+    def test_connection_that_is_idle_after_an_answer_ends(self) -> None:
+        received, called = talk([GOOD], timeouts=DEFAULT_TIMEOUTS._replace(idle_s=0.1))
+        self.assertEqual(["/a"], called)
+        self.assertTrue(received.endswith(CLOSED))
+
+    def test_connection_that_is_idle_for_less_is_kept(self) -> None:
+        received, called = talk(
+            [GOOD, GOOD], timeouts=DEFAULT_TIMEOUTS._replace(idle_s=5.0)
+        )
+        self.assertEqual(["/a", "/a"], called)
+        self.assertFalse(received.endswith(CLOSED))
+
     def test_slow_header_within_the_time_is_served(self) -> None:
         received, called = talk([GOOD[:20], GOOD[20:]])
         self.assertEqual(["/a"], called)
