Let answered watches prove how recent the copy of the store is; read all rarely

Cause: each member read everything every 1.5 s to prove its copy recent, beside a watch whose answer proves the same: whatever changed before it was asked for is known.

Change: reads are due when no watch was answered for 0.75 of the bound, when a watch fails, while targets have lapsed, and every 8 s in case a watch left something out.

--- a/packages/gateway/src/jaytray_gateway/process/directory.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -1,8 +1,8 @@
 """This process's copy of the key-value service: route table, targets and members.
 
-One task reads everything at a fixed pace, which also proves how recent the copy is;
-another waits for changes, which only makes it more recent. Versions of the route
-table never go back within a process.
+One task waits for changes; an answer to it proves that whatever changed before it was
+asked for is known. Another reads everything, rarely while such answers come, and at once
+when they do not. Versions of the route table never go back within a process.
 """
 
 import asyncio
@@ -17,9 +17,11 @@
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.version.route_table import RouteTable
 
-# Part of the bound on a change after which everything is read again: it is then in
-# force in time also when no watch tells of it.
+# Part of the bound on a change after which everything is read if no watch was
+# answered: it is then in force in time also when no watch tells of it.
 READ_PORTION = 0.75
+# Everything is read after this time even so, in case a watch left something out.
+FULL_READ_S = 8.0
 # Pause after a failed call; short, as the copy's age ends serving.
 RETRY_PAUSE_S = 0.25
 WATCH_WAIT_S = 10.0
@@ -51,7 +53,7 @@
 
     `bound_s` is the shortest time within which a change must be in force.
 
-    `read_at_s` is when the last successful full read was begun, by a clock that
+    `known_at_s` is when the last successful read or watch was begun, by a clock that
     runs while the VM is suspended: whatever changed before is known.
     """
 
@@ -69,7 +71,8 @@
         self.member_count = 1
         self.is_placement_holder = False
         self._bound_s = bound_s
-        self.read_at_s = -float("inf")
+        self.known_at_s = -float("inf")
+        self._read_at_s = -float("inf")
         self._key_value = key_value
         self._adapter = adapter
         self._clock = clock
@@ -87,7 +90,7 @@
 
     def age_s(self) -> float:
         """Return how old the copy may be."""
-        return self._clock() - self.read_at_s
+        return self._clock() - self.known_at_s
 
     def targets_of(self, service: str) -> list[TargetEntry]:
         """Return the targets of a service that take new requests."""
@@ -98,7 +101,7 @@
         ]
 
     async def run_reads(self) -> None:
-        """Read everything at a fixed pace until cancelled."""
+        """Read everything whenever it is due, until cancelled."""
         while True:
             begun_s = self._clock()
             try:
@@ -110,11 +113,7 @@
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
             self._read_wanted.clear()
-            try:
-                async with asyncio.timeout(self._bound_s * READ_PORTION):
-                    await self._read_wanted.wait()
-            except TimeoutError:
-                pass
+            await self._until_read_is_due()
 
     async def run_watch(self) -> None:
         """Take changes as they come until cancelled."""
@@ -123,6 +122,7 @@
                 await asyncio.sleep(HOLDER_WATCH_PAUSE_S)
                 continue
             try:
+                begun_s = self._clock()
                 batch = await self._key_value.watch("", self._revision, WATCH_WAIT_S)
             except JaytrayError as err:
                 get_logger().info("store_watch_ended", error=str(err))
@@ -132,8 +132,24 @@
             if batch.records:
                 self._apply(batch.records)
             self._revision = max(self._revision, batch.revision)
+            self.known_at_s = max(self.known_at_s, begun_s)
             await asyncio.sleep(self._watch_pause_s())
 
+    async def _until_read_is_due(self) -> None:
+        """Return once a read is asked for, the copy is old, or a target has lapsed."""
+        while True:
+            unproven_s = self._bound_s * READ_PORTION
+            longest_s = unproven_s if self._lapsed_until_s_by_id else FULL_READ_S
+            due_s = min(self.known_at_s + unproven_s, self._read_at_s + longest_s)
+            if due_s <= self._clock():
+                return
+            try:
+                async with asyncio.timeout(due_s - self._clock()):
+                    await self._read_wanted.wait()
+                return
+            except TimeoutError:
+                continue
+
     def _watch_pause_s(self) -> float:
         if self.is_placement_holder:
             return HOLDER_WATCH_PAUSE_S
@@ -144,7 +160,8 @@
         known_before = dict(self._held_by_key)
         records = await self._key_value.get_prefix("")
         self._end_outage()
-        self.read_at_s = begun_s
+        self._read_at_s = begun_s
+        self.known_at_s = max(self.known_at_s, begun_s)
         found = {record.key for record in records}
         removed = [
             KeyValueRecord(key, b"", held.revision)
--- a/packages/gateway/tests/process/test_directory.py
+++ b/packages/gateway/tests/process/test_directory.py
@@ -6,9 +6,13 @@
 from testtools import TestCase
 
 from jaytray_core.codec import malformed_message
-from jaytray_core.keyvalue import ABSENT_REVISION
+from jaytray_core.keyvalue import ABSENT_REVISION, WatchBatch
 from jaytray_gateway.ports import PlatformAdapter
-from jaytray_gateway.process.directory import REREGISTRATION_S, Directory
+from jaytray_gateway.process.directory import (
+    FULL_READ_S,
+    REREGISTRATION_S,
+    Directory,
+)
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.version.route_table import CallerLimits, RouteTable
 from jaytray_standins.faults import Fault, FaultKind, FaultSwitches
@@ -64,10 +68,20 @@
     def __init__(self) -> None:
         loop = asyncio.get_running_loop()
         self.faults = FaultSwitches()
-        store = KeyValueStore(clock=loop.time)
+        self.store = store = KeyValueStore(clock=loop.time)
         self.plain = in_process_key_value(store, FaultSwitches())
+        self.skip_next_batch = False
+        faulty = in_process_key_value(store, self.faults)
+
+        async def watch(prefix: str, after: int, wait_s: float) -> WatchBatch:
+            batch = await faulty.watch(prefix, after, wait_s)
+            if batch.records and self.skip_next_batch:
+                self.skip_next_batch = False
+                return batch._replace(records=[])
+            return batch
+
         self.directory = Directory(
-            key_value=in_process_key_value(store, self.faults),
+            key_value=faulty._replace(watch=watch),
             adapter=ADAPTER,
             clock=loop.time,
             bound_s=2.0,
@@ -190,3 +204,36 @@
             await site.end()
 
         run_virtual(run())
+
+    def test_answered_watches_keep_the_copy_young_without_reads(self) -> None:
+        async def run() -> None:
+            site = Site()
+            await site.put("op/table", b"1")
+            await settle()
+            site.store.calls_by_function.clear()
+            oldest_s = 0.0
+            for step in range(30):
+                if step % 3 == 0:
+                    await site.put("targets/t1", b"%d" % step)
+                await asyncio.sleep(0.25)
+                oldest_s = max(oldest_s, site.directory.age_s())
+            self.assertLess(oldest_s, 2.0)
+            self.assertLessEqual(site.store.calls_by_function["get_prefix"], 1)
+            await site.end()
+
+        run_virtual(run())
+
+    def test_change_that_a_watch_left_out_is_read_later(self) -> None:
+        async def run() -> None:
+            site = Site()
+            await site.put("op/table", b"1")
+            await settle()
+            site.skip_next_batch = True
+            await site.put("op/table", b"7")
+            await asyncio.sleep(FULL_READ_S + 1.0)
+            assert site.directory.route_table is not None
+            self.assertEqual(7, site.directory.route_table.version)
+            self.assertFalse(site.skip_next_batch)
+            await site.end()
+
+        run_virtual(run())
--- a/packages/gateway/tests/request/support.py
+++ b/packages/gateway/tests/request/support.py
@@ -179,7 +179,7 @@
             account_by_key_digest={digest_key(KEY): "barns"},
             limits=LIMITS,
         )
-        self.directory.read_at_s = monotonic_clock()
+        self.directory.known_at_s = monotonic_clock()
         self.lifecycle = Lifecycle()
         self.pools = TargetPools(clock=monotonic_clock)
         self.loads = LoadView(clock=monotonic_clock)
--- a/packages/gateway/tests/request/test_request_path.py
+++ b/packages/gateway/tests/request/test_request_path.py
@@ -172,7 +172,7 @@
 
     def test_old_copy_of_the_keys_serves_nothing(self) -> None:
         async def check(site: Site) -> None:
-            site.directory.read_at_s -= 4.5
+            site.directory.known_at_s -= 4.5
             received = await site.ask()
             self.assertEqual((503, b"not_run"), (received.status, received.body))
             site.directory.route_table = None
@@ -186,7 +186,7 @@
             asking = asyncio.ensure_future(site.ask())
             while not site.targets[0].heads:
                 await asyncio.sleep(0.005)
-            site.directory.read_at_s -= 4.5
+            site.directory.known_at_s -= 4.5
             received: Received = await asking
             self.assertEqual((502, b"may_have_run"), (received.status, received.body))
             self.assertEqual([], site.targets[1].heads)
