Dial a peer again soon after it refused a key that it did not know yet

Cause: a process draws a new CURVE key at its start and publishes it; peers read the record some tenths of a second later. Until then they refuse its key, and ZeroMQ gives a connection up for good after such a refusal. The link's own guard replaced the socket only after 7 s of silence. So for 7 s after every start nothing that a new process said reached its peers: no reports of load, no requests for models to the placement holder, no questions for tokens.

Change: the link watches its socket for a refused handshake and dials again after 0.2 s; connecting is given up after 1 s, as a VM without power does not answer.

--- a/packages/server/src/jaytray_server/connection/peer_link.py
+++ b/packages/server/src/jaytray_server/connection/peer_link.py
@@ -3,15 +3,19 @@
 The link sends queued envelopes and heartbeats. The peer echoes heartbeat numbers on
 its own link back; when the echo stands still for too long the socket is closed and
 the peer is dialled on a new one, since a network may forget a connection silently.
+A peer that refuses this process's key is dialled again soon: it may not have read yet
+that the key is a member's, and ZeroMQ itself does not try again after a refusal.
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
-from typing import NamedTuple
+from enum import Enum
+from typing import Any, NamedTuple
 
 import zmq
 import zmq.asyncio
+from zmq.utils.monitor import recv_monitor_message
 
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.logs import get_logger
@@ -23,6 +27,11 @@
 # Time without any use after which a link to a VM that is no neighbour is closed.
 IDLE_LIMIT_S = 30.0
 QUEUE_LENGTH = 256
+# Pause before a peer that refused the key is dialled again: members read of each other
+# within some tenths of a second.
+REFUSED_PAUSE_S = 0.2
+# Longest wait for a connection to be accepted; a VM without power does not answer.
+CONNECT_TIMEOUT_S = 1.0
 
 
 class CurveKeys(NamedTuple):
@@ -32,6 +41,14 @@
     secret_key: bytes
 
 
+class LinkEnd(Enum):
+    """Why a link's socket is given up."""
+
+    SILENT = "silent"
+    IDLE = "idle"
+    REFUSED = "refused"
+
+
 class PeerLink:
     """State of the link to one peer."""
 
@@ -83,12 +100,19 @@
     while True:
         link.dials += 1
         link.echoed_at_s = clock()
-        async with _dial(context, link, keys) as socket:
-            is_idle = await _send_until_silent(
-                link, socket=socket, clock=clock, make_heartbeat=make_heartbeat
+        async with _dial(context, link, keys) as (socket, monitor):
+            end = await _first_end(
+                _send_until_silent(
+                    link, socket=socket, clock=clock, make_heartbeat=make_heartbeat
+                ),
+                _until_refused(monitor),
             )
-        if is_idle:
+        if end is LinkEnd.IDLE:
             return
+        if end is LinkEnd.REFUSED:
+            get_logger().info("peer_refused_key", peer=link.vm_id, address=link.address)
+            await asyncio.sleep(REFUSED_PAUSE_S)
+            continue
         get_logger().warning(
             "peer_silent",
             peer=link.vm_id,
@@ -98,21 +122,38 @@
         )
 
 
+async def _first_end(*ways: Coroutine[Any, Any, LinkEnd]) -> LinkEnd:
+    """Return how the first of `ways` ended; the others are cancelled."""
+    tasks = [asyncio.create_task(way) for way in ways]
+    try:
+        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        return done.pop().result()
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def _until_refused(monitor: zmq.asyncio.Socket) -> LinkEnd:
+    await recv_monitor_message(monitor)
+    return LinkEnd.REFUSED
+
+
 async def _send_until_silent(
     link: PeerLink,
     *,
     socket: zmq.asyncio.Socket,
     clock: MonotonicClock,
     make_heartbeat: Callable[[PeerLink], bytes],
-) -> bool:
-    """Send until the peer is silent (False) or the link is idle (True)."""
+) -> LinkEnd:
+    """Send until the peer is silent or the link is idle."""
     next_heartbeat_s = clock()
     while True:
         now_s = clock()
         if link.is_neighbour and now_s - link.echoed_at_s > SILENCE_LIMIT_S:
-            return False
+            return LinkEnd.SILENT
         if not link.is_neighbour and now_s - link.used_at_s > IDLE_LIMIT_S:
-            return True
+            return LinkEnd.IDLE
         if now_s >= next_heartbeat_s:
             next_heartbeat_s = now_s + HEARTBEAT_INTERVAL_S
             if link.is_neighbour:
@@ -137,16 +178,21 @@
 @asynccontextmanager
 async def _dial(
     context: zmq.asyncio.Context, link: PeerLink, keys: CurveKeys
-) -> AsyncIterator[zmq.asyncio.Socket]:
+) -> AsyncIterator[tuple[zmq.asyncio.Socket, zmq.asyncio.Socket]]:
+    """Yield a socket and the one that tells of a refusal of the key."""
     socket = context.socket(zmq.DEALER)
     socket.linger = 0
     socket.sndhwm = QUEUE_LENGTH
     socket.setsockopt(zmq.MAXMSGSIZE, MAX_ENVELOPE_BYTES)
+    socket.setsockopt(zmq.CONNECT_TIMEOUT, round(CONNECT_TIMEOUT_S * 1000))
     socket.curve_publickey = keys.public_key
     socket.curve_secretkey = keys.secret_key
     socket.curve_serverkey = link.curve_public_key.encode() or keys.public_key
+    monitor = socket.get_monitor_socket(zmq.Event.HANDSHAKE_FAILED_AUTH)
     socket.connect(f"tcp://{link.address}")
     try:
-        yield socket
+        yield socket, monitor
     finally:
+        socket.disable_monitor()
+        monitor.close()
         socket.close()
--- a/packages/server/tests/connection/test_peer_network.py
+++ b/packages/server/tests/connection/test_peer_network.py
@@ -13,7 +13,7 @@
 from jaytray_core.clock import monotonic_clock
 from jaytray_core.codec import encode_msgpack
 from jaytray_core.vm_list import VmEntry, VmState
-from jaytray_server.connection.peer_link import CurveKeys, PeerLink
+from jaytray_server.connection.peer_link import SILENCE_LIMIT_S, CurveKeys, PeerLink
 from jaytray_server.connection.peer_messages import (
     HEARTBEAT_TOPIC,
     Envelope,
@@ -130,6 +130,36 @@
 
         asyncio.run(scenario())
 
+    def test_member_that_the_peer_learns_of_later_is_heard_soon_after(self) -> None:
+        # A new process has drawn a new key; its peers read its record a little later.
+        async def scenario() -> None:
+            received: list[bytes] = []
+            async with AsyncExitStack() as stack:
+                hubs = {
+                    vm_id: make_hub(vm_id, keys=CurveKeys(*zmq.curve_keypair()))
+                    for vm_id in ("old", "new")
+                }
+                entries = {
+                    vm_id: entry(
+                        vm_id,
+                        await stack.enter_async_context(hub.listen("127.0.0.1:0")),
+                    )._replace(curve_public_key=hub.keys.public_key.decode("ascii"))
+                    for vm_id, hub in hubs.items()
+                }
+                old, new = hubs["old"], hubs["new"]
+                old.set_handler("news", lambda _sender, body: received.append(body))
+                old.update_vms([entries["old"]], chosen=frozenset())
+                new.update_vms([*entries.values()], chosen=frozenset(("old",)))
+                await asyncio.sleep(0.5)
+                old.update_vms([*entries.values()], chosen=frozenset(("new",)))
+                listed_s = monotonic_clock()
+                while not received:
+                    new.send("old", "news", b"here")
+                    await asyncio.sleep(0.02)
+                self.assertLess(monotonic_clock() - listed_s, SILENCE_LIMIT_S / 2)
+
+        asyncio.run(scenario())
+
     @given(st.binary(max_size=200))
     def test_arbitrary_frames_change_nothing(self, frame: bytes) -> None:
         hub = make_hub("a")
