Keep replicas that adapters may need again; leave places to scarcer models

Change: adapters count as in demand four times as long (down to 0.75 instead of 3 ms of engine time a second) where a replica might be given up; an adapter is loaded at a target whose places no model with fewer replicas needs, if there is one.

Tests without the bench: test_planner.py, test_adapter_choice.py, one each, which failed before.

Also: dials after a refused key come 0.2 s apart five times, then 1 s apart, for fleets whose members read of each other later.

--- a/packages/gateway/src/jaytray_gateway/process/placement/adapter_choice.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/adapter_choice.py
@@ -2,11 +2,14 @@
 
 from jaytray_gateway.process.load_view import LoadView
 from jaytray_gateway.process.placement.target_plan import TargetPlan
-from jaytray_gateway.replica_names import replica_name
+from jaytray_gateway.replica_names import replica_name, split_replica
 from jaytray_gateway.version.route_table import Engine
 
 # An adapter that was loaded, or found in use, this recently is not dropped.
 KEEP_S = 1.0
+# Cost of a place that a scarcer model needs, in milliseconds of engine time a second:
+# the demand of an adapter that is asked for every few seconds.
+SCARCE_PLACE_COST_MS = 10.0
 
 
 def choose_target(
@@ -19,7 +22,11 @@
     loads: LoadView,
     now_s: float,
 ) -> str | None:
-    """Return the target where the adapter is or should be loaded, if any can be."""
+    """Return the target where the adapter is or should be loaded, if any can be.
+
+    Places of targets that a model with fewer replicas needs are left to its adapters.
+    """
+    holders = _holders_by_model(plans, rates, model)
     best: tuple[float, int, str] | None = None
     for plan in plans:
         if model not in plan.models or plan.is_closing(model):
@@ -34,12 +41,25 @@
             if victim is None:
                 continue
             loss = rates.get(replica_name(*victim), 0.0)
+        scarcer = sum(
+            other in holders and holders[other] < holders[model]
+            for other in plan.models
+        )
+        loss += SCARCE_PLACE_COST_MS * scarcer
         cost = (loss, loads.total(plan.target_id).running, plan.target_id)
         if best is None or cost < best:
             best = cost
     return best[2] if best else None
 
 
+def _holders_by_model(
+    plans: list[TargetPlan], rates: dict[str, float], model: str
+) -> dict[str, int]:
+    """Return the number of targets of `model` and others whose adapters are used."""
+    used = {split_replica(name)[0] for name in rates if "/" in name} | {model}
+    return {name: sum(name in plan.models for plan in plans) for name in used}
+
+
 def is_full(engine: Engine, plan: TargetPlan) -> bool:
     """Return whether all places for adapters may be taken."""
     return len(plan.occupied_adapters()) >= engine.adapter_slots
--- a/packages/gateway/src/jaytray_gateway/process/placement/planner.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/planner.py
@@ -18,6 +18,9 @@
 # Demand below which an adapter counts as out of use: a single short request's, some
 # seconds old.
 MIN_ADAPTER_DEMAND_MS = 3.0
+# The same for keeping a replica that adapters once needed: requests for rarely used ones
+# come in groups, and a replica that is given up costs two loads.
+KEPT_ADAPTER_DEMAND_MS = 0.75
 # A model makes room for another whose gain is at least this many times its loss.
 GAIN_FACTOR = 1.4
 # Demand that a waiting request stands for, as the measured one is still that of the
@@ -62,14 +65,19 @@
 
 
 class _Balance(NamedTuple):
-    """Replicas that models have, orders under way included, and should have."""
+    """Replicas that models have, orders under way included, should have, may keep."""
 
     counts: dict[str, int]
     wanted: dict[str, int]
+    kept: dict[str, int]
 
 
 def wanted_replicas(
-    demand: Demand, engine: Engine, target_count: int
+    demand: Demand,
+    engine: Engine,
+    target_count: int,
+    *,
+    min_adapter_demand_ms: float = MIN_ADAPTER_DEMAND_MS,
 ) -> dict[str, int]:
     """Return the number of replicas by model; models without demand are left out."""
     adapters: dict[str, int] = {}
@@ -77,7 +85,7 @@
     for name, rate in demand.rates.items():
         model, adapter = split_replica(name)
         if adapter:
-            adapters[model] = adapters.get(model, 0) + (rate > MIN_ADAPTER_DEMAND_MS)
+            adapters[model] = adapters.get(model, 0) + (rate > min_adapter_demand_ms)
         else:
             counts[model] = max(1, round(rate / 1000 / BUSY_PORTION))
     places = max(engine.adapter_slots, 1)
@@ -98,6 +106,12 @@
     balance = _Balance(
         counts=_replica_counts(plans),
         wanted=wanted_replicas(demand, engine, len(plans)),
+        kept=wanted_replicas(
+            demand,
+            engine,
+            len(plans),
+            min_adapter_demand_ms=KEPT_ADAPTER_DEMAND_MS,
+        ),
     )
     steps: list[ModelStep] = []
     free: list[TargetPlan] = []
@@ -226,7 +240,7 @@
         if model in demand.waiting and count <= 1:
             continue
         loss = demand.rates.get(model, 0.0) / max(count, 1)
-        if count > max(1, balance.wanted.get(model, 0)):
+        if count > max(1, balance.kept.get(model, 0)):
             loss *= SURPLUS_LOSS
         if model in in_use:
             loss += IN_USE_COST_MS
--- a/packages/gateway/tests/process/placement/test_adapter_choice.py
+++ b/packages/gateway/tests/process/placement/test_adapter_choice.py
@@ -40,6 +40,19 @@
         view.start("t1", 100, "a", priority=0)
         self.assertEqual("t2", choose([plan("t1", "a"), plan("t2", "a")], view))
 
+    def test_places_are_left_to_a_model_with_fewer_replicas(self) -> None:
+        plans = [plan("t1", "ab"), plan("t2", "ac"), plan("t3", "d")]
+        found = choose_target(
+            ENGINE,
+            plans,
+            "a",
+            "x",
+            rates={"a/x": 5.0, "b/a1": 5.0, "c": 50.0},
+            loads=loads(),
+            now_s=10.0,
+        )
+        self.assertEqual("t2", found)
+
     @parameterized.expand([("step",), ("avoided",), ("without_the_model",)])
     def test_unable_target_is_left_out(self, reason: str) -> None:
         made = plan("t1", "b" if reason == "without_the_model" else "a")
--- a/packages/gateway/tests/process/placement/test_planner.py
+++ b/packages/gateway/tests/process/placement/test_planner.py
@@ -74,6 +74,17 @@
         found = steps([plan("t1", "abc"), plan("t2", "ab")], demand("d"))
         self.assertEqual([ModelStep("t2", True, "d", "")], found)
 
+    def test_replica_that_adapters_may_need_again_is_not_given_up_at_once(self) -> None:
+        plans = [plan("t1", "abe"), plan("t2", "acf")]
+        rates = {"a": 200.0, "b": 20.0, "c": 20.0, "e": 20.0, "f": 20.0}
+        rates |= {f"a/a{n}": 4.0 if n < 3 else 1.5 for n in range(7)}
+        asked = Demand(rates, {"d"}, {})
+        # Three adapters are in demand, which fit on one target; seven were lately.
+        self.assertEqual(1, wanted_replicas(asked, ENGINE, 2)["a"])
+        found = steps(plans, asked)
+        self.assertEqual(["d"], [step.makes_room_for for step in found])
+        self.assertNotIn("a", [step.model for step in found])
+
     def test_least_wanted_model_makes_room(self) -> None:
         found = steps([plan("t1", "abc")], demand("d", a=500.0, b=300.0))
         self.assertEqual([ModelStep("t1", False, "c", "d")], found)
--- a/packages/server/src/jaytray_server/connection/peer_link.py
+++ b/packages/server/src/jaytray_server/connection/peer_link.py
@@ -27,9 +27,12 @@
 # Time without any use after which a link to a VM that is no neighbour is closed.
 IDLE_LIMIT_S = 30.0
 QUEUE_LENGTH = 256
-# Pause before a peer that refused the key is dialled again: members read of each other
-# within some tenths of a second.
+# Pause before a peer that refused the key is dialled again, for the first dials of a
+# link and later: members read of each other within some tenths of a second, in large
+# fleets within two seconds, and each dial costs both ends a handshake.
 REFUSED_PAUSE_S = 0.2
+LATER_REFUSED_PAUSE_S = 1.0
+QUICK_DIALS = 5
 # Longest wait for a connection to be accepted; a VM without power does not answer.
 CONNECT_TIMEOUT_S = 1.0
 
@@ -111,7 +114,8 @@
             return
         if end is LinkEnd.REFUSED:
             get_logger().info("peer_refused_key", peer=link.vm_id, address=link.address)
-            await asyncio.sleep(REFUSED_PAUSE_S)
+            is_quick = link.dials <= QUICK_DIALS
+            await asyncio.sleep(REFUSED_PAUSE_S if is_quick else LATER_REFUSED_PAUSE_S)
             continue
         get_logger().warning(
             "peer_silent",
