--- a/packages/gateway/src/jaytray_gateway/process/directory.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -1,8 +1,8 @@
 """This process's copy of the key-value service: route table, targets and members.
 
-One task waits for changes; an answer to it proves that whatever changed before it was
-asked for is known. Another reads everything, rarely while such answers come, and at once
-when they do not. Versions of the route table never go back within a process.
+One task waits for changes; an answer proves that whatever changed before it was asked
+for is known. Another reads everything, rarely while such answers come, and at once when
+they do not. Versions of the route table never go back within a process.
 """
 
 import asyncio
--- a/packages/gateway/src/jaytray_gateway/process/placement/planner.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/planner.py
@@ -18,8 +18,8 @@
 # Demand below which an adapter counts as out of use: a single short request's, some
 # seconds old.
 MIN_ADAPTER_DEMAND_MS = 3.0
-# The same for keeping a replica that adapters once needed: requests for rarely used ones
-# come in groups, and a replica that is given up costs two loads.
+# The same for keeping a replica that adapters once needed: requests for rarely used
+# ones come in groups, and a replica that is given up costs two loads.
 KEPT_ADAPTER_DEMAND_MS = 0.75
 # A model makes room for another whose gain is at least this many times its loss.
 GAIN_FACTOR = 1.4
