--- a/packages/cli/src/jaytray_cli/request_timeline.py
+++ b/packages/cli/src/jaytray_cli/request_timeline.py
@@ -26,6 +26,10 @@
 _PLACEMENT = frozenset(
     ("placement_step", "placement_taken", "placement_lost", "order_given")
 )
+# Outcomes that are decided before a target is looked for.
+_BEFORE_PLACEMENT = frozenset(
+    ("rate_exceeded", "key_missing", "key_unknown", "route_unknown", "vm_isolated")
+)
 
 
 class LogLine(NamedTuple):
@@ -56,14 +60,19 @@
     end_s = own[-1].time_s
     vms = {line.fields.get("vm", "") for line in own}
     targets = {line.fields.get("target", "") for line in own} - {""}
-    models = {line.fields.get("replica", "").partition("/")[0] for line in own} - {""}
+    models = {
+        line.fields.get("replica", "").partition("/")[0]
+        for line in own
+        if line.fields.get("outcome") not in _BEFORE_PLACEMENT
+    } - {""}
     timeline = [
         line
         for line in known
         if 0 <= end_s - line.time_s <= STATE_WINDOW_S
         and _decides(line.fields, vms, targets, models)
     ]
-    return sorted({line.text: line for line in [*timeline, *own]}.values())
+    chosen = {(line.time_s, line.text): line for line in [*timeline, *own]}
+    return sorted(chosen.values(), key=lambda line: line.time_s)
 
 
 def _decides(
--- a/packages/cli/tests/test_request_timeline.py
+++ b/packages/cli/tests/test_request_timeline.py
@@ -49,6 +49,26 @@
         )
         self.assertEqual("reset by peer", timeline[1].fields["detail"])
 
+    def test_lines_of_one_moment_and_repeated_ones_are_all_kept(self) -> None:
+        texts = (
+            line(24.0, "a", "target_failing", target="t1"),
+            line(24.5, "a", "target_failing", target="t1"),
+            line(25.0, "a", "target_healthy", target="t1"),
+            line(25.0, "a", "request_try_ended", request_id="r1", target="t1"),
+            line(25.0, "a", "request_finished", request_id="r1", target="t1"),
+        )
+        parsed = [found for text in texts if (found := parse_line(text))]
+        self.assertEqual(parsed, request_timeline("r1", parsed))
+
+    def test_orders_do_not_decide_what_the_rate_refused(self) -> None:
+        texts = (
+            line(24.0, "b", "placement_step", model="m", makes_room_for=""),
+            line(25.0, "a", "request_finished", request_id="r1", replica="m")
+            + " outcome=rate_exceeded",
+        )
+        parsed = [found for text in texts if (found := parse_line(text))]
+        self.assertEqual(parsed[1:], request_timeline("r1", parsed))
+
     def test_unknown_request_has_no_timeline(self) -> None:
         self.assertEqual([], request_timeline("r7", []))
 
