Count members for 4 s after their records went; split the building of a process

Cause: the store can let leases end while it is away. All records then go at once and come back one by one within some 1.5 s; until then each member took itself for the only one and all of every rate for its own, and a process that had just started did so until it saw the others.

Change: a member whose record went counts for 4 s more where rates and repeats are divided; a process that sees no other member takes no part for its first 1.5 s.

--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -34,7 +34,7 @@
     "member_unreadable": "member error".split(),
     "member_lease_not_renewed": ("error",),
     "member_lease_not_ended": ("error",),
-    "members_changed": ("members",),
+    "members_changed": "members departed".split(),
     # Placement.
     "placement_taken": ("fencing_number",),
     "placement_lost": ("reason",),
--- a/packages/gateway/src/jaytray_gateway/process/gossip.py
+++ b/packages/gateway/src/jaytray_gateway/process/gossip.py
@@ -80,8 +80,8 @@
         self._peers.set_handler(_REPLICA_REQUEST, on_replica_request)
 
     def member_ids(self) -> frozenset[str]:
-        """Return the members whose leases may still run, this one included."""
-        return self._shares.member_ids
+        """Return the members on record, this one included."""
+        return frozenset(self._peers.listed_vms())
 
     async def run(self) -> None:
         """Report to all members until cancelled."""
--- a/packages/gateway/src/jaytray_gateway/process/membership.py
+++ b/packages/gateway/src/jaytray_gateway/process/membership.py
@@ -2,13 +2,14 @@
 
 The record carries the address for peers and the public CURVE key that the process
 drew at its start, so only processes that may write to the store can join. A member
-whose lease has ended, judged from before its last renewal was sent, holds no share
-of any rate.
+whose lease has ended may still serve: the store can let leases end while it is away.
+So it counts where something is divided until it has had the time to record itself anew.
 """
 
 import asyncio
 from typing import NamedTuple
 
+from jaytray_core.clock import MonotonicClock
 from jaytray_core.codec import decode_json, encode_json
 from jaytray_core.errors import JaytrayError
 from jaytray_core.keyvalue import ABSENT_REVISION, KeyValueService
@@ -19,6 +20,9 @@
 LEASE_TTL_S = 5.0
 RENEW_INTERVAL_S = 1.2
 RETRY_PAUSE_S = 0.3
+# Time within which a member whose record went is seen again if it lives: a renewal, a
+# retry, the pause of the others' watches in a large fleet, and some calls.
+DEPARTED_S = 4.0
 
 
 class Member(NamedTuple):
@@ -45,6 +49,25 @@
     return members_by_id
 
 
+class CountedMembers:
+    """Members that may still serve: those on record, or that were shortly before."""
+
+    def __init__(self, *, clock: MonotonicClock) -> None:
+        self._clock = clock
+        self._seen_at_s_by_id: dict[str, float] = {}
+
+    def update(self, present: frozenset[str]) -> frozenset[str]:
+        """Take the members on record now; returns those that count."""
+        now_s = self._clock()
+        self._seen_at_s_by_id |= dict.fromkeys(present, now_s)
+        self._seen_at_s_by_id = {
+            vm_id: seen_at_s
+            for vm_id, seen_at_s in self._seen_at_s_by_id.items()
+            if now_s - seen_at_s < DEPARTED_S
+        }
+        return frozenset(self._seen_at_s_by_id)
+
+
 class Membership:
     """The own record and its lease."""
 
--- a/packages/gateway/src/jaytray_gateway/process/rate_shares.py
+++ b/packages/gateway/src/jaytray_gateway/process/rate_shares.py
@@ -23,6 +23,9 @@
 # Part of the burst by which owners may be overdrawn; it is made up before the next
 # request. Contracts are measured over windows many times as long.
 OVERDRAFT_PORTION = 0.5
+# A new process that sees no other member takes no part for this long: the others may be
+# about to record themselves.
+ALONE_S = 1.5
 # A new process starts with this many seconds' worth of its rate.
 START_S = 0.1
 
@@ -77,6 +80,7 @@
         self.own_id = own_id
         self.member_ids: frozenset[str] = frozenset((own_id,))
         self._clock = clock
+        self._begun_at_s = clock()
         self._bucket_by_account: dict[str, _Bucket] = {}
         self._owners_by_account: dict[str, _Owners] = {}
 
@@ -99,6 +103,9 @@
 
     def part_of(self, account: ClientAccount) -> float:
         """Return this member's part of the account, between 0 and 1."""
+        is_alone = len(self.member_ids) == 1
+        if is_alone and self._clock() - self._begun_at_s < ALONE_S:
+            return 0.0
         owners = self.owners_of(account)
         return 1.0 / len(owners) if self.own_id in owners else 0.0
 
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -0,0 +1,221 @@
+"""Puts together what lives as long as a gateway process."""
+
+import random
+import time
+from typing import NamedTuple
+
+import zmq
+
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.keyvalue import KeyValueService
+from jaytray_core.logs import get_logger
+from jaytray_core.vm_list import VmEntry, VmState
+from jaytray_gateway.connection.target_pool import TargetPools
+from jaytray_gateway.ports import PlatformAdapter
+from jaytray_gateway.process.crash_guard import CrashGuard
+from jaytray_gateway.process.demand_average import DemandAverage
+from jaytray_gateway.process.directory import Directory
+from jaytray_gateway.process.gossip import Gossip
+from jaytray_gateway.process.lifecycle import Lifecycle
+from jaytray_gateway.process.load_view import LoadView
+from jaytray_gateway.process.membership import (
+    CountedMembers,
+    Member,
+    Membership,
+    decode_members,
+)
+from jaytray_gateway.process.metrics import GatewayMetrics
+from jaytray_gateway.process.options import GatewayOptions
+from jaytray_gateway.process.placement.duty import PlacementDuty
+from jaytray_gateway.process.rate_gifts import RateGifts
+from jaytray_gateway.process.rate_shares import RateShares
+from jaytray_gateway.process.repeat_budget import RepeatBudget
+from jaytray_gateway.process.replicas import Replicas
+from jaytray_gateway.process.request_log import RequestLog
+from jaytray_gateway.process.target_choice import TargetChooser
+from jaytray_gateway.process.target_health import TargetHealth
+from jaytray_gateway.request.admission import Admission
+from jaytray_gateway.request.request_path import RequestServices
+from jaytray_gateway.request.target_search import TargetSearch
+from jaytray_server.connection.peer_link import CurveKeys
+from jaytray_server.connection.peer_network import PeerHub
+
+# Part of the revocation bound up to which the own copy of the keys may be old; the
+# rest covers the way from the check to the target.
+PROOF_PORTION = 0.85
+# Time constant of the demand for models: rare ones are asked for every few seconds.
+REPLICA_DEMAND_WINDOW_S = 6.0
+# Below the adapter's own prefix: one leased record for each member.
+MEMBERS = "members/"
+
+
+class Subsystems(NamedTuple):
+    """What lives as long as the process."""
+
+    lifecycle: Lifecycle
+    directory: Directory
+    membership: Membership
+    counted: CountedMembers
+    hub: PeerHub
+    shares: RateShares
+    gifts: RateGifts
+    budget: RepeatBudget
+    replicas: Replicas
+    health: TargetHealth
+    pools: TargetPools
+    gossip: Gossip
+    placement: PlacementDuty
+    metrics: GatewayMetrics
+    services: RequestServices
+
+
+def build_subsystems(
+    options: GatewayOptions,
+    adapter: PlatformAdapter,
+    key_value: KeyValueService,
+    lease_key_value: KeyValueService,
+    metrics: GatewayMetrics,
+    clock: MonotonicClock,
+) -> Subsystems:
+    rng = random.Random()
+    public_key, secret_key = zmq.curve_keypair()
+    directory = Directory(
+        key_value=key_value, adapter=adapter, clock=clock, bound_s=options.change_s
+    )
+    hub = PeerHub(
+        vm_id=options.vm_id,
+        boot_epoch_ms=time.time_ns() // 1_000_000,
+        keys=CurveKeys(public_key, secret_key),
+        clock=clock,
+    )
+    own = Member(
+        vm_id=options.vm_id,
+        peer_address=options.peers_address,
+        failure_domain=options.failure_domain,
+        curve_public_key=public_key.decode("ascii"),
+    )
+    shares = RateShares(own_id=options.vm_id, clock=clock)
+    budget = RepeatBudget(
+        ratio=options.repeat_ratio,
+        extra=options.repeat_extra,
+        window_s=options.repeat_window_s,
+        clock=clock,
+    )
+    loads = LoadView(clock=clock)
+    health = TargetHealth(clock=clock)
+    pools = TargetPools(clock=clock)
+    replicas = Replicas(directory=directory, clock=clock)
+    replica_demand = DemandAverage(clock=clock, window_s=REPLICA_DEMAND_WINDOW_S)
+    peers = hub.functions()
+    gifts = RateGifts(
+        shares=shares,
+        peers=peers,
+        current_table=lambda: directory.route_table,
+        clock=clock,
+        rng=rng,
+    )
+    gossip = Gossip(
+        peers=peers,
+        loads=loads,
+        shares=shares,
+        replicas=replicas,
+        replica_demand=replica_demand,
+    )
+    crash_guard = CrashGuard(clock=clock, tell_peers=gossip.tell_run_end)
+    placement = PlacementDuty(
+        options=options,
+        key_value=lease_key_value,
+        adapter=adapter,
+        directory=directory,
+        gossip=gossip,
+        loads=loads,
+        health=health,
+        metrics=metrics,
+        clock=clock,
+    )
+    gossip.subscribe(crash_guard, placement.take_replica_request)
+    lifecycle = Lifecycle()
+    admission = Admission(
+        directory=directory,
+        lifecycle=lifecycle,
+        gifts=gifts,
+        max_proof_age_s=options.revocation_s * PROOF_PORTION,
+    )
+    chooser = TargetChooser(
+        failure_domain=options.failure_domain, loads=loads, health=health, rng=rng
+    )
+    services = RequestServices(
+        adapter=adapter,
+        admission=admission,
+        search=TargetSearch(
+            replicas=replicas,
+            chooser=chooser,
+            ask_for_replica=placement.ask,
+            lifecycle=lifecycle,
+            clock=clock,
+        ),
+        shares=shares,
+        budget=budget,
+        loads=loads,
+        health=health,
+        pools=pools,
+        crash_guard=crash_guard,
+        replica_demand=replica_demand,
+        log=RequestLog(metrics=metrics),
+        clock=clock,
+        rng=rng,
+    )
+    parts = Subsystems(
+        lifecycle=lifecycle,
+        directory=directory,
+        membership=Membership(
+            own=own,
+            prefix=adapter.own_prefix + MEMBERS,
+            key_value=key_value,
+        ),
+        counted=CountedMembers(clock=clock),
+        hub=hub,
+        shares=shares,
+        gifts=gifts,
+        budget=budget,
+        replicas=replicas,
+        health=health,
+        pools=pools,
+        gossip=gossip,
+        placement=placement,
+        metrics=metrics,
+        services=services,
+    )
+    directory.on_change(lambda: take_members(parts))
+    return parts
+
+
+def take_members(parts: Subsystems) -> None:
+    """Pass the members on to all that divide something among them."""
+    prefix = parts.services.adapter.own_prefix + MEMBERS
+    members_by_id = decode_members(parts.directory.members_by_key, prefix)
+    own = parts.membership.own
+    members_by_id[own.vm_id] = own
+    vms = [
+        VmEntry(
+            vm_id=member.vm_id,
+            peer_address=member.peer_address,
+            http_address="",
+            failure_domain=member.failure_domain,
+            state=VmState.LIVE,
+            curve_public_key=member.curve_public_key,
+        )
+        for member in members_by_id.values()
+    ]
+    others = frozenset(members_by_id) - {own.vm_id}
+    parts.hub.update_vms(vms, chosen=others)
+    counted = parts.counted.update(frozenset(members_by_id))
+    if counted != parts.shares.member_ids:
+        get_logger().info(
+            "members_changed",
+            members=",".join(sorted(members_by_id)),
+            departed=",".join(sorted(counted - members_by_id.keys())) or "-",
+        )
+    parts.shares.set_members(counted)
+    parts.budget.member_count = len(counted)
+    parts.directory.member_count = len(members_by_id)
--- /dev/null
+++ b/packages/gateway/tests/process/test_membership.py
@@ -0,0 +1,33 @@
+"""Members that count while their records are away."""
+
+from testtools import TestCase
+
+from jaytray_gateway.process.membership import (
+    DEPARTED_S,
+    RENEW_INTERVAL_S,
+    CountedMembers,
+)
+
+
+class CountedMembersTests(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.now_s = 100.0
+        self.counted = CountedMembers(clock=lambda: self.now_s)
+
+    def update(self, ids: str) -> str:
+        return "".join(sorted(self.counted.update(frozenset(ids))))
+
+    def test_records_that_lapsed_together_count_until_they_may_be_back(self) -> None:
+        self.assertEqual("abc", self.update("abc"))
+        # The store let all leases end; this member has recorded itself anew first.
+        self.now_s += RENEW_INTERVAL_S
+        self.assertEqual("abc", self.update("a"))
+        self.assertEqual("abc", self.update("abc"))
+        self.now_s += DEPARTED_S - 0.1
+        self.assertEqual("abc", self.update("a"))
+
+    def test_member_that_is_gone_counts_no_longer(self) -> None:
+        self.update("ab")
+        self.now_s += DEPARTED_S
+        self.assertEqual("a", self.update("a"))
--- a/packages/gateway/tests/request/test_request_path.py
+++ b/packages/gateway/tests/request/test_request_path.py
@@ -208,6 +208,7 @@
     def test_tokens_of_a_request_that_is_not_sent_are_given_back(self) -> None:
         async def check(site: Site) -> None:
             account = ACCOUNT._replace(rate_per_s=100.0, burst=1000.0)
+            site.shares.set_members(frozenset(("vm", "other")))
             site.set_account(account)
             site.directory.targets_by_id = {}
             before = site.shares.level(account)
