Do not blame a request for breaks at targets that are down

In the soak all requests of a route are alike.

Change: breaks at a start of a target count for 0.5 s after its first one, and again once it has given a whole answer.

Test without the bench: test_small_parts.py, which failed before.

--- a/packages/gateway/src/jaytray_gateway/process/crash_guard.py
+++ b/packages/gateway/src/jaytray_gateway/process/crash_guard.py
@@ -3,7 +3,8 @@
 Each broken answer is counted for the request's digest and told to the peers before
 the caller gets the failure. After a few breaks on different targets' starts, with no
 whole answer in between, the request is refused for a time. Requests that are alike,
-such as reads without a body, so clear each other.
+such as reads without a body, so clear each other. A start of a target that broke some
+time ago and has given no whole answer since is down, and breaks there prove nothing.
 """
 
 from collections import OrderedDict
@@ -25,6 +26,7 @@
 HOLD_S = 60.0
 RETRY_S = 5.0
 MAX_DIGESTS = 2_000
+MAX_PLACES = 2_000
 
 
 class RunEnd(NamedTuple):
@@ -50,6 +52,8 @@
         self._clock = clock
         self._tell_peers = tell_peers
         self._suspect_by_digest: OrderedDict[str, _Suspect] = OrderedDict()
+        # First break at a start of a target without a whole answer there since.
+        self._broken_at_s_by_place: OrderedDict[tuple[str, str], float] = OrderedDict()
 
     def check(self, digest: str) -> None:
         """Raise when the request with this digest broke too many targets."""
@@ -73,6 +77,7 @@
 
     def note_whole(self, digest: str, target: TargetEntry) -> None:
         """Clear a request that had a whole answer, and tell the peers."""
+        self._broken_at_s_by_place.pop((target.target_id, target.incarnation), None)
         if digest in self._suspect_by_digest:
             found = RunEnd(digest, target.target_id, target.incarnation, False)
             self.take(found)
@@ -83,9 +88,13 @@
         if not found.is_broken:
             self._suspect_by_digest.pop(found.digest, None)
             return
-        before = self._suspect_by_digest.pop(found.digest, _Suspect((), -HOLD_S))
         now_s = self._clock()
         place = (found.target_id, found.incarnation)
+        if now_s - self._broken_at_s_by_place.setdefault(place, now_s) > COMMON_CAUSE_S:
+            return
+        if len(self._broken_at_s_by_place) > MAX_PLACES:
+            self._broken_at_s_by_place.popitem(last=False)
+        before = self._suspect_by_digest.pop(found.digest, _Suspect((), -HOLD_S))
         is_same_cause = place in before.breaks or now_s - before.last_s < COMMON_CAUSE_S
         breaks = before.breaks if is_same_cause else (*before.breaks, place)
         last_s = before.last_s if is_same_cause else now_s
--- a/packages/gateway/tests/process/test_small_parts.py
+++ b/packages/gateway/tests/process/test_small_parts.py
@@ -152,6 +152,24 @@
             peer.take(found)
         peer.check("digest")
 
+    def test_breaks_at_targets_that_are_down_do_not_count(self) -> None:
+        # Soak seeds 11009 and 13010: all targets were killed at the same moment, and
+        # callers sent again to those that were not known to be down.
+        clock = Clock()
+        guard = CrashGuard(clock=clock, tell_peers=lambda _found: None)
+        targets = [entry(f"t{number}") for number in range(MAX_BREAKS)]
+        for _ in range(4):
+            for target in targets:
+                guard.note_break("digest", target)
+            clock.now_s += 2 * COMMON_CAUSE_S
+        guard.check("digest")
+        # A target that works again is proof as before.
+        for target in targets:
+            guard.note_whole("other", target)
+            guard.note_break("digest", target)
+            clock.now_s += 2 * COMMON_CAUSE_S
+        self.assertRaises(JaytrayError, guard.check, "digest")
+
     def test_links_that_break_together_count_once(self) -> None:
         # Soak seed 101: all links to targets were reset at the same moment.
         guard = CrashGuard(clock=Clock(), tell_peers=lambda _found: None)
