Let one piece of code end tasks, wait for events, find accounts and count members

Read once more as a whole; behaviour stays as it is.

- RateGifts.charge is split: _collect asks owners, _return sends back for both callers.
- RateShares works out the level once for each charge instead of twice; the cache of owners compares one value.
- An account by its name is found by the directory, instead of by gifts and admission.
- Housekeeping only counts members again; it no longer decodes their records each second.
- Gossip takes the members that count, not the rates, of which it used nothing else.
- models_of_adapters serves the planner and the choice for adapters.
- _serving takes a server, so the default times of callers stand in one place.
- DemandAverage.rate had no caller left and is gone.

--- a/packages/gateway/src/jaytray_gateway/process/demand_average.py
+++ b/packages/gateway/src/jaytray_gateway/process/demand_average.py
@@ -23,11 +23,6 @@
         before = self._rate_by_name.get(name, 0.0)
         self._rate_by_name[name] = before + amount / self._window_s
 
-    def rate(self, name: str) -> float:
-        """Return one name's rate per second, 0 where it is negligible."""
-        rate = self._rate_by_name.get(name, 0.0) * self._factor(self._clock())
-        return rate if rate > _NEGLIGIBLE else 0.0
-
     def rates(self) -> dict[str, float]:
         """Return the rates per second by name."""
         self._decay()
@@ -35,13 +30,10 @@
 
     def _decay(self) -> None:
         now_s = self._clock()
-        factor = self._factor(now_s)
+        factor = math.exp((self._updated_s - now_s) / self._window_s)
         self._updated_s = now_s
         self._rate_by_name = {
             name: rate * factor
             for name, rate in self._rate_by_name.items()
             if rate * factor > _NEGLIGIBLE
         }
-
-    def _factor(self, now_s: float) -> float:
-        return math.exp((self._updated_s - now_s) / self._window_s)
--- a/packages/gateway/src/jaytray_gateway/process/directory.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -13,9 +13,10 @@
 from jaytray_core.errors import JaytrayError
 from jaytray_core.keyvalue import KeyValueRecord, KeyValueService
 from jaytray_core.logs import get_logger
+from jaytray_core.tasks import wait_until_set
 from jaytray_gateway.ports import PlatformAdapter
 from jaytray_gateway.process.target_entry import TargetEntry
-from jaytray_gateway.version.route_table import RouteTable
+from jaytray_gateway.version.route_table import ClientAccount, RouteTable
 
 # Part of the bound on a change after which everything is read if no watch was
 # answered: it is then in force in time also when no watch tells of it.
@@ -92,6 +93,11 @@
         """Return how old the copy may be."""
         return self._clock() - self.known_at_s
 
+    def find_account(self, name: str) -> ClientAccount | None:
+        """Return a client account of the version in force."""
+        table = self.route_table
+        return table.accounts_by_name.get(name) if table is not None else None
+
     def targets_of(self, service: str) -> list[TargetEntry]:
         """Return the targets of a service that take new requests."""
         return [
@@ -141,14 +147,9 @@
             unproven_s = self._bound_s * READ_PORTION
             longest_s = unproven_s if self._lapsed_until_s_by_id else FULL_READ_S
             due_s = min(self.known_at_s + unproven_s, self._read_at_s + longest_s)
-            if due_s <= self._clock():
-                return
-            try:
-                async with asyncio.timeout(due_s - self._clock()):
-                    await self._read_wanted.wait()
+            left_s = due_s - self._clock()
+            if left_s <= 0 or await wait_until_set(self._read_wanted, left_s):
                 return
-            except TimeoutError:
-                continue
 
     def _watch_pause_s(self) -> float:
         if self.is_placement_holder:
--- a/packages/gateway/src/jaytray_gateway/process/gossip.py
+++ b/packages/gateway/src/jaytray_gateway/process/gossip.py
@@ -11,7 +11,7 @@
 from jaytray_gateway.process.crash_guard import CrashGuard, RunEnd
 from jaytray_gateway.process.demand_average import DemandAverage
 from jaytray_gateway.process.load_view import LoadView, TargetLoad
-from jaytray_gateway.process.rate_shares import RateShares
+from jaytray_gateway.process.membership import CountedMembers
 from jaytray_gateway.process.replicas import ReplicaNotice, Replicas
 from jaytray_server.ports import PeerNetwork
 
@@ -50,14 +50,14 @@
         *,
         peers: PeerNetwork,
         loads: LoadView,
-        shares: RateShares,
+        counted: CountedMembers,
         replicas: Replicas,
         replica_demand: DemandAverage,
     ) -> None:
         self.replica_rates_by_member: dict[str, dict[str, float]] = {}
         self._peers = peers
         self._loads = loads
-        self._shares = shares
+        self._counted = counted
         self._replicas = replicas
         self._replica_demand = replica_demand
 
@@ -110,7 +110,7 @@
         """Return the demand by replica over all members, in engine ms a second."""
         total = self._replica_demand.rates()
         for member, rates in self.replica_rates_by_member.items():
-            if member in self._shares.member_ids:
+            if member in self._counted.ids:
                 for replica, rate in rates.items():
                     total[replica] = total.get(replica, 0.0) + rate
         return total
--- a/packages/gateway/src/jaytray_gateway/process/membership.py
+++ b/packages/gateway/src/jaytray_gateway/process/membership.py
@@ -53,11 +53,12 @@
     """Members that may still serve: those on record, or that were shortly before."""
 
     def __init__(self, *, clock: MonotonicClock) -> None:
+        self.ids: frozenset[str] = frozenset()
         self._clock = clock
         self._seen_at_s_by_id: dict[str, float] = {}
 
-    def update(self, present: frozenset[str]) -> frozenset[str]:
-        """Take the members on record now; returns those that count."""
+    def update(self, present: frozenset[str]) -> None:
+        """Take the members on record now."""
         now_s = self._clock()
         self._seen_at_s_by_id |= dict.fromkeys(present, now_s)
         self._seen_at_s_by_id = {
@@ -65,7 +66,7 @@
             for vm_id, seen_at_s in self._seen_at_s_by_id.items()
             if now_s - seen_at_s < DEPARTED_S
         }
-        return frozenset(self._seen_at_s_by_id)
+        self.ids = frozenset(self._seen_at_s_by_id)
 
 
 class Membership:
--- a/packages/gateway/src/jaytray_gateway/process/placement/adapter_choice.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/adapter_choice.py
@@ -2,7 +2,7 @@
 
 from jaytray_gateway.process.load_view import LoadView
 from jaytray_gateway.process.placement.target_plan import TargetPlan
-from jaytray_gateway.replica_names import replica_name, split_replica
+from jaytray_gateway.replica_names import models_of_adapters, replica_name
 from jaytray_gateway.version.route_table import Engine
 
 # An adapter that was loaded, or found in use, this recently is not dropped.
@@ -56,7 +56,7 @@
     plans: list[TargetPlan], rates: dict[str, float], model: str
 ) -> dict[str, int]:
     """Return the number of targets of `model` and others whose adapters are used."""
-    used = {split_replica(name)[0] for name in rates if "/" in name} | {model}
+    used = models_of_adapters(rates) | {model}
     return {name: sum(name in plan.models for plan in plans) for name in used}
 
 
--- a/packages/gateway/src/jaytray_gateway/process/placement/duty.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/duty.py
@@ -7,6 +7,7 @@
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.keyvalue import KeyValueService
 from jaytray_core.logs import get_logger
+from jaytray_core.tasks import wait_until_set
 from jaytray_gateway.ports import PlatformAdapter
 from jaytray_gateway.process.directory import Directory
 from jaytray_gateway.process.gossip import Gossip, ReplicaRequest
@@ -124,11 +125,7 @@
         holding = asyncio.create_task(self._leadership.run())
         try:
             while True:
-                try:
-                    async with asyncio.timeout(PLAN_INTERVAL_S):
-                        await self._has_requests.wait()
-                except TimeoutError:
-                    pass
+                await wait_until_set(self._has_requests, PLAN_INTERVAL_S)
                 self._has_requests.clear()
                 self._plan()
         finally:
--- a/packages/gateway/src/jaytray_gateway/process/placement/planner.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/planner.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from jaytray_gateway.process.placement.target_plan import TargetPlan
-from jaytray_gateway.replica_names import split_replica
+from jaytray_gateway.replica_names import models_of_adapters, split_replica
 from jaytray_gateway.version.route_table import Engine
 
 # Part of its time that an engine may be busy with one model's requests.
@@ -159,11 +159,9 @@
     A target loads no adapters while it loads or unloads a model.
     """
     others = [p for p in plans if p is not plan and not p.has_model_step]
-    with_adapters = {
-        split_replica(name)[0]
-        for name, rate in rates.items()
-        if "/" in name and rate > MIN_ADAPTER_DEMAND_MS
-    }
+    with_adapters = models_of_adapters(
+        name for name, rate in rates.items() if rate > MIN_ADAPTER_DEMAND_MS
+    )
     return any(
         model in with_adapters and not any(model in p.models for p in others)
         for model in plan.models
--- a/packages/gateway/src/jaytray_gateway/process/rate_gifts.py
+++ b/packages/gateway/src/jaytray_gateway/process/rate_gifts.py
@@ -55,6 +55,13 @@
     level: float
 
 
+class _Received(NamedTuple):
+    """Tokens that this member got from an owner."""
+
+    owner: str
+    tokens: float
+
+
 class _Return(NamedTuple):
     account: str
     tokens: float
@@ -75,13 +82,13 @@
         *,
         shares: RateShares,
         peers: PeerNetwork,
-        current_table: Callable[[], RouteTable | None],
+        find_account: Callable[[str], ClientAccount | None],
         clock: MonotonicClock,
         rng: random.Random,
     ) -> None:
         self._shares = shares
         self._peers = peers
-        self._current_table = current_table
+        self._find_account = find_account
         self._clock = clock
         self._rng = rng
         self._level_by_owner: dict[tuple[str, str], _Level] = {}
@@ -95,23 +102,16 @@
         """Take a request's tokens; raises `rate_exceeded`."""
         cost = float(tokens if account.counts_tokens else 1)
         charge = self._shares.try_charge(account, cost)
-        gifts: dict[str, float] = {}
-        for _ in range(0 if charge is not None else MAX_ROUNDS):
-            asks = self._asks(account, self._shares.missing(account, cost))
-            if not asks:
-                break
-            given = await asyncio.gather(
-                *(self._ask(account, owner, part) for owner, part in asks)
-            )
-            for (owner, _), part in zip(asks, given, strict=True):
-                gifts[owner] = gifts.get(owner, 0.0) + part
-            charge = self._shares.try_charge(account, cost)
-            if charge is not None:
-                break
+        if charge is not None:
+            return charge
+        gifts = await self._collect(account, cost)
+        charge = self._shares.try_charge(account, cost)
         if charge is not None:
             return charge
         missing = self._shares.missing(account, cost)
-        self._return(account, gifts)
+        for gift in gifts:
+            unused = self._shares.hand_back(account, gift.tokens)
+            self._return(account, gift.owner, unused)
         raise JaytrayError(
             messages.RATE_EXCEEDED,
             step=Step.ADMIT,
@@ -130,6 +130,17 @@
             if not is_known or owner not in self._shares.member_ids:
                 del self._level_by_owner[account, owner]
 
+    async def _collect(self, account: ClientAccount, cost: float) -> list[_Received]:
+        """Ask owners until the request lacks nothing, or they would not do."""
+        gifts: list[_Received] = []
+        for _ in range(MAX_ROUNDS):
+            missing = self._shares.missing(account, cost)
+            asks = self._asks(account, missing) if missing > 0 else []
+            if not asks:
+                break
+            gifts += await asyncio.gather(*(self._ask(account, *ask) for ask in asks))
+        return gifts
+
     def _asks(self, account: ClientAccount, missing: float) -> list[tuple[str, float]]:
         """Return the owners to ask, with the tokens to ask them for.
 
@@ -163,8 +174,10 @@
         earned = account.rate_per_s * part * (self._clock() - last.at_s)
         return min(capacity, last.tokens + earned)
 
-    async def _ask(self, account: ClientAccount, owner: str, tokens: float) -> float:
-        """Return the tokens that were received from `owner`."""
+    async def _ask(
+        self, account: ClientAccount, owner: str, tokens: float
+    ) -> _Received:
+        """Ask an owner for tokens; it may give fewer, or not answer in time."""
         number = next(self._numbers)
         waiter: asyncio.Future[float] = asyncio.get_running_loop().create_future()
         self._waiter_by_number[number] = waiter
@@ -173,25 +186,23 @@
         self._level_by_owner[account.name, owner] = _Level(0.0, self._clock())
         try:
             if not self._peers.send(owner, _ASK, encode_msgpack(ask)):
-                return 0.0
+                return _Received(owner, 0.0)
             async with asyncio.timeout(GIFT_WAIT_S):
-                return await waiter
+                return _Received(owner, await waiter)
         except TimeoutError:
-            return 0.0
+            return _Received(owner, 0.0)
         finally:
             del self._waiter_by_number[number]
 
-    def _return(self, account: ClientAccount, gifts: dict[str, float]) -> None:
-        """Send back what did not do for a request."""
-        for owner, tokens in gifts.items():
-            unused = self._shares.hand_back(account, tokens)
-            if unused > 0:
-                body = encode_msgpack(_Return(account.name, unused))
-                self._peers.send(owner, _RETURN, body)
+    def _return(self, account: ClientAccount, owner: str, tokens: float) -> None:
+        """Send tokens back that no request needs."""
+        if tokens > 0:
+            body = encode_msgpack(_Return(account.name, tokens))
+            self._peers.send(owner, _RETURN, body)
 
     def _take_ask(self, sender: str, body: bytes) -> None:
         ask = decode_msgpack(body, _Ask, peer=sender)
-        account = self._account(ask.account)
+        account = self._find_account(ask.account)
         if account is None or ask.tokens <= 0:
             return
         given = self._shares.give(account, ask.tokens)
@@ -201,7 +212,7 @@
 
     def _take_gift(self, sender: str, body: bytes) -> None:
         gift = decode_msgpack(body, _Gift, peer=sender)
-        account = self._account(gift.account)
+        account = self._find_account(gift.account)
         if account is None:
             return
         self._level_by_owner[account.name, sender] = _Level(gift.level, self._clock())
@@ -209,16 +220,11 @@
         if waiter is not None and not waiter.done():
             self._shares.receive(account, gift.tokens)
             waiter.set_result(gift.tokens)
-        elif gift.tokens > 0:
-            body = encode_msgpack(_Return(account.name, gift.tokens))
-            self._peers.send(sender, _RETURN, body)
+        else:
+            self._return(account, sender, gift.tokens)
 
     def _take_return(self, sender: str, body: bytes) -> None:
         returned = decode_msgpack(body, _Return, peer=sender)
-        account = self._account(returned.account)
+        account = self._find_account(returned.account)
         if account is not None:
             self._shares.take_back(account, returned.tokens)
-
-    def _account(self, name: str) -> ClientAccount | None:
-        table = self._current_table()
-        return table.accounts_by_name.get(name) if table else None
--- a/packages/gateway/src/jaytray_gateway/process/rate_shares.py
+++ b/packages/gateway/src/jaytray_gateway/process/rate_shares.py
@@ -66,10 +66,9 @@
 
 
 class _Owners(NamedTuple):
-    """The owners of an account, worked out for these members and that number."""
+    """The owners of an account, and the members and number they were chosen from."""
 
-    member_ids: frozenset[str]
-    wanted: int
+    based_on: tuple[frozenset[str], int]
     ids: frozenset[str]
 
 
@@ -90,14 +89,12 @@
 
     def owners_of(self, account: ClientAccount) -> frozenset[str]:
         """Return the members that hold a part of the account."""
-        count = min(len(self.member_ids), _owner_count(account))
+        based_on = (self.member_ids, _owner_count(account))
         found = self._owners_by_account.get(account.name)
-        if found is None or (found.member_ids, found.wanted) != (
-            self.member_ids,
-            count,
-        ):
-            ranked = rank_members(account.name, self.member_ids)
-            found = _Owners(self.member_ids, count, frozenset(ranked[:count]))
+        if found is None or found.based_on != based_on:
+            members, count = based_on
+            ranked = rank_members(account.name, members)
+            found = _Owners(based_on, frozenset(ranked[:count]))
             self._owners_by_account[account.name] = found
         return found.ids
 
@@ -113,15 +110,15 @@
         """Take a request's tokens from those at hand; None when they do not do."""
         if account.rate_per_s <= 0:
             return Charge(account.name, 0.0)
-        if self.missing(account, cost) > 0:
+        bucket = self._refilled(account)
+        if _needed(account, cost) > bucket.at_hand():
             return None
-        self._refilled(account).take(cost)
+        bucket.take(cost)
         return Charge(account.name, cost)
 
     def missing(self, account: ClientAccount, cost: float) -> float:
         """Return the tokens that a request needs beyond those at hand."""
-        most = max(account.burst, account.rate_per_s)
-        return min(cost, most) - self._refilled(account).at_hand()
+        return _needed(account, cost) - self._refilled(account).at_hand()
 
     def give(self, account: ClientAccount, tokens: float) -> float:
         """Take up to `tokens` out of the own part for another member."""
@@ -160,7 +157,7 @@
         owners = self.owners_of(account)
         return (
             f"rate={account.rate_per_s:g} burst={account.burst:g}"
-            f" level={self._refilled(account).at_hand():.0f}"
+            f" level={self.level(account):.0f}"
             f" is_owner={self.own_id in owners} owners={len(owners)}"
             f" members={len(self.member_ids)}"
         )
@@ -186,6 +183,11 @@
         return bucket
 
 
+def _needed(account: ClientAccount, cost: float) -> float:
+    """Return the tokens at hand with which a request of this cost is admitted."""
+    return min(cost, max(account.burst, account.rate_per_s))
+
+
 def _owner_count(account: ClientAccount) -> int:
     least = MIN_PART_TOKENS if account.counts_tokens else MIN_PART_REQUESTS
     return max(MIN_OWNERS, int(account.burst / least))
--- a/packages/gateway/src/jaytray_gateway/process/replicas.py
+++ b/packages/gateway/src/jaytray_gateway/process/replicas.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from jaytray_core.clock import MonotonicClock
+from jaytray_core.tasks import wait_until_set
 from jaytray_gateway.process.directory import Directory
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.replica_names import replica_name
@@ -54,12 +55,7 @@
 
     async def wait_for_change(self, timeout_s: float) -> None:
         """Return after the next change, or after `timeout_s`."""
-        changed = self._changed
-        try:
-            async with asyncio.timeout(max(0.0, timeout_s)):
-                await changed.wait()
-        except TimeoutError:
-            pass
+        await wait_until_set(self._changed, timeout_s)
 
     def targets_of(self, service: str) -> list[TargetEntry]:
         """Return the targets of a service that take new requests."""
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -10,6 +10,7 @@
 from jaytray_core.errors import JaytrayError
 from jaytray_core.keyvalue import KeyValueService
 from jaytray_core.logs import get_logger
+from jaytray_core.tasks import cancel_all
 from jaytray_gateway.connection.caller_app import make_caller_app, make_probe_app
 from jaytray_gateway.ports import PlatformAdapter
 from jaytray_gateway.process.metrics import GatewayMetrics, serve_metrics
@@ -17,12 +18,12 @@
 from jaytray_gateway.process.subsystems import (
     Subsystems,
     build_subsystems,
-    take_members,
+    count_members,
 )
 from jaytray_gateway.version.route_table import DEFAULT_LIMITS, CallerLimits
 from jaytray_server.connection.caller_protocol import CallerTimeouts
 from jaytray_server.connection.callers import (
-    DEFAULT_TIMEOUTS,
+    CallerServer,
     make_caller_server,
     open_caller_socket,
 )
@@ -79,13 +80,13 @@
             current_limits=lambda: _caller_limits(parts),
             clock=clock,
         )
-        await stack.enter_async_context(_serving(probe_app, options.probe_address))
-        await stack.enter_async_context(_supervised(_duties(parts, options)))
-        async with _serving(
-            caller_app,
-            options.callers_address,
-            current_timeouts=lambda: _caller_timeouts(parts),
-        ) as end_callers:
+        probe_server = make_caller_server(probe_app)
+        caller_server = make_caller_server(
+            caller_app, current_timeouts=lambda: _caller_timeouts(parts)
+        )
+        await stack.enter_async_context(_serving(probe_server, options.probe_address))
+        await stack.enter_async_context(_supervised(_duties(parts)))
+        async with _serving(caller_server, options.callers_address) as end_callers:
             get_logger().info("gateway_started", members=len(parts.shares.member_ids))
             await stop.wait()
             await _drain(parts, options, clock, end_callers)
@@ -128,9 +129,7 @@
     return CallerTimeouts(limits.header_timeout_s, limits.idle_timeout_s)
 
 
-def _duties(
-    parts: Subsystems, options: GatewayOptions
-) -> dict[str, Callable[[], Awaitable[None]]]:
+def _duties(parts: Subsystems) -> dict[str, Callable[[], Awaitable[None]]]:
     return {
         "directory_reads": parts.directory.run_reads,
         "directory_watch": parts.directory.run_watch,
@@ -145,7 +144,7 @@
     """Drop what is no longer of use and refresh gauges, once a second."""
     while True:
         await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
-        take_members(parts)
+        count_members(parts)
         parts.pools.close_stale()
         parts.replicas.drop_old_notices()
         parts.health.keep(frozenset(parts.directory.targets_by_id))
@@ -193,16 +192,12 @@
     try:
         yield
     finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_all(tasks)
 
 
 @asynccontextmanager
 async def _serving(
-    app: object,
-    address: str,
-    current_timeouts: Callable[[], CallerTimeouts] = lambda: DEFAULT_TIMEOUTS,
+    server: CallerServer, address: str
 ) -> AsyncIterator[Callable[[], None]]:
     """Serve HTTP on `address`; gives a function that begins the server's end.
 
@@ -210,7 +205,6 @@
     of the others closes with its answer.
     """
     with open_caller_socket(address) as listener:
-        server = make_caller_server(app, current_timeouts=current_timeouts)
         serving = asyncio.create_task(server.serve(sockets=[listener]))
 
         def end() -> None:
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -77,6 +77,7 @@
     metrics: GatewayMetrics,
     clock: MonotonicClock,
 ) -> Subsystems:
+    """Return the subsystems, joined to each other; none of them runs yet."""
     rng = random.Random()
     public_key, secret_key = zmq.curve_keypair()
     directory = Directory(
@@ -94,6 +95,7 @@
         failure_domain=options.failure_domain,
         curve_public_key=public_key.decode("ascii"),
     )
+    counted = CountedMembers(clock=clock)
     shares = RateShares(own_id=options.vm_id, clock=clock)
     budget = RepeatBudget(
         ratio=options.repeat_ratio,
@@ -110,14 +112,14 @@
     gifts = RateGifts(
         shares=shares,
         peers=peers,
-        current_table=lambda: directory.route_table,
+        find_account=directory.find_account,
         clock=clock,
         rng=rng,
     )
     gossip = Gossip(
         peers=peers,
         loads=loads,
-        shares=shares,
+        counted=counted,
         replicas=replicas,
         replica_demand=replica_demand,
     )
@@ -173,7 +175,7 @@
             prefix=adapter.own_prefix + MEMBERS,
             key_value=key_value,
         ),
-        counted=CountedMembers(clock=clock),
+        counted=counted,
         hub=hub,
         shares=shares,
         gifts=gifts,
@@ -191,7 +193,7 @@
 
 
 def take_members(parts: Subsystems) -> None:
-    """Pass the members on to all that divide something among them."""
+    """Pass the members that are on record on to the links and to the counts."""
     prefix = parts.services.adapter.own_prefix + MEMBERS
     members_by_id = decode_members(parts.directory.members_by_key, prefix)
     own = parts.membership.own
@@ -209,13 +211,23 @@
     ]
     others = frozenset(members_by_id) - {own.vm_id}
     parts.hub.update_vms(vms, chosen=others)
-    counted = parts.counted.update(frozenset(members_by_id))
+    parts.directory.member_count = len(members_by_id)
+    count_members(parts)
+
+
+def count_members(parts: Subsystems) -> None:
+    """Tell what is divided among members how many may still serve.
+
+    Time alone changes that: members count for a while after their records went.
+    """
+    present = frozenset((parts.membership.own.vm_id, *parts.hub.listed_vms()))
+    parts.counted.update(present)
+    counted = parts.counted.ids
     if counted != parts.shares.member_ids:
         get_logger().info(
             "members_changed",
-            members=",".join(sorted(members_by_id)),
-            departed=",".join(sorted(counted - members_by_id.keys())) or "-",
+            members=",".join(sorted(present)),
+            departed=",".join(sorted(counted - present)) or "-",
         )
     parts.shares.set_members(counted)
     parts.budget.member_count = len(counted)
-    parts.directory.member_count = len(members_by_id)
--- a/packages/gateway/src/jaytray_gateway/request/admission.py
+++ b/packages/gateway/src/jaytray_gateway/request/admission.py
@@ -71,8 +71,7 @@
 
     def account(self, name: str) -> ClientAccount | None:
         """Return an account of the version in force, for the log."""
-        table = self._directory.route_table
-        return table.accounts_by_name.get(name) if table is not None else None
+        return self._directory.find_account(name)
 
     def check_proof(self) -> None:
         """Raise unless the version in force was recently seen to be the newest.
--- a/packages/gateway/tests/process/placement/test_duty.py
+++ b/packages/gateway/tests/process/placement/test_duty.py
@@ -11,10 +11,10 @@
 from jaytray_gateway.process.directory import Directory
 from jaytray_gateway.process.gossip import Gossip, ReplicaRequest
 from jaytray_gateway.process.load_view import LoadView
+from jaytray_gateway.process.membership import CountedMembers
 from jaytray_gateway.process.metrics import GatewayMetrics
 from jaytray_gateway.process.options import GatewayOptions
 from jaytray_gateway.process.placement.duty import PlacementDuty
-from jaytray_gateway.process.rate_shares import RateShares
 from jaytray_gateway.process.replicas import Replicas
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.process.target_health import TargetHealth
@@ -191,7 +191,6 @@
             CallerLimits(1, 1, 1.0, 1.0),
         )
         loads = LoadView(clock=clock)
-        shares = RateShares(own_id="vm", clock=clock)
         peers = PeerNetwork(
             vm_id="vm",
             send=lambda _to, _topic, _body: False,
@@ -205,7 +204,7 @@
         gossip = Gossip(
             peers=peers,
             loads=loads,
-            shares=shares,
+            counted=CountedMembers(clock=clock),
             replicas=self.replicas,
             replica_demand=self.demand,
         )
--- a/packages/gateway/tests/process/test_membership.py
+++ b/packages/gateway/tests/process/test_membership.py
@@ -16,7 +16,8 @@
         self.counted = CountedMembers(clock=lambda: self.now_s)
 
     def update(self, ids: str) -> str:
-        return "".join(sorted(self.counted.update(frozenset(ids))))
+        self.counted.update(frozenset(ids))
+        return "".join(sorted(self.counted.ids))
 
     def test_records_that_lapsed_together_count_until_they_may_be_back(self) -> None:
         self.assertEqual("abc", self.update("abc"))
--- a/packages/gateway/tests/process/test_rate_shares.py
+++ b/packages/gateway/tests/process/test_rate_shares.py
@@ -57,7 +57,7 @@
             vm: RateGifts(
                 shares=shares,
                 peers=self._peers(vm),
-                current_table=lambda: table,
+                find_account=table.accounts_by_name.get,
                 clock=clock,
                 rng=random.Random(1),
             )
--- a/packages/gateway/tests/request/support.py
+++ b/packages/gateway/tests/request/support.py
@@ -281,7 +281,7 @@
         gifts = RateGifts(
             shares=shares,
             peers=_silent_peers(),
-            current_table=lambda: self.directory.route_table,
+            find_account=self.directory.find_account,
             clock=clock,
             rng=rng,
         )
--- a/packages/server/src/jaytray_server/connection/peer_link.py
+++ b/packages/server/src/jaytray_server/connection/peer_link.py
@@ -19,6 +19,7 @@
 
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.logs import get_logger
+from jaytray_core.tasks import cancel_all
 from jaytray_server.connection.peer_messages import MAX_ENVELOPE_BYTES
 
 HEARTBEAT_INTERVAL_S = 2.0
@@ -133,9 +134,7 @@
         done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         return done.pop().result()
     finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_all(tasks)
 
 
 async def _until_refused(monitor: zmq.asyncio.Socket) -> LinkEnd:
--- a/packages/server/src/jaytray_server/process/limits/account_limits.py
+++ b/packages/server/src/jaytray_server/process/limits/account_limits.py
@@ -14,6 +14,7 @@
 from jaytray_core.errors import JaytrayError
 from jaytray_core.keyvalue import KeyValueService
 from jaytray_core.logs import get_logger
+from jaytray_core.tasks import wait_until_set
 from jaytray_core.vm_list import VmEntry
 from jaytray_server.ports import CurrentDocument, Limiter, Metrics, PeerNetwork
 from jaytray_server.process.limits.gifts import GiftExchange
@@ -160,12 +161,8 @@
             self._metrics.gauge("limits.parts", self.limiter.parts)
 
     async def _wait_for_tick(self) -> None:
-        try:
-            async with asyncio.timeout(TICK_S):
-                await self._wake.wait()
-        except TimeoutError:
-            return
-        self._wake.clear()
+        if await wait_until_set(self._wake, TICK_S):
+            self._wake.clear()
 
     async def _maintain_safely(self) -> None:
         try:
--- a/packages/server/src/jaytray_server/process/limits/gifts.py
+++ b/packages/server/src/jaytray_server/process/limits/gifts.py
@@ -20,6 +20,7 @@
 from jaytray_core.codec import decode_msgpack, encode_msgpack
 from jaytray_core.errors import JaytrayError
 from jaytray_core.logs import get_logger
+from jaytray_core.tasks import cancel_all
 from jaytray_server.ports import Metrics, PeerNetwork
 from jaytray_server.process.limits.account_state import Lending
 from jaytray_server.process.limits.exchange_memory import ExchangeMemories
@@ -202,10 +203,7 @@
 
     async def close(self) -> None:
         """Stop gathering."""
-        tasks = list(self._gathering.values())
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_all(self._gathering.values())
 
     async def _gather(self, account: str) -> None:
         was_exhausted = self._memories.is_exhausted(account)
--- a/packages/server/src/jaytray_server/process/placement/duties.py
+++ b/packages/server/src/jaytray_server/process/placement/duties.py
@@ -15,6 +15,7 @@
 from jaytray_core.errors import JaytrayError
 from jaytray_core.keyvalue import KeyValueService
 from jaytray_core.logs import get_logger
+from jaytray_core.tasks import cancel_all
 from jaytray_core.weight_store import WeightStore
 from jaytray_server.ports import ConnectionTo, CurrentDocument, PeerNetwork
 from jaytray_server.process.decision_log import DecisionLog
@@ -92,10 +93,7 @@
                 self.adjust()
                 await self._sleep(CHECK_PERIOD_S)
         finally:
-            tasks = list(self._tasks_by_group.values())
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await cancel_all(self._tasks_by_group.values())
 
     def held_groups(self) -> list[str]:
         """Return the groups whose lease this VM holds now."""
--- a/packages/server/src/jaytray_server/process/quarantine/solo_runs.py
+++ b/packages/server/src/jaytray_server/process/quarantine/solo_runs.py
@@ -12,6 +12,7 @@
 from jaytray_core.errors import JaytrayError, Step
 from jaytray_core.keyvalue import ABSENT_REVISION, KeyValueService
 from jaytray_core.logs import get_logger
+from jaytray_core.tasks import cancel_all
 
 LOCK_PREFIX = "quarantine/solo/"
 LEASE_S = 15.0
@@ -65,8 +66,7 @@
         try:
             yield
         finally:
-            keeping.cancel()
-            await asyncio.gather(keeping, return_exceptions=True)
+            await cancel_all([keeping])
             await self._revoke(lease_id)
 
     async def _lock(self, names: tuple[str, str], *, saw_crash: bool) -> str:
--- a/packages/server/src/jaytray_server/process/runtime.py
+++ b/packages/server/src/jaytray_server/process/runtime.py
@@ -11,6 +11,7 @@
 
 from jaytray_core.clock import monotonic_clock
 from jaytray_core.logs import get_logger
+from jaytray_core.tasks import cancel_all
 from jaytray_core.vm_list import VmEntry
 from jaytray_server.connection.callers import (
     bound_address,
@@ -129,16 +130,11 @@
     """Give leases up and shares away, then end the remaining duties."""
     await parts.deferred_runner.stop()
     await parts.request_state.close()
-    await _cancel(tasks.pop("placement"))
-    await _cancel(tasks.pop("limits"))
+    await cancel_all([tasks.pop("placement")])
+    await cancel_all([tasks.pop("limits")])
     await parts.limits.leave()
     for task in tasks.values():
-        await _cancel(task)
-
-
-async def _cancel(task: asyncio.Task[None]) -> None:
-    task.cancel()
-    await asyncio.gather(task, return_exceptions=True)
+        await cancel_all([task])
 
 
 def _make_metrics(options: Options) -> Metrics:
--- a/packages/server/src/jaytray_server/request/caller_presence.py
+++ b/packages/server/src/jaytray_server/request/caller_presence.py
@@ -4,6 +4,8 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, TypeVar
 
+from jaytray_core.tasks import cancel_all
+
 T = TypeVar("T")
 Receive = Callable[[], Awaitable[Any]]
 
@@ -22,10 +24,7 @@
             raise CallerLeft
         return task.result()
     finally:
-        watch.cancel()
-        if not task.done():
-            task.cancel()
-        await asyncio.gather(task, watch, return_exceptions=True)
+        await cancel_all((watch, task))
 
 
 async def wait_for_disconnect(receive: Receive) -> None:
--- a/packages/server/src/jaytray_server/request/responses.py
+++ b/packages/server/src/jaytray_server/request/responses.py
@@ -15,6 +15,7 @@
 from jaytray_core.errors import JaytrayError
 from jaytray_core.refusal_body import encode_refusal
 from jaytray_core.targets import StreamPiece, WholeAnswer
+from jaytray_core.tasks import cancel_all
 from jaytray_server.request.caller_presence import CallerLeft, until_caller_leaves
 from jaytray_server.request.refusals import refusal_headers
 from jaytray_server.request.stall_guard import StallGuard
@@ -130,8 +131,7 @@
         await _send_chunks(send, first, buffer, slow_caller_s)
         await _send_end(send, pump, ending)
     finally:
-        pump.cancel()
-        await asyncio.gather(pump, return_exceptions=True)
+        await cancel_all([pump])
 
 
 async def _wait_shielded(task: "asyncio.Future[T]") -> T:
--- a/packages/server/src/jaytray_server/version/part_collector.py
+++ b/packages/server/src/jaytray_server/version/part_collector.py
@@ -12,6 +12,7 @@
 from jaytray_core.document.parts import Head, digest_of
 from jaytray_core.errors import JaytrayError
 from jaytray_core.logs import get_logger
+from jaytray_core.tasks import wait_until_set
 from jaytray_server.version.held import HeldVersion
 
 SERVICE = "kv"
@@ -150,8 +151,4 @@
     async def _wait(self, longest_s: float) -> bool:
         """Wait for a part or a holder; returns False when none came."""
         self._changed.clear()
-        try:
-            async with asyncio.timeout(longest_s):
-                return await self._changed.wait()
-        except TimeoutError:
-            return False
+        return await wait_until_set(self._changed, longest_s)
--- a/packages/standins/src/jaytray_standins/faults.py
+++ b/packages/standins/src/jaytray_standins/faults.py
@@ -11,6 +11,7 @@
 from contextlib import suppress
 from typing import Any, NamedTuple, TypeVar
 
+from jaytray_core.tasks import cancel_all
 from jaytray_standins.virtual_time import Sleep
 
 T = TypeVar("T")
@@ -128,10 +129,7 @@
 
     async def close(self) -> None:
         """Cancel calls that are still on their way."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_all(self._tasks)
 
 
 async def deliver(
--- a/packages/standins/src/jaytray_standins/listener.py
+++ b/packages/standins/src/jaytray_standins/listener.py
@@ -15,6 +15,7 @@
 from litestar.types import ControllerRouterHandler
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
+from jaytray_core.tasks import cancel_all
 from jaytray_standins.faults import (
     FaultSwitches,
     NoAnswerError,
@@ -148,10 +149,7 @@
     for connection in list(server.server_state.connections):
         if isinstance(connection, H11Protocol):
             connection.transport.abort()
-    tasks = list(server.server_state.tasks)
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
+    await cancel_all(server.server_state.tasks)
 
 
 async def _wait_for_disconnect(request: AnyRequest) -> None:
--- a/tools/document_fleet.py
+++ b/tools/document_fleet.py
@@ -13,6 +13,7 @@
 from jaytray_core.document.parts import Head
 from jaytray_core.document.sections import Section
 from jaytray_core.keyvalue import KeyValueService
+from jaytray_core.tasks import cancel_all
 from jaytray_server.ports import PeerHandler, PeerNetwork
 from jaytray_server.version.follower import DocumentFollower
 from jaytray_standins.faults import FaultSwitches
@@ -127,9 +128,7 @@
             self.network.down.add(vm_id)
             self.followers.pop(vm_id, None)
             tasks += [self._tasks.pop(vm_id)] if vm_id in self._tasks else []
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_all(tasks)
 
     async def apply(self, sections: list[Section]) -> Head:
         """Accept `sections` as the next version, based on the one in force."""
