Log prompt parts and progress of attempts that end early

The logs could not tell which prompt parts the attempts of a crashed target had in common, nor which responses had begun. request_try_ended now has prompt_parts, chunks and first_piece_ms.

--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -12,7 +12,9 @@
         "request_id outcome status route account version replica tokens rate_state "
         "target sends runs sent_ms first_piece_ms total_ms error"
     ).split(),
-    "request_try_ended": "request_id target outcome sends runs detail".split(),
+    "request_try_ended": (
+        "request_id target outcome sends runs first_piece_ms chunks prompt_parts detail"
+    ).split(),
     "request_quarantined": ("digest",),
     # Targets as seen by this process.
     "target_known": "target service incarnation is_leaving revision".split(),
--- a/packages/gateway/src/jaytray_gateway/request/request_path.py
+++ b/packages/gateway/src/jaytray_gateway/request/request_path.py
@@ -152,6 +152,8 @@
         services.admission.check_freshness()
         state.sends += 1
         state.sent_at_s = services.clock()
+        state.attempt_first_piece_s = None
+        state.attempt_chunks = 0
         return Dispatch(
             target_id=target.target_id,
             account=admitted.account_name,
@@ -242,8 +244,11 @@
         chunk = await exchange.read_chunk(until_s)
         if chunk is None:
             break
+        state.attempt_chunks += 1
+        if state.attempt_first_piece_s is None:
+            state.attempt_first_piece_s = services.clock()
         if state.first_piece_s is None:
-            state.first_piece_s = services.clock()
+            state.first_piece_s = state.attempt_first_piece_s
         services.loads.mark_prompt_read(target.target_id, in_flight)
         if state.event_buffer is not None:
             chunk = state.event_buffer.feed(chunk)
--- a/packages/gateway/src/jaytray_gateway/request/run_state.py
+++ b/packages/gateway/src/jaytray_gateway/request/run_state.py
@@ -62,6 +62,9 @@
         self.event_buffer = EventBuffer() if admitted.route.is_resumable else None
         self.sent_at_s: float | None = None
         self.first_piece_s: float | None = None
+        # Start of the current attempt's response body, and the chunks of it so far.
+        self.attempt_first_piece_s: float | None = None
+        self.attempt_chunks = 0
 
     @property
     def is_retryable(self) -> bool:
@@ -71,18 +74,33 @@
 
 
 def log_attempt_ended(state: RequestState, outcome: str, detail: str) -> None:
-    """Log an attempt that did not give the request's final response."""
+    """Log an attempt that did not give the request's final response.
+
+    `first_piece_ms` counts from the time at which the attempt was sent.
+    """
+    request = state.admitted.request
     get_logger().info(
         "request_try_ended",
-        request_id=state.admitted.request.request_id,
+        request_id=request.request_id,
         target=state.target_id,
         outcome=outcome,
         sends=state.sends,
         runs=state.runs,
+        first_piece_ms=_milliseconds_between(
+            state.sent_at_s, state.attempt_first_piece_s
+        ),
+        chunks=state.attempt_chunks,
+        prompt_parts=",".join(part.part_id for part in request.prompt_parts),
         detail=detail,
     )
 
 
+def _milliseconds_between(begin_s: float | None, end_s: float | None) -> int | str:
+    if begin_s is None or end_s is None:
+        return ""
+    return round((end_s - begin_s) * 1000)
+
+
 def not_run_error(
     template: messages.MessageTemplate, step: Step, *, peer: str = "", **details: Any
 ) -> JaytrayError:
