Refuse requests with a prompt part that crashed several targets

Cause: harmful requests were identified by a digest of account, path and body. Requests that share nothing but a prompt part are different requests to it, so no digest reached three breaks. Evidence was also sent once, to the members present, and kept in processes only.

Ruled out: breaks that were not counted, and late messages.

Change: crashes are counted for each part of the attempts whose responses had not begun. Parts of responses that get beyond their beginning are cleared, a target that goes on with earlier requests has not crashed, and of the parts with three crashes the last in the prompt is blamed. Quarantines are recorded in the key-value service for members that start later, and checked again right before a request is sent.

Crashes are now told apart from 0.2 s on, counted from the first, and bystanders are cleared of the crashes of a blamed part.

--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -16,6 +16,14 @@
         "request_id target outcome sends runs first_piece_ms chunks prompt_parts detail"
     ).split(),
     "request_quarantined": ("digest",),
+    # Crashes of targets and the prompt parts that are blamed for them.
+    "target_crash_counted": "target suspects parts is_explained blamed".split(),
+    "target_crash_refuted": "target incarnation".split(),
+    "prompt_part_quarantined": ("part",),
+    "prompt_part_released": ("part",),
+    "quarantine_recorded": "part is_written".split(),
+    "quarantine_not_recorded": ("error",),
+    "quarantine_record_unreadable": "record error".split(),
     # Targets as seen by this process.
     "target_known": "target service incarnation is_leaving revision".split(),
     "target_unreadable": "target error".split(),
--- a/packages/gateway/src/jaytray_gateway/process/directory.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -70,7 +70,7 @@
     ) -> None:
         self.route_table: RouteTable | None = None
         self.targets_by_id: dict[str, TargetEntry] = {}
-        self.members_by_key: dict[str, bytes] = {}
+        self.records_by_key: dict[str, bytes] = {}
         self.member_count = 1
         self.is_placement_leader = False
         self._bound_s = bound_s
@@ -227,9 +227,9 @@
                 self._remove_target(target_id)
         elif record.key.startswith(adapter.records_prefix):
             if record.value:
-                self.members_by_key[record.key] = record.value
+                self.records_by_key[record.key] = record.value
             else:
-                self.members_by_key.pop(record.key, None)
+                self.records_by_key.pop(record.key, None)
 
     def _apply_route_table(self, record: KeyValueRecord) -> None:
         try:
--- a/packages/gateway/src/jaytray_gateway/process/member_messages.py
+++ b/packages/gateway/src/jaytray_gateway/process/member_messages.py
@@ -1,4 +1,4 @@
-"""Messages between members: load, demand, outcomes of runs, and replicas.
+"""Messages between members: load, demand, outcomes of runs, prompt parts, replicas.
 
 Messages are small, idempotent and may be lost; each is sent directly to every member.
 """
@@ -12,6 +12,7 @@
 from jaytray_gateway.process.demand_average import DemandAverage
 from jaytray_gateway.process.load_view import LoadView, TargetLoad
 from jaytray_gateway.process.membership import RecentMembers
+from jaytray_gateway.process.prompt_part_guard import PartEvidence, PromptPartGuard
 from jaytray_gateway.process.replicas import ReplicaNotice, Replicas
 from jaytray_server.ports import PeerNetwork
 
@@ -22,6 +23,7 @@
 
 _REPORT = "gateway.report"
 _RUN_END = "gateway.run_end"
+_PART_EVIDENCE = "gateway.part_evidence"
 _NOTICES = "gateway.notices"
 _REPLICA_REQUEST = "gateway.replica_request"
 
@@ -64,6 +66,7 @@
     def subscribe(
         self,
         crash_guard: CrashGuard,
+        part_guard: PromptPartGuard,
         add_replica_request: Callable[[ReplicaRequest], None],
     ) -> None:
         """Register the handlers of the other members' messages."""
@@ -71,12 +74,16 @@
         def on_run_end(sender: str, body: bytes) -> None:
             crash_guard.apply_run_end(decode_msgpack(body, RunEnd, peer=sender))
 
+        def on_part_evidence(sender: str, body: bytes) -> None:
+            part_guard.apply_evidence(decode_msgpack(body, PartEvidence, peer=sender))
+
         def on_replica_request(sender: str, body: bytes) -> None:
             add_replica_request(decode_msgpack(body, ReplicaRequest, peer=sender))
 
         self._peers.set_handler(_REPORT, self._handle_report)
         self._peers.set_handler(_NOTICES, self._handle_notices)
         self._peers.set_handler(_RUN_END, on_run_end)
+        self._peers.set_handler(_PART_EVIDENCE, on_part_evidence)
         self._peers.set_handler(_REPLICA_REQUEST, on_replica_request)
 
     def member_ids(self) -> frozenset[str]:
@@ -96,6 +103,10 @@
         """Notify all members of a broken response, or of a complete one after it."""
         self._broadcast(_RUN_END, encode_msgpack(run_end))
 
+    def broadcast_part_evidence(self, evidence: PartEvidence) -> None:
+        """Send an observation about prompt parts to all members."""
+        self._broadcast(_PART_EVIDENCE, encode_msgpack(evidence))
+
     def broadcast_notices(self, notices: list[ReplicaNotice]) -> None:
         """Apply notices of loaded or unloaded replicas and send them to all members."""
         for notice in notices:
--- a/packages/gateway/src/jaytray_gateway/process/placement/controller.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/controller.py
@@ -73,7 +73,7 @@
             lease_s=options.lease_s,
             key_value=key_value,
             clock=clock,
-            read_record=lambda: directory.members_by_key.get(key),
+            read_record=lambda: directory.records_by_key.get(key),
             member_ids=member_messages.member_ids,
         )
         self._load_limiter = LoadRateLimiter(
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/process/prompt_part_guard.py
@@ -0,0 +1,280 @@
+"""Quarantine of prompt parts that crash the targets which respond to them.
+
+A crash breaks many attempts at once. Those whose response had not begun are suspect, as
+a harmful part crashes the target when it begins the response. Crashes are counted for
+every part of the suspect attempts but the last one, which is the request's own. A part
+of a response that got beyond its beginning is sound, and its count starts again. A
+target that goes on with an earlier request has not crashed, whatever broke the others.
+
+Requests that share a harmful part share the parts before it too, so of the parts with
+enough crashes the last one in the prompt is to blame. The attempts beside it are then
+cleared of those crashes.
+"""
+
+from collections import OrderedDict, deque
+from collections.abc import Callable, Iterable, Sequence
+from typing import NamedTuple
+
+from jaytray_core import message_registry as messages
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.errors import JaytrayError, Step
+from jaytray_core.logs import get_logger
+from jaytray_gateway.process.target_entry import TargetEntry
+
+# Number of crashes after which requests with a part are refused.
+MAX_CRASHES = 3
+# Breaks at a target within this time belong to one crash.
+CRASH_WINDOW_S = 0.5
+# Crashes of several targets within this time count once: one outage may cause them.
+OUTAGE_WINDOW_S = 0.2
+# Time from the first break of a crash until it is counted. By then the members have
+# reported theirs, and noticed whether the target goes on with other requests.
+SETTLE_S = 1.0
+# Time since its first chunk after which a response is beyond its beginning.
+RESPONSE_BEGUN_S = 0.25
+# Time for which requests with a part are refused. After it, one more crash is enough.
+PART_QUARANTINE_S = 600.0
+MAX_PARTS = 4_000
+MAX_CRASH_RECORDS = 500
+MAX_CRASHES_PER_PART = 20
+# Crashes that are kept to clear the attempts beside a part that is blamed later.
+MAX_COUNTED_CRASHES = 50
+MAX_SUSPECTS_PER_CRASH = 100
+MAX_PARTS_PER_SUSPECT = 16
+
+# A target and its incarnation.
+Incarnation = tuple[str, str]
+
+
+class PartEvidence(NamedTuple):
+    """What one member observed, for the others.
+
+    With `is_sound`, responses on `parts` got beyond their beginning. Otherwise an
+    attempt with `parts` broke before that at a target or, if `parts` is empty, the
+    target still works although attempts broke there.
+    """
+
+    parts: tuple[str, ...]
+    is_sound: bool
+    target_id: str = ""
+    incarnation: str = ""
+
+
+class _Crash(NamedTuple):
+    """Breaks at one incarnation; `chains` are the parts of the suspect attempts."""
+
+    first_break_s: float
+    chains: list[tuple[str, ...]]
+
+
+class PromptPartGuard:
+    """Counts crashes by prompt part; `notify_peers` sends own observations to peers."""
+
+    def __init__(
+        self, *, clock: MonotonicClock, notify_peers: Callable[[PartEvidence], None]
+    ) -> None:
+        self.quarantined_until_s_by_part: dict[str, float] = {}
+        self._clock = clock
+        self._notify_peers = notify_peers
+        # Crashes that are not counted yet.
+        self._crash_by_incarnation: dict[Incarnation, _Crash] = {}
+        # Times of the first break at incarnations whose crash was counted.
+        self._crashed_at_s_by_incarnation: OrderedDict[Incarnation, float] = (
+            OrderedDict()
+        )
+        self._counted_crashes: deque[_Crash] = deque(maxlen=MAX_COUNTED_CRASHES)
+        self._crash_times_s_by_part: OrderedDict[str, list[float]] = OrderedDict()
+
+    def check(self, parts: Sequence[str]) -> None:
+        """Raise `request_suspected` if one of the parts is quarantined."""
+        self.settle_crashes()
+        for part in parts:
+            until_s = self.quarantined_until_s_by_part.get(part)
+            if until_s is not None:
+                raise JaytrayError(
+                    messages.REQUEST_SUSPECTED,
+                    step=Step.ADMIT,
+                    retry_after_s=until_s - self._clock(),
+                )
+
+    def record_break(self, parts: tuple[str, ...], target: TargetEntry) -> None:
+        """Record an attempt that broke before its response had begun."""
+        if not parts:
+            return
+        parts = parts[-MAX_PARTS_PER_SUSPECT:]
+        evidence = PartEvidence(parts, False, target.target_id, target.incarnation)
+        self.apply_evidence(evidence)
+        self._notify_peers(evidence)
+
+    def record_begun_response(self, parts: tuple[str, ...]) -> None:
+        """Record a response that got beyond its beginning."""
+        suspected = tuple(part for part in parts if self._is_suspected(part))
+        if suspected:
+            evidence = PartEvidence(suspected, True)
+            self.apply_evidence(evidence)
+            self._notify_peers(evidence)
+
+    def record_chunk(self, target: TargetEntry, *, sent_at_s: float) -> None:
+        """Record that a target still works on a request sent at `sent_at_s`."""
+        incarnation = (target.target_id, target.incarnation)
+        crashed_at_s = self._crashed_at_s_by_incarnation.get(incarnation)
+        if crashed_at_s is not None and sent_at_s > crashed_at_s + CRASH_WINDOW_S:
+            # It works again without a new incarnation, so it can crash again.
+            del self._crashed_at_s_by_incarnation[incarnation]
+        crash = self._crash_by_incarnation.get(incarnation)
+        if crash is None or sent_at_s >= crash.first_break_s:
+            return
+        # Chunks that arrived before the break may be read after it.
+        if self._clock() - crash.first_break_s > CRASH_WINDOW_S:
+            evidence = PartEvidence((), False, *incarnation)
+            self.apply_evidence(evidence)
+            self._notify_peers(evidence)
+
+    def apply_evidence(self, evidence: PartEvidence) -> None:
+        """Apply an observation of this member or a peer."""
+        incarnation = (evidence.target_id, evidence.incarnation)
+        if evidence.is_sound:
+            self._clear(evidence.parts)
+        elif evidence.parts:
+            self._add_break(incarnation, evidence.parts)
+        elif self._crash_by_incarnation.pop(incarnation, None) is not None:
+            get_logger().info(
+                "target_crash_refuted",
+                target=evidence.target_id,
+                incarnation=evidence.incarnation,
+            )
+
+    def quarantine(self, part: str) -> None:
+        """Refuse requests with this part from now on; called for stored records too."""
+        if part not in self.quarantined_until_s_by_part:
+            until_s = self._clock() + PART_QUARANTINE_S
+            self.quarantined_until_s_by_part[part] = until_s
+            get_logger().warning("prompt_part_quarantined", part=part)
+
+    def end_quarantine(self, part: str) -> None:
+        """Let requests with this part through again until the next crash."""
+        if self.quarantined_until_s_by_part.pop(part, None) is not None:
+            now_s = self._clock()
+            self._crash_times_s_by_part[part] = [
+                now_s - number * 2 * OUTAGE_WINDOW_S
+                for number in range(MAX_CRASHES, 1, -1)
+            ]
+
+    def settle_crashes(self) -> None:
+        """Count the crashes whose reports are in, and end quarantines that are over."""
+        now_s = self._clock()
+        for incarnation, crash in list(self._crash_by_incarnation.items()):
+            if now_s - crash.first_break_s >= SETTLE_S:
+                del self._crash_by_incarnation[incarnation]
+                self._crashed_at_s_by_incarnation[incarnation] = crash.first_break_s
+                self._count_crash(incarnation[0], crash)
+        while len(self._crashed_at_s_by_incarnation) > MAX_CRASH_RECORDS:
+            self._crashed_at_s_by_incarnation.popitem(last=False)
+        for part, until_s in list(self.quarantined_until_s_by_part.items()):
+            if until_s <= now_s:
+                self.end_quarantine(part)
+
+    def _add_break(self, incarnation: Incarnation, parts: tuple[str, ...]) -> None:
+        now_s = self._clock()
+        # Requests sent to a target that is down break as well.
+        if incarnation in self._crashed_at_s_by_incarnation:
+            return
+        crash = self._crash_by_incarnation.get(incarnation)
+        if crash is None:
+            if len(self._crash_by_incarnation) >= MAX_CRASH_RECORDS:
+                return
+            crash = self._crash_by_incarnation[incarnation] = _Crash(now_s, [])
+        is_same_crash = now_s - crash.first_break_s <= CRASH_WINDOW_S
+        if is_same_crash and len(crash.chains) < MAX_SUSPECTS_PER_CRASH:
+            crash.chains.append(parts)
+
+    def _count_crash(self, target_id: str, crash: _Crash) -> None:
+        known = [
+            chain
+            for chain in crash.chains
+            if not self.quarantined_until_s_by_part.keys().isdisjoint(chain)
+        ]
+        # Beside a request that is known to crash targets, no other one is suspect.
+        chains = known or crash.chains
+        parts = {part for chain in chains for part in chain}
+        for part in parts:
+            self._add_crash(part, crash.first_break_s)
+        blamed = None if known else self._part_to_blame(chains)
+        get_logger().info(
+            "target_crash_counted",
+            target=target_id,
+            suspects=len(crash.chains),
+            parts=",".join(sorted(parts)),
+            is_explained=bool(known),
+            blamed=blamed or "-",
+        )
+        self._counted_crashes.append(crash)
+        if blamed is not None:
+            self._clear_beside(blamed)
+            self.quarantine(blamed)
+
+    def _add_crash(self, part: str, crash_s: float) -> None:
+        times_s = self._crash_times_s_by_part.pop(part, [])
+        self._crash_times_s_by_part[part] = [*times_s, crash_s][-MAX_CRASHES_PER_PART:]
+        if len(self._crash_times_s_by_part) > MAX_PARTS:
+            self._crash_times_s_by_part.popitem(last=False)
+
+    def _part_to_blame(self, chains: Iterable[tuple[str, ...]]) -> str | None:
+        """Return the last part with enough crashes of one of the chains."""
+        candidates = []
+        for chain in chains:
+            blamed = [
+                part
+                for part in chain
+                if _count_outages(self._crash_times_s_by_part[part]) >= MAX_CRASHES
+            ]
+            candidates += blamed[-1:]
+        return max(
+            candidates,
+            key=lambda part: len(self._crash_times_s_by_part[part]),
+            default=None,
+        )
+
+    def _clear_beside(self, blamed: str) -> None:
+        """Discount the crashes that `blamed` caused from other requests' parts."""
+        for crash in self._counted_crashes:
+            causing = [chain for chain in crash.chains if blamed in chain]
+            if not causing:
+                continue
+            beside = {part for chain in crash.chains for part in chain}
+            for part in beside.difference(*causing):
+                times_s = self._crash_times_s_by_part.get(part, [])
+                if crash.first_break_s in times_s:
+                    times_s.remove(crash.first_break_s)
+
+    def _is_suspected(self, part: str) -> bool:
+        return (
+            part in self._crash_times_s_by_part
+            or part in self.quarantined_until_s_by_part
+            or any(
+                part in chain
+                for crash in self._crash_by_incarnation.values()
+                for chain in crash.chains
+            )
+        )
+
+    def _clear(self, parts: tuple[str, ...]) -> None:
+        sound = frozenset(parts)
+        for part in sound:
+            self._crash_times_s_by_part.pop(part, None)
+            if self.quarantined_until_s_by_part.pop(part, None) is not None:
+                get_logger().warning("prompt_part_released", part=part)
+        for crash in self._crash_by_incarnation.values():
+            crash.chains[:] = [
+                tuple(part for part in chain if part not in sound)
+                for chain in crash.chains
+            ]
+
+
+def _count_outages(crash_times_s: Iterable[float]) -> int:
+    """Return the number of crashes that are not part of the outage before them."""
+    count, outage_s = 0, -float("inf")
+    for crash_s in sorted(crash_times_s):
+        if crash_s - outage_s >= OUTAGE_WINDOW_S:
+            count, outage_s = count + 1, crash_s
+    return count
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -139,6 +139,7 @@
         "membership": subsystems.membership.run,
         "gossip": subsystems.member_messages.run,
         "placement": subsystems.placement.run,
+        "quarantine_records": subsystems.quarantine_records.run,
         "housekeeping": lambda: _run_housekeeping(subsystems),
     }
 
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -27,6 +27,8 @@
 from jaytray_gateway.process.metrics import GatewayMetrics
 from jaytray_gateway.process.options import GatewayOptions
 from jaytray_gateway.process.placement.controller import PlacementController
+from jaytray_gateway.process.prompt_part_guard import PromptPartGuard
+from jaytray_gateway.process.quarantine_records import QuarantineRecords
 from jaytray_gateway.process.rate_grants import RateGrants
 from jaytray_gateway.process.rate_shares import RateShares
 from jaytray_gateway.process.replicas import Replicas
@@ -47,6 +49,8 @@
 REPLICA_DEMAND_WINDOW_S = 6.0
 # Prefix of the members' leased records, relative to the platform adapter's own prefix.
 MEMBERS_PREFIX = "members/"
+# Prefix of the records of quarantined prompt parts.
+QUARANTINE_PREFIX = "quarantine/"
 
 
 class Subsystems(NamedTuple):
@@ -65,6 +69,7 @@
     pools: TargetConnectionPool
     member_messages: MemberMessages
     placement: PlacementController
+    quarantine_records: QuarantineRecords
     metrics: GatewayMetrics
     services: RequestServices
 
@@ -126,6 +131,9 @@
     crash_guard = CrashGuard(
         clock=clock, notify_peers=member_messages.broadcast_run_end
     )
+    part_guard = PromptPartGuard(
+        clock=clock, notify_peers=member_messages.broadcast_part_evidence
+    )
     placement = PlacementController(
         options=options,
         key_value=lease_key_value,
@@ -137,7 +145,7 @@
         metrics=metrics,
         clock=clock,
     )
-    member_messages.subscribe(crash_guard, placement.add_replica_request)
+    member_messages.subscribe(crash_guard, part_guard, placement.add_replica_request)
     lifecycle = Lifecycle()
     admission = Admission(
         directory=directory,
@@ -164,6 +172,7 @@
         health=health,
         pools=pools,
         crash_guard=crash_guard,
+        part_guard=part_guard,
         replica_demand=replica_demand,
         log=RequestLog(metrics=metrics),
         clock=clock,
@@ -187,6 +196,15 @@
         pools=pools,
         member_messages=member_messages,
         placement=placement,
+        quarantine_records=QuarantineRecords(
+            part_guard=part_guard,
+            directory=directory,
+            prefix=adapter.records_prefix + QUARANTINE_PREFIX,
+            own_id=options.vm_id,
+            member_ids=lambda: recent_members.ids,
+            key_value=key_value,
+            clock=clock,
+        ),
         metrics=metrics,
         services=services,
     )
@@ -197,7 +215,7 @@
 def apply_members(subsystems: Subsystems) -> None:
     """Pass the registered members to the subsystems that use or count them."""
     prefix = subsystems.services.adapter.records_prefix + MEMBERS_PREFIX
-    members_by_id = decode_members(subsystems.directory.members_by_key, prefix)
+    members_by_id = decode_members(subsystems.directory.records_by_key, prefix)
     own = subsystems.membership.own
     members_by_id[own.vm_id] = own
     vms = [
--- a/packages/gateway/src/jaytray_gateway/request/request_path.py
+++ b/packages/gateway/src/jaytray_gateway/request/request_path.py
@@ -13,6 +13,10 @@
 from jaytray_gateway.process.demand_average import DemandAverage
 from jaytray_gateway.process.engine_cost import engine_time_ms
 from jaytray_gateway.process.load_view import LoadView
+from jaytray_gateway.process.prompt_part_guard import (
+    RESPONSE_BEGUN_S,
+    PromptPartGuard,
+)
 from jaytray_gateway.process.rate_shares import RateShares
 from jaytray_gateway.process.request_log import RequestLog
 from jaytray_gateway.process.retry_budget import RetryBudget
@@ -60,6 +64,7 @@
     health: TargetHealth
     pools: TargetConnectionPool
     crash_guard: CrashGuard
+    part_guard: PromptPartGuard
     replica_demand: DemandAverage
     log: RequestLog
     clock: MonotonicClock
@@ -102,6 +107,7 @@
             services.replica_demand.add(request.replica_name, cost_ms)
     digest = content_digest(request, admitted.account_name)
     services.crash_guard.check(digest)
+    services.part_guard.check(request.shared_part_ids)
     services.budget.record_request(name)
     return RequestState(admitted=admitted, service=service, digest=digest)
 
@@ -150,10 +156,14 @@
 
     def make_dispatch() -> Dispatch:
         services.admission.check_freshness()
+        # The request may have been quarantined while it waited for a replica.
+        services.crash_guard.check(state.digest)
+        services.part_guard.check(request.shared_part_ids)
         state.sends += 1
         state.sent_at_s = services.clock()
         state.attempt_first_piece_s = None
         state.attempt_chunks = 0
+        state.is_begun = False
         return Dispatch(
             target_id=target.target_id,
             account=admitted.account_name,
@@ -176,6 +186,7 @@
             await _handle_response(state, target, in_flight, exchange, reply, services)
         services.health.record_success(target.target_id)
         services.crash_guard.record_complete_response(state.digest, target)
+        services.part_guard.record_begun_response(request.shared_part_ids)
     except ExchangeError as err:
         is_late = err.progress is ExchangeProgress.TIMED_OUT
         if err.progress is ExchangeProgress.NOT_SENT:
@@ -249,6 +260,7 @@
             state.attempt_first_piece_s = services.clock()
         if state.first_piece_s is None:
             state.first_piece_s = state.attempt_first_piece_s
+        _record_progress(state, target, services)
         services.loads.mark_prompt_read(target.target_id, in_flight)
         if state.event_buffer is not None:
             chunk = state.event_buffer.feed(chunk)
@@ -268,6 +280,20 @@
     await reply.finish()
 
 
+def _record_progress(
+    state: RequestState, target: TargetEntry, services: RequestServices
+) -> None:
+    """Record what a received chunk shows of the target and of the prompt's parts."""
+    first_s, sent_s = state.attempt_first_piece_s, state.sent_at_s
+    if first_s is None or sent_s is None:
+        return
+    services.part_guard.record_chunk(target, sent_at_s=sent_s)
+    if not state.is_begun and services.clock() - first_s > RESPONSE_BEGUN_S:
+        state.is_begun = True
+        parts = state.admitted.request.shared_part_ids
+        services.part_guard.record_begun_response(parts)
+
+
 def _head_deadline_s(state: RequestState, services: RequestServices) -> float:
     """Return the time until which this attempt may wait for a response head."""
     route = state.admitted.route
@@ -309,6 +335,9 @@
     log_attempt_ended(state, "timed_out" if err.is_timeout else "broken", err.detail)
     if not err.is_timeout:
         services.crash_guard.record_broken_response(state.digest, target)
+        if not state.is_begun:
+            parts = state.admitted.request.shared_part_ids
+            services.part_guard.record_break(parts, target)
     if state.event_buffer is not None:
         state.event_buffer.drop_partial()
     if _may_run_again(state, services):
--- a/packages/gateway/src/jaytray_gateway/request/routed_request.py
+++ b/packages/gateway/src/jaytray_gateway/request/routed_request.py
@@ -48,6 +48,11 @@
         """Return the model, followed by a slash and the adapter if there is one."""
         return replica_name(self.model, self.adapter)
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """Return the prompt parts that other requests may have too, in prompt order."""
+        return tuple(part.part_id for part in self.prompt_parts[:-1])
+
 
 def content_digest(request: RoutedRequest, account: str) -> str:
     """Return a digest that is equal for repetitions of the same request."""
--- a/packages/gateway/src/jaytray_gateway/request/run_state.py
+++ b/packages/gateway/src/jaytray_gateway/request/run_state.py
@@ -65,6 +65,8 @@
         # Start of the current attempt's response body, and the chunks of it so far.
         self.attempt_first_piece_s: float | None = None
         self.attempt_chunks = 0
+        # Whether the current attempt's response got beyond its beginning.
+        self.is_begun = False
 
     @property
     def is_retryable(self) -> bool:
--- a/packages/gateway/tests/process/placement/test_controller.py
+++ b/packages/gateway/tests/process/placement/test_controller.py
@@ -265,7 +265,7 @@
             found = await get("own/placement")
             if found is not None:
                 value = getattr(found, "value", b"")
-                self.directory.members_by_key["own/placement"] = value
+                self.directory.records_by_key["own/placement"] = value
             self.replicas.notify_waiters()
 
 
--- a/packages/gateway/tests/process/test_directory.py
+++ b/packages/gateway/tests/process/test_directory.py
@@ -118,7 +118,7 @@
             assert directory.route_table is not None
             self.assertEqual(3, directory.route_table.version)
             self.assertEqual({"t1"}, set(directory.targets_by_id))
-            self.assertEqual({"own/members/a": b"x"}, directory.members_by_key)
+            self.assertEqual({"own/members/a": b"x"}, directory.records_by_key)
             await harness.put("targets/t1", b"leaving")
             await wait_for_propagation()
             self.assertTrue(directory.targets_by_id["t1"].is_leaving)
--- a/packages/gateway/tests/request/support.py
+++ b/packages/gateway/tests/request/support.py
@@ -27,6 +27,7 @@
 from jaytray_gateway.process.lifecycle import Lifecycle
 from jaytray_gateway.process.load_view import LoadView
 from jaytray_gateway.process.metrics import GatewayMetrics
+from jaytray_gateway.process.prompt_part_guard import PromptPartGuard
 from jaytray_gateway.process.rate_grants import RateGrants
 from jaytray_gateway.process.rate_shares import RateShares
 from jaytray_gateway.process.replicas import Replicas
@@ -321,6 +322,9 @@
             health=health,
             pools=self.pools,
             crash_guard=self.crash_guard,
+            part_guard=PromptPartGuard(
+                clock=clock, notify_peers=lambda _evidence: None
+            ),
             replica_demand=DemandAverage(clock=clock, window_s=5.0),
             log=RequestLog(metrics=GatewayMetrics()),
             clock=clock,
