--- a/packages/gateway/src/jaytray_gateway/ports.py
+++ b/packages/gateway/src/jaytray_gateway/ports.py
@@ -46,7 +46,9 @@
     `is_other_instance` that a different target has the address now. `is_signed`
     means that the response carries the target's signature; a success without it is
     not valid. `headers` are those to forward to the caller. `idle_timeout_s` is how
-    long the target keeps an idle connection, None if not stated.
+    long the target keeps an idle connection, None if not stated. `rate_limit_per_s` is
+    the number of requests per second that the target accepts from all VMs together,
+    None if it states no limit.
     """
 
     status: int
@@ -57,6 +59,7 @@
     has_content_encoding: bool
     headers: HeaderList
     idle_timeout_s: float | None
+    rate_limit_per_s: float | None = None
 
 
 class OrderResult(NamedTuple):
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -36,6 +36,7 @@
 from jaytray_gateway.process.retry_budget import RetryBudget
 from jaytray_gateway.process.target_choice import TargetChooser
 from jaytray_gateway.process.target_health import TargetHealth
+from jaytray_gateway.process.target_limits import TargetLimits
 from jaytray_gateway.request.admission import Admission
 from jaytray_gateway.request.request_path import RequestServices
 from jaytray_gateway.request.target_search import TargetSearch
@@ -173,6 +174,7 @@
         pools=pools,
         crash_guard=crash_guard,
         part_guard=part_guard,
+        limits=TargetLimits(clock=clock),
         replica_demand=replica_demand,
         log=RequestLog(metrics=metrics),
         clock=clock,
--- a/packages/gateway/src/jaytray_gateway/request/request_path.py
+++ b/packages/gateway/src/jaytray_gateway/request/request_path.py
@@ -22,6 +22,7 @@
 from jaytray_gateway.process.retry_budget import RetryBudget
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.process.target_health import TargetHealth
+from jaytray_gateway.process.target_limits import TargetLimits
 from jaytray_gateway.request.admission import Admission, AdmittedRequest
 from jaytray_gateway.request.refusals import refusal_status
 from jaytray_gateway.request.reply import CallerReply
@@ -65,6 +66,7 @@
     pools: TargetConnectionPool
     crash_guard: CrashGuard
     part_guard: PromptPartGuard
+    limits: TargetLimits
     replica_demand: DemandAverage
     log: RequestLog
     clock: MonotonicClock
@@ -213,6 +215,10 @@
 ) -> None:
     until_s = _head_deadline_s(state, services)
     head = await exchange.read_head(until_s)
+    if state.sent_at_s is not None:
+        services.limits.record_response(
+            target, head.rate_limit_per_s, sent_at_s=state.sent_at_s
+        )
     if head.is_not_run or head.is_other_instance:
         await exchange.read_body(until_s)
         services.search.note_not_run(state.admitted.request, target, head.status)
--- a/packages/gateway/tests/request/scripted_target.py
+++ b/packages/gateway/tests/request/scripted_target.py
@@ -9,7 +9,7 @@
 
     `body` None closes the connection without a response. `is_stream` uses chunked
     encoding. `is_complete` False omits the last chunk of a stream and closes the
-    connection after the response.
+    connection after the response. `limit` is the rate limit that the target states.
     """
 
     body: bytes | None = b"ok"
@@ -19,6 +19,7 @@
     is_stream: bool = False
     is_complete: bool = True
     delay_s: float = 0.0
+    limit: str = ""
 
 
 CRASH = ScriptedResponse(body=b"", is_stream=True, is_complete=False)
@@ -96,6 +97,8 @@
         lines.append(b"x-seal: s")
     if response.is_not_run:
         lines.append(b"x-not-run: 1")
+    if response.limit:
+        lines.append(b"x-limit: " + response.limit.encode())
     body = response.body
     if response.is_stream:
         lines.append(b"transfer-encoding: chunked")
--- a/packages/gateway/tests/request/support.py
+++ b/packages/gateway/tests/request/support.py
@@ -1,7 +1,7 @@
 """Runs the request path against scripted targets, with a minimal wire format.
 
 Requests carry `x-id`, `x-key`, `x-model`, `x-parts`, `x-deadline` and `x-last`;
-responses carry `x-id`, `x-seal` and `x-not-run`.
+responses carry `x-id`, `x-seal`, `x-not-run` and `x-limit`.
 """
 
 import asyncio
@@ -36,6 +36,7 @@
 from jaytray_gateway.process.target_choice import TargetChooser
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.process.target_health import TargetHealth
+from jaytray_gateway.process.target_limits import TargetLimits
 from jaytray_gateway.request.admission import Admission
 from jaytray_gateway.request.request_path import RequestServices
 from jaytray_gateway.request.routed_request import PromptPart, RoutedRequest
@@ -121,6 +122,7 @@
 
 
 def read_response_head(status: int, headers: HeaderList) -> ResponseHead:
+    limit = first_value(headers, b"x-limit")
     return ResponseHead(
         status=status,
         request_id=first_value(headers, b"x-id").decode(),
@@ -130,6 +132,7 @@
         has_content_encoding=False,
         headers=[pair for pair in headers if pair[0].startswith(b"x-")],
         idle_timeout_s=None,
+        rate_limit_per_s=float(limit) if limit else None,
     )
 
 
@@ -325,6 +328,7 @@
             part_guard=PromptPartGuard(
                 clock=clock, notify_peers=lambda _evidence: None
             ),
+            limits=TargetLimits(clock=clock),
             replica_demand=DemandAverage(clock=clock, window_s=5.0),
             log=RequestLog(metrics=GatewayMetrics()),
             clock=clock,
