Add failing tests for targets that limit their rate

A target that states a limit of one request a second gets all 41 requests of a test, alone and beside a target without a limit. The bound is the stated one: in 4 s one and a half times what the limit allows, and 5 more.

--- a/packages/gateway/src/jaytray_gateway/process/target_limits.py
+++ b/packages/gateway/src/jaytray_gateway/process/target_limits.py
@@ -26,7 +26,7 @@
     def record_response(
         self, target: TargetEntry, rate_per_s: float | None, *, sent_at_s: float
     ) -> None:
-        """Record the limit, if any, in the response to a request sent at `sent_at_s`."""
+        """Record the limit in the response to a request sent at `sent_at_s`."""
         known = self._limit_by_target.get(target.target_id)
         if rate_per_s is not None:
             self._limit_by_target[target.target_id] = _StatedLimit(
--- a/packages/gateway/tests/request/test_request_path.py
+++ b/packages/gateway/tests/request/test_request_path.py
@@ -340,6 +340,35 @@
         run_with_harness(check, [events], [events], route=STREAM)
 
 
+class LimitedTargetTests(TestCase):
+    """Incident second1 of hoofline: targets got more than their limits allow."""
+
+    def test_target_gets_no_more_requests_than_it_accepts(self) -> None:
+        # In 4 s one and a half times what the limit of 1/s allows, and 5 more.
+        allowed = 11
+
+        async def check(harness: GatewayHarness) -> None:
+            await harness.send_request()
+            received = [await harness.send_request() for _ in range(40)]
+            (target,) = harness.targets
+            self.assertLessEqual(len(target.heads), allowed)
+            refused = [response for response in received if response.status != 200]
+            self.assertGreaterEqual(len(refused), 40 - allowed)
+            for response in refused:
+                self.assertEqual((503, b"not_run"), (response.status, response.body))
+                self.assertIn(b"retry-after", response.headers)
+
+        run_with_harness(check, [ScriptedResponse(limit="1")])
+
+    def test_requests_beyond_the_limit_go_to_other_targets(self) -> None:
+        async def check(harness: GatewayHarness) -> None:
+            received = [await harness.send_request() for _ in range(40)]
+            self.assertEqual({200}, {response.status for response in received})
+            self.assertLessEqual(len(harness.targets[0].heads), 11)
+
+        run_with_harness(check, [ScriptedResponse(limit="1")], [OK])
+
+
 class PartsOfRequest(TypedDict):
     """Arguments of `send_request`."""
 
