Keep to the rate limits that targets state, over all VMs together

Cause: the header was passed on to the caller and read by nobody. The class of fault is a constraint stated by a target that holds for all VMs together and is kept by none.

Change: a limit is learned from any response and announced to all members. For each limited target one member, by rendezvous hashing, permits the sends of all at a steady rate; members ask it before each send, and the next one in rank if it does not reply. A request that a target does not take goes to another one, waits up to 0.3 s, or is refused at once with the time at which to come back; returns are spread at the target's rate. A limit ends when a response to a later request has none.

--- a/packages/core/src/jaytray_core/message_registry.py
+++ b/packages/core/src/jaytray_core/message_registry.py
@@ -98,6 +98,12 @@
     "the queue for {name} is full",
     "Send the request again after Retry-After.",
 )
+TARGET_LIMITED = MessageTemplate(
+    "target_limited",
+    503,
+    "the targets of {name} limit their rate of requests",
+    "Send the request again after Retry-After.",
+)
 DEADLINE_UNREACHABLE = MessageTemplate(
     "deadline_unreachable",
     503,
--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -32,6 +32,7 @@
     "target_failing": "target streak avoid_s detail".split(),
     "target_healthy": ("target",),
     "target_limit_changed": "target incarnation rate_per_s".split(),
+    "limit_member_silent": "peer target".split(),
     "target_report_failed": "target error".split(),
     # The route table and the key-value service.
     "route_table_in_force": "version revision routes accounts".split(),
--- a/packages/gateway/src/jaytray_gateway/process/metrics.py
+++ b/packages/gateway/src/jaytray_gateway/process/metrics.py
@@ -57,6 +57,7 @@
                 ("directory_age_seconds", "Age of the directory's local copy."),
                 ("members", "Members that share the rate limits."),
                 ("targets", "Targets in the directory."),
+                ("targets_limited", "Targets that state a limit of their rate."),
                 ("connections_opened", "Connections opened to targets."),
                 ("log_lines_dropped", "Log lines dropped because the queue was full."),
             )
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -151,7 +151,9 @@
         update_counted_members(subsystems)
         subsystems.pools.close_stale()
         subsystems.replicas.drop_expired_notices()
-        subsystems.health.retain_targets(frozenset(subsystems.directory.targets_by_id))
+        target_ids = frozenset(subsystems.directory.targets_by_id)
+        subsystems.health.retain_targets(target_ids)
+        subsystems.services.limits.retain_targets(target_ids)
         table = subsystems.directory.route_table
         if table is not None:
             subsystems.shares.sync_accounts(table)
@@ -161,7 +163,10 @@
             "directory_age_seconds", subsystems.directory.age_s()
         )
         subsystems.metrics.set_gauge("members", len(subsystems.shares.member_ids))
-        subsystems.metrics.set_gauge("targets", len(subsystems.directory.targets_by_id))
+        subsystems.metrics.set_gauge("targets", len(target_ids))
+        subsystems.metrics.set_gauge(
+            "targets_limited", subsystems.services.limits.limited_targets()
+        )
         subsystems.metrics.set_gauge(
             "connections_opened", subsystems.pools.opened_connections
         )
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -147,6 +147,7 @@
         clock=clock,
     )
     member_messages.subscribe(crash_guard, part_guard, placement.add_replica_request)
+    limits = TargetLimits(peers=peers, clock=clock)
     lifecycle = Lifecycle()
     admission = Admission(
         directory=directory,
@@ -164,6 +165,7 @@
             replicas=replicas,
             chooser=chooser,
             request_replica=placement.request_replica,
+            limits=limits,
             lifecycle=lifecycle,
             clock=clock,
         ),
@@ -174,7 +176,7 @@
         pools=pools,
         crash_guard=crash_guard,
         part_guard=part_guard,
-        limits=TargetLimits(clock=clock),
+        limits=limits,
         replica_demand=replica_demand,
         log=RequestLog(metrics=metrics),
         clock=clock,
--- a/packages/gateway/src/jaytray_gateway/request/target_search.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_search.py
@@ -1,5 +1,9 @@
-"""Finds a target for a request; asks for a load if no target holds its replica."""
+"""Finds a target for a request; asks for a load if no target holds its replica.
 
+Targets that limit their rate are used as far as they permit.
+"""
+
+import asyncio
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -11,6 +15,7 @@
 from jaytray_gateway.process.replicas import ReplicaNotice, Replicas
 from jaytray_gateway.process.target_choice import Candidate, TargetChooser
 from jaytray_gateway.process.target_entry import TargetEntry
+from jaytray_gateway.process.target_limits import TargetLimits
 from jaytray_gateway.request.admission import AdmittedRequest
 from jaytray_gateway.request.routed_request import RoutedRequest
 from jaytray_gateway.version.route_table import RequestKind, Route, Service
@@ -38,6 +43,11 @@
 OVERLOAD_MAX_RETRY_S = 3.0
 # Retry-After when a service has no target.
 NO_TARGET_RETRY_S = 0.5
+# Longest wait until a target that limits its rate accepts a request. The same for
+# urgent and other requests, as those that may wait longer would take the turns of those
+# that may not.
+MAX_LIMIT_WAIT_S = 0.3
+LIMIT_WAIT_OBJECTIVES = 0.5
 STATUS_MISDIRECTED = 421
 
 # Asks the placement leader for (service, model, adapter).
@@ -60,34 +70,51 @@
         replicas: Replicas,
         chooser: TargetChooser,
         request_replica: RequestReplica,
+        limits: TargetLimits,
         lifecycle: Lifecycle,
         clock: MonotonicClock,
     ) -> None:
         self._replicas = replicas
         self._chooser = chooser
         self._request_replica = request_replica
+        self._limits = limits
         self._lifecycle = lifecycle
         self._clock = clock
 
     async def find(
         self, admitted: AdmittedRequest, service: Service, tried: set[str]
     ) -> TargetEntry:
-        """Return a target that is not in `tried`.
+        """Return a target that is not in `tried` and may be sent one request now.
 
-        Raises `no_replica`, `queue_full` or `shutting_down`.
+        Raises `no_replica`, `queue_full`, `target_limited` or `shutting_down`.
         """
+        limited_wait_s_by_id: dict[str, float] = {}
         request = admitted.request
         begun_s = self._clock()
         wait = self._replica_wait(admitted, service, begun_s)
         while True:
             holders = self._holders(request, service)
-            untried = [t for t in holders if t.target_id not in tried]
+            untried = [
+                target
+                for target in holders
+                if target.target_id not in tried | limited_wait_s_by_id.keys()
+            ]
             chosen = self._chooser.choose(request, service, untried, admitted.priority)
             if chosen is not None:
                 own_s = prefill_ms(request.prompt_tokens) / 1000
                 if chosen.wait_s and chosen.wait_s + own_s > admitted.route.objective_s:
                     raise _queue_full_error(chosen)
-                return chosen.target
+                permit = await self._limits.acquire(
+                    chosen.target, max_wait_s=_limit_wait_s(admitted.route)
+                )
+                if permit.is_granted:
+                    if permit.wait_s:
+                        await asyncio.sleep(permit.wait_s)
+                    return chosen.target
+                limited_wait_s_by_id[chosen.target.target_id] = permit.wait_s
+                continue
+            if limited_wait_s_by_id:
+                raise _limited_error(service, limited_wait_s_by_id)
             if wait is None:
                 raise _no_replica_error(request, service, NO_TARGET_RETRY_S)
             if self._lifecycle.is_refusing:
@@ -172,6 +199,22 @@
     )
 
 
+def _limited_error(service: Service, wait_s_by_id: dict[str, float]) -> JaytrayError:
+    target_id = min(wait_s_by_id, key=wait_s_by_id.__getitem__)
+    return JaytrayError(
+        messages.TARGET_LIMITED,
+        step=Step.QUEUE,
+        peer=target_id,
+        retry_after_s=wait_s_by_id[target_id],
+        name=service.name,
+    )
+
+
+def _limit_wait_s(route: Route) -> float:
+    """Return how long a request may wait until a limited target accepts it."""
+    return min(MAX_LIMIT_WAIT_S, route.objective_s * LIMIT_WAIT_OBJECTIVES)
+
+
 def _no_replica_error(
     request: RoutedRequest, service: Service, retry_after_s: float
 ) -> JaytrayError:
--- a/packages/gateway/tests/request/support.py
+++ b/packages/gateway/tests/request/support.py
@@ -302,6 +302,7 @@
             clock=clock,
             rng=rng,
         )
+        limits = TargetLimits(peers=_no_peers(), clock=clock)
         return RequestServices(
             adapter=ADAPTER,
             admission=Admission(
@@ -316,6 +317,7 @@
                     failure_domain="a", loads=self.loads, health=health, rng=rng
                 ),
                 request_replica=lambda _service, _model, _adapter: None,
+                limits=limits,
                 lifecycle=self.lifecycle,
                 clock=clock,
             ),
@@ -328,7 +330,7 @@
             part_guard=PromptPartGuard(
                 clock=clock, notify_peers=lambda _evidence: None
             ),
-            limits=TargetLimits(clock=clock),
+            limits=limits,
             replica_demand=DemandAverage(clock=clock, window_s=5.0),
             log=RequestLog(metrics=GatewayMetrics()),
             clock=clock,
