Survive a store that returns from an older copy

What would be seen: after such a drill two placement leaders can have one fencing number, a member renews the lease that now has its number and never registers again, changes with a revision that was given out before are ignored, and targets that the copy lacks are dropped.

Cause: revisions and lease numbers were taken to be unique for all time.

The directory keeps what the store lost until it can have been written again, and no leader is elected for one lease.

--- a/packages/core/src/jaytray_core/adapters/remote_call.py
+++ b/packages/core/src/jaytray_core/adapters/remote_call.py
@@ -5,7 +5,7 @@
 guarantees that the call had no effect.
 """
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Any, NamedTuple
 
 from jaytray_core.adapters.http_pool import HttpPool, HttpRequest, read_body
@@ -19,14 +19,16 @@
 
 
 class RemoteResponse(NamedTuple):
-    """Status and body of a complete response.
+    """Status, body and headers of a complete response.
 
-    `is_not_run` says whether the peer guarantees that the call had no effect.
+    `is_not_run` says whether the peer guarantees that the call had no effect. Names in
+    `headers` match in any case.
     """
 
     status: int
     is_not_run: bool
     body: bytes
+    headers: Mapping[str, str]
 
 
 async def remote_call(
@@ -52,4 +54,4 @@
     async with pool.exchange(request) as response:
         body = await read_body(response, limit_bytes=_MAX_RESPONSE_BYTES)
         is_not_run = response.headers.get(EXECUTION_HEADER) == NOT_RUN
-        return RemoteResponse(response.status_code, is_not_run, body)
+        return RemoteResponse(response.status_code, is_not_run, body, response.headers)
--- a/packages/core/src/jaytray_core/keyvalue.py
+++ b/packages/core/src/jaytray_core/keyvalue.py
@@ -59,6 +59,15 @@
 WatchFunction = Callable[[str, int, float], Awaitable[WatchBatch]]
 
 
+# () -> how often the service was seen to return from a copy that lacks acknowledged
+# writes. Revisions rise all the same, and earlier leases have ended.
+CountRestoresFunction = Callable[[], int]
+
+
+def _never_restored() -> int:
+    return 0
+
+
 class KeyValueService(NamedTuple):
     """The functions of one connection to the key-value service."""
 
@@ -69,3 +78,4 @@
     keep_lease: KeepLeaseFunction
     revoke_lease: RevokeLeaseFunction
     watch: WatchFunction
+    count_restores: CountRestoresFunction = _never_restored
--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -40,6 +40,7 @@
     "route_table_unreadable": ("error",),
     "store_lost": ("error",),
     "store_regained": ("away_s",),
+    "store_restored": ("restores",),
     "store_watch_ended": ("error",),
     # Members.
     "member_recorded": "is_written lease".split(),
--- a/packages/gateway/src/jaytray_gateway/process/directory.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -2,7 +2,9 @@
 
 One task watches for changes; a response proves that every change before the call is
 known. Another task reads all keys: rarely while watches succeed, and at once when they
-fail. The version of the route table never decreases within a process.
+fail. The version of the route table never decreases within a process. When the
+service returns from an older copy, what it lost stays valid for a short time, in which
+it is written again.
 """
 
 import asyncio
@@ -75,6 +77,9 @@
         self.is_placement_leader = False
         self._bound_s = bound_s
         self.current_as_of_s = -float("inf")
+        # When the service was last found to have returned from an older copy.
+        self.restored_at_s = -float("inf")
+        self._restores: int | None = None
         self._read_at_s = -float("inf")
         self._key_value = key_value
         self._adapter = adapter
@@ -165,6 +170,7 @@
         known_before = dict(self._state_by_key)
         records = await self._key_value.get_prefix("")
         self._end_outage()
+        is_restored = self._notice_restore()
         self._read_at_s = begun_s
         self.current_as_of_s = max(self.current_as_of_s, begun_s)
         found = {record.key for record in records}
@@ -175,6 +181,8 @@
         ]
         self._revision = max([self._revision, *(r.revision for r in records)])
         self._expire_lapsed_targets(found)
+        if is_restored:
+            records = [r for r in records if not self._is_before_leaving(r)]
         self._apply([*records, *removed], removed_keys={r.key for r in removed})
 
     def _end_outage(self) -> None:
@@ -189,6 +197,32 @@
             for target_id in self._lapsed_until_s_by_id:
                 self._lapsed_until_s_by_id[target_id] = now_s + REREGISTRATION_S
 
+    def _notice_restore(self) -> bool:
+        """Return whether the service has returned from an older copy since last read.
+
+        Targets and members that it lost need time to register again.
+        """
+        restores = self._key_value.count_restores()
+        is_restored = self._restores is not None and restores != self._restores
+        self._restores = restores
+        if is_restored:
+            get_logger().warning("store_restored", restores=restores)
+            self.restored_at_s = self._outage_ended_s = self._clock()
+        return is_restored
+
+    def _is_before_leaving(self, record: KeyValueRecord) -> bool:
+        """Return whether a record is that of a leaving target before it was leaving."""
+        prefix = self._adapter.targets_prefix
+        known = self.targets_by_id.get(record.key.removeprefix(prefix))
+        if known is None or not known.is_leaving or not record.key.startswith(prefix):
+            return False
+        try:
+            entry = self._adapter.decode_target(known.target_id, record.value)
+        except JaytrayError:
+            # Logged when the record is applied.
+            return False
+        return entry.incarnation == known.incarnation and not entry.is_leaving
+
     def _is_in_outage(self) -> bool:
         since_s = self._failing_since_s
         return since_s is not None and self._clock() - since_s > MIN_OUTAGE_S
--- a/packages/gateway/src/jaytray_gateway/process/placement/controller.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/controller.py
@@ -74,6 +74,7 @@
             key_value=key_value,
             clock=clock,
             read_record=lambda: directory.records_by_key.get(key),
+            restored_at_s=lambda: directory.restored_at_s,
             member_ids=member_messages.member_ids,
         )
         self._load_limiter = LoadRateLimiter(
--- a/packages/gateway/src/jaytray_gateway/process/placement/leadership.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/leadership.py
@@ -49,6 +49,7 @@
         clock: MonotonicClock,
         read_record: Callable[[], bytes | None],
         member_ids: Callable[[], frozenset[str]],
+        restored_at_s: Callable[[], float],
     ) -> None:
         self.fencing_number = 0
         self._own_id = own_id
@@ -58,6 +59,7 @@
         self._clock = clock
         self._read_record = read_record
         self._member_ids = member_ids
+        self._restored_at_s = restored_at_s
         self._lease_id = ""
         self._trusted_until_s = -float("inf")
         self._is_stopped = False
@@ -116,6 +118,9 @@
         await asyncio.sleep(rank * RANK_DELAY_S)
         if self.leader_id() is not None or self._is_stopped:
             return
+        # A lease that the service lost with its record is still trusted by its holder.
+        if self._clock() < self._restored_at_s() + self._lease_s:
+            return
         begun_s = self._clock()
         lease_id = await self._key_value.grant_lease(self._lease_s)
         value = encode_json(_LeaderRecord(self._own_id))
--- a/packages/gateway/src/jaytray_gateway/process/quarantine_records.py
+++ b/packages/gateway/src/jaytray_gateway/process/quarantine_records.py
@@ -54,6 +54,7 @@
         self._member_ids = member_ids
         self._key_value = key_value
         self._clock = clock
+        self._restored_at_s = directory.restored_at_s
         self._part_by_recorded_key: dict[str, str] = {}
         # Times since when a record and this member's quarantine differ.
         self._differs_since_s_by_key: dict[str, float] = {}
@@ -92,6 +93,10 @@
     def _apply_records(self) -> None:
         """Apply records that appeared or vanished to this member's quarantine."""
         known = self._part_by_recorded_key
+        if self._directory.restored_at_s != self._restored_at_s:
+            # Records that the service lost are written again, not taken as removed.
+            self._restored_at_s = self._directory.restored_at_s
+            known.clear()
         records = {
             key: value
             for key, value in self._directory.records_by_key.items()
--- a/packages/gateway/src/jaytray_gateway/process/target_limits.py
+++ b/packages/gateway/src/jaytray_gateway/process/target_limits.py
@@ -24,8 +24,8 @@
 # pauses of a busy process.
 REPLY_TIMEOUT_S = 0.15
 # A member that missed this many replies in a row is not asked again for a while.
-# Fewer would be frequent on a link that loses packets, and members that ask the next one
-# raise the rate.
+# Fewer would be frequent on a link that loses packets, and members that ask the next
+# one raise the rate.
 MAX_MISSED_REPLIES = 3
 SILENT_S = 1.0
 # Members asked for a permit, in the order of their rank.
--- a/packages/gateway/tests/process/placement/test_leadership.py
+++ b/packages/gateway/tests/process/placement/test_leadership.py
@@ -33,6 +33,7 @@
             clock=loop.time,
             read_record=lambda: self.record,
             member_ids=lambda: ids,
+            restored_at_s=lambda: -float("inf"),
         )
         self.task = asyncio.create_task(self.leadership.run())
 
--- a/packages/standins/src/jaytray_standins/key_value/store.py
+++ b/packages/standins/src/jaytray_standins/key_value/store.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import copy
 import itertools
 from typing import NamedTuple
 
@@ -38,6 +39,16 @@
     keys: set[str]
 
 
+class StoreCopy(NamedTuple):
+    """A copy of a store's state."""
+
+    revision: int
+    last_write_by_key: dict[str, _Write]
+    lease_by_id: dict[str, _Lease]
+    lease_id_by_key: dict[str, str]
+    lease_numbers: "itertools.count[int]"
+
+
 class KeyValueStore:
     """State of the key-value service; `sleep` must follow the time of `clock`.
 
@@ -55,6 +66,7 @@
         self.sleep = sleep
         self.max_value_bytes = max_value_bytes
         self.revision = 0
+        self.restores = 0
         self.calls_by_function: collections.Counter[str] = collections.Counter()
         self._last_write_by_key: dict[str, _Write] = {}
         self._history: collections.deque[_Write] = collections.deque(
@@ -148,6 +160,31 @@
                 return batch
             await self._wait_for_change(remaining_s)
 
+    def copy_state(self) -> StoreCopy:
+        """Return a copy of the state."""
+        leases = {
+            lease_id: lease._replace(keys=set(lease.keys))
+            for lease_id, lease in self._lease_by_id.items()
+        }
+        return StoreCopy(
+            self.revision,
+            dict(self._last_write_by_key),
+            leases,
+            dict(self._lease_id_by_key),
+            copy.copy(self._lease_numbers),
+        )
+
+    def restore(self, state: StoreCopy) -> None:
+        """Go on from a copy; revisions and lease ids are given out again."""
+        self.revision = state.revision
+        self._last_write_by_key = dict(state.last_write_by_key)
+        self._lease_by_id = dict(state.lease_by_id)
+        self._lease_id_by_key = dict(state.lease_id_by_key)
+        self._lease_numbers = copy.copy(state.lease_numbers)
+        self._history.clear()
+        self.restores += 1
+        self._changed.set()
+
     def _begin(self, function: str) -> None:
         self.calls_by_function[function] += 1
         self._expire_leases()
