Treat a stream that ends with its connection inside an event as broken off

What callers would see: a stream without length or chunks whose target crashes and closes the connection was passed on as complete, with its last event cut or without any event; and a request that crashes targets that way was cleared as sound.

Cause: only resumable streams were checked for a partial event, as all others were taken to be framed by a length or chunks.

Change: such a stream must end after a complete event.

--- a/packages/gateway/src/jaytray_gateway/request/event_buffer.py
+++ b/packages/gateway/src/jaytray_gateway/request/event_buffer.py
@@ -1,15 +1,34 @@
-"""Splits an event stream into complete events.
+"""Boundaries of the events in a stream.
 
-Used for resumable streams only: when a connection breaks in the middle of an event,
-the resumed stream repeats that event, so no part of it may have reached the caller.
+`EventBuffer` is used for resumable streams only: when a connection breaks in the middle
+of an event, the resumed stream repeats that event, so no part of it may have reached
+the caller.
 """
 
 import re
 
+_EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 
 
+class EventBoundary:
+    """Tells whether the bytes of a stream so far end with a complete event."""
+
+    def __init__(self) -> None:
+        self._tail = b""
+
+    def feed(self, data: bytes) -> None:
+        """Note the next bytes of the stream."""
+        longest = max(map(len, _EVENT_ENDS))
+        self._tail = (self._tail + data[-longest:])[-longest:]
+
+    @property
+    def is_after_event(self) -> bool:
+        """Return whether the last event is complete; False before the first one."""
+        return self._tail.endswith(_EVENT_ENDS)
+
+
 class EventBuffer:
     """Holds the bytes of an incomplete event and the id of the last complete one."""
 
--- a/packages/gateway/src/jaytray_gateway/request/request_path.py
+++ b/packages/gateway/src/jaytray_gateway/request/request_path.py
@@ -24,6 +24,7 @@
 from jaytray_gateway.process.target_health import TargetHealth
 from jaytray_gateway.process.target_limits import TargetLimits
 from jaytray_gateway.request.admission import Admission, AdmittedRequest
+from jaytray_gateway.request.event_buffer import EventBoundary
 from jaytray_gateway.request.refusals import refusal_status
 from jaytray_gateway.request.reply import CallerReply
 from jaytray_gateway.request.routed_request import RoutedRequest, content_digest
@@ -254,6 +255,7 @@
 ) -> None:
     """Relay the stream in chunks; the head is sent with the first one."""
     expires_at_s = state.admitted.expires_at_s
+    boundary = EventBoundary()
     while True:
         until_s = expires_at_s
         if state.event_buffer is not None and state.first_piece_s is not None:
@@ -261,6 +263,7 @@
         chunk = await exchange.read_chunk(until_s)
         if chunk is None:
             break
+        boundary.feed(chunk)
         state.attempt_chunks += 1
         if state.attempt_first_piece_s is None:
             state.attempt_first_piece_s = services.clock()
@@ -275,7 +278,8 @@
         if not reply.is_started:
             await reply.start(head.status, head.headers)
         await reply.send(chunk)
-    if state.event_buffer is not None and state.event_buffer.has_partial:
+    is_cut = exchange.ends_with_connection and not boundary.is_after_event
+    if is_cut or (state.event_buffer is not None and state.event_buffer.has_partial):
         raise ExchangeError(
             progress=ExchangeProgress.BROKEN,
             detail="stream ended in the middle of an event",
--- a/packages/gateway/src/jaytray_gateway/request/target_exchange.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_exchange.py
@@ -23,6 +23,9 @@
 MAX_WHOLE_BODY_BYTES = 8_388_608
 
 
+_FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
+
+
 class TargetExchange:
     """A request that has been sent and its response as far as it has been read."""
 
@@ -35,6 +38,8 @@
         clock: MonotonicClock,
     ) -> None:
         self.is_complete = False
+        # Whether the body has no length and no chunks, and ends with the connection.
+        self.ends_with_connection = False
         self.head: ResponseHead | None = None
         self._connection = connection
         self._request = request
@@ -53,6 +58,8 @@
             head = self._adapter.read_response_head(event.status_code, headers)
             if head.request_id in ("", self._request.request_id):
                 self.head = head
+                names = {name for name, _ in headers}
+                self.ends_with_connection = names.isdisjoint(_FRAMING_HEADERS)
                 return head
             while not isinstance(await self._next_event(until_s), h11.EndOfMessage):
                 pass
--- a/packages/gateway/tests/request/scripted_target.py
+++ b/packages/gateway/tests/request/scripted_target.py
@@ -10,6 +10,7 @@
     `body` None closes the connection without a response. `is_stream` uses chunked
     encoding. `is_complete` False omits the last chunk of a stream and closes the
     connection after the response. `limit` is the rate limit that the target states.
+    `is_unframed` sends neither a length nor chunks; the body ends with the connection.
     """
 
     body: bytes | None = b"ok"
@@ -20,6 +21,7 @@
     is_complete: bool = True
     delay_s: float = 0.0
     limit: str = ""
+    is_unframed: bool = False
 
 
 CRASH = ScriptedResponse(body=b"", is_stream=True, is_complete=False)
@@ -79,7 +81,7 @@
             return False
         writer.write(_render(response, header_value(head, b"x-id")))
         await writer.drain()
-        return response.is_complete
+        return response.is_complete and not response.is_unframed
 
 
 def header_value(head: bytes, name: bytes) -> bytes:
@@ -100,7 +102,9 @@
     if response.limit:
         lines.append(b"x-limit: " + response.limit.encode())
     body = response.body
-    if response.is_stream:
+    if response.is_unframed:
+        lines.append(b"connection: close")
+    elif response.is_stream:
         lines.append(b"transfer-encoding: chunked")
         body = b"%x\r\n%s\r\n" % (len(body), body) if body else b""
         body += b"0\r\n\r\n" if response.is_complete else b""
--- a/packages/gateway/tests/request/test_request_path.py
+++ b/packages/gateway/tests/request/test_request_path.py
@@ -9,6 +9,7 @@
 from jaytray_core.clock import monotonic_clock
 from jaytray_gateway.ports import HeaderList
 from jaytray_gateway.process.crash_guard import COMMON_CAUSE_S
+from jaytray_gateway.process.prompt_part_guard import SETTLE_S
 from jaytray_gateway.version.route_table import RequestKind, Route
 from packages.gateway.tests.request.scripted_target import (
     ScriptedResponse,
@@ -154,6 +155,65 @@
         run_with_harness(check, [cut], [none], [OK], route=RESUMABLE)
 
 
+class UnframedResponseTests(TestCase):
+    """Responses without length or chunks, which end with their connection."""
+
+    def test_whole_responses_are_relayed(self) -> None:
+        async def check(harness: GatewayHarness) -> None:
+            received = await harness.send_request()
+            self.assertEqual((200, EVENTS), (received.status, received.body))
+            self.assertTrue(received.is_whole)
+
+        for route in (ROUTE, IDEMPOTENT, STREAM, RESUMABLE):
+            run_with_harness(
+                check, [ScriptedResponse(body=EVENTS, is_unframed=True)], route=route
+            )
+
+    @parameterized.expand(
+        [
+            ("inside_an_event", EVENTS + b"id: 3\ndata: "),
+            ("inside_a_line_end", EVENTS + b"id: 3\ndata: c\n"),
+            ("before_the_first_event", b""),
+        ]
+    )
+    def test_stream_that_ends_inside_an_event_is_not_whole(
+        self, _name: str, body: bytes
+    ) -> None:
+        async def check(harness: GatewayHarness) -> None:
+            received = await harness.send_request()
+            self.assertFalse(received.status == 200 and received.is_whole)
+
+        run_with_harness(
+            check, [ScriptedResponse(body=body, is_unframed=True)], route=STREAM
+        )
+
+    def test_stream_that_ends_inside_an_event_is_resumed(self) -> None:
+        async def check(harness: GatewayHarness) -> None:
+            received = await harness.send_request()
+            self.assertEqual((EVENTS + REST, True), (received.body, received.is_whole))
+
+        run_with_harness(
+            check,
+            [ScriptedResponse(body=EVENTS + b"id: 3\nda", is_unframed=True)],
+            [ScriptedResponse(body=REST, is_unframed=True)],
+            route=RESUMABLE,
+        )
+
+    def test_crash_before_the_first_event_counts_as_a_crash(self) -> None:
+        async def check(harness: GatewayHarness) -> None:
+            for number in range(4):
+                harness.restart_targets()
+                await harness.send_request(**with_parts(f"shared,deadly,{number}"))
+                await asyncio.sleep(COMMON_CAUSE_S + 0.05)
+            await asyncio.sleep(SETTLE_S)
+            received = await harness.send_request(**with_parts("shared,deadly,x"))
+            self.assertEqual((503, b"not_run"), (received.status, received.body))
+
+        run_with_harness(
+            check, [ScriptedResponse(body=b"", is_unframed=True)], route=STREAM
+        )
+
+
 class RefusalTests(TestCase):
     def test_refusals_before_anything_is_sent(self) -> None:
         async def check(harness: GatewayHarness) -> None:
