Split the request path and its tests

What one attempt does stands in attempt.py, the tuple of services in services.py, the tests of relaying in test_attempt.py.

--- a/packages/gateway/src/jaytray_gateway/connection/caller_app.py
+++ b/packages/gateway/src/jaytray_gateway/connection/caller_app.py
@@ -16,10 +16,10 @@
 from jaytray_gateway.process.lifecycle import Lifecycle
 from jaytray_gateway.request.reply import CallerReply
 from jaytray_gateway.request.request_path import (
-    RequestServices,
     send_refusal,
     serve_request,
 )
+from jaytray_gateway.request.services import RequestServices
 from jaytray_gateway.version.route_table import CallerLimits
 from jaytray_server.request.caller_presence import (
     CallerDisconnected,
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -38,7 +38,7 @@
 from jaytray_gateway.process.target_health import TargetHealth
 from jaytray_gateway.process.target_limits import TargetLimits
 from jaytray_gateway.request.admission import Admission
-from jaytray_gateway.request.request_path import RequestServices
+from jaytray_gateway.request.services import RequestServices
 from jaytray_gateway.request.target_search import TargetSearch
 from jaytray_server.connection.peer_link import CurveKeys
 from jaytray_server.connection.peer_network import PeerHub
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/request/attempt.py
@@ -0,0 +1,205 @@
+"""One attempt: sends the request to a target and relays its response."""
+
+from jaytray_core.exchange_errors import ExchangeError, ExchangeProgress
+from jaytray_gateway.ports import Dispatch, ResponseHead
+from jaytray_gateway.process.prompt_part_guard import RESPONSE_BEGUN_S
+from jaytray_gateway.process.target_entry import TargetEntry
+from jaytray_gateway.request.event_buffer import EventBoundary
+from jaytray_gateway.request.reply import CallerReply
+from jaytray_gateway.request.run_state import (
+    AttemptFailed,
+    AttemptNotRun,
+    ErrorResponse,
+    RequestState,
+)
+from jaytray_gateway.request.services import RequestServices
+from jaytray_gateway.request.target_exchange import TargetExchange, exchange_with
+from jaytray_gateway.version.route_table import RequestKind
+
+# Wait for a response head while another attempt of an idempotent request is allowed: a
+# fraction of the remaining time, at least this multiple of the latency objective.
+ATTEMPT_TIME_FRACTION = 0.5
+MIN_ATTEMPT_OBJECTIVES = 3.0
+# A resumable stream that sends nothing for this long is resumed on another target; well
+# below the two seconds after which callers abandon a stream.
+STREAM_STALL_TIMEOUT_S = 1.5
+HTTP_SUCCESS = range(200, 300)
+HTTP_SERVER_ERROR = 500
+
+
+async def send_attempt(
+    state: RequestState,
+    target: TargetEntry,
+    reply: CallerReply,
+    services: RequestServices,
+) -> None:
+    """Send the request to `target` and relay a response that is final.
+
+    Raises `AttemptNotRun`, `AttemptFailed` or `ErrorResponse` if it is not, and
+    `JaytrayError` if the request must not be sent any more.
+    """
+    admitted, request = state.admitted, state.admitted.request
+    in_flight = services.loads.start(
+        target.target_id,
+        request.prompt_tokens,
+        request.replica_name,
+        priority=admitted.priority,
+    )
+
+    def make_dispatch() -> Dispatch:
+        services.admission.check_freshness()
+        # The request may have been quarantined while it waited for a replica.
+        services.crash_guard.check(state.digest)
+        services.part_guard.check(request.shared_part_ids)
+        state.sends += 1
+        state.sent_at_s = services.clock()
+        state.attempt_first_piece_s = None
+        state.attempt_chunks = 0
+        state.is_begun = False
+        return Dispatch(
+            target_id=target.target_id,
+            account=admitted.account_name,
+            time_left_s=max(0.001, admitted.expires_at_s - services.clock()),
+            priority=admitted.priority if state.service.engine else None,
+            resume_event_id=(
+                state.event_buffer.last_event_id if state.event_buffer else ""
+            ),
+        )
+
+    try:
+        async with exchange_with(
+            target,
+            request=request,
+            make_dispatch=make_dispatch,
+            pools=services.pools,
+            adapter=services.adapter,
+            clock=services.clock,
+        ) as exchange:
+            await _handle_response(state, target, in_flight, exchange, reply, services)
+        services.health.record_success(target.target_id)
+        services.crash_guard.record_complete_response(state.digest, target)
+        services.part_guard.record_begun_response(request.shared_part_ids)
+    except ExchangeError as err:
+        is_late = err.progress is ExchangeProgress.TIMED_OUT
+        if err.progress is ExchangeProgress.NOT_SENT:
+            services.health.record_unreachable(target.target_id, err.detail)
+            services.pools.drop_target(target.target_id)
+            raise AttemptNotRun(err.detail, reached_target=False) from err
+        if is_late:
+            services.health.record_error_response(target.target_id)
+        else:
+            services.health.record_failure(target.target_id, err.detail)
+        state.runs += 1
+        raise AttemptFailed(err.detail, is_timeout=is_late) from err
+    finally:
+        services.loads.finish(target.target_id, in_flight)
+
+
+async def _handle_response(
+    state: RequestState,
+    target: TargetEntry,
+    in_flight: int,
+    exchange: TargetExchange,
+    reply: CallerReply,
+    services: RequestServices,
+) -> None:
+    until_s = _head_deadline_s(state, services)
+    head = await exchange.read_head(until_s)
+    if state.sent_at_s is not None:
+        services.limits.record_response(
+            target, head.rate_limit_per_s, sent_at_s=state.sent_at_s
+        )
+    if head.is_not_run or head.is_other_instance:
+        await exchange.read_body(until_s)
+        services.search.note_not_run(state.admitted.request, target, head.status)
+        raise AttemptNotRun(f"status {head.status}", reached_target=True)
+    is_success = head.status in HTTP_SUCCESS
+    if head.has_content_encoding or (is_success and not head.is_signed):
+        raise ExchangeError(
+            progress=ExchangeProgress.BROKEN,
+            detail="response is encoded or lacks a signature",
+        )
+    if is_success and state.admitted.route.kind is RequestKind.STREAM:
+        await _relay_stream(state, target, in_flight, exchange, head, reply, services)
+        return
+    body = await exchange.read_body(until_s)
+    state.runs += 1
+    if head.status >= HTTP_SERVER_ERROR:
+        services.health.record_error_response(target.target_id)
+        if state.is_retryable:
+            raise ErrorResponse(head, body)
+    if reply.is_started:
+        raise AttemptFailed(f"status {head.status} when resuming", is_timeout=False)
+    await reply.send_complete(head.status, head.headers, body)
+
+
+async def _relay_stream(
+    state: RequestState,
+    target: TargetEntry,
+    in_flight: int,
+    exchange: TargetExchange,
+    head: ResponseHead,
+    reply: CallerReply,
+    services: RequestServices,
+) -> None:
+    """Relay the stream in chunks; the head is sent with the first one."""
+    expires_at_s = state.admitted.expires_at_s
+    boundary = EventBoundary()
+    while True:
+        until_s = expires_at_s
+        if state.event_buffer is not None and state.first_piece_s is not None:
+            until_s = min(until_s, services.clock() + STREAM_STALL_TIMEOUT_S)
+        chunk = await exchange.read_chunk(until_s)
+        if chunk is None:
+            break
+        boundary.feed(chunk)
+        state.attempt_chunks += 1
+        if state.attempt_first_piece_s is None:
+            state.attempt_first_piece_s = services.clock()
+        if state.first_piece_s is None:
+            state.first_piece_s = state.attempt_first_piece_s
+        _record_progress(state, target, services)
+        services.loads.mark_prompt_read(target.target_id, in_flight)
+        if state.event_buffer is not None:
+            chunk = state.event_buffer.feed(chunk)
+        if not chunk:
+            continue
+        if not reply.is_started:
+            await reply.start(head.status, head.headers)
+        await reply.send(chunk)
+    is_cut = exchange.ends_with_connection and not boundary.is_after_event
+    if is_cut or (state.event_buffer is not None and state.event_buffer.has_partial):
+        raise ExchangeError(
+            progress=ExchangeProgress.BROKEN,
+            detail="stream ended in the middle of an event",
+        )
+    state.runs += 1
+    if not reply.is_started:
+        await reply.start(head.status, head.headers)
+    await reply.finish()
+
+
+def _record_progress(
+    state: RequestState, target: TargetEntry, services: RequestServices
+) -> None:
+    """Record what a received chunk shows of the target and of the prompt's parts."""
+    first_s, sent_s = state.attempt_first_piece_s, state.sent_at_s
+    if first_s is None or sent_s is None:
+        return
+    services.part_guard.record_chunk(target, sent_at_s=sent_s)
+    if not state.is_begun and services.clock() - first_s > RESPONSE_BEGUN_S:
+        state.is_begun = True
+        parts = state.admitted.request.shared_part_ids
+        services.part_guard.record_begun_response(parts)
+
+
+def _head_deadline_s(state: RequestState, services: RequestServices) -> float:
+    """Return the time until which this attempt may wait for a response head."""
+    route = state.admitted.route
+    expires_at_s = state.admitted.expires_at_s
+    if route.kind is not RequestKind.IDEMPOTENT or state.runs + 1 >= route.max_attempts:
+        return expires_at_s
+    now_s = services.clock()
+    attempt_s = (expires_at_s - now_s) * ATTEMPT_TIME_FRACTION
+    least_s = route.objective_s * MIN_ATTEMPT_OBJECTIVES
+    return min(expires_at_s, now_s + max(attempt_s, least_s))
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/request/services.py
@@ -0,0 +1,39 @@
+"""The services of the process that request handling depends on."""
+
+import random
+from typing import NamedTuple
+
+from jaytray_core.clock import MonotonicClock
+from jaytray_gateway.connection.target_pool import TargetConnectionPool
+from jaytray_gateway.ports import PlatformAdapter
+from jaytray_gateway.process.crash_guard import CrashGuard
+from jaytray_gateway.process.demand_average import DemandAverage
+from jaytray_gateway.process.load_view import LoadView
+from jaytray_gateway.process.prompt_part_guard import PromptPartGuard
+from jaytray_gateway.process.rate_shares import RateShares
+from jaytray_gateway.process.request_log import RequestLog
+from jaytray_gateway.process.retry_budget import RetryBudget
+from jaytray_gateway.process.target_health import TargetHealth
+from jaytray_gateway.process.target_limits import TargetLimits
+from jaytray_gateway.request.admission import Admission
+from jaytray_gateway.request.target_search import TargetSearch
+
+
+class RequestServices(NamedTuple):
+    """Services of the process that request handling depends on."""
+
+    adapter: PlatformAdapter
+    admission: Admission
+    search: TargetSearch
+    shares: RateShares
+    budget: RetryBudget
+    loads: LoadView
+    health: TargetHealth
+    pools: TargetConnectionPool
+    crash_guard: CrashGuard
+    part_guard: PromptPartGuard
+    limits: TargetLimits
+    replica_demand: DemandAverage
+    log: RequestLog
+    clock: MonotonicClock
+    rng: random.Random
--- a/packages/gateway/tests/request/support.py
+++ b/packages/gateway/tests/request/support.py
@@ -38,8 +38,8 @@
 from jaytray_gateway.process.target_health import TargetHealth
 from jaytray_gateway.process.target_limits import TargetLimits
 from jaytray_gateway.request.admission import Admission
-from jaytray_gateway.request.request_path import RequestServices
 from jaytray_gateway.request.routed_request import PromptPart, RoutedRequest
+from jaytray_gateway.request.services import RequestServices
 from jaytray_gateway.request.target_search import TargetSearch
 from jaytray_gateway.version.route_table import (
     CallerLimits,
--- a/packages/gateway/tests/request/test_request_path.py
+++ b/packages/gateway/tests/request/test_request_path.py
@@ -1,16 +1,28 @@
 """Tests of request handling: responses to the caller and requests to targets."""
 
 import asyncio
-from typing import NamedTuple, TypedDict
+from typing import NamedTuple
 
 from parameterized import parameterized
 from testtools import TestCase
 
 from jaytray_core.clock import monotonic_clock
-from jaytray_gateway.ports import HeaderList
 from jaytray_gateway.process.crash_guard import COMMON_CAUSE_S
-from jaytray_gateway.process.prompt_part_guard import SETTLE_S
 from jaytray_gateway.version.route_table import RequestKind, Route
+from packages.gateway.tests.request.cases import (
+    DISCONNECT,
+    ERROR,
+    EVENTS,
+    IDEMPOTENT,
+    NOT_RUN,
+    OK,
+    OTHER_INSTANCE,
+    SLOW,
+    STREAM,
+    TRUNCATED,
+    UNSIGNED,
+    with_parts,
+)
 from packages.gateway.tests.request.scripted_target import (
     ScriptedResponse,
     ScriptedTarget,
@@ -26,21 +38,6 @@
     run_with_harness,
 )
 
-IDEMPOTENT = ROUTE._replace(kind=RequestKind.IDEMPOTENT)
-STREAM = ROUTE._replace(kind=RequestKind.STREAM, max_attempts=1)
-RESUMABLE = STREAM._replace(is_resumable=True, max_attempts=2)
-
-OK = ScriptedResponse()
-DISCONNECT = ScriptedResponse(body=None)
-NOT_RUN = ScriptedResponse(status=503, is_signed=False, is_not_run=True, body=b"")
-OTHER_INSTANCE = ScriptedResponse(status=421, is_signed=False, body=b"")
-ERROR = ScriptedResponse(status=500, body=b"bad")
-UNSIGNED = ScriptedResponse(is_signed=False)
-TRUNCATED = ScriptedResponse(body=b"ok", is_stream=True, is_complete=False)
-SLOW = ScriptedResponse(delay_s=5.0)
-EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
-REST = b"id: 3\ndata: c\n\n"
-
 
 class Case(NamedTuple):
     """Responses of two targets, in the order in which the targets are chosen."""
@@ -115,105 +112,6 @@
         )
 
 
-class StreamTests(TestCase):
-    def test_stream_is_relayed_unchanged(self) -> None:
-        async def check(harness: GatewayHarness) -> None:
-            received = await harness.send_request()
-            self.assertEqual((EVENTS, True), (received.body, received.is_whole))
-
-        run_with_harness(
-            check, [ScriptedResponse(body=EVENTS, is_stream=True)], route=STREAM
-        )
-
-    def test_truncated_stream_does_not_look_complete(self) -> None:
-        async def check(harness: GatewayHarness) -> None:
-            received = await harness.send_request()
-            self.assertEqual((200, False), (received.status, received.is_whole))
-
-        cut = ScriptedResponse(body=EVENTS, is_stream=True, is_complete=False)
-        run_with_harness(check, [cut], [OK], route=STREAM)
-
-    def test_stream_is_resumed_after_the_last_complete_event(self) -> None:
-        async def check(harness: GatewayHarness) -> None:
-            received = await harness.send_request()
-            self.assertEqual((EVENTS + REST, True), (received.body, received.is_whole))
-            self.assertEqual(b"2", header_value(harness.targets[1].heads[0], b"x-last"))
-
-        cut = ScriptedResponse(
-            body=EVENTS + REST[:9], is_stream=True, is_complete=False
-        )
-        rest = ScriptedResponse(body=REST, is_stream=True)
-        run_with_harness(check, [cut], [rest], route=RESUMABLE)
-
-    def test_stream_is_not_resumed_more_often_than_the_route_allows(self) -> None:
-        async def check(harness: GatewayHarness) -> None:
-            received = await harness.send_request()
-            self.assertEqual((EVENTS, False), (received.body, received.is_whole))
-
-        cut = ScriptedResponse(body=EVENTS, is_stream=True, is_complete=False)
-        none = ScriptedResponse(body=b"", is_stream=True, is_complete=False)
-        run_with_harness(check, [cut], [none], [OK], route=RESUMABLE)
-
-
-class UnframedResponseTests(TestCase):
-    """Responses without length or chunks, which end with their connection."""
-
-    def test_whole_responses_are_relayed(self) -> None:
-        async def check(harness: GatewayHarness) -> None:
-            received = await harness.send_request()
-            self.assertEqual((200, EVENTS), (received.status, received.body))
-            self.assertTrue(received.is_whole)
-
-        for route in (ROUTE, IDEMPOTENT, STREAM, RESUMABLE):
-            run_with_harness(
-                check, [ScriptedResponse(body=EVENTS, is_unframed=True)], route=route
-            )
-
-    @parameterized.expand(
-        [
-            ("inside_an_event", EVENTS + b"id: 3\ndata: "),
-            ("inside_a_line_end", EVENTS + b"id: 3\ndata: c\n"),
-            ("before_the_first_event", b""),
-        ]
-    )
-    def test_stream_that_ends_inside_an_event_is_not_whole(
-        self, _name: str, body: bytes
-    ) -> None:
-        async def check(harness: GatewayHarness) -> None:
-            received = await harness.send_request()
-            self.assertFalse(received.status == 200 and received.is_whole)
-
-        run_with_harness(
-            check, [ScriptedResponse(body=body, is_unframed=True)], route=STREAM
-        )
-
-    def test_stream_that_ends_inside_an_event_is_resumed(self) -> None:
-        async def check(harness: GatewayHarness) -> None:
-            received = await harness.send_request()
-            self.assertEqual((EVENTS + REST, True), (received.body, received.is_whole))
-
-        run_with_harness(
-            check,
-            [ScriptedResponse(body=EVENTS + b"id: 3\nda", is_unframed=True)],
-            [ScriptedResponse(body=REST, is_unframed=True)],
-            route=RESUMABLE,
-        )
-
-    def test_crash_before_the_first_event_counts_as_a_crash(self) -> None:
-        async def check(harness: GatewayHarness) -> None:
-            for number in range(4):
-                harness.restart_targets()
-                await harness.send_request(**with_parts(f"shared,deadly,{number}"))
-                await asyncio.sleep(COMMON_CAUSE_S + 0.05)
-            await asyncio.sleep(SETTLE_S)
-            received = await harness.send_request(**with_parts("shared,deadly,x"))
-            self.assertEqual((503, b"not_run"), (received.status, received.body))
-
-        run_with_harness(
-            check, [ScriptedResponse(body=b"", is_unframed=True)], route=STREAM
-        )
-
-
 class RefusalTests(TestCase):
     def test_refusals_before_anything_is_sent(self) -> None:
         async def check(harness: GatewayHarness) -> None:
@@ -427,16 +325,3 @@
             self.assertLessEqual(len(harness.targets[0].heads), 11)
 
         run_with_harness(check, [ScriptedResponse(limit="1")], [OK])
-
-
-class PartsOfRequest(TypedDict):
-    """Arguments of `send_request`."""
-
-    headers: HeaderList
-    body: bytes
-
-
-def with_parts(parts: str) -> PartsOfRequest:
-    """Return a request with these prompt parts and a body of its own."""
-    headers = [*default_headers(), (b"x-parts", parts.encode())]
-    return PartsOfRequest(headers=headers, body=parts.encode())
