Cut off responses without end

What would be seen: a target in trouble that sends bytes until its connection is closed holds a request that it did not run until its deadline, fills memory with one event, or stops placement: each read of an order's response had a time limit, the whole response had none.

Cause: sizes were bounded for whole bodies only, and times for single reads.

--- a/packages/core/src/jaytray_core/adapters/http_pool.py
+++ b/packages/core/src/jaytray_core/adapters/http_pool.py
@@ -158,14 +158,21 @@
             await other.aclose()
 
 
-async def read_body(response: httpx.Response, *, limit_bytes: int) -> bytes:
-    """Read the whole body; raises `ExchangeError` if its length is not declared.
+async def read_body(
+    response: httpx.Response, *, limit_bytes: int, needs_length: bool = True
+) -> bytes:
+    """Read the whole body; raises `ExchangeError` if it is not complete or too large.
 
-    Truncation of a body that is ended by closing the connection cannot be detected.
+    Truncation of a body that is ended by closing the connection cannot be detected. It
+    is refused unless `needs_length` is False.
     """
     headers = response.headers
     has_length = "content-length" in headers or "transfer-encoding" in headers
-    if not has_length and response.status_code not in _BODILESS_STATUSES:
+    if (
+        needs_length
+        and not has_length
+        and response.status_code not in _BODILESS_STATUSES
+    ):
         raise ExchangeError(
             progress=ExchangeProgress.BROKEN, detail="body of unknown length"
         )
--- a/packages/core/src/jaytray_core/adapters/remote_call.py
+++ b/packages/core/src/jaytray_core/adapters/remote_call.py
@@ -49,9 +49,21 @@
     return response
 
 
-async def fetch_response(pool: HttpPool, request: HttpRequest) -> RemoteResponse:
-    """Send a request and read the complete response."""
+async def fetch_response(
+    pool: HttpPool,
+    request: HttpRequest,
+    *,
+    limit_bytes: int = _MAX_RESPONSE_BYTES,
+    needs_length: bool = True,
+) -> RemoteResponse:
+    """Send a request and read the complete response.
+
+    `needs_length` False also accepts a body that ends with its connection, for callers
+    that notice if it is truncated.
+    """
     async with pool.exchange(request) as response:
-        body = await read_body(response, limit_bytes=_MAX_RESPONSE_BYTES)
+        body = await read_body(
+            response, limit_bytes=limit_bytes, needs_length=needs_length
+        )
         is_not_run = response.headers.get(EXECUTION_HEADER) == NOT_RUN
         return RemoteResponse(response.status_code, is_not_run, body, response.headers)
--- a/packages/gateway/src/jaytray_gateway/connection/target_connection.py
+++ b/packages/gateway/src/jaytray_gateway/connection/target_connection.py
@@ -18,6 +18,7 @@
 KEEP_ALIVE = KeepAlive(idle_s=1, interval_s=1, probes=2, user_timeout_ms=2_000)
 # Received bytes that are buffered for a slow caller before reading pauses.
 MAX_BUFFERED_BYTES = 262_144
+MAX_INFORMATIONAL_RESPONSES = 10
 _PLACEHOLDER_HOST = [(b"host", b"-")]
 
 
@@ -43,9 +44,10 @@
         set_keep_alive(transport.get_extra_info("socket"), KEEP_ALIVE)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes; bytes between requests make the connection unusable."""
+        """Parse received bytes; bytes between requests close the connection."""
         if self._request is None:
             self._has_stray_bytes = True
+            self.close()
             return
         self._http.receive_data(data)
         self._buffered_bytes += len(data)
@@ -93,6 +95,7 @@
 
     async def next_event(self) -> h11.Response | h11.Data | h11.EndOfMessage:
         """Return the next event of the response; raises `ExchangeError`."""
+        informational = 0
         while True:
             try:
                 event = self._http.next_event()
@@ -103,6 +106,12 @@
             if isinstance(event, (h11.Response, h11.Data, h11.EndOfMessage)):
                 return event
             if isinstance(event, h11.InformationalResponse):
+                informational += 1
+                if informational > MAX_INFORMATIONAL_RESPONSES:
+                    raise ExchangeError(
+                        progress=ExchangeProgress.BROKEN,
+                        detail="too many informational responses",
+                    )
                 continue
             if self._failure is not None or event is not h11.NEED_DATA:
                 detail = self._failure or "connection closed before the response ended"
--- a/packages/gateway/src/jaytray_gateway/connection/target_pool.py
+++ b/packages/gateway/src/jaytray_gateway/connection/target_pool.py
@@ -34,6 +34,8 @@
         self, *, clock: MonotonicClock, open_connection: OpenConnection = _open
     ) -> None:
         self.opened_connections = 0
+        # Bytes of responses that are buffered until they are complete.
+        self.buffered_body_bytes = 0
         self._clock = clock
         self._open = open_connection
         self._idle_by_target: dict[tuple[str, str], list[TargetConnection]] = {}
--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -15,6 +15,7 @@
     "request_try_ended": (
         "request_id target outcome sends runs first_piece_ms chunks prompt_parts detail"
     ).split(),
+    "unused_body_not_read": ("detail",),
     "request_quarantined": ("digest",),
     # Crashes of targets and the prompt parts that are blamed for them.
     "target_crash_counted": "target suspects parts is_explained blamed".split(),
--- a/packages/gateway/src/jaytray_gateway/request/attempt.py
+++ b/packages/gateway/src/jaytray_gateway/request/attempt.py
@@ -23,6 +23,8 @@
 # A resumable stream that sends nothing for this long is resumed on another target; well
 # below the two seconds after which callers abandon a stream.
 STREAM_STALL_TIMEOUT_S = 1.5
+# Bytes that do not end an event for this long are not those of a stream.
+MAX_EVENT_BYTES = 1_048_576
 HTTP_SUCCESS = range(200, 300)
 HTTP_SERVER_ERROR = 500
 
@@ -110,7 +112,7 @@
             target, head.rate_limit_per_s, sent_at_s=state.sent_at_s
         )
     if head.is_not_run or head.is_other_instance:
-        await exchange.read_body(until_s)
+        await exchange.discard_body()
         services.search.note_not_run(state.admitted.request, target, head.status)
         raise AttemptNotRun(f"status {head.status}", reached_target=True)
     is_success = head.status in HTTP_SUCCESS
@@ -153,6 +155,10 @@
         if chunk is None:
             break
         boundary.feed(chunk)
+        if boundary.event_bytes > MAX_EVENT_BYTES:
+            raise ExchangeError(
+                progress=ExchangeProgress.BROKEN, detail="event is too large"
+            )
         state.attempt_chunks += 1
         if state.attempt_first_piece_s is None:
             state.attempt_first_piece_s = services.clock()
--- a/packages/gateway/src/jaytray_gateway/request/event_buffer.py
+++ b/packages/gateway/src/jaytray_gateway/request/event_buffer.py
@@ -13,15 +13,28 @@
 
 
 class EventBoundary:
-    """Tells whether the bytes of a stream so far end with a complete event."""
+    """Follows the ends of the events in the bytes of a stream.
+
+    `event_bytes` is the number of bytes since the last complete event.
+    """
 
     def __init__(self) -> None:
+        self.event_bytes = 0
         self._tail = b""
 
     def feed(self, data: bytes) -> None:
         """Note the next bytes of the stream."""
         longest = max(map(len, _EVENT_ENDS))
-        self._tail = (self._tail + data[-longest:])[-longest:]
+        seen = self._tail + data
+        ends_at = max(
+            (at + len(end) for end in _EVENT_ENDS if (at := seen.rfind(end)) >= 0),
+            default=None,
+        )
+        if ends_at is None:
+            self.event_bytes += len(data)
+        else:
+            self.event_bytes = len(seen) - ends_at
+        self._tail = seen[-longest:]
 
     @property
     def is_after_event(self) -> bool:
--- a/packages/gateway/src/jaytray_gateway/request/target_exchange.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_exchange.py
@@ -8,6 +8,7 @@
 
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.exchange_errors import ExchangeError, ExchangeProgress
+from jaytray_core.logs import get_logger
 from jaytray_gateway.connection.target_connection import TargetConnection
 from jaytray_gateway.connection.target_pool import TargetConnectionPool
 from jaytray_gateway.ports import Dispatch, HeaderList, PlatformAdapter, ResponseHead
@@ -21,6 +22,12 @@
 # Largest body of a response that is not a stream; it is buffered completely before it
 # is passed on.
 MAX_WHOLE_BODY_BYTES = 8_388_608
+# Largest sum of such bodies, in case many targets send bodies without end.
+MAX_BUFFERED_BODY_BYTES = 33_554_432
+# A response that is not used is read to its end, to keep the connection, only if it is
+# small and comes at once.
+MAX_UNUSED_BODY_BYTES = 65_536
+UNUSED_BODY_TIMEOUT_S = 0.25
 
 
 _FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
@@ -34,6 +41,7 @@
         *,
         connection: TargetConnection,
         request: RoutedRequest,
+        pools: TargetConnectionPool,
         adapter: PlatformAdapter,
         clock: MonotonicClock,
     ) -> None:
@@ -42,6 +50,7 @@
         self.ends_with_connection = False
         self.head: ResponseHead | None = None
         self._connection = connection
+        self._pools = pools
         self._request = request
         self._adapter = adapter
         self._clock = clock
@@ -61,8 +70,7 @@
                 names = {name for name, _ in headers}
                 self.ends_with_connection = names.isdisjoint(_FRAMING_HEADERS)
                 return head
-            while not isinstance(await self._next_event(until_s), h11.EndOfMessage):
-                pass
+            await self._skip_body(until_s)
             if not self._connection.skip_foreign_response():
                 break
         raise ExchangeError(
@@ -87,16 +95,41 @@
         """Return the whole body."""
         chunks: list[bytes] = []
         size = 0
-        while (chunk := await self.read_chunk(until_s)) is not None:
-            size += len(chunk)
-            if size > MAX_WHOLE_BODY_BYTES:
-                raise ExchangeError(
-                    progress=ExchangeProgress.BROKEN,
-                    detail="response body is too large",
-                )
-            chunks.append(chunk)
+        try:
+            while (chunk := await self.read_chunk(until_s)) is not None:
+                size += len(chunk)
+                self._pools.buffered_body_bytes += len(chunk)
+                if (
+                    size > MAX_WHOLE_BODY_BYTES
+                    or self._pools.buffered_body_bytes > MAX_BUFFERED_BODY_BYTES
+                ):
+                    raise _too_large()
+                chunks.append(chunk)
+        finally:
+            self._pools.buffered_body_bytes -= size
         return b"".join(chunks)
 
+    async def discard_body(self) -> None:
+        """Read the rest of a response that is not used, if it is short.
+
+        Otherwise the exchange stays incomplete, and its connection is closed.
+        """
+        try:
+            await self._skip_body(self._clock() + UNUSED_BODY_TIMEOUT_S)
+        except ExchangeError as err:
+            get_logger().debug("unused_body_not_read", detail=err.detail)
+        else:
+            self.is_complete = True
+
+    async def _skip_body(self, until_s: float) -> None:
+        size = 0
+        while not isinstance(
+            event := await self._next_event(until_s), h11.EndOfMessage
+        ):
+            size += len(event.data) if isinstance(event, h11.Data) else 0
+            if size > MAX_UNUSED_BODY_BYTES:
+                raise _too_large()
+
     async def _next_event(
         self, until_s: float
     ) -> h11.Response | h11.Data | h11.EndOfMessage:
@@ -134,7 +167,11 @@
     """
     connection = await pools.acquire(target.target_id, target.address)
     exchange = TargetExchange(
-        connection=connection, request=request, adapter=adapter, clock=clock
+        connection=connection,
+        request=request,
+        pools=pools,
+        adapter=adapter,
+        clock=clock,
     )
     try:
         headers = adapter.render_dispatch(request, make_dispatch())
@@ -150,3 +187,9 @@
             )
         else:
             connection.close()
+
+
+def _too_large() -> ExchangeError:
+    return ExchangeError(
+        progress=ExchangeProgress.BROKEN, detail="response body is too large"
+    )
--- a/packages/gateway/tests/connection/test_target_connection.py
+++ b/packages/gateway/tests/connection/test_target_connection.py
@@ -53,6 +53,31 @@
         yield f"{host}:{port}"
 
 
+@asynccontextmanager
+async def endless_target(
+    begins: bytes, repeated: bytes
+) -> AsyncIterator[tuple[str, asyncio.Event]]:
+    """Send `begins` and then `repeated` until the caller has left, which is noted."""
+    left = asyncio.Event()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(begins)
+            await asyncio.sleep(0.05)
+            while True:
+                writer.write(repeated)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            left.set()
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    async with server:
+        host, port = server.sockets[0].getsockname()
+        yield f"{host}:{port}", left
+
+
 def send(connection: TargetConnection) -> None:
     connection.send(b"GET", b"/a?b", [(b"host", b"h")], b"")
 
@@ -105,6 +130,18 @@
 
         self.assertEqual(False, asyncio.run(run()))
 
+    def test_bytes_without_end_while_idle_close_the_connection(self) -> None:
+        async def run() -> None:
+            async with endless_target(WHOLE, b"x" * 10_000) as (address, left):
+                connection = await open_connection(address, timeout_s=1.0)
+                send(connection)
+                await read_body(connection)
+                connection.finish(0.0)
+                async with asyncio.timeout(1.0):
+                    await left.wait()
+
+        asyncio.run(run())
+
     def test_response_to_another_request_is_skipped(self) -> None:
         async def run() -> tuple[bytes, bytes]:
             async with target(FOREIGN + WHOLE) as address:
@@ -145,6 +182,34 @@
 
         self.assertEqual(ExchangeProgress.BROKEN, asyncio.run(run()))
 
+    @parameterized.expand(
+        [
+            ("head_line", b"HTTP/1.1 200 OK\r\nx: ", b"y"),
+            ("head_lines", b"HTTP/1.1 200 OK\r\n", b"x: y\r\n"),
+            ("informational", b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+            ("garbage", b"", b"\x00"),
+            ("empty_lines", b"", b"\r\n"),
+        ]
+    )
+    def test_head_without_end_is_broken(
+        self, _name: str, begins: bytes, repeated: bytes
+    ) -> None:
+        async def run() -> ExchangeProgress | None:
+            async with endless_target(begins, repeated * 1000) as (address, left):
+                connection = await open_connection(address, timeout_s=1.0)
+                send(connection)
+                try:
+                    async with asyncio.timeout(2.0):
+                        await read_body(connection)
+                except ExchangeError as err:
+                    return err.progress
+                finally:
+                    connection.close()
+                    await asyncio.wait_for(left.wait(), 1.0)
+            return None
+
+        self.assertEqual(ExchangeProgress.BROKEN, asyncio.run(run()))
+
     def test_refused_connection_sent_nothing(self) -> None:
         async def run() -> ExchangeProgress | None:
             async with target(WHOLE) as address:
--- a/packages/gateway/tests/request/scripted_target.py
+++ b/packages/gateway/tests/request/scripted_target.py
@@ -9,8 +9,10 @@
 
     `body` None closes the connection without a response. `is_stream` uses chunked
     encoding. `is_complete` False omits the last chunk of a stream and closes the
-    connection after the response. `limit` is the rate limit that the target states.
+    connection after the response. `limit` is the rate limit that the target states,
+    `request_id` one that the response belongs to instead of the request's.
     `is_unframed` sends neither a length nor chunks; the body ends with the connection.
+    `is_endless` repeats the body until the caller closes the connection.
     """
 
     body: bytes | None = b"ok"
@@ -21,7 +23,9 @@
     is_complete: bool = True
     delay_s: float = 0.0
     limit: str = ""
+    request_id: bytes = b""
     is_unframed: bool = False
+    is_endless: bool = False
 
 
 CRASH = ScriptedResponse(body=b"", is_stream=True, is_complete=False)
@@ -79,8 +83,12 @@
             await asyncio.gather(leaving, return_exceptions=True)
         if response.body is None:
             return False
-        writer.write(_render(response, header_value(head, b"x-id")))
+        request_id = response.request_id or header_value(head, b"x-id")
+        writer.write(_render(response, request_id))
         await writer.drain()
+        while response.is_endless:
+            writer.write(response.body * 1000)
+            await writer.drain()
         return response.is_complete and not response.is_unframed
 
 
--- a/packages/gateway/tests/request/test_attempt.py
+++ b/packages/gateway/tests/request/test_attempt.py
@@ -5,6 +5,7 @@
 from parameterized import parameterized
 from testtools import TestCase
 
+from jaytray_core.clock import monotonic_clock
 from jaytray_gateway.process.crash_guard import COMMON_CAUSE_S
 from jaytray_gateway.process.prompt_part_guard import SETTLE_S
 from packages.gateway.tests.request.cases import (
@@ -23,6 +24,7 @@
 from packages.gateway.tests.request.support import (
     ROUTE,
     GatewayHarness,
+    ReceivedResponse,
     run_with_harness,
 )
 
@@ -67,6 +69,66 @@
         run_with_harness(check, [cut], [none], [OK], route=RESUMABLE)
 
 
+ENDLESS = ScriptedResponse(body=b"x" * 50, is_unframed=True, is_endless=True)
+
+
+class EndlessResponseTests(TestCase):
+    """Targets in trouble that send bytes until their connection is closed."""
+
+    async def send(self, harness: GatewayHarness, most_s: float) -> ReceivedResponse:
+        """Send a request; the response comes and the target is left in time."""
+        begun_s = monotonic_clock()
+        received = await harness.send_request()
+        self.assertLess(monotonic_clock() - begun_s, most_s)
+        async with asyncio.timeout(1.0):
+            while harness.targets[0].open_connections:
+                await asyncio.sleep(0.01)
+        return received
+
+    def test_request_that_was_not_run_goes_to_another_target_at_once(self) -> None:
+        async def check(harness: GatewayHarness) -> None:
+            received = await self.send(harness, 2.0)
+            self.assertEqual((200, b"ok"), (received.status, received.body))
+
+        not_run = ENDLESS._replace(status=503, is_signed=False, is_not_run=True)
+        route = ROUTE._replace(timeout_s=10.0)
+        run_with_harness(check, [not_run], [OK], route=route)
+
+    def test_event_without_end_is_cut_off_and_the_stream_resumed(self) -> None:
+        async def check(harness: GatewayHarness) -> None:
+            received = await self.send(harness, 5.0)
+            self.assertEqual((EVENTS, True), (received.body, received.is_whole))
+
+        events = ScriptedResponse(body=EVENTS, is_stream=True)
+        route = RESUMABLE._replace(timeout_s=10.0)
+        run_with_harness(check, [ENDLESS], [events], route=route)
+
+    def test_event_without_end_ends_a_stream_that_cannot_be_resumed(self) -> None:
+        async def check(harness: GatewayHarness) -> None:
+            received = await self.send(harness, 5.0)
+            self.assertFalse(received.is_whole)
+            self.assertLess(len(received.body), 10_000_000)
+
+        run_with_harness(check, [ENDLESS], route=STREAM._replace(timeout_s=10.0))
+
+    def test_endless_response_to_another_request_is_given_up(self) -> None:
+        async def check(harness: GatewayHarness) -> None:
+            received = await self.send(harness, 5.0)
+            self.assertEqual((200, b"ok"), (received.status, received.body))
+
+        foreign = ENDLESS._replace(request_id=b"other")
+        route = IDEMPOTENT._replace(timeout_s=20.0, objective_s=5.0)
+        run_with_harness(check, [foreign], [OK], route=route)
+
+    def test_endless_body_is_given_up(self) -> None:
+        async def check(harness: GatewayHarness) -> None:
+            received = await self.send(harness, 5.0)
+            self.assertEqual((200, b"ok"), (received.status, received.body))
+
+        route = IDEMPOTENT._replace(timeout_s=20.0, objective_s=5.0)
+        run_with_harness(check, [ENDLESS], [OK], route=route)
+
+
 class UnframedResponseTests(TestCase):
     """Responses without length or chunks, which end with their connection."""
 
