Record quarantines of whole requests for members that start later

A member that starts later lets the request crash three more targets.

Change: the records of quarantined prompt parts now hold both kinds, each with the time for which it lasts. The new test (a member that starts after the quarantine refuses the request) has no counterpart on the code before: nothing there told a later member.

--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -22,7 +22,7 @@
     "target_crash_refuted": "target incarnation".split(),
     "prompt_part_quarantined": ("part",),
     "prompt_part_released": ("part",),
-    "quarantine_recorded": "part is_written".split(),
+    "quarantine_recorded": "kind item is_written".split(),
     "quarantine_not_recorded": ("error",),
     "quarantine_record_unreadable": "record error".split(),
     # Targets as seen by this process.
--- a/packages/gateway/src/jaytray_gateway/process/crash_guard.py
+++ b/packages/gateway/src/jaytray_gateway/process/crash_guard.py
@@ -72,6 +72,27 @@
             retry_after_s=RETRY_AFTER_S,
         )
 
+    def quarantined(self) -> frozenset[str]:
+        """Return the digests of the requests that are refused now."""
+        oldest_s = self._clock() - QUARANTINE_S
+        return frozenset(
+            digest
+            for digest, suspect in self._suspect_by_digest.items()
+            if len(suspect.breaks) >= MAX_BREAKS and suspect.last_break_s >= oldest_s
+        )
+
+    def quarantine(self, digest: str) -> None:
+        """Refuse the request with this digest from now on."""
+        if digest not in self.quarantined():
+            breaks = tuple(("", str(number)) for number in range(MAX_BREAKS))
+            self._suspect_by_digest[digest] = _Suspect(breaks, self._clock())
+            get_logger().warning("request_quarantined", digest=digest)
+
+    def end_quarantine(self, digest: str) -> None:
+        """Let the request with this digest through again."""
+        if digest in self.quarantined():
+            del self._suspect_by_digest[digest]
+
     def record_broken_response(self, digest: str, target: TargetEntry) -> None:
         """Count a response that was cut off, and notify the peers."""
         run_end = RunEnd(digest, target.target_id, target.incarnation, True)
--- a/packages/gateway/src/jaytray_gateway/process/prompt_part_guard.py
+++ b/packages/gateway/src/jaytray_gateway/process/prompt_part_guard.py
@@ -144,8 +144,13 @@
                 incarnation=evidence.incarnation,
             )
 
+    def quarantined(self) -> frozenset[str]:
+        """Return the parts whose requests are refused now."""
+        self.settle_crashes()
+        return frozenset(self.quarantined_until_s_by_part)
+
     def quarantine(self, part: str) -> None:
-        """Refuse requests with this part from now on; called for stored records too."""
+        """Refuse requests with this part from now on."""
         if part not in self.quarantined_until_s_by_part:
             until_s = self._clock() + PART_QUARANTINE_S
             self.quarantined_until_s_by_part[part] = until_s
--- a/packages/gateway/src/jaytray_gateway/process/quarantine_records.py
+++ b/packages/gateway/src/jaytray_gateway/process/quarantine_records.py
@@ -1,4 +1,4 @@
-"""Records of quarantined prompt parts in the key-value service.
+"""Records of quarantined requests and prompt parts in the key-value service.
 
 Members that start later, or missed the evidence, learn of a quarantine from its record,
 which ends with its lease, and of a release from its removal. Members write and remove
@@ -17,10 +17,6 @@
 from jaytray_core.logs import get_logger
 from jaytray_core.rendezvous import rank_members
 from jaytray_gateway.process.directory import Directory
-from jaytray_gateway.process.prompt_part_guard import (
-    PART_QUARANTINE_S,
-    PromptPartGuard,
-)
 
 CHECK_INTERVAL_S = 0.25
 # Delay before a record is written or removed, for each member with a better rank.
@@ -29,8 +25,21 @@
 RETRY_PAUSE_S = 1.0
 
 
+class QuarantineKind(NamedTuple):
+    """A kind of quarantined item, and the functions of the guard that decides on it.
+
+    `lease_s` is how long a quarantine lasts. `end` lets an item through again.
+    """
+
+    lease_s: float
+    quarantined: Callable[[], frozenset[str]]
+    quarantine: Callable[[str], None]
+    end: Callable[[str], None]
+
+
 class _Record(NamedTuple):
-    part: str
+    kind: str
+    item: str
 
 
 class QuarantineRecords:
@@ -39,7 +48,7 @@
     def __init__(
         self,
         *,
-        part_guard: PromptPartGuard,
+        kinds_by_name: dict[str, QuarantineKind],
         directory: Directory,
         prefix: str,
         own_id: str,
@@ -47,7 +56,7 @@
         key_value: KeyValueService,
         clock: MonotonicClock,
     ) -> None:
-        self._part_guard = part_guard
+        self._kinds_by_name = kinds_by_name
         self._directory = directory
         self._prefix = prefix
         self._own_id = own_id
@@ -55,81 +64,89 @@
         self._key_value = key_value
         self._clock = clock
         self._restored_at_s = directory.restored_at_s
-        self._part_by_recorded_key: dict[str, str] = {}
+        self._record_by_key: dict[str, _Record] = {}
         # Times since when a record and this member's quarantine differ.
         self._differs_since_s_by_key: dict[str, float] = {}
         directory.on_change(self._apply_records)
 
     async def run(self) -> None:
-        """Write missing records and delete those of released parts until cancelled."""
+        """Write missing records and remove those of released items until cancelled."""
         while True:
             try:
-                await self.synchronize()
+                await self._synchronize()
             except JaytrayError as err:
                 get_logger().info("quarantine_not_recorded", error=str(err))
                 await asyncio.sleep(RETRY_PAUSE_S)
             await asyncio.sleep(CHECK_INTERVAL_S)
 
-    async def synchronize(self) -> None:
+    async def _synchronize(self) -> None:
         """Make this member's changes to the records that are due."""
-        self._part_guard.settle_crashes()
-        part_by_key = {
-            self._key_of(part): part
-            for part in self._part_guard.quarantined_until_s_by_part
+        wanted_by_key = {
+            self._key_of(record): record
+            for name, kind in self._kinds_by_name.items()
+            for record in (_Record(name, item) for item in kind.quarantined())
         }
-        differing = part_by_key.keys() ^ self._part_by_recorded_key.keys()
         now_s = self._clock()
         self._differs_since_s_by_key = {
-            key: self._differs_since_s_by_key.get(key, now_s) for key in differing
+            key: self._differs_since_s_by_key.get(key, now_s)
+            for key in wanted_by_key.keys() ^ self._record_by_key.keys()
         }
         for key, since_s in self._differs_since_s_by_key.items():
             if now_s - since_s < self._rank(key) * RANK_DELAY_S:
                 continue
-            if key in part_by_key:
-                await self._write(key, part_by_key[key])
+            if key in wanted_by_key:
+                await self._write(key, wanted_by_key[key])
             else:
                 await self._remove(key)
 
     def _apply_records(self) -> None:
         """Apply records that appeared or vanished to this member's quarantine."""
-        known = self._part_by_recorded_key
+        known = self._record_by_key
         if self._directory.restored_at_s != self._restored_at_s:
             # Records that the service lost are written again, not taken as removed.
             self._restored_at_s = self._directory.restored_at_s
             known.clear()
-        records = {
+        values_by_key = {
             key: value
             for key, value in self._directory.records_by_key.items()
             if key.startswith(self._prefix)
         }
-        for key in known.keys() - records.keys():
-            self._part_guard.end_quarantine(known.pop(key))
-        for key in records.keys() - known.keys():
+        for key in known.keys() - values_by_key.keys():
+            record = known.pop(key)
+            self._kinds_by_name[record.kind].end(record.item)
+        for key in values_by_key.keys() - known.keys():
             try:
-                part = decode_json(records[key], _Record, peer=key).part
+                record = decode_json(values_by_key[key], _Record, peer=key)
             except JaytrayError as err:
                 get_logger().warning(
                     "quarantine_record_unreadable", record=key, error=str(err)
                 )
                 continue
-            known[key] = part
-            self._part_guard.quarantine(part)
+            kind = self._kinds_by_name.get(record.kind)
+            if kind is not None:
+                known[key] = record
+                kind.quarantine(record.item)
 
-    def _key_of(self, part: str) -> str:
-        digest = hashlib.blake2b(part.encode(), digest_size=12).hexdigest()
-        return f"{self._prefix}{digest}"
+    def _key_of(self, record: _Record) -> str:
+        # Items come from callers and may be too long for a key.
+        digest = hashlib.blake2b(record.item.encode(), digest_size=12).hexdigest()
+        return f"{self._prefix}{record.kind}/{digest}"
 
     def _rank(self, key: str) -> int:
         ranked = rank_members(key, self._member_ids())
         return ranked.index(self._own_id) if self._own_id in ranked else len(ranked)
 
-    async def _write(self, key: str, part: str) -> None:
-        lease_id = await self._key_value.grant_lease(PART_QUARANTINE_S)
+    async def _write(self, key: str, record: _Record) -> None:
+        lease_s = self._kinds_by_name[record.kind].lease_s
+        lease_id = await self._key_value.grant_lease(lease_s)
         outcome = await self._key_value.compare_and_swap(
-            key, ABSENT_REVISION, encode_json(_Record(part)), lease_id
+            key, ABSENT_REVISION, encode_json(record), lease_id
         )
         get_logger().info(
-            "quarantine_recorded", part=part, is_written=outcome.is_swapped
+            "quarantine_recorded",
+            kind=record.kind,
+            item=record.item,
+            is_written=outcome.is_swapped,
         )
 
     async def _remove(self, key: str) -> None:
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -12,7 +12,7 @@
 from jaytray_core.vm_list import VmEntry, VmState
 from jaytray_gateway.connection.target_pool import TargetConnectionPool
 from jaytray_gateway.ports import PlatformAdapter
-from jaytray_gateway.process.crash_guard import CrashGuard
+from jaytray_gateway.process.crash_guard import QUARANTINE_S, CrashGuard
 from jaytray_gateway.process.demand_average import DemandAverage
 from jaytray_gateway.process.directory import Directory
 from jaytray_gateway.process.lifecycle import Lifecycle
@@ -27,8 +27,14 @@
 from jaytray_gateway.process.metrics import GatewayMetrics
 from jaytray_gateway.process.options import GatewayOptions
 from jaytray_gateway.process.placement.controller import PlacementController
-from jaytray_gateway.process.prompt_part_guard import PromptPartGuard
-from jaytray_gateway.process.quarantine_records import QuarantineRecords
+from jaytray_gateway.process.prompt_part_guard import (
+    PART_QUARANTINE_S,
+    PromptPartGuard,
+)
+from jaytray_gateway.process.quarantine_records import (
+    QuarantineKind,
+    QuarantineRecords,
+)
 from jaytray_gateway.process.rate_grants import RateGrants
 from jaytray_gateway.process.rate_shares import RateShares
 from jaytray_gateway.process.replicas import Replicas
@@ -50,7 +56,7 @@
 REPLICA_DEMAND_WINDOW_S = 6.0
 # Prefix of the members' leased records, relative to the platform adapter's own prefix.
 MEMBERS_PREFIX = "members/"
-# Prefix of the records of quarantined prompt parts.
+# Prefix of the records of quarantined requests and prompt parts.
 QUARANTINE_PREFIX = "quarantine/"
 
 
@@ -201,7 +207,20 @@
         member_messages=member_messages,
         placement=placement,
         quarantine_records=QuarantineRecords(
-            part_guard=part_guard,
+            kinds_by_name={
+                "part": QuarantineKind(
+                    lease_s=PART_QUARANTINE_S,
+                    quarantined=part_guard.quarantined,
+                    quarantine=part_guard.quarantine,
+                    end=part_guard.end_quarantine,
+                ),
+                "request": QuarantineKind(
+                    lease_s=QUARANTINE_S,
+                    quarantined=crash_guard.quarantined,
+                    quarantine=crash_guard.quarantine,
+                    end=crash_guard.end_quarantine,
+                ),
+            },
             directory=directory,
             prefix=adapter.records_prefix + QUARANTINE_PREFIX,
             own_id=options.vm_id,
--- a/packages/gateway/tests/process/test_quarantine_records.py
+++ b/packages/gateway/tests/process/test_quarantine_records.py
@@ -1,16 +1,26 @@
-"""Tests for the stored records of quarantined prompt parts."""
+"""Tests for the stored records of quarantined requests and prompt parts."""
 
 import asyncio
 
 from testtools import TestCase
 
 from jaytray_core.errors import JaytrayError
+from jaytray_gateway.process.crash_guard import (
+    COMMON_CAUSE_S,
+    MAX_BREAKS,
+    QUARANTINE_S,
+    CrashGuard,
+)
 from jaytray_gateway.process.prompt_part_guard import (
     MAX_CRASHES,
+    PART_QUARANTINE_S,
     SETTLE_S,
     PromptPartGuard,
 )
-from jaytray_gateway.process.quarantine_records import QuarantineRecords
+from jaytray_gateway.process.quarantine_records import (
+    QuarantineKind,
+    QuarantineRecords,
+)
 from jaytray_standins.virtual_loop import run_virtual
 from packages.gateway.tests.process.test_directory import Harness
 from packages.gateway.tests.process.test_small_parts import entry
@@ -26,8 +36,24 @@
         loop = asyncio.get_running_loop()
         self.harness = harness
         self.guard = PromptPartGuard(clock=loop.time, notify_peers=lambda _found: None)
+        self.crash_guard = CrashGuard(
+            clock=loop.time, notify_peers=lambda _run_end: None
+        )
         records = QuarantineRecords(
-            part_guard=self.guard,
+            kinds_by_name={
+                "part": QuarantineKind(
+                    lease_s=PART_QUARANTINE_S,
+                    quarantined=self.guard.quarantined,
+                    quarantine=self.guard.quarantine,
+                    end=self.guard.end_quarantine,
+                ),
+                "request": QuarantineKind(
+                    lease_s=QUARANTINE_S,
+                    quarantined=self.crash_guard.quarantined,
+                    quarantine=self.crash_guard.quarantine,
+                    end=self.crash_guard.end_quarantine,
+                ),
+            },
             directory=harness.directory,
             prefix="own/quarantine/",
             own_id=own_id,
@@ -44,6 +70,18 @@
             return True
         return False
 
+    def is_request_refused(self, digest: str) -> bool:
+        try:
+            self.crash_guard.check(digest)
+        except JaytrayError:
+            return True
+        return False
+
+    async def crash_targets_with_request(self, digest: str) -> None:
+        for number in range(MAX_BREAKS):
+            self.crash_guard.record_broken_response(digest, entry(f"t{number}"))
+            await asyncio.sleep(2 * COMMON_CAUSE_S)
+
     async def crash_targets(self, part: str) -> None:
         for number in range(MAX_CRASHES):
             self.guard.record_break((part,), entry(f"t{number}"))
@@ -70,6 +108,25 @@
 
         run_virtual(check())
 
+    def test_process_that_starts_later_refuses_a_harmful_request(self) -> None:
+        async def check() -> None:
+            harness = Harness()
+            first = Member("a", harness)
+            await first.crash_targets_with_request("digest")
+            await asyncio.sleep(PROPAGATION_S)
+            later = Member("b", harness)
+            await harness.put("own/members/b", b"x")
+            await asyncio.sleep(PROPAGATION_S)
+            self.assertTrue(later.is_request_refused("digest"))
+            self.assertFalse(later.is_request_refused("other"))
+            await asyncio.sleep(QUARANTINE_S + PROPAGATION_S)
+            self.assertFalse(later.is_request_refused("digest"))
+            self.assertFalse(first.is_request_refused("digest"))
+            self.assertEqual([], first.recorded_keys())
+            await harness.end()
+
+        run_virtual(check())
+
     def test_release_removes_the_record(self) -> None:
         async def check() -> None:
             harness = Harness()
