Let only successes clear a prompt part

Found in the reading of the change: a target's complete error response, for example 504 for a request that waited in its queue until the deadline, cleared the prompt's parts as sound, though no response on them had begun. The harmful part then left the evidence of the crash at hand and a part before it was blamed. The new test fails before this change (the harmful part is sent on) and passes now.

--- a/packages/gateway/src/jaytray_gateway/request/attempt.py
+++ b/packages/gateway/src/jaytray_gateway/request/attempt.py
@@ -77,10 +77,13 @@
             adapter=services.adapter,
             clock=services.clock,
         ) as exchange:
-            await _handle_response(state, target, in_flight, exchange, reply, services)
+            is_success = await _handle_response(
+                state, target, in_flight, exchange, reply, services
+            )
         services.health.record_success(target.target_id)
         services.crash_guard.record_complete_response(state.digest, target)
-        services.part_guard.record_begun_response(request.shared_part_ids)
+        if is_success:
+            services.part_guard.record_begun_response(request.shared_part_ids)
     except ExchangeError as err:
         is_late = err.progress is ExchangeProgress.TIMED_OUT
         if err.progress is ExchangeProgress.NOT_SENT:
@@ -104,7 +107,8 @@
     exchange: TargetExchange,
     reply: CallerReply,
     services: RequestServices,
-) -> None:
+) -> bool:
+    """Relay the response; returns whether it is a success."""
     until_s = _head_deadline_s(state, services)
     head = await exchange.read_head(until_s)
     if state.sent_at_s is not None:
@@ -123,7 +127,7 @@
         )
     if is_success and state.admitted.route.kind is RequestKind.STREAM:
         await _relay_stream(state, target, in_flight, exchange, head, reply, services)
-        return
+        return True
     body = await exchange.read_body(until_s)
     state.runs += 1
     if head.status >= HTTP_SERVER_ERROR:
@@ -133,6 +137,7 @@
     if reply.is_started:
         raise AttemptFailed(f"status {head.status} when resuming", is_timeout=False)
     await reply.send_complete(head.status, head.headers, body)
+    return is_success
 
 
 async def _relay_stream(
--- a/packages/gateway/tests/request/test_request_path.py
+++ b/packages/gateway/tests/request/test_request_path.py
@@ -8,6 +8,7 @@
 
 from jaytray_core.clock import monotonic_clock
 from jaytray_gateway.process.crash_guard import COMMON_CAUSE_S
+from jaytray_gateway.process.prompt_part_guard import SETTLE_S
 from jaytray_gateway.version.route_table import RequestKind, Route
 from packages.gateway.tests.request.cases import (
     DISCONNECT,
@@ -297,6 +298,23 @@
         events = ScriptedResponse(body=EVENTS, is_stream=True)
         run_with_harness(check, [events], [events], route=STREAM)
 
+    def test_error_response_does_not_clear_a_prompt_part(self) -> None:
+        async def check(harness: GatewayHarness) -> None:
+            (target,) = harness.targets
+            for number in range(4):
+                harness.restart_targets()
+                target.crashing_part = b"deadly"
+                await harness.send_request(**with_parts(f"shared,deadly,{number}"))
+                target.crashing_part = b""
+                failed = await harness.send_request(**with_parts(f"s,deadly,{number}"))
+                self.assertEqual(500, failed.status)
+                await asyncio.sleep(COMMON_CAUSE_S + 0.05)
+            await asyncio.sleep(SETTLE_S)
+            received = await harness.send_request(**with_parts("other,deadly,x"))
+            self.assertEqual((503, b"not_run"), (received.status, received.body))
+
+        run_with_harness(check, [ERROR], route=STREAM)
+
 
 class LimitedTargetTests(TestCase):
     """Incident second1 of hoofline: targets got more than their limits allow."""
