Do not count crashes with a known cause against whole requests

Change: when a prompt part is blamed, and at each later crash that it explains, the crashes are discounted from all suspect digests.

--- a/packages/gateway/src/jaytray_gateway/process/crash_guard.py
+++ b/packages/gateway/src/jaytray_gateway/process/crash_guard.py
@@ -93,6 +93,13 @@
         if digest in self.quarantined():
             del self._suspect_by_digest[digest]
 
+    def forget_crash(self, incarnation: tuple[str, str]) -> None:
+        """Discount the breaks at a target's incarnation, as their cause is known."""
+        for digest, suspect in list(self._suspect_by_digest.items()):
+            if incarnation in suspect.breaks:
+                left = tuple(other for other in suspect.breaks if other != incarnation)
+                self._suspect_by_digest[digest] = suspect._replace(breaks=left)
+
     def record_broken_response(self, digest: str, target: TargetEntry) -> None:
         """Count a response that was cut off, and notify the peers."""
         run_end = RunEnd(digest, target.target_id, target.incarnation, True)
--- a/packages/gateway/src/jaytray_gateway/process/prompt_part_guard.py
+++ b/packages/gateway/src/jaytray_gateway/process/prompt_part_guard.py
@@ -63,19 +63,29 @@
 class _Crash(NamedTuple):
     """Breaks at one incarnation; `chains` are the parts of the suspect attempts."""
 
+    incarnation: Incarnation
     first_break_s: float
     chains: list[tuple[str, ...]]
 
 
 class PromptPartGuard:
-    """Counts crashes by prompt part; `notify_peers` sends own observations to peers."""
+    """Counts crashes by prompt part.
+
+    `notify_peers` sends own observations to peers. `on_explained` is called with the
+    target and incarnation of each crash that a quarantined part has caused.
+    """
 
     def __init__(
-        self, *, clock: MonotonicClock, notify_peers: Callable[[PartEvidence], None]
+        self,
+        *,
+        clock: MonotonicClock,
+        notify_peers: Callable[[PartEvidence], None],
+        on_explained: Callable[[Incarnation], None],
     ) -> None:
         self.quarantined_until_s_by_part: dict[str, float] = {}
         self._clock = clock
         self._notify_peers = notify_peers
+        self._on_explained = on_explained
         # Crashes that are not counted yet.
         self._crash_by_incarnation: dict[Incarnation, _Crash] = {}
         # Times of the first break at incarnations whose crash was counted.
@@ -172,7 +182,7 @@
             if now_s - crash.first_break_s >= SETTLE_S:
                 del self._crash_by_incarnation[incarnation]
                 self._crashed_at_s_by_incarnation[incarnation] = crash.first_break_s
-                self._count_crash(incarnation[0], crash)
+                self._count_crash(crash)
         while len(self._crashed_at_s_by_incarnation) > MAX_CRASH_RECORDS:
             self._crashed_at_s_by_incarnation.popitem(last=False)
         for part, until_s in list(self.quarantined_until_s_by_part.items()):
@@ -188,12 +198,14 @@
         if crash is None:
             if len(self._crash_by_incarnation) >= MAX_CRASH_RECORDS:
                 return
-            crash = self._crash_by_incarnation[incarnation] = _Crash(now_s, [])
+            crash = self._crash_by_incarnation[incarnation] = _Crash(
+                incarnation, now_s, []
+            )
         is_same_crash = now_s - crash.first_break_s <= CRASH_WINDOW_S
         if is_same_crash and len(crash.chains) < MAX_SUSPECTS_PER_CRASH:
             crash.chains.append(parts)
 
-    def _count_crash(self, target_id: str, crash: _Crash) -> None:
+    def _count_crash(self, crash: _Crash) -> None:
         known = [
             chain
             for chain in crash.chains
@@ -207,14 +219,16 @@
         blamed = None if known else self._part_to_blame(chains)
         get_logger().info(
             "target_crash_counted",
-            target=target_id,
+            target=crash.incarnation[0],
             suspects=len(crash.chains),
             parts=",".join(sorted(parts)),
             is_explained=bool(known),
             blamed=blamed or "-",
         )
         self._counted_crashes.append(crash)
-        if blamed is not None:
+        if known:
+            self._on_explained(crash.incarnation)
+        elif blamed is not None:
             self._clear_beside(blamed)
             self.quarantine(blamed)
 
@@ -241,11 +255,12 @@
         )
 
     def _clear_beside(self, blamed: str) -> None:
-        """Discount the crashes that `blamed` caused from other requests' parts."""
+        """Discount the crashes that `blamed` caused from other requests."""
         for crash in self._counted_crashes:
             causing = [chain for chain in crash.chains if blamed in chain]
             if not causing:
                 continue
+            self._on_explained(crash.incarnation)
             beside = {part for chain in crash.chains for part in chain}
             for part in beside.difference(*causing):
                 times_s = self._crash_times_s_by_part.get(part, [])
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -139,7 +139,9 @@
         clock=clock, notify_peers=member_messages.broadcast_run_end
     )
     part_guard = PromptPartGuard(
-        clock=clock, notify_peers=member_messages.broadcast_part_evidence
+        clock=clock,
+        notify_peers=member_messages.broadcast_part_evidence,
+        on_explained=crash_guard.forget_crash,
     )
     placement = PlacementController(
         options=options,
--- a/packages/gateway/tests/process/test_prompt_part_guard.py
+++ b/packages/gateway/tests/process/test_prompt_part_guard.py
@@ -25,12 +25,25 @@
 HARMFUL = "harmful"
 
 
+def make_peer(clock: Clock) -> PromptPartGuard:
+    return PromptPartGuard(
+        clock=clock,
+        notify_peers=lambda _evidence: None,
+        on_explained=lambda _incarnation: None,
+    )
+
+
 class PromptPartGuardTests(TestCase):
     def setUp(self) -> None:
         super().setUp()
         self.clock = Clock()
         self.sent: list[PartEvidence] = []
-        self.guard = PromptPartGuard(clock=self.clock, notify_peers=self.sent.append)
+        self.explained: list[tuple[str, str]] = []
+        self.guard = PromptPartGuard(
+            clock=self.clock,
+            notify_peers=self.sent.append,
+            on_explained=self.explained.append,
+        )
         self.crashes = 0
 
     def crash(self, *chains: str) -> None:
@@ -132,6 +145,12 @@
         self.crash("beside")
         self.assertEqual({HARMFUL}, self.quarantined())
 
+    def test_explained_crashes_are_reported(self) -> None:
+        for _ in range(MAX_CRASHES):
+            self.crash(HARMFUL, "beside")
+        self.crash(HARMFUL)
+        self.assertEqual([(f"t{n}", "1") for n in (1, 2, 3, 4)], self.explained)
+
     def test_one_crash_after_the_quarantine_is_enough(self) -> None:
         for _ in range(MAX_CRASHES):
             self.crash(HARMFUL)
@@ -143,7 +162,7 @@
     def test_sound_response_ends_a_quarantine_at_all_members(self) -> None:
         for _ in range(MAX_CRASHES):
             self.crash("blamed")
-        peer = PromptPartGuard(clock=self.clock, notify_peers=lambda _evidence: None)
+        peer = make_peer(self.clock)
         peer.quarantine("blamed")
         self.guard.record_begun_response(("first", "blamed"))
         peer.apply_evidence(self.sent[-1])
@@ -151,7 +170,7 @@
         peer.check(("blamed",))
 
     def test_members_share_their_evidence(self) -> None:
-        peer = PromptPartGuard(clock=self.clock, notify_peers=lambda _evidence: None)
+        peer = make_peer(self.clock)
         for _ in range(MAX_CRASHES):
             self.crash(HARMFUL)
             peer.apply_evidence(self.sent[-1])
@@ -182,7 +201,11 @@
         self.rng, self.clock = rng, Clock()
         self.hears_sound_responses = hears_sound_responses
         self.guards = [
-            PromptPartGuard(clock=self.clock, notify_peers=self._make_notify(number))
+            PromptPartGuard(
+                clock=self.clock,
+                notify_peers=self._make_notify(number),
+                on_explained=lambda _incarnation: None,
+            )
             for number in range(self.MEMBERS)
         ]
         self.up_at_s = [0.0] * self.TARGETS
--- a/packages/gateway/tests/process/test_quarantine_records.py
+++ b/packages/gateway/tests/process/test_quarantine_records.py
@@ -35,7 +35,11 @@
     def __init__(self, own_id: str, harness: Harness) -> None:
         loop = asyncio.get_running_loop()
         self.harness = harness
-        self.guard = PromptPartGuard(clock=loop.time, notify_peers=lambda _found: None)
+        self.guard = PromptPartGuard(
+            clock=loop.time,
+            notify_peers=lambda _found: None,
+            on_explained=lambda _incarnation: None,
+        )
         self.crash_guard = CrashGuard(
             clock=loop.time, notify_peers=lambda _run_end: None
         )
--- a/packages/gateway/tests/process/test_small_parts.py
+++ b/packages/gateway/tests/process/test_small_parts.py
@@ -152,6 +152,17 @@
             peer.apply_run_end(run_end)
         peer.check("digest")
 
+    def test_breaks_whose_cause_is_known_do_not_count(self) -> None:
+        # Identical sound requests ran beside those on a harmful prompt part.
+        clock = Clock()
+        guard = CrashGuard(clock=clock, notify_peers=lambda _run_end: None)
+        for number in range(MAX_BREAKS):
+            clock.now_s += 2 * COMMON_CAUSE_S
+            guard.record_broken_response("digest", entry(f"t{number}"))
+        self.assertRaises(JaytrayError, guard.check, "digest")
+        guard.forget_crash(("t1", "1"))
+        guard.check("digest")
+
     def test_breaks_at_targets_that_are_down_do_not_count(self) -> None:
         # Soak seeds 11009 and 13010: all targets were killed at once, and callers
         # retried at those that were not known to be down.
--- a/packages/gateway/tests/request/support.py
+++ b/packages/gateway/tests/request/support.py
@@ -328,7 +328,9 @@
             pools=self.pools,
             crash_guard=self.crash_guard,
             part_guard=PromptPartGuard(
-                clock=clock, notify_peers=lambda _evidence: None
+                clock=clock,
+                notify_peers=lambda _evidence: None,
+                on_explained=self.crash_guard.forget_crash,
             ),
             limits=limits,
             replica_demand=DemandAverage(clock=clock, window_s=5.0),
