--- a/packages/gateway/src/jaytray_gateway/process/prompt_part_guard.py
+++ b/packages/gateway/src/jaytray_gateway/process/prompt_part_guard.py
@@ -7,8 +7,9 @@
 target that goes on with an earlier request has not crashed, whatever broke the others.
 
 Requests that share a harmful part share the parts before it too, so of the parts with
-enough crashes the last one in the prompt is to blame. The attempts beside it are then
-cleared of those crashes.
+enough crashes the last one in the prompt is to blame. While parts of different requests
+have as many crashes, none of them is blamed, as the next crash may tell them apart. The
+attempts beside a blamed part are cleared of its crashes.
 """
 
 from collections import OrderedDict, deque
@@ -23,6 +24,8 @@
 
 # Number of crashes after which requests with a part are refused.
 MAX_CRASHES = 3
+# Number of crashes after which one of several parts with as many is blamed.
+MAX_TIED_CRASHES = 8
 # Breaks at a target within this time belong to one crash.
 CRASH_WINDOW_S = 0.5
 # Crashes of several targets within this time count once: one outage may cause them.
@@ -165,6 +168,7 @@
             until_s = self._clock() + PART_QUARANTINE_S
             self.quarantined_until_s_by_part[part] = until_s
             get_logger().warning("prompt_part_quarantined", part=part)
+            self._release_parts_beside(part)
 
     def end_quarantine(self, part: str) -> None:
         """Let requests with this part through again until the next crash."""
@@ -216,21 +220,24 @@
         parts = {part for chain in chains for part in chain}
         for part in parts:
             self._add_crash(part, crash.first_break_s)
-        blamed = None if known else self._part_to_blame(chains)
+        tied = [] if known else self._parts_to_blame(chains)
+        crashes = max((len(self._crash_times_s_by_part[p]) for p in tied), default=0)
+        is_blamed = len(tied) == 1 or crashes >= MAX_TIED_CRASHES
         get_logger().info(
             "target_crash_counted",
             target=crash.incarnation[0],
             suspects=len(crash.chains),
             parts=",".join(sorted(parts)),
             is_explained=bool(known),
-            blamed=blamed or "-",
+            blamed=tied[0] if is_blamed else "-",
         )
         self._counted_crashes.append(crash)
         if known:
             self._on_explained(crash.incarnation)
-        elif blamed is not None:
-            self._clear_beside(blamed)
-            self.quarantine(blamed)
+        elif is_blamed:
+            if len(tied) == 1:
+                self._clear_beside(tied[0])
+            self.quarantine(tied[0])
 
     def _add_crash(self, part: str, crash_s: float) -> None:
         times_s = self._crash_times_s_by_part.pop(part, [])
@@ -238,35 +245,57 @@
         if len(self._crash_times_s_by_part) > MAX_PARTS:
             self._crash_times_s_by_part.popitem(last=False)
 
-    def _part_to_blame(self, chains: Iterable[tuple[str, ...]]) -> str | None:
-        """Return the last part with enough crashes of one of the chains."""
-        candidates = []
-        for chain in chains:
-            blamed = [
-                part
-                for part in chain
-                if _count_outages(self._crash_times_s_by_part[part]) >= MAX_CRASHES
-            ]
-            candidates += blamed[-1:]
-        return max(
-            candidates,
-            key=lambda part: len(self._crash_times_s_by_part[part]),
-            default=None,
-        )
+    def _parts_to_blame(self, chains: list[tuple[str, ...]]) -> list[str]:
+        """Return the parts with the most crashes of the last ones in their chains."""
+        enough = {
+            part
+            for chain in chains
+            for part in chain
+            if _count_outages(self._crash_times_s_by_part[part]) >= MAX_CRASHES
+        }
+        before_others = {
+            part
+            for chain in chains
+            for part in [part for part in chain if part in enough][:-1]
+        }
+        crashes_by_part = {
+            part: len(self._crash_times_s_by_part[part])
+            for part in enough - before_others
+        }
+        most = max(crashes_by_part.values(), default=0)
+        return sorted(part for part, count in crashes_by_part.items() if count == most)
+
+    def _crashes_with(self, part: str) -> list[_Crash]:
+        return [
+            crash
+            for crash in self._counted_crashes
+            if any(part in chain for chain in crash.chains)
+        ]
 
     def _clear_beside(self, blamed: str) -> None:
         """Discount the crashes that `blamed` caused from other requests."""
-        for crash in self._counted_crashes:
-            causing = [chain for chain in crash.chains if blamed in chain]
-            if not causing:
-                continue
+        for crash in self._crashes_with(blamed):
             self._on_explained(crash.incarnation)
+            causing = [chain for chain in crash.chains if blamed in chain]
             beside = {part for chain in crash.chains for part in chain}
             for part in beside.difference(*causing):
                 times_s = self._crash_times_s_by_part.get(part, [])
                 if crash.first_break_s in times_s:
                     times_s.remove(crash.first_break_s)
 
+    def _release_parts_beside(self, blamed: str) -> None:
+        """Release parts that were blamed only for crashes that `blamed` may explain.
+
+        Parts that stand before or after it in a prompt stay quarantined.
+        """
+        explained = self._crashes_with(blamed)
+        chains = [chain for crash in explained for chain in crash.chains]
+        related = {part for chain in chains if blamed in chain for part in chain}
+        for part in self.quarantined_until_s_by_part.keys() - related - {blamed}:
+            crashes = self._crashes_with(part)
+            if crashes and all(crash in explained for crash in crashes):
+                self._clear((part,))
+
     def _is_suspected(self, part: str) -> bool:
         return (
             part in self._crash_times_s_by_part
