--- a/packages/gateway/tests/process/placement/test_controller.py
+++ b/packages/gateway/tests/process/placement/test_controller.py
@@ -28,7 +28,7 @@
 from jaytray_standins.key_value.store import KeyValueStore
 from jaytray_standins.virtual_loop import run_virtual
 from packages.gateway.tests.process.placement.test_planner import ENGINE
-from packages.gateway.tests.request.support import ADAPTER
+from packages.gateway.tests.request.wire_format import ADAPTER
 
 OPTIONS = GatewayOptions(
     vm_id="vm",
