Treat framed streams that end inside an event as broken off

What callers could see: a stream that cannot be resumed and whose target frames a short body correctly was relayed as complete, with its last event cut.

Cause: the check for an incomplete event at the end covered resumable streams, and unframed ones since.

Evidence: the two new tests failed before and pass now. A check of the event buffer's rest became one of the boundary's bytes, at each cut.

--- a/packages/gateway/src/jaytray_gateway/request/attempt.py
+++ b/packages/gateway/src/jaytray_gateway/request/attempt.py
@@ -178,8 +178,10 @@
         if not reply.is_started:
             await reply.start(head.status, head.headers)
         await reply.send(chunk)
-    is_cut = exchange.ends_with_connection and not boundary.is_after_event
-    if is_cut or (state.event_buffer is not None and state.event_buffer.has_partial):
+    # A body without length or chunks that is empty may also have been cut off.
+    if boundary.event_bytes or (
+        exchange.ends_with_connection and not boundary.is_after_event
+    ):
         raise ExchangeError(
             progress=ExchangeProgress.BROKEN,
             detail="stream ended in the middle of an event",
--- a/packages/gateway/src/jaytray_gateway/request/event_buffer.py
+++ b/packages/gateway/src/jaytray_gateway/request/event_buffer.py
@@ -7,7 +7,7 @@
 
 import re
 
-_EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
+_EVENT_ENDS = (b"\n\n", b"\n\r\n")
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 
@@ -63,8 +63,3 @@
     def drop_partial(self) -> None:
         """Discard the incomplete event; the next target sends it again."""
         self._partial = b""
-
-    @property
-    def has_partial(self) -> bool:
-        """Return whether an incomplete event is buffered."""
-        return bool(self._partial.strip())
--- a/packages/gateway/tests/request/test_attempt.py
+++ b/packages/gateway/tests/request/test_attempt.py
@@ -47,6 +47,17 @@
         cut = ScriptedResponse(body=EVENTS, is_stream=True, is_complete=False)
         run_with_harness(check, [cut], [OK], route=STREAM)
 
+    @parameterized.expand([("with_chunks", True), ("with_a_length", False)])
+    def test_framed_stream_that_ends_inside_an_event_is_not_whole(
+        self, _name: str, is_stream: bool
+    ) -> None:
+        async def check(harness: GatewayHarness) -> None:
+            received = await harness.send_request()
+            self.assertEqual((200, False), (received.status, received.is_whole))
+
+        cut = ScriptedResponse(body=EVENTS + b"id: 3\nda", is_stream=is_stream)
+        run_with_harness(check, [cut], route=STREAM)
+
     def test_stream_is_resumed_after_the_last_complete_event(self) -> None:
         async def check(harness: GatewayHarness) -> None:
             received = await harness.send_request()
--- a/packages/gateway/tests/request/test_event_buffer.py
+++ b/packages/gateway/tests/request/test_event_buffer.py
@@ -3,7 +3,7 @@
 from hypothesis import given, strategies as st
 from testtools import TestCase
 
-from jaytray_gateway.request.event_buffer import EventBuffer
+from jaytray_gateway.request.event_buffer import EventBoundary, EventBuffer
 
 
 def stream(count: int, line_end: bytes) -> bytes:
@@ -26,19 +26,23 @@
         data = stream(count, line_end)
         points = sorted({min(cut, len(data)) for cut in cuts} | {0, len(data)})
         buffer = EventBuffer()
+        boundary = EventBoundary()
         passed = b""
         for begin, end in zip(points, points[1:], strict=False):
             passed += buffer.feed(data[begin:end])
+            boundary.feed(data[begin:end])
+            self.assertEqual(end - len(passed), boundary.event_bytes)
             self.assertTrue(passed == b"" or passed.endswith(line_end * 2))
             self.assertEqual(
                 str(passed.count(b"id:")) if passed else "", buffer.last_event_id
             )
         self.assertEqual(data, passed)
-        self.assertFalse(buffer.has_partial)
+        self.assertEqual(
+            (0, count > 0), (boundary.event_bytes, boundary.is_after_event)
+        )
 
     def test_dropped_partial_event_is_not_emitted(self) -> None:
         buffer = EventBuffer()
         self.assertEqual(b"id: 1\n\n", buffer.feed(b"id: 1\n\nid: 2\nda"))
-        self.assertTrue(buffer.has_partial)
         buffer.drop_partial()
         self.assertEqual(b"id: 2\n\n", buffer.feed(b"id: 2\n\n"))
