Log the software versions of targets and what callers' requests continue

The logs could not tell at which software version of a target a stream began, at which one it went on, nor which requests continue a stream. target_known, request_try_ended and request_finished now do. Nothing is decided by it yet.

--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -10,10 +10,12 @@
     # One line per request, and one per attempt that did not give its final response.
     "request_finished": (
         "request_id outcome status route account version replica tokens rate_state "
-        "target sends runs sent_ms first_piece_ms total_ms error"
+        "target software_version original_request_id last_event_id sends runs sent_ms "
+        "first_piece_ms total_ms error"
     ).split(),
     "request_try_ended": (
-        "request_id target outcome sends runs first_piece_ms chunks prompt_parts detail"
+        "request_id target outcome software_version original_request_id last_event_id "
+        "sends runs first_piece_ms chunks prompt_parts detail"
     ).split(),
     "unused_body_not_read": ("detail",),
     "request_quarantined": ("digest",),
@@ -26,7 +28,9 @@
     "quarantine_not_recorded": ("error",),
     "quarantine_record_unreadable": "record error".split(),
     # Targets as seen by this process.
-    "target_known": "target service incarnation is_leaving revision".split(),
+    "target_known": (
+        "target service software_version incarnation is_leaving revision"
+    ).split(),
     "target_unreadable": "target error".split(),
     "target_lapsed": ("target",),
     "target_gone": "target lapsed".split(),
--- a/packages/gateway/src/jaytray_gateway/process/directory.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -301,6 +301,7 @@
                 "target_known",
                 target=target_id,
                 service=entry.service,
+                software_version=entry.software_version,
                 incarnation=entry.incarnation,
                 is_leaving=entry.is_leaving,
                 revision=record.revision,
--- a/packages/gateway/src/jaytray_gateway/process/target_entry.py
+++ b/packages/gateway/src/jaytray_gateway/process/target_entry.py
@@ -6,8 +6,10 @@
 class TargetEntry(NamedTuple):
     """One registered target.
 
-    `incarnation` changes with each start of the target. `adapters_by_model` holds the
-    loaded models and their adapters. `models_in_memory` and `models_on_disk` are models
+    `incarnation` changes with each start of the target. `software_version` is that of
+    the target's program, empty if not stated; versions have no order. A stream that a
+    target of one version began cannot be continued by one of another version.
+    `adapters_by_model` holds the loaded models and their adapters. `models_in_memory` and `models_on_disk` are models
     whose weights the target has cached: loading them is faster and does not count
     towards the weight store's limit.
     """
@@ -15,6 +17,7 @@
     target_id: str
     incarnation: str
     service: str
+    software_version: str
     address: str
     failure_domain: str
     is_leaving: bool
--- a/packages/gateway/src/jaytray_gateway/request/request_path.py
+++ b/packages/gateway/src/jaytray_gateway/request/request_path.py
@@ -75,6 +75,7 @@
         target = await services.search.find(state.admitted, state.service, state.tried)
         state.tried.add(target.target_id)
         state.target_id = target.target_id
+        state.software_version = target.software_version
         try:
             await send_attempt(state, target, reply, services)
             return
@@ -212,6 +213,9 @@
         tokens=request.prompt_tokens + request.output_tokens,
         rate_state=_rate_state(error, services),
         target=state.target_id if state else "",
+        software_version=state.software_version if state else "",
+        original_request_id=request.original_request_id,
+        last_event_id=request.last_event_id,
         sends=state.sends if state else 0,
         runs=state.runs if state else 0,
         status=reply.status,
--- a/packages/gateway/src/jaytray_gateway/request/routed_request.py
+++ b/packages/gateway/src/jaytray_gateway/request/routed_request.py
@@ -22,7 +22,9 @@
     forward, without connection headers, credentials and headers that only this
     system may set. `deadline_s` is how long the caller waits, None if not stated.
     `model` and `adapter` are empty if the request names none. `has_token_counts`
-    tells whether the caller declared token counts.
+    tells whether the caller declared token counts. If the request continues a stream,
+    `last_event_id` is the last event that the caller has, and `original_request_id` the id
+    of the request whose response had the first one; empty if not stated.
     """
 
     request_id: str
@@ -41,6 +43,7 @@
     output_tokens: int
     prompt_parts: tuple[PromptPart, ...]
     last_event_id: str
+    original_request_id: str
     received_at_s: float
 
     @property
--- a/packages/gateway/src/jaytray_gateway/request/run_state.py
+++ b/packages/gateway/src/jaytray_gateway/request/run_state.py
@@ -59,6 +59,7 @@
         self.tried: set[str] = set()
         self.last_error: ErrorResponse | None = None
         self.target_id = ""
+        self.software_version = ""
         self.event_buffer = EventBuffer() if admitted.route.is_resumable else None
         self.sent_at_s: float | None = None
         self.first_piece_s: float | None = None
@@ -86,6 +87,9 @@
         request_id=request.request_id,
         target=state.target_id,
         outcome=outcome,
+        software_version=state.software_version,
+        original_request_id=request.original_request_id,
+        last_event_id=_last_event_id(state),
         sends=state.sends,
         runs=state.runs,
         first_piece_ms=_milliseconds_between(
@@ -97,6 +101,12 @@
     )
 
 
+def _last_event_id(state: RequestState) -> str:
+    """Return the id of the last event that the caller has received."""
+    received = state.event_buffer.last_event_id if state.event_buffer else ""
+    return received or state.admitted.request.last_event_id
+
+
 def _milliseconds_between(begin_s: float | None, end_s: float | None) -> int | str:
     if begin_s is None or end_s is None:
         return ""
--- a/packages/gateway/tests/process/placement/test_controller.py
+++ b/packages/gateway/tests/process/placement/test_controller.py
@@ -102,6 +102,7 @@
             self.target_id,
             "1",
             "svc",
+            "v1",
             self.target_id,
             "a",
             False,
--- a/packages/gateway/tests/process/placement/test_planner.py
+++ b/packages/gateway/tests/process/placement/test_planner.py
@@ -30,6 +30,7 @@
         target_id,
         "1",
         "svc",
+        "v1",
         "127.0.0.1:1",
         "a",
         False,
--- a/packages/gateway/tests/process/test_directory.py
+++ b/packages/gateway/tests/process/test_directory.py
@@ -33,6 +33,7 @@
         target_id,
         "1",
         "svc",
+        "v1",
         "127.0.0.1:1",
         "a",
         is_leaving,
--- a/packages/gateway/tests/process/test_small_parts.py
+++ b/packages/gateway/tests/process/test_small_parts.py
@@ -30,6 +30,7 @@
         target_id,
         incarnation,
         "svc",
+        "v1",
         "127.0.0.1:1",
         "a",
         False,
--- a/packages/gateway/tests/request/scripted_target.py
+++ b/packages/gateway/tests/request/scripted_target.py
@@ -39,6 +39,7 @@
 
     def __init__(self, *, target_id: str, responses: list[ScriptedResponse]) -> None:
         self.target_id = target_id
+        self.software_version = "v1"
         self.responses = list(responses)
         self.crashing_part = b""
         self.heads: list[bytes] = []
--- a/packages/gateway/tests/request/support.py
+++ b/packages/gateway/tests/request/support.py
@@ -125,6 +125,7 @@
                 target.target_id,
                 str(self.incarnation),
                 "svc",
+                target.software_version,
                 target.address,
                 "a",
                 False,
--- a/packages/gateway/tests/request/wire_format.py
+++ b/packages/gateway/tests/request/wire_format.py
@@ -1,6 +1,7 @@
 """A minimal wire format for tests, as the adapter of a platform.
 
-Requests carry `x-id`, `x-key`, `x-model`, `x-parts`, `x-deadline` and `x-last`;
+Requests carry `x-id`, `x-key`, `x-model`, `x-parts`, `x-deadline`, `x-last` and
+`x-original`;
 responses carry `x-id`, `x-seal`, `x-not-run` and `x-limit`.
 """
 
@@ -44,7 +45,8 @@
             PromptPart(part, 10)
             for part in first_value(head.headers, b"x-parts").decode().split(",")
         ),
-        last_event_id="",
+        last_event_id=first_value(head.headers, b"x-last").decode(),
+        original_request_id=first_value(head.headers, b"x-original").decode(),
         received_at_s=head.received_at_s,
     )
 
@@ -54,7 +56,7 @@
         (b"host", b"h"),
         (b"x-id", request.request_id.encode()),
         (b"x-account", dispatch.account.encode()),
-        (b"x-last", dispatch.resume_event_id.encode()),
+        (b"x-last", (dispatch.resume_event_id or request.last_event_id).encode()),
         (b"x-parts", ",".join(p.part_id for p in request.prompt_parts).encode()),
         (b"content-length", b"%d" % len(request.body)),
     ]
