--- a/packages/gateway/src/jaytray_gateway/process/target_entry.py
+++ b/packages/gateway/src/jaytray_gateway/process/target_entry.py
@@ -9,9 +9,9 @@
     `incarnation` changes with each start of the target. `software_version` is that of
     the target's program, empty if not stated; versions have no order. A stream that a
     target of one version began cannot be continued by one of another version.
-    `adapters_by_model` holds the loaded models and their adapters. `models_in_memory` and `models_on_disk` are models
-    whose weights the target has cached: loading them is faster and does not count
-    towards the weight store's limit.
+    `adapters_by_model` holds the loaded models and their adapters. `models_in_memory`
+    and `models_on_disk` are models whose weights the target has cached: loading them is
+    faster and does not count towards the weight store's limit.
     """
 
     target_id: str
--- a/packages/gateway/src/jaytray_gateway/request/routed_request.py
+++ b/packages/gateway/src/jaytray_gateway/request/routed_request.py
@@ -23,8 +23,8 @@
     system may set. `deadline_s` is how long the caller waits, None if not stated.
     `model` and `adapter` are empty if the request names none. `has_token_counts`
     tells whether the caller declared token counts. If the request continues a stream,
-    `last_event_id` is the last event that the caller has, and `original_request_id` the id
-    of the request whose response had the first one; empty if not stated.
+    `last_event_id` is the last event that the caller has, and `original_request_id` the
+    id of the request whose response had the first one; empty if not stated.
     """
 
     request_id: str
--- a/packages/gateway/tests/process/test_target_limits.py
+++ b/packages/gateway/tests/process/test_target_limits.py
@@ -15,8 +15,8 @@
     SendSchedule,
     TargetLimits,
 )
-from jaytray_server.ports import PeerHandler, PeerNetwork
 from jaytray_standins.virtual_loop import run_virtual
+from packages.gateway.tests.process.member_network import MemberNetwork
 from packages.gateway.tests.process.test_small_parts import entry
 
 TARGET = entry("t")
@@ -36,39 +36,6 @@
     return 1.5 * rate_per_s * WINDOW_S + 5
 
 
-class Network:
-    """Messages between members with random delays; some are lost or cut off."""
-
-    def __init__(self, member_ids: list[str], rng: random.Random) -> None:
-        self.member_ids = member_ids
-        self.rng = rng
-        self.loss = 0.0
-        self.cut_off: set[str] = set()
-        self.listed = set(member_ids)
-        self.handlers: dict[tuple[str, str], PeerHandler] = {}
-
-    def peers_of(self, own: str) -> PeerNetwork:
-        def send(to: str, topic: str, body: bytes) -> bool:
-            is_cut = self.cut_off & {own, to}
-            if is_cut or self.rng.random() < self.loss or to not in self.listed:
-                return not is_cut
-            handler = self.handlers[to, topic]
-            loop = asyncio.get_running_loop()
-            loop.call_later(self.rng.uniform(0.001, 0.02), handler, own, body)
-            return True
-
-        return PeerNetwork(
-            vm_id=own,
-            send=send,
-            broadcast=lambda _topic, _body: None,
-            set_handler=lambda topic, handler: self.handlers.update(
-                {(own, topic): handler}
-            ),
-            neighbours=lambda: [],
-            listed_vms=lambda: sorted(self.listed),
-        )
-
-
 class Fleet:
     """Members that send to one limited target as often as they are permitted."""
 
@@ -78,14 +45,14 @@
         self.rate_per_s = rate_per_s
         self.rng = random.Random(seed)
         ids = [f"vm{number}" for number in range(members)]
-        self.network = Network(ids, self.rng)
+        self.network = MemberNetwork(ids, self.rng)
         clock = asyncio.get_running_loop().time
         # Without shared permits each member is a network of its own.
         self.limits_by_id = {
             own: TargetLimits(
-                peers=(self.network if shares else Network([own], self.rng)).peers_of(
-                    own
-                ),
+                peers=(
+                    self.network if shares else MemberNetwork([own], self.rng)
+                ).peers_of(own),
                 clock=clock,
             )
             for own in ids
@@ -185,7 +152,7 @@
         super().setUp()
         self.now_s = 100.0
         self.limits = TargetLimits(
-            peers=Network(["vm"], random.Random(1)).peers_of("vm"),
+            peers=MemberNetwork(["vm"], random.Random(1)).peers_of("vm"),
             clock=lambda: self.now_s,
         )
 
--- a/packages/gateway/tests/request/support.py
+++ b/packages/gateway/tests/request/support.py
@@ -45,6 +45,7 @@
     index_routes,
 )
 from jaytray_server.ports import PeerNetwork
+from packages.gateway.tests.process.member_network import MemberNetwork
 from packages.gateway.tests.request.scripted_target import (
     ScriptedResponse,
     ScriptedTarget,
@@ -80,10 +81,14 @@
 
 
 class GatewayHarness:
-    """The request path and the scripted targets behind it."""
+    """The request path of one VM and the scripted targets behind it."""
 
-    def __init__(self, *, route: Route, targets: list[ScriptedTarget]) -> None:
+    def __init__(
+        self, *, route: Route, targets: list[ScriptedTarget], peers: PeerNetwork
+    ) -> None:
+        self.vm_id = peers.vm_id
         self.targets = targets
+        self._peers = peers
         self.incarnation = 1
         self.directory = Directory(
             key_value=not_used,  # type: ignore[arg-type]
@@ -203,15 +208,15 @@
         clock, rng = monotonic_clock, random.Random(1)
         health = TargetHealth(clock=clock)
         replicas = Replicas(directory=self.directory, clock=clock)
-        self.shares = shares = RateShares(own_id="vm", clock=clock)
+        self.shares = shares = RateShares(own_id=self._peers.vm_id, clock=clock)
         grants = RateGrants(
             shares=shares,
-            peers=_no_peers(),
+            peers=self._peers,
             find_account=self.directory.find_account,
             clock=clock,
             rng=rng,
         )
-        limits = TargetLimits(peers=_no_peers(), clock=clock)
+        limits = TargetLimits(peers=self._peers, clock=clock)
         return RequestServices(
             adapter=ADAPTER,
             admission=Admission(
@@ -249,29 +254,39 @@
         )
 
 
-def default_headers() -> HeaderList:
-    return [(b"x-id", b"r1"), (b"x-key", KEY)]
+class Fleet(NamedTuple):
+    """VMs before the same targets, and the network between them."""
+
+    network: MemberNetwork
+    vms: list[GatewayHarness]
 
 
-def _no_peers() -> PeerNetwork:
-    return PeerNetwork(
-        vm_id="vm",
-        send=lambda _to, _topic, _body: False,
-        broadcast=lambda _topic, _body: None,
-        set_handler=lambda _topic, _handler: None,
-        neighbours=lambda: [],
-        listed_vms=lambda: [],
-    )
+def default_headers() -> HeaderList:
+    return [(b"x-id", b"r1"), (b"x-key", KEY)]
 
 
 @asynccontextmanager
 async def open_harness(
     *responses: list[ScriptedResponse], route: Route = ROUTE, unreachable: int = 0
 ) -> AsyncIterator[GatewayHarness]:
-    """Yield a harness with one target for each list of responses.
+    """Yield a harness of one VM with one target for each list of responses.
 
     Targets are chosen in order, after `unreachable` further ones that are down.
     """
+    async with open_fleet(*responses, route=route, unreachable=unreachable) as fleet:
+        yield fleet.vms[0]
+
+
+@asynccontextmanager
+async def open_fleet(
+    *responses: list[ScriptedResponse],
+    route: Route = ROUTE,
+    unreachable: int = 0,
+    vms: int = 1,
+) -> AsyncIterator[Fleet]:
+    """Yield several VMs before the same targets; the targets are as in one harness."""
+    vm_ids = ["vm", *(f"vm{number}" for number in range(1, vms))]
+    network = MemberNetwork(vm_ids, random.Random(1))
     targets = [
         ScriptedTarget(target_id=f"t{number + unreachable}", responses=list(scripted))
         for number, scripted in enumerate(responses)
@@ -286,14 +301,21 @@
             ScriptedTarget(target_id=f"t{number}", responses=[])
             for number in range(unreachable)
         ]
-        harness = GatewayHarness(route=route, targets=[*unreachable_targets, *targets])
-        harness.register_targets()
-        stack.callback(harness.pools.close)
-        # Give each further target more load, so that they are chosen in order.
-        for number, target in enumerate(harness.targets):
-            for _ in range(number * 4):
-                harness.loads.start(target.target_id, 0, "", priority=0)
-        yield harness
+        fleet = Fleet(network=network, vms=[])
+        for vm_id in vm_ids:
+            harness = GatewayHarness(
+                route=route,
+                targets=[*unreachable_targets, *targets],
+                peers=network.peers_of(vm_id),
+            )
+            fleet.vms.append(harness)
+            harness.register_targets()
+            stack.callback(harness.pools.close)
+            # Give each further target more load, so that they are chosen in order.
+            for number, target in enumerate(harness.targets):
+                for _ in range(number * 4):
+                    harness.loads.start(target.target_id, 0, "", priority=0)
+        yield fleet
 
 
 def run_with_harness(
