Let streams go on only at the software version that began them

A broken stream was resumed at any target with its model, and a request that continues a stream was handled as a new one.

Change: the version of the target that sends the first event is part of the request's state, and only targets of that version are chosen from then on. A request that continues a stream names the one that began it; the member that relayed the first event knows the version. Without a target of the version it is refused at once, too. A target that broke off a stream after some events may be tried again for the same stream, as fewer targets are left to choose from.

--- a/packages/core/src/jaytray_core/message_registry.py
+++ b/packages/core/src/jaytray_core/message_registry.py
@@ -136,6 +136,19 @@
     "no ready replica serves {name}",
     "Send the request again after Retry-After; see 'jaytray status'.",
 )
+STREAM_ORIGIN_UNKNOWN = MessageTemplate(
+    "stream_origin_unknown",
+    503,
+    "targets of {name} have several software versions, and it is not known which one "
+    "began this stream",
+    "Begin the stream anew, or continue it after Retry-After at another VM.",
+)
+SOFTWARE_VERSION_GONE = MessageTemplate(
+    "software_version_gone",
+    503,
+    "no ready target of {name} has software version {version}, which began this stream",
+    "Begin the stream anew, or continue it after Retry-After.",
+)
 TARGET_UNREACHABLE = MessageTemplate(
     "target_unreachable",
     502,
--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -39,6 +39,12 @@
     "target_limit_changed": "target incarnation rate_per_s".split(),
     "limit_member_silent": "peer target".split(),
     "target_report_failed": "target error".split(),
+    "software_versions_changed": "service present recent".split(),
+    # Streams that a caller continues with another request.
+    "stream_origin_looked_up": (
+        "request_id source service software_version replies copy_age_s"
+    ).split(),
+    "stream_replies_missing": ("replies",),
     # The route table and the key-value service.
     "route_table_in_force": "version revision routes accounts".split(),
     "route_table_older": ("version",),
--- a/packages/gateway/src/jaytray_gateway/process/member_messages.py
+++ b/packages/gateway/src/jaytray_gateway/process/member_messages.py
@@ -37,11 +37,16 @@
 
 
 class ReplicaRequest(NamedTuple):
-    """Asks the placement leader for a model or adapter that a request waits for."""
+    """Asks the placement leader for a model or adapter that a request waits for.
+
+    `software_version` is that of the targets that can serve the request, None if all
+    can.
+    """
 
     service: str
     model: str
     adapter: str
+    software_version: str | None = None
 
 
 class MemberMessages:
--- a/packages/gateway/src/jaytray_gateway/process/placement/controller.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/controller.py
@@ -106,9 +106,11 @@
         self._term = 0
         self._has_requests = asyncio.Event()
 
-    def request_replica(self, service: str, model: str, adapter: str) -> None:
+    def request_replica(
+        self, service: str, model: str, adapter: str, software_version: str | None
+    ) -> None:
         """Request a replica from the leader, for a caller's request that needs it."""
-        request = ReplicaRequest(service, model, adapter)
+        request = ReplicaRequest(service, model, adapter, software_version)
         leader_id = self._leadership.leader_id()
         if leader_id == self._own_id:
             self.add_replica_request(request)
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -40,6 +40,8 @@
 from jaytray_gateway.process.replicas import Replicas
 from jaytray_gateway.process.request_log import RequestLog
 from jaytray_gateway.process.retry_budget import RetryBudget
+from jaytray_gateway.process.software_versions import SoftwareVersions
+from jaytray_gateway.process.stream_origins import StreamOrigins
 from jaytray_gateway.process.target_choice import TargetChooser
 from jaytray_gateway.process.target_health import TargetHealth
 from jaytray_gateway.process.target_limits import TargetLimits
@@ -156,6 +158,9 @@
     )
     member_messages.subscribe(crash_guard, part_guard, placement.add_replica_request)
     limits = TargetLimits(peers=peers, clock=clock)
+    versions = SoftwareVersions(directory=directory, clock=clock)
+    origins = StreamOrigins(peers=peers, versions=versions, clock=clock)
+    directory.on_change(origins.update)
     lifecycle = Lifecycle()
     admission = Admission(
         directory=directory,
@@ -186,6 +191,7 @@
         part_guard=part_guard,
         limits=limits,
         replica_demand=replica_demand,
+        origins=origins,
         log=RequestLog(metrics=metrics),
         clock=clock,
         rng=rng,
--- a/packages/gateway/src/jaytray_gateway/request/attempt.py
+++ b/packages/gateway/src/jaytray_gateway/request/attempt.py
@@ -3,6 +3,7 @@
 from jaytray_core.exchange_errors import ExchangeError, ExchangeProgress
 from jaytray_gateway.ports import Dispatch, ResponseHead
 from jaytray_gateway.process.prompt_part_guard import RESPONSE_BEGUN_S
+from jaytray_gateway.process.stream_origins import StreamOrigin, stream_key
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.request.event_buffer import EventBoundary
 from jaytray_gateway.request.reply import CallerReply
@@ -176,6 +177,7 @@
         if not chunk:
             continue
         if not reply.is_started:
+            _record_origin(state, target, services)
             await reply.start(head.status, head.headers)
         await reply.send(chunk)
     # A body without length or chunks that is empty may also have been cut off.
@@ -192,6 +194,19 @@
     await reply.finish()
 
 
+def _record_origin(
+    state: RequestState, target: TargetEntry, services: RequestServices
+) -> None:
+    """Record which target begins a stream that may be continued elsewhere."""
+    if state.event_buffer is None or state.required_version is not None:
+        return
+    state.required_version = target.software_version
+    services.origins.record(
+        stream_key(state.admitted.account_name, state.admitted.request.request_id),
+        StreamOrigin(target.service, target.software_version),
+    )
+
+
 def _record_progress(
     state: RequestState, target: TargetEntry, services: RequestServices
 ) -> None:
--- a/packages/gateway/src/jaytray_gateway/request/request_path.py
+++ b/packages/gateway/src/jaytray_gateway/request/request_path.py
@@ -4,6 +4,7 @@
 from jaytray_core.errors import Execution, JaytrayError, Step
 from jaytray_gateway.ports import PlatformAdapter
 from jaytray_gateway.process.engine_cost import engine_time_ms
+from jaytray_gateway.process.stream_origins import StreamOrigin, stream_key
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.request.admission import AdmittedRequest
 from jaytray_gateway.request.attempt import send_attempt
@@ -20,7 +21,7 @@
     not_run_error,
 )
 from jaytray_gateway.request.services import RequestServices
-from jaytray_gateway.version.route_table import choose_service
+from jaytray_gateway.version.route_table import RequestKind, choose_service
 
 # Attempts that may end without the target running the request before it is refused.
 MAX_ATTEMPTS_NOT_RUN = 3
@@ -35,7 +36,7 @@
     error: JaytrayError | None = None
     try:
         admitted = await services.admission.admit(request)
-        state = _prepare(admitted, services)
+        state = await _prepare(admitted, services)
         await _forward(state, reply, services)
     except JaytrayError as err:
         error = _with_earlier_runs(err, state)
@@ -48,9 +49,16 @@
         _log_finished(request, state, reply, error, services)
 
 
-def _prepare(admitted: AdmittedRequest, services: RequestServices) -> RequestState:
+async def _prepare(
+    admitted: AdmittedRequest, services: RequestServices
+) -> RequestState:
     table = services.admission.route_table()
     name = choose_service(admitted.route, services.rng.random())
+    origin = None
+    if _continues_stream(admitted):
+        origin = await _find_origin(admitted, name, services)
+        if any(choice.service == origin.service for choice in admitted.route.services):
+            name = origin.service
     service = table.services_by_name.get(name)
     if service is None:
         raise not_run_error(messages.NO_REPLICA, Step.ROUTE, name=name)
@@ -64,7 +72,29 @@
     services.crash_guard.check(digest)
     services.part_guard.check(request.shared_part_ids)
     services.budget.record_request(name)
-    return RequestState(admitted=admitted, service=service, digest=digest)
+    state = RequestState(admitted=admitted, service=service, digest=digest)
+    state.required_version = origin.software_version if origin else None
+    return state
+
+
+def _continues_stream(admitted: AdmittedRequest) -> bool:
+    request = admitted.request
+    return admitted.route.kind is RequestKind.STREAM and bool(
+        request.last_event_id or request.original_request_id
+    )
+
+
+async def _find_origin(
+    admitted: AdmittedRequest, service: str, services: RequestServices
+) -> StreamOrigin:
+    """Return where the stream that the request continues began."""
+    key = stream_key(admitted.account_name, admitted.request.original_request_id)
+    origin = await services.origins.find(
+        key, service, request_id=admitted.request.request_id
+    )
+    if origin is None:
+        raise not_run_error(messages.STREAM_ORIGIN_UNKNOWN, Step.ROUTE, name=service)
+    return origin
 
 
 async def _forward(
@@ -72,7 +102,12 @@
 ) -> None:
     """Forward the request until a target responds or no further attempt is allowed."""
     while True:
-        target = await services.search.find(state.admitted, state.service, state.tried)
+        target = await services.search.find(
+            state.admitted,
+            state.service,
+            state.tried,
+            software_version=state.required_version,
+        )
         state.tried.add(target.target_id)
         state.target_id = target.target_id
         state.software_version = target.software_version
@@ -130,6 +165,9 @@
             services.part_guard.record_break(parts, target)
     if state.event_buffer is not None:
         state.event_buffer.drop_partial()
+    if state.required_version is not None and state.attempt_chunks:
+        # The target sent events, so it may be the best one to go on with the stream.
+        state.tried.discard(target.target_id)
     if _may_run_again(state, services):
         return
     if err.is_timeout:
--- a/packages/gateway/src/jaytray_gateway/request/run_state.py
+++ b/packages/gateway/src/jaytray_gateway/request/run_state.py
@@ -59,7 +59,10 @@
         self.tried: set[str] = set()
         self.last_error: ErrorResponse | None = None
         self.target_id = ""
+        # Software version of the target that was chosen last.
         self.software_version = ""
+        # Version at which the stream must go on, None before its first event.
+        self.required_version: str | None = None
         self.event_buffer = EventBuffer() if admitted.route.is_resumable else None
         self.sent_at_s: float | None = None
         self.first_piece_s: float | None = None
--- a/packages/gateway/src/jaytray_gateway/request/services.py
+++ b/packages/gateway/src/jaytray_gateway/request/services.py
@@ -13,6 +13,7 @@
 from jaytray_gateway.process.rate_shares import RateShares
 from jaytray_gateway.process.request_log import RequestLog
 from jaytray_gateway.process.retry_budget import RetryBudget
+from jaytray_gateway.process.stream_origins import StreamOrigins
 from jaytray_gateway.process.target_health import TargetHealth
 from jaytray_gateway.process.target_limits import TargetLimits
 from jaytray_gateway.request.admission import Admission
@@ -34,6 +35,7 @@
     part_guard: PromptPartGuard
     limits: TargetLimits
     replica_demand: DemandAverage
+    origins: StreamOrigins
     log: RequestLog
     clock: MonotonicClock
     rng: random.Random
--- a/packages/gateway/src/jaytray_gateway/request/target_search.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_search.py
@@ -50,8 +50,9 @@
 LIMIT_WAIT_OBJECTIVES = 0.5
 STATUS_MISDIRECTED = 421
 
-# Asks the placement leader for (service, model, adapter).
-RequestReplica = Callable[[str, str, str], None]
+# Asks the placement leader for (service, model, adapter) at a target of any software
+# version, or of the one given.
+RequestReplica = Callable[[str, str, str, str | None], None]
 
 
 class _ReplicaWait(NamedTuple):
@@ -82,18 +83,25 @@
         self._clock = clock
 
     async def find(
-        self, admitted: AdmittedRequest, service: Service, tried: set[str]
+        self,
+        admitted: AdmittedRequest,
+        service: Service,
+        tried: set[str],
+        *,
+        software_version: str | None = None,
     ) -> TargetEntry:
         """Return a target that is not in `tried` and may be sent one request now.
 
-        Raises `no_replica`, `queue_full`, `target_limited` or `shutting_down`.
+        `software_version` is the only one that a stream may go on at, if it has begun.
+        Raises `no_replica`, `queue_full`, `target_limited`, `software_version_gone` or
+        `shutting_down`.
         """
         limited_wait_s_by_id: dict[str, float] = {}
         request = admitted.request
         begun_s = self._clock()
-        wait = self._replica_wait(admitted, service, begun_s)
+        wait = self._replica_wait(admitted, service, software_version, begun_s)
         while True:
-            holders = self._holders(request, service)
+            holders = self._holders(request, service, software_version)
             untried = [
                 target
                 for target in holders
@@ -115,7 +123,13 @@
                 continue
             if limited_wait_s_by_id:
                 raise _limited_error(service, limited_wait_s_by_id)
-            if wait is None:
+            if software_version is not None and not self._targets_of(
+                service.name, software_version
+            ):
+                raise _version_gone_error(service, software_version)
+            # No target is added for a stream whose version has a replica already.
+            is_tried = software_version is not None and bool(holders)
+            if wait is None or is_tried:
                 raise _no_replica_error(request, service, NO_TARGET_RETRY_S)
             if self._lifecycle.is_refusing:
                 raise JaytrayError(
@@ -123,7 +137,9 @@
                     step=Step.QUEUE,
                     retry_after_s=NO_TARGET_RETRY_S,
                 )
-            self._request_replica(service.name, request.model, request.adapter)
+            self._request_replica(
+                service.name, request.model, request.adapter, software_version
+            )
             left_s = wait.until_s - self._clock()
             if left_s <= 0:
                 raise _no_replica_error(request, service, wait.expected_s)
@@ -145,15 +161,29 @@
                 )
             )
 
-    def _holders(self, request: RoutedRequest, service: Service) -> list[TargetEntry]:
+    def _holders(
+        self, request: RoutedRequest, service: Service, software_version: str | None
+    ) -> list[TargetEntry]:
         if service.engine is None or not request.model:
-            return self._replicas.targets_of(service.name)
-        return self._replicas.targets_with_replica(
-            service.name, request.model, request.adapter
+            return self._targets_of(service.name, software_version)
+        return _of_version(
+            self._replicas.targets_with_replica(
+                service.name, request.model, request.adapter
+            ),
+            software_version,
         )
 
+    def _targets_of(
+        self, service: str, software_version: str | None
+    ) -> list[TargetEntry]:
+        return _of_version(self._replicas.targets_of(service), software_version)
+
     def _replica_wait(
-        self, admitted: AdmittedRequest, service: Service, begun_s: float
+        self,
+        admitted: AdmittedRequest,
+        service: Service,
+        software_version: str | None,
+        begun_s: float,
     ) -> _ReplicaWait | None:
         """Return the wait for a replica, or None if the service cannot load it.
 
@@ -164,7 +194,10 @@
         model = engine.models_by_name.get(request.model) if engine else None
         if model is None:
             return None
-        if self._replicas.targets_with_replica(service.name, request.model, ""):
+        with_model = self._replicas.targets_with_replica(
+            service.name, request.model, ""
+        )
+        if _of_version(with_model, software_version):
             return _ReplicaWait(begun_s + ADAPTER_WAIT_S, ADAPTER_WAIT_S)
         expected_s = model.load_s + FREE_MEMORY_S
         longest_s = min(
@@ -175,6 +208,15 @@
         return _ReplicaWait(begun_s + (longest_s if is_in_time else 0.0), expected_s)
 
 
+def _of_version(
+    targets: list[TargetEntry], software_version: str | None
+) -> list[TargetEntry]:
+    """Return the targets of the software version, all of them if it is None."""
+    if software_version is None:
+        return targets
+    return [t for t in targets if t.software_version == software_version]
+
+
 def _caller_timeout_s(route: Route) -> float:
     """Return how long callers of the route wait for the next chunk of a response."""
     if route.kind is not RequestKind.STREAM:
@@ -199,6 +241,16 @@
     )
 
 
+def _version_gone_error(service: Service, software_version: str) -> JaytrayError:
+    return JaytrayError(
+        messages.SOFTWARE_VERSION_GONE,
+        step=Step.ROUTE,
+        retry_after_s=NO_TARGET_RETRY_S,
+        name=service.name,
+        version=software_version,
+    )
+
+
 def _limited_error(service: Service, wait_s_by_id: dict[str, float]) -> JaytrayError:
     target_id = min(wait_s_by_id, key=wait_s_by_id.__getitem__)
     return JaytrayError(
--- a/packages/gateway/tests/process/placement/test_controller.py
+++ b/packages/gateway/tests/process/placement/test_controller.py
@@ -284,7 +284,7 @@
 
 def request_and_check(harness: Harness, model: str) -> bool:
     """Request a replica as a waiting request does; return whether it is loaded."""
-    harness.controller.request_replica("svc", model, "")
+    harness.controller.request_replica("svc", model, "", None)
     return harness.has_replica(model)
 
 
@@ -293,7 +293,7 @@
         target = ScriptedTarget(target_id="t1", models="abc")
 
         async def check(harness: Harness) -> None:
-            harness.controller.request_replica("svc", "d", "")
+            harness.controller.request_replica("svc", "d", "", None)
             took_s = await harness.wait_until(lambda: harness.has_replica("d"), 5.0)
             # The load itself, one retry of the load, and one update of the directory.
             self.assertLess(took_s, LOAD_S + 0.6)
@@ -306,7 +306,7 @@
         target.unload_s = 2.0
 
         async def check(harness: Harness) -> None:
-            harness.controller.request_replica("svc", "d", "")
+            harness.controller.request_replica("svc", "d", "", None)
             await harness.wait_until(lambda: harness.has_replica("d"), 8.0)
             self.assertFalse(target.is_overcommitted)
 
@@ -316,7 +316,7 @@
         target = ScriptedTarget(target_id="t1", models="ab")
 
         async def check(harness: Harness) -> None:
-            harness.controller.request_replica("svc", "a", "a1")
+            harness.controller.request_replica("svc", "a", "a1", None)
             took_s = await harness.wait_until(
                 lambda: harness.has_replica("a", "a1"), 5.0
             )
@@ -329,7 +329,7 @@
 
         async def check(harness: Harness) -> None:
             for number in range(9):
-                harness.controller.request_replica("svc", "a", f"a{number}")
+                harness.controller.request_replica("svc", "a", f"a{number}", None)
                 await asyncio.sleep(1.2)
             self.assertTrue(harness.has_replica("a", "a8"))
             self.assertFalse(target.is_overcommitted)
@@ -346,7 +346,7 @@
 
         async def check(harness: Harness) -> None:
             for number in range(40):
-                harness.controller.request_replica("svc", "defgh"[number % 5], "")
+                harness.controller.request_replica("svc", "defgh"[number % 5], "", None)
                 target.drops_responses = number % 4 != 3
                 await asyncio.sleep(0.5)
             target.drops_responses = False
@@ -363,7 +363,7 @@
         target.is_busy = True
 
         async def check(harness: Harness) -> None:
-            harness.controller.request_replica("svc", "d", "")
+            harness.controller.request_replica("svc", "d", "", None)
             await asyncio.sleep(1.0 + after_s)
             target.complete_other_leaders_load("c")
             await harness.wait_until(lambda: request_and_check(harness, "d"), 6.0)
--- a/packages/gateway/tests/request/support.py
+++ b/packages/gateway/tests/request/support.py
@@ -24,6 +24,8 @@
 from jaytray_gateway.process.replicas import Replicas
 from jaytray_gateway.process.request_log import RequestLog
 from jaytray_gateway.process.retry_budget import RetryBudget
+from jaytray_gateway.process.software_versions import SoftwareVersions
+from jaytray_gateway.process.stream_origins import StreamOrigins
 from jaytray_gateway.process.target_choice import TargetChooser
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.process.target_health import TargetHealth
@@ -111,6 +113,12 @@
         self.crash_guard = CrashGuard(
             clock=monotonic_clock, notify_peers=lambda _found: None
         )
+        self.versions = SoftwareVersions(
+            directory=self.directory, clock=monotonic_clock
+        )
+        self.origins = StreamOrigins(
+            peers=peers, versions=self.versions, clock=monotonic_clock
+        )
         self.app = make_caller_app(
             self._services(),
             lifecycle=self.lifecycle,
@@ -141,6 +149,8 @@
             )
             for target in self.targets
         }
+        self.versions.update()
+        self.origins.update()
 
     def table(self) -> RouteTable:
         """Return the route table in force."""
@@ -230,7 +240,7 @@
                 chooser=TargetChooser(
                     failure_domain="a", loads=self.loads, health=health, rng=rng
                 ),
-                request_replica=lambda _service, _model, _adapter: None,
+                request_replica=lambda *_replica: None,
                 limits=limits,
                 lifecycle=self.lifecycle,
                 clock=clock,
@@ -248,6 +258,7 @@
             ),
             limits=limits,
             replica_demand=DemandAverage(clock=clock, window_s=5.0),
+            origins=self.origins,
             log=RequestLog(metrics=GatewayMetrics()),
             clock=clock,
             rng=rng,
--- a/packages/gateway/tests/request/test_mixed_versions.py
+++ b/packages/gateway/tests/request/test_mixed_versions.py
@@ -7,7 +7,7 @@
 
 from jaytray_gateway.ports import HeaderList
 from jaytray_gateway.version.route_table import Route
-from packages.gateway.tests.request.cases import EVENTS, REST, RESUMABLE
+from packages.gateway.tests.request.cases import DISCONNECT, EVENTS, REST, RESUMABLE
 from packages.gateway.tests.request.scripted_target import (
     ScriptedResponse,
     header_value,
@@ -29,10 +29,13 @@
     route: Route = ONE_ATTEMPT,
     vms: int = 1,
 ) -> None:
-    """Run `check` with targets of these versions; the first breaks off its stream."""
+    """Run `check` with targets of these versions.
+
+    The first one breaks off its stream and gives no response after that.
+    """
 
     async def play_one() -> None:
-        responses = [[CUT], *([WHOLE] for _ in versions[1:])]
+        responses = [[CUT, DISCONNECT], *([WHOLE] for _ in versions[1:])]
         async with open_fleet(*responses, route=route, vms=vms) as fleet:
             for vm in fleet.vms:
                 for target, version in zip(vm.targets, versions, strict=True):
@@ -53,6 +56,14 @@
     ]
 
 
+async def begin_stream(fleet: Fleet) -> None:
+    """Have the first VM begin a stream at the first target, which is then gone."""
+    received = await fleet.vms[0].send_request()
+    assert received.body == EVENTS and not received.is_whole
+    for vm in fleet.vms:
+        del vm.directory.targets_by_id["t0"]
+
+
 def sends(fleet: Fleet) -> list[int]:
     return [len(target.heads) for target in fleet.vms[0].targets]
 
@@ -70,7 +81,7 @@
         async def check(fleet: Fleet) -> None:
             received = await fleet.vms[0].send_request()
             self.assertEqual((EVENTS, False), (received.body, received.is_whole))
-            self.assertEqual([1, 0], sends(fleet))
+            self.assertEqual(0, sends(fleet)[1])
 
         play(check, "v1", "v2", route=RESUMABLE)
 
@@ -80,7 +91,7 @@
 
     def test_stream_goes_on_at_its_own_version_at_another_vm(self) -> None:
         async def check(fleet: Fleet) -> None:
-            await fleet.vms[0].send_request()
+            await begin_stream(fleet)
             received = await fleet.vms[1].send_request(headers=continuation(b"r1"))
             self.assertEqual((REST, True), (received.body, received.is_whole))
             self.assertEqual([1, 0, 1], sends(fleet))
@@ -91,7 +102,7 @@
 
     def test_stream_goes_on_after_the_vm_that_began_it_is_lost(self) -> None:
         async def check(fleet: Fleet) -> None:
-            await fleet.vms[0].send_request()
+            await begin_stream(fleet)
             fleet.network.cut_off.add(fleet.vms[0].vm_id)
             for number, vm in enumerate(fleet.vms[1:]):
                 received = await vm.send_request(headers=continuation(b"r1"))
@@ -102,7 +113,7 @@
 
     def test_stream_is_refused_without_a_target_of_its_version(self) -> None:
         async def check(fleet: Fleet) -> None:
-            await fleet.vms[0].send_request()
+            await begin_stream(fleet)
             for vm in fleet.vms:
                 for target in vm.targets:
                     target.software_version = "v2"
@@ -116,7 +127,7 @@
 
     def test_stream_is_refused_at_a_vm_that_is_cut_off(self) -> None:
         async def check(fleet: Fleet) -> None:
-            await fleet.vms[0].send_request()
+            await begin_stream(fleet)
             fleet.network.cut_off.add(fleet.vms[1].vm_id)
             received = await fleet.vms[1].send_request(headers=continuation(b"r1"))
             self.assertEqual((503, b"not_run"), (received.status, received.body))
