Load models at the software version that broken streams wait for

Cause: the placement leader counted a model as loaded when a target of any version had it.

Change: a request for a replica names the version, and the planner adds one there, with the gain of a model that requests wait for. Adapters likewise.

Evidence: the new tests of planner and controller fail without it, as requests had no version.

--- a/packages/gateway/src/jaytray_gateway/process/placement/controller.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/controller.py
@@ -22,7 +22,12 @@
 from jaytray_gateway.process.placement.leadership import Leadership
 from jaytray_gateway.process.placement.load_rate_limiter import LoadRateLimiter
 from jaytray_gateway.process.placement.orders import OrderSender
-from jaytray_gateway.process.placement.planner import Demand, ModelStep, next_steps
+from jaytray_gateway.process.placement.planner import (
+    Demand,
+    ModelStep,
+    VersionedModel,
+    next_steps,
+)
 from jaytray_gateway.process.placement.target_plan import TargetPlan
 from jaytray_gateway.process.placement.target_plans import TargetPlans
 from jaytray_gateway.process.replicas import ReplicaNotice
@@ -189,13 +194,18 @@
         requested = {
             request.model
             for request in self._requested_at_s
-            if request.service == service.name
+            if request.service == service.name and request.software_version is None
         }
+        requested_at_version = frozenset(
+            VersionedModel(request.model, request.software_version)
+            for request in self._requested_at_s
+            if request.service == service.name and request.software_version is not None
+        )
         in_use_by_target = {
             plan.target_id: self._loads.replicas_in_use(plan.target_id)
             for plan in plans
         }
-        return Demand(rates, requested - loaded, in_use_by_target)
+        return Demand(rates, requested - loaded, in_use_by_target, requested_at_version)
 
     def _load_requested_adapters(
         self,
@@ -222,7 +232,11 @@
         try:
             target_id = choose_target(
                 engine,
-                plans,
+                [
+                    plan
+                    for plan in plans
+                    if request.software_version in (None, plan.software_version)
+                ],
                 request.model,
                 request.adapter,
                 rates=self._member_messages.replica_rates(),
--- a/packages/gateway/src/jaytray_gateway/process/placement/planner.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/planner.py
@@ -40,17 +40,37 @@
 IN_USE_COST_MS = 100.0
 
 
+class VersionedModel(NamedTuple):
+    """A model that a stream needs at targets of the software version that began it."""
+
+    model: str
+    software_version: str
+
+
 class Demand(NamedTuple):
     """Demand of callers' requests.
 
     `rates` maps models, and adapters as `model/adapter`, to their demand. `awaited` are
     the models without a replica that requests wait for. `in_use_by_target` are the
-    replicas with running requests.
+    replicas with running requests. `awaited_at_version` are the models that broken
+    streams wait for, whether or not other versions have replicas.
     """
 
     rates: dict[str, float]
     awaited: set[str]
     in_use_by_target: dict[str, set[str]]
+    awaited_at_version: frozenset[VersionedModel] = frozenset()
+
+
+class _WantedReplica(NamedTuple):
+    """A replica that is lacking, at a target of one software version or of any (None).
+
+    `gain` is the demand that it would serve.
+    """
+
+    model: str
+    software_version: str | None
+    gain: float
 
 
 class ModelStep(NamedTuple):
@@ -133,11 +153,18 @@
         ):
             loads_allowed -= is_from_store
             steps.append(ModelStep(plan.target_id, True, plan.reserved_model, ""))
-    for model in _models_below_desired(engine, counts, demand):
+    for wanted in _wanted_replicas(engine, plans, counts, demand):
+        model, version = wanted.model, wanted.software_version
+        is_enough = counts.current.get(model, 0) >= counts.desired.get(model, 0)
+        if version is None and is_enough:
+            continue
         candidates = [
-            p for p in usable if loads_allowed > 0 or p.has_cached_weights(model)
+            p
+            for p in usable
+            if version in (None, p.software_version)
+            and (loads_allowed > 0 or p.has_cached_weights(model))
         ]
-        found = _cheapest_step(engine, model, candidates, counts, demand)
+        found = _cheapest_step(engine, wanted, candidates, counts, demand)
         if found is None:
             continue
         plan, step = found
@@ -175,16 +202,25 @@
     )
 
 
-def _models_below_desired(
-    engine: Engine, counts: _ReplicaCounts, demand: Demand
-) -> list[str]:
-    """Return the models with too few replicas, in descending order of gain."""
-    lacking = [
-        model
-        for model, count in counts.desired.items()
+def _wanted_replicas(
+    engine: Engine, plans: list[TargetPlan], counts: _ReplicaCounts, demand: Demand
+) -> list[_WantedReplica]:
+    """Return the replicas that are lacking, in descending order of gain."""
+    wanted = [
+        _WantedReplica(model, None, _gain(model, counts, demand))
+        for model, count in sorted(counts.desired.items())
         if model in engine.models_by_name and counts.current.get(model, 0) < count
     ]
-    return sorted(lacking, key=lambda model: (-_gain(model, counts, demand), model))
+    for model, version in sorted(demand.awaited_at_version):
+        is_lacking = model in engine.models_by_name and not any(
+            model in plan.expected_models()
+            for plan in plans
+            if plan.software_version == version
+        )
+        if is_lacking:
+            gain = WAITING_DEMAND_MS + _gain(model, counts, demand)
+            wanted.append(_WantedReplica(model, version, gain))
+    return sorted(wanted, key=lambda replica: -replica.gain)
 
 
 def _gain(model: str, counts: _ReplicaCounts, demand: Demand) -> float:
@@ -198,13 +234,13 @@
 
 def _cheapest_step(
     engine: Engine,
-    model: str,
+    wanted: _WantedReplica,
     plans: list[TargetPlan],
     counts: _ReplicaCounts,
     demand: Demand,
 ) -> tuple[TargetPlan, ModelStep] | None:
     """Return the cheapest target for one more replica and the step to order there."""
-    gain = _gain(model, counts, demand)
+    model, gain = wanted.model, wanted.gain
     needed_mb = engine.models_by_name[model].weights_mb
     best: tuple[float, TargetPlan, ModelStep] | None = None
     for plan in plans:
--- a/packages/gateway/src/jaytray_gateway/process/placement/target_plan.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/target_plan.py
@@ -46,6 +46,7 @@
     ) -> None:
         self.target_id = entry.target_id
         self.incarnation = entry.incarnation
+        self.software_version = entry.software_version
         self.order_count = order_count
         self.models_in_memory = entry.models_in_memory
         self.models_on_disk = entry.models_on_disk
--- a/packages/gateway/tests/process/placement/test_controller.py
+++ b/packages/gateway/tests/process/placement/test_controller.py
@@ -59,8 +59,9 @@
     `drops_responses`, orders take effect `delay_s` seconds later and get no response.
     """
 
-    def __init__(self, *, target_id: str, models: str) -> None:
+    def __init__(self, *, target_id: str, models: str, version: str = "v1") -> None:
         self.target_id = target_id
+        self.software_version = version
         self.models = set(models)
         # Models in reports lag behind; whether an order is pending does not.
         self.reported_models = set(models)
@@ -102,7 +103,7 @@
             self.target_id,
             "1",
             "svc",
-            "v1",
+            self.software_version,
             self.target_id,
             "a",
             False,
@@ -324,6 +325,20 @@
 
         run_with_harness(check, target)
 
+    def test_stream_gets_a_replica_at_its_own_version(self) -> None:
+        old = ScriptedTarget(target_id="t1", models="abc")
+        new = ScriptedTarget(target_id="t2", models="d", version="v2")
+
+        async def check(harness: Harness) -> None:
+            harness.controller.request_replica("svc", "d", "a1", "v1")
+            await harness.wait_until(lambda: "d" in old.models, 5.0)
+            harness.controller.request_replica("svc", "d", "a1", "v1")
+            await harness.wait_until(lambda: ("d", "a1") in old.adapters, 5.0)
+            self.assertEqual(set(), new.adapters)
+            self.assertFalse(old.is_overcommitted)
+
+        run_with_harness(check, old, new)
+
     def test_adapters_beyond_the_slots_replace_idle_ones(self) -> None:
         target = ScriptedTarget(target_id="t1", models="ab")
 
--- a/packages/gateway/tests/process/placement/test_planner.py
+++ b/packages/gateway/tests/process/placement/test_planner.py
@@ -7,6 +7,7 @@
 from jaytray_gateway.process.placement.planner import (
     Demand,
     ModelStep,
+    VersionedModel,
     desired_replicas,
     next_steps,
 )
@@ -25,12 +26,14 @@
 ENGINE = make_engine()
 
 
-def entry(target_id: str, models: str, at_hand: str = "") -> TargetEntry:
+def entry(
+    target_id: str, models: str, at_hand: str = "", version: str = "v1"
+) -> TargetEntry:
     return TargetEntry(
         target_id,
         "1",
         "svc",
-        "v1",
+        version,
         "127.0.0.1:1",
         "a",
         False,
@@ -41,8 +44,10 @@
     )
 
 
-def plan(target_id: str, models: str, at_hand: str = "") -> TargetPlan:
-    found = entry(target_id, models, at_hand)
+def plan(
+    target_id: str, models: str, at_hand: str = "", version: str = "v1"
+) -> TargetPlan:
+    found = entry(target_id, models, at_hand, version)
     return TargetPlan(
         entry=found, adapters_by_model=found.adapters_by_model, order_count=0
     )
@@ -122,6 +127,22 @@
         rates = dict.fromkeys("abc", 60.0)
         self.assertEqual([], steps([plan("t1", "abc")], demand("d", **rates)))
 
+    def test_model_is_loaded_at_the_version_that_streams_wait_for(self) -> None:
+        plans = [
+            plan("t1", "abc"),
+            plan("t2", "ad", version="v2"),
+            plan("t3", "e", version="v2"),
+        ]
+        at_version = frozenset((VersionedModel("d", "v1"), VersionedModel("d", "v2")))
+        found = steps(plans, Demand({}, set(), {}, at_version))
+        self.assertEqual(["t1"], [step.target_id for step in found])
+        self.assertEqual(["d"], [step.makes_room_for for step in found])
+
+    def test_model_is_not_loaded_for_a_version_without_targets(self) -> None:
+        at_version = frozenset((VersionedModel("d", "v3"),))
+        current_demand = Demand({}, set(), {}, at_version)
+        self.assertEqual([], steps([plan("t1", "a")], current_demand))
+
     def test_reserved_memory_is_used_for_its_model(self) -> None:
         target_plan = plan("t1", "ab")
         target_plan.reserved_model = "d"
