Let a broken stream wait for a replica if its target is unreachable

Cause: refused it as soon as every holder of its model had been tried.

Change: that rule is removed. The request waits for a replica at its version as any other does.

--- a/packages/gateway/src/jaytray_gateway/request/target_search.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_search.py
@@ -127,9 +127,7 @@
                 service.name, software_version
             ):
                 raise _version_gone_error(service, software_version)
-            # No target is added for a stream whose version has a replica already.
-            is_tried = software_version is not None and bool(holders)
-            if wait is None or is_tried:
+            if wait is None:
                 raise _no_replica_error(request, service, NO_TARGET_RETRY_S)
             if self._lifecycle.is_refusing:
                 raise JaytrayError(
