--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -24,9 +24,9 @@
     "target_crash_refuted": "target incarnation".split(),
     "prompt_part_quarantined": ("part",),
     "prompt_part_released": ("part",),
-    "quarantine_recorded": "kind item is_written".split(),
-    "quarantine_not_recorded": ("error",),
-    "quarantine_record_unreadable": "record error".split(),
+    "item_recorded": "kind item is_written".split(),
+    "item_not_recorded": ("error",),
+    "item_record_unreadable": "record error".split(),
     # Targets as seen by this process.
     "target_known": (
         "target service software_version incarnation is_leaving revision"
--- a/packages/gateway/src/jaytray_gateway/process/quarantine_records.py
+++ b/packages/gateway/src/jaytray_gateway/process/leased_records.py
@@ -1,8 +1,8 @@
-"""Records of quarantined requests and prompt parts in the key-value service.
+"""Leased records of what members have found out, in the key-value service.
 
-Members that start later, or missed the evidence, learn of a quarantine from its record,
-which ends with its lease, and of a release from its removal. Members write and remove
-records in the order of their rank, so that usually one call is enough.
+Members that start later, or missed the evidence, learn of an item from its record,
+which ends with its lease, and of its end from the removal of the record. Members write
+and remove records in the order of their rank, so that usually one call is enough.
 """
 
 import asyncio
@@ -25,15 +25,16 @@
 RETRY_PAUSE_S = 1.0
 
 
-class QuarantineKind(NamedTuple):
-    """A kind of quarantined item, and the functions of the guard that decides on it.
+class RecordKind(NamedTuple):
+    """A kind of recorded item, and the functions of the subsystem that decides on it.
 
-    `lease_s` is how long a quarantine lasts. `end` lets an item through again.
+    `lease_s` is how long an item lasts. `items` returns those that should be recorded,
+    `add` and `end` apply those that other members have recorded and removed.
     """
 
     lease_s: float
-    quarantined: Callable[[], frozenset[str]]
-    quarantine: Callable[[str], None]
+    items: Callable[[], frozenset[str]]
+    add: Callable[[str], None]
     end: Callable[[str], None]
 
 
@@ -42,13 +43,13 @@
     item: str
 
 
-class QuarantineRecords:
-    """Writes records of this member's quarantines and applies those of others."""
+class LeasedRecords:
+    """Writes records of this member's items and applies those of others."""
 
     def __init__(
         self,
         *,
-        kinds_by_name: dict[str, QuarantineKind],
+        kinds_by_name: dict[str, RecordKind],
         directory: Directory,
         prefix: str,
         own_id: str,
@@ -65,17 +66,17 @@
         self._clock = clock
         self._restored_at_s = directory.restored_at_s
         self._record_by_key: dict[str, _Record] = {}
-        # Times since when a record and this member's quarantine differ.
+        # Times since when a record and this member's items differ.
         self._differs_since_s_by_key: dict[str, float] = {}
         directory.on_change(self._apply_records)
 
     async def run(self) -> None:
-        """Write missing records and remove those of released items until cancelled."""
+        """Write missing records and remove those of ended items until cancelled."""
         while True:
             try:
                 await self._synchronize()
             except JaytrayError as err:
-                get_logger().info("quarantine_not_recorded", error=str(err))
+                get_logger().info("item_not_recorded", error=str(err))
                 await asyncio.sleep(RETRY_PAUSE_S)
             await asyncio.sleep(CHECK_INTERVAL_S)
 
@@ -84,7 +85,7 @@
         wanted_by_key = {
             self._key_of(record): record
             for name, kind in self._kinds_by_name.items()
-            for record in (_Record(name, item) for item in kind.quarantined())
+            for record in (_Record(name, item) for item in kind.items())
         }
         now_s = self._clock()
         self._differs_since_s_by_key = {
@@ -100,7 +101,7 @@
                 await self._remove(key)
 
     def _apply_records(self) -> None:
-        """Apply records that appeared or vanished to this member's quarantine."""
+        """Apply records that appeared or vanished to this member's items."""
         known = self._record_by_key
         if self._directory.restored_at_s != self._restored_at_s:
             # Records that the service lost are written again, not taken as removed.
@@ -119,13 +120,13 @@
                 record = decode_json(values_by_key[key], _Record, peer=key)
             except JaytrayError as err:
                 get_logger().warning(
-                    "quarantine_record_unreadable", record=key, error=str(err)
+                    "item_record_unreadable", record=key, error=str(err)
                 )
                 continue
             kind = self._kinds_by_name.get(record.kind)
             if kind is not None:
                 known[key] = record
-                kind.quarantine(record.item)
+                kind.add(record.item)
 
     def _key_of(self, record: _Record) -> str:
         # Items come from callers and may be too long for a key.
@@ -143,7 +144,7 @@
             key, ABSENT_REVISION, encode_json(record), lease_id
         )
         get_logger().info(
-            "quarantine_recorded",
+            "item_recorded",
             kind=record.kind,
             item=record.item,
             is_written=outcome.is_swapped,
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -140,6 +140,7 @@
         "gossip": subsystems.member_messages.run,
         "placement": subsystems.placement.run,
         "quarantine_records": subsystems.quarantine_records.run,
+        "software_version_records": subsystems.software_version_records.run,
         "housekeeping": lambda: _run_housekeeping(subsystems),
     }
 
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -15,6 +15,7 @@
 from jaytray_gateway.process.crash_guard import QUARANTINE_S, CrashGuard
 from jaytray_gateway.process.demand_average import DemandAverage
 from jaytray_gateway.process.directory import Directory
+from jaytray_gateway.process.leased_records import LeasedRecords, RecordKind
 from jaytray_gateway.process.lifecycle import Lifecycle
 from jaytray_gateway.process.load_view import LoadView
 from jaytray_gateway.process.member_messages import MemberMessages
@@ -31,16 +32,15 @@
     PART_QUARANTINE_S,
     PromptPartGuard,
 )
-from jaytray_gateway.process.quarantine_records import (
-    QuarantineKind,
-    QuarantineRecords,
-)
 from jaytray_gateway.process.rate_grants import RateGrants
 from jaytray_gateway.process.rate_shares import RateShares
 from jaytray_gateway.process.replicas import Replicas
 from jaytray_gateway.process.request_log import RequestLog
 from jaytray_gateway.process.retry_budget import RetryBudget
-from jaytray_gateway.process.software_versions import SoftwareVersions
+from jaytray_gateway.process.software_versions import (
+    VERSION_MEMORY_S,
+    SoftwareVersions,
+)
 from jaytray_gateway.process.stream_origins import StreamOrigins
 from jaytray_gateway.process.target_choice import TargetChooser
 from jaytray_gateway.process.target_health import TargetHealth
@@ -60,6 +60,8 @@
 MEMBERS_PREFIX = "members/"
 # Prefix of the records of quarantined requests and prompt parts.
 QUARANTINE_PREFIX = "quarantine/"
+# Prefix of the records of software versions, while a service has several.
+SOFTWARE_PREFIX = "software/"
 
 
 class Subsystems(NamedTuple):
@@ -78,7 +80,8 @@
     pools: TargetConnectionPool
     member_messages: MemberMessages
     placement: PlacementController
-    quarantine_records: QuarantineRecords
+    quarantine_records: LeasedRecords
+    software_version_records: LeasedRecords
     metrics: GatewayMetrics
     services: RequestServices
 
@@ -214,18 +217,18 @@
         pools=pools,
         member_messages=member_messages,
         placement=placement,
-        quarantine_records=QuarantineRecords(
+        quarantine_records=LeasedRecords(
             kinds_by_name={
-                "part": QuarantineKind(
+                "part": RecordKind(
                     lease_s=PART_QUARANTINE_S,
-                    quarantined=part_guard.quarantined,
-                    quarantine=part_guard.quarantine,
+                    items=part_guard.quarantined,
+                    add=part_guard.quarantine,
                     end=part_guard.end_quarantine,
                 ),
-                "request": QuarantineKind(
+                "request": RecordKind(
                     lease_s=QUARANTINE_S,
-                    quarantined=crash_guard.quarantined,
-                    quarantine=crash_guard.quarantine,
+                    items=crash_guard.quarantined,
+                    add=crash_guard.quarantine,
                     end=crash_guard.end_quarantine,
                 ),
             },
@@ -236,6 +239,22 @@
             key_value=key_value,
             clock=clock,
         ),
+        software_version_records=LeasedRecords(
+            kinds_by_name={
+                "version": RecordKind(
+                    lease_s=VERSION_MEMORY_S,
+                    items=versions.recordable,
+                    add=versions.add_recorded,
+                    end=versions.end_recorded,
+                )
+            },
+            directory=directory,
+            prefix=adapter.records_prefix + SOFTWARE_PREFIX,
+            own_id=options.vm_id,
+            member_ids=lambda: recent_members.ids,
+            key_value=key_value,
+            clock=clock,
+        ),
         metrics=metrics,
         services=services,
     )
--- a/packages/gateway/tests/process/test_quarantine_records.py
+++ b/packages/gateway/tests/process/test_quarantine_records.py
@@ -11,16 +11,13 @@
     QUARANTINE_S,
     CrashGuard,
 )
+from jaytray_gateway.process.leased_records import LeasedRecords, RecordKind
 from jaytray_gateway.process.prompt_part_guard import (
     MAX_CRASHES,
     PART_QUARANTINE_S,
     SETTLE_S,
     PromptPartGuard,
 )
-from jaytray_gateway.process.quarantine_records import (
-    QuarantineKind,
-    QuarantineRecords,
-)
 from jaytray_standins.virtual_loop import run_virtual
 from packages.gateway.tests.process.test_directory import Harness
 from packages.gateway.tests.process.test_small_parts import entry
@@ -43,18 +40,18 @@
         self.crash_guard = CrashGuard(
             clock=loop.time, notify_peers=lambda _run_end: None
         )
-        records = QuarantineRecords(
+        records = LeasedRecords(
             kinds_by_name={
-                "part": QuarantineKind(
+                "part": RecordKind(
                     lease_s=PART_QUARANTINE_S,
-                    quarantined=self.guard.quarantined,
-                    quarantine=self.guard.quarantine,
+                    items=self.guard.quarantined,
+                    add=self.guard.quarantine,
                     end=self.guard.end_quarantine,
                 ),
-                "request": QuarantineKind(
+                "request": RecordKind(
                     lease_s=QUARANTINE_S,
-                    quarantined=self.crash_guard.quarantined,
-                    quarantine=self.crash_guard.quarantine,
+                    items=self.crash_guard.quarantined,
+                    add=self.crash_guard.quarantine,
                     end=self.crash_guard.end_quarantine,
                 ),
             },
