Prove with a fresh copy of the directory that a service has one software version

A stream that no member knows went on if a copy of the directory of the last 2 s showed one version. A VM that has just been cut off has such a copy, though a stream may have begun at a version that registered after it. A VM that cannot reach the key-value service refuses after at most 1.3 s.

--- a/packages/gateway/src/jaytray_gateway/process/directory.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -37,6 +37,8 @@
 WATCH_PAUSE_S_PER_MEMBER = 0.025
 WATCH_PAUSE_FRACTION = 0.6
 LEADER_WATCH_PAUSE_S = 0.2
+# Pause while requests wait for the changes before their arrival.
+MIN_WATCH_PAUSE_S = 0.05
 # Targets register again within about 2 s of the end of an outage.
 REREGISTRATION_S = 2.2
 # Reads that fail for longer than this count as an outage of the key-value service, in
@@ -91,6 +93,8 @@
         self._outage_ended_s = -float("inf")
         self._listeners: list[OnChange] = []
         self._read_requested = asyncio.Event()
+        self._watch_requested = asyncio.Event()
+        self._confirmed = asyncio.Event()
 
     def on_change(self, listener: OnChange) -> None:
         """Call `listener` after each change of the copy."""
@@ -100,6 +104,22 @@
         """Return the maximum age of the copy."""
         return self._clock() - self.current_as_of_s
 
+    async def wait_until_current(self, as_of_s: float, timeout_s: float) -> bool:
+        """Return whether all changes before `as_of_s` are known within `timeout_s`.
+
+        Has changes fetched at once, instead of after the usual pause. A watch that was
+        sent before ends with the next change; if none comes, all keys are read.
+        """
+        begun_s = self._clock()
+        for until_s in (begun_s + timeout_s / 2, begun_s + timeout_s):
+            self._watch_requested.set()
+            while self.current_as_of_s < as_of_s and self._clock() < until_s:
+                await wait_until_set(self._confirmed, until_s - self._clock())
+            if self.current_as_of_s >= as_of_s:
+                return True
+            self._read_requested.set()
+        return False
+
     def find_account(self, name: str) -> ClientAccount | None:
         """Return a client account of the route table in force."""
         table = self.route_table
@@ -145,8 +165,11 @@
             if batch.records:
                 self._apply(batch.records)
             self._revision = max(self._revision, batch.revision)
-            self.current_as_of_s = max(self.current_as_of_s, begun_s)
-            await asyncio.sleep(self._watch_pause_s())
+            self._confirm(begun_s)
+            await asyncio.sleep(MIN_WATCH_PAUSE_S)
+            pause_s = self._watch_pause_s() - MIN_WATCH_PAUSE_S
+            await wait_until_set(self._watch_requested, pause_s)
+            self._watch_requested.clear()
 
     async def _wait_until_read_is_due(self) -> None:
         """Wait until a read is requested, the copy is old, or a target has lapsed."""
@@ -172,7 +195,6 @@
         self._end_outage()
         is_restored = self._notice_restore()
         self._read_at_s = begun_s
-        self.current_as_of_s = max(self.current_as_of_s, begun_s)
         found = {record.key for record in records}
         removed = [
             KeyValueRecord(key, b"", state.revision)
@@ -184,6 +206,13 @@
         if is_restored:
             records = [r for r in records if not self._is_before_leaving(r)]
         self._apply([*records, *removed], removed_keys={r.key for r in removed})
+        self._confirm(begun_s)
+
+    def _confirm(self, begun_s: float) -> None:
+        """Note that all changes before `begun_s` have been applied."""
+        self.current_as_of_s = max(self.current_as_of_s, begun_s)
+        self._confirmed.set()
+        self._confirmed = asyncio.Event()
 
     def _end_outage(self) -> None:
         if self._failing_since_s is None:
--- a/packages/gateway/src/jaytray_gateway/process/software_versions.py
+++ b/packages/gateway/src/jaytray_gateway/process/software_versions.py
@@ -66,10 +66,6 @@
             if len(self.recent(service)) > 1
         )
 
-    def copy_age_s(self) -> float:
-        """Return the age of the directory's copy, from which the versions are known."""
-        return self._directory.age_s()
-
     def recordable(self) -> frozenset[str]:
         """Return the versions of mixed services as items of records."""
         return frozenset(
--- a/packages/gateway/src/jaytray_gateway/process/stream_origins.py
+++ b/packages/gateway/src/jaytray_gateway/process/stream_origins.py
@@ -3,8 +3,8 @@
 The member that relays a stream's first event remembers its service and version. While
 the service's targets have several versions, it also sends this to two other members, so
 that the stream can go on if the member is lost. A member that does not know a stream
-asks others. If none knows it, the stream can go on only if all targets of the service
-have had one version, by a recent copy of the directory.
+asks others. If none knows it, the stream can go on only if the service has had targets
+of one version, by a copy of the directory that is newer than the request.
 """
 
 import asyncio
@@ -17,6 +17,7 @@
 from jaytray_core.codec import decode_msgpack, encode_msgpack
 from jaytray_core.logs import get_logger
 from jaytray_core.rendezvous import rank_members
+from jaytray_gateway.process.directory import Directory
 from jaytray_gateway.process.software_versions import (
     VERSION_MEMORY_S,
     SoftwareVersions,
@@ -30,7 +31,9 @@
 # Time limit for the replies: several times the latency between failure domains and the
 # pauses of a busy process, well below the wait after which callers give up.
 REPLY_TIMEOUT_S = 0.3
-# Maximum age of a copy of the directory that shows which versions there are.
+# Time limit for updating the copy of the directory. An older copy than this at the
+# beginning shows that the key-value service cannot be reached.
+UPDATE_TIMEOUT_S = 1.0
 MAX_COPY_AGE_S = 2.0
 MAX_ORIGINS = 20_000
 
@@ -62,16 +65,11 @@
 class _Question(NamedTuple):
     number: int
     key: str
-    service: str
 
 
 class _Reply(NamedTuple):
-    """What a member knows of a stream, and of the versions of its service."""
-
     number: int
     origin: StreamOrigin | None
-    recent_versions: frozenset[str]
-    copy_age_s: float
 
 
 class _Search:
@@ -101,9 +99,15 @@
     """The streams that this member knows, and the exchange with other members."""
 
     def __init__(
-        self, *, peers: PeerNetwork, versions: SoftwareVersions, clock: MonotonicClock
+        self,
+        *,
+        peers: PeerNetwork,
+        directory: Directory,
+        versions: SoftwareVersions,
+        clock: MonotonicClock,
     ) -> None:
         self._peers = peers
+        self._directory = directory
         self._versions = versions
         self._clock = clock
         self._known_by_key: OrderedDict[str, _KnownOrigin] = OrderedDict()
@@ -144,13 +148,13 @@
         origin, source = self._known(key), "own"
         replies: list[_Reply] = []
         if origin is None:
-            replies = await self._ask(key, service)
+            replies = await self._ask(key)
             found = [reply.origin for reply in replies if reply.origin is not None]
             origin, source = (found[0], "member") if found else (None, "none")
             if origin is not None:
                 self._remember(key, origin, is_own=False)
         if origin is None:
-            origin = self._only_possible_origin(service, replies)
+            origin = await self._only_possible_origin(service)
             if origin is not None:
                 source = "only_version"
                 self._remember(key, origin, is_own=True)
@@ -161,21 +165,20 @@
             service=origin.service if origin else service,
             software_version=origin.software_version if origin else "",
             replies=len(replies),
-            copy_age_s=round(self._versions.copy_age_s(), 2),
+            copy_age_s=round(self._directory.age_s(), 2),
         )
         return origin
 
-    def _only_possible_origin(
-        self, service: str, replies: list[_Reply]
-    ) -> StreamOrigin | None:
-        """Return the origin of a stream if its service has had one version only."""
-        versions = self._versions.recent(service).union(
-            *(reply.recent_versions for reply in replies)
-        )
-        copy_age_s = min(
-            [self._versions.copy_age_s(), *(reply.copy_age_s for reply in replies)]
+    async def _only_possible_origin(self, service: str) -> StreamOrigin | None:
+        """Return the origin of any stream if the service has had one version only."""
+        is_mixed = len(self._versions.recent(service)) > 1
+        if is_mixed or self._directory.age_s() > MAX_COPY_AGE_S:
+            return None
+        is_current = await self._directory.wait_until_current(
+            self._clock(), UPDATE_TIMEOUT_S
         )
-        if len(versions) != 1 or copy_age_s > MAX_COPY_AGE_S:
+        versions = self._versions.recent(service)
+        if not is_current or len(versions) != 1:
             return None
         return StreamOrigin(service, *versions)
 
@@ -204,9 +207,9 @@
         others = set(self._peers.listed_vms()) - {self._peers.vm_id}
         return rank_members(key, others)
 
-    async def _ask(self, key: str, service: str) -> list[_Reply]:
+    async def _ask(self, key: str) -> list[_Reply]:
         """Return the replies of other members that came in time."""
-        question = _Question(next(self._numbers), key, service)
+        question = _Question(next(self._numbers), key)
         body = encode_msgpack(question)
         members = [
             member
@@ -232,12 +235,7 @@
 
     def _handle_question(self, sender: str, body: bytes) -> None:
         question = decode_msgpack(body, _Question, peer=sender)
-        reply = _Reply(
-            question.number,
-            self._known(question.key),
-            self._versions.recent(question.service),
-            self._versions.copy_age_s(),
-        )
+        reply = _Reply(question.number, self._known(question.key))
         self._peers.send(sender, _REPLY, encode_msgpack(reply))
 
     def _handle_reply(self, sender: str, body: bytes) -> None:
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -162,7 +162,9 @@
     member_messages.subscribe(crash_guard, part_guard, placement.add_replica_request)
     limits = TargetLimits(peers=peers, clock=clock)
     versions = SoftwareVersions(directory=directory, clock=clock)
-    origins = StreamOrigins(peers=peers, versions=versions, clock=clock)
+    origins = StreamOrigins(
+        peers=peers, directory=directory, versions=versions, clock=clock
+    )
     directory.on_change(origins.update)
     lifecycle = Lifecycle()
     admission = Admission(
--- a/packages/gateway/tests/process/test_directory.py
+++ b/packages/gateway/tests/process/test_directory.py
@@ -28,15 +28,15 @@
 def decode_target(target_id: str, data: bytes) -> TargetEntry:
     if data == b"foreign":
         raise malformed_message(peer=target_id, detail="foreign")
-    is_leaving = data == b"leaving"
+    state, _, version = data.decode().partition(" ")
     return TargetEntry(
         target_id,
         "1",
         "svc",
-        "v1",
+        version or "v1",
         "127.0.0.1:1",
         "a",
-        is_leaving,
+        state == "leaving",
         1,
         {},
         frozenset(),
--- a/packages/gateway/tests/request/support.py
+++ b/packages/gateway/tests/request/support.py
@@ -117,7 +117,10 @@
             directory=self.directory, clock=monotonic_clock
         )
         self.origins = StreamOrigins(
-            peers=peers, versions=self.versions, clock=monotonic_clock
+            peers=peers,
+            directory=self.directory,
+            versions=self.versions,
+            clock=monotonic_clock,
         )
         self.app = make_caller_app(
             self._services(),
--- a/packages/gateway/tests/request/test_mixed_versions.py
+++ b/packages/gateway/tests/request/test_mixed_versions.py
@@ -5,7 +5,9 @@
 
 from testtools import TestCase
 
+from jaytray_core.clock import monotonic_clock
 from jaytray_gateway.ports import HeaderList
+from jaytray_gateway.process.stream_origins import MAX_COPY_AGE_S, REPLY_TIMEOUT_S
 from jaytray_gateway.version.route_table import Route
 from packages.gateway.tests.request.cases import DISCONNECT, EVENTS, REST, RESUMABLE
 from packages.gateway.tests.request.scripted_target import (
@@ -148,7 +150,25 @@
         self,
     ) -> None:
         async def check(fleet: Fleet) -> None:
-            received = await fleet.vms[1].send_request(headers=continuation(b"lost"))
+            vm = fleet.vms[1]
+            vm.directory.current_as_of_s = monotonic_clock() + 60.0
+            received = await vm.send_request(headers=continuation(b"lost"))
             self.assertEqual(200, received.status)
 
         play(check, "v1", "v1", vms=3)
+
+    def test_stream_that_nobody_knows_is_refused_without_a_current_directory(
+        self,
+    ) -> None:
+        async def check(fleet: Fleet) -> None:
+            for vm in fleet.vms:
+                received = await vm.send_request(headers=continuation(b"lost"))
+                self.assertEqual((503, b"not_run"), (received.status, received.body))
+                vm.directory.current_as_of_s -= MAX_COPY_AGE_S
+                begun_s = monotonic_clock()
+                received = await vm.send_request(headers=continuation(b"lost"))
+                self.assertEqual((503, b"not_run"), (received.status, received.body))
+                self.assertLess(monotonic_clock() - begun_s, REPLY_TIMEOUT_S + 0.2)
+            self.assertEqual([0, 0], sends(fleet))
+
+        play(check, "v1", "v1", vms=2)
