Fetch the directory's changes with a call of its own when a stream needs them

A watch in flight ends with the next change only, so a quiet key-value service delayed the proof of a single version by 0.5 s. One call now fetches what has changed, shared by all requests that wait. More members are asked for a stream, so that fleets of up to nine find streams whose copies are not yet sent.

--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -53,6 +53,7 @@
     "store_regained": ("away_s",),
     "store_restored": ("restores",),
     "store_watch_ended": ("error",),
+    "directory_not_updated": ("error",),
     # Members.
     "member_recorded": "is_written lease".split(),
     "member_unreadable": "member error".split(),
--- a/packages/gateway/src/jaytray_gateway/process/directory.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -13,7 +13,7 @@
 
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.errors import JaytrayError
-from jaytray_core.keyvalue import KeyValueRecord, KeyValueService
+from jaytray_core.keyvalue import KeyValueRecord, KeyValueService, WatchBatch
 from jaytray_core.logs import get_logger
 from jaytray_core.tasks import wait_until_set
 from jaytray_gateway.ports import PlatformAdapter
@@ -37,8 +37,8 @@
 WATCH_PAUSE_S_PER_MEMBER = 0.025
 WATCH_PAUSE_FRACTION = 0.6
 LEADER_WATCH_PAUSE_S = 0.2
-# Pause while requests wait for the changes before their arrival.
-MIN_WATCH_PAUSE_S = 0.05
+# Wait of a watch that only fetches the changes so far.
+UPDATE_WAIT_S = 0.001
 # Targets register again within about 2 s of the end of an outage.
 REREGISTRATION_S = 2.2
 # Reads that fail for longer than this count as an outage of the key-value service, in
@@ -93,8 +93,7 @@
         self._outage_ended_s = -float("inf")
         self._listeners: list[OnChange] = []
         self._read_requested = asyncio.Event()
-        self._watch_requested = asyncio.Event()
-        self._confirmed = asyncio.Event()
+        self._update_lock = asyncio.Lock()
 
     def on_change(self, listener: OnChange) -> None:
         """Call `listener` after each change of the copy."""
@@ -107,18 +106,20 @@
     async def wait_until_current(self, as_of_s: float, timeout_s: float) -> bool:
         """Return whether all changes before `as_of_s` are known within `timeout_s`.
 
-        Has changes fetched at once, instead of after the usual pause. A watch that was
-        sent before ends with the next change; if none comes, all keys are read.
+        Fetches changes at once. Callers that wait at the same time share the calls.
         """
-        begun_s = self._clock()
-        for until_s in (begun_s + timeout_s / 2, begun_s + timeout_s):
-            self._watch_requested.set()
-            while self.current_as_of_s < as_of_s and self._clock() < until_s:
-                await wait_until_set(self._confirmed, until_s - self._clock())
-            if self.current_as_of_s >= as_of_s:
-                return True
-            self._read_requested.set()
-        return False
+        try:
+            async with asyncio.timeout(timeout_s), self._update_lock:
+                if self.current_as_of_s < as_of_s and self._revision:
+                    begun_s = self._clock()
+                    batch = await self._key_value.watch(
+                        "", self._revision, UPDATE_WAIT_S
+                    )
+                    self._apply_batch(batch)
+                    self.current_as_of_s = max(self.current_as_of_s, begun_s)
+        except (TimeoutError, JaytrayError) as err:
+            get_logger().info("directory_not_updated", error=str(err))
+        return self.current_as_of_s >= as_of_s
 
     def find_account(self, name: str) -> ClientAccount | None:
         """Return a client account of the route table in force."""
@@ -162,14 +163,9 @@
                 self._read_requested.set()
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
-            if batch.records:
-                self._apply(batch.records)
-            self._revision = max(self._revision, batch.revision)
-            self._confirm(begun_s)
-            await asyncio.sleep(MIN_WATCH_PAUSE_S)
-            pause_s = self._watch_pause_s() - MIN_WATCH_PAUSE_S
-            await wait_until_set(self._watch_requested, pause_s)
-            self._watch_requested.clear()
+            self._apply_batch(batch)
+            self.current_as_of_s = max(self.current_as_of_s, begun_s)
+            await asyncio.sleep(self._watch_pause_s())
 
     async def _wait_until_read_is_due(self) -> None:
         """Wait until a read is requested, the copy is old, or a target has lapsed."""
@@ -195,6 +191,7 @@
         self._end_outage()
         is_restored = self._notice_restore()
         self._read_at_s = begun_s
+        self.current_as_of_s = max(self.current_as_of_s, begun_s)
         found = {record.key for record in records}
         removed = [
             KeyValueRecord(key, b"", state.revision)
@@ -206,13 +203,6 @@
         if is_restored:
             records = [r for r in records if not self._is_before_leaving(r)]
         self._apply([*records, *removed], removed_keys={r.key for r in removed})
-        self._confirm(begun_s)
-
-    def _confirm(self, begun_s: float) -> None:
-        """Note that all changes before `begun_s` have been applied."""
-        self.current_as_of_s = max(self.current_as_of_s, begun_s)
-        self._confirmed.set()
-        self._confirmed = asyncio.Event()
 
     def _end_outage(self) -> None:
         if self._failing_since_s is None:
@@ -256,6 +246,11 @@
         since_s = self._failing_since_s
         return since_s is not None and self._clock() - since_s > MIN_OUTAGE_S
 
+    def _apply_batch(self, batch: WatchBatch) -> None:
+        if batch.records:
+            self._apply(batch.records)
+        self._revision = max(self._revision, batch.revision)
+
     def _apply(
         self,
         records: list[KeyValueRecord],
--- a/packages/gateway/src/jaytray_gateway/process/stream_origins.py
+++ b/packages/gateway/src/jaytray_gateway/process/stream_origins.py
@@ -26,8 +26,9 @@
 
 # Members besides the relaying one that remember a stream.
 COPIES = 2
-# Members asked for a stream; more than have a copy, as the list may have changed since.
-MAX_MEMBERS_ASKED = 4
+# Members asked for a stream; more than have a copy, as the list may have changed since
+# and the relaying member may not have sent its copies yet.
+MAX_MEMBERS_ASKED = 8
 # Time limit for the replies: several times the latency between failure domains and the
 # pauses of a busy process, well below the wait after which callers give up.
 REPLY_TIMEOUT_S = 0.3
--- a/packages/gateway/tests/process/test_directory.py
+++ b/packages/gateway/tests/process/test_directory.py
@@ -66,10 +66,10 @@
 class Harness:
     """A directory in virtual time with its store and fault injection."""
 
-    def __init__(self) -> None:
+    def __init__(self, store: KeyValueStore | None = None) -> None:
         loop = asyncio.get_running_loop()
         self.faults = FaultSwitches()
-        self.store = store = KeyValueStore(clock=loop.time)
+        self.store = store = store or KeyValueStore(clock=loop.time)
         self.reliable = in_process_key_value(store, FaultSwitches())
         self.skip_next_batch = False
         faulty = in_process_key_value(store, self.faults)
@@ -107,6 +107,47 @@
     await asyncio.sleep(1.0)
 
 
+class CurrentCopyTests(TestCase):
+    def test_copy_is_updated_at_once_on_request(self) -> None:
+        async def run() -> None:
+            harness = Harness()
+            await harness.put("targets/t1", b"ready v1")
+            await wait_for_propagation()
+            clock = asyncio.get_running_loop().time
+            await harness.put("targets/t2", b"ready v2")
+            asked_s = clock()
+            is_current = await harness.directory.wait_until_current(asked_s, 1.0)
+            self.assertTrue(is_current)
+            self.assertEqual({"t1", "t2"}, set(harness.directory.targets_by_id))
+            self.assertLess(clock() - asked_s, 0.2)
+            await harness.end()
+
+        run_virtual(run())
+
+    def test_copy_without_changes_is_read_again(self) -> None:
+        async def run() -> None:
+            harness = Harness()
+            await harness.put("targets/t1", b"ready")
+            await asyncio.sleep(5.0)
+            now_s = asyncio.get_running_loop().time()
+            self.assertTrue(await harness.directory.wait_until_current(now_s, 1.0))
+            await harness.end()
+
+        run_virtual(run())
+
+    def test_copy_is_not_current_without_the_service(self) -> None:
+        async def run() -> None:
+            harness = Harness()
+            await harness.put("targets/t1", b"ready")
+            await wait_for_propagation()
+            harness.faults.set(Fault(FaultKind.DOWN))
+            now_s = asyncio.get_running_loop().time()
+            self.assertFalse(await harness.directory.wait_until_current(now_s, 1.0))
+            await harness.end()
+
+        run_virtual(run())
+
+
 class DirectoryTests(TestCase):
     def test_follows_table_targets_and_members(self) -> None:
         async def run() -> None:
