Wait for a load, or refuse at once, if all holders of a model were tried in vain

Cause: the wait was chosen by whether any target has the model, also if it had been tried.

Change: tried targets do not count. If the load of the model elsewhere is expected in time, the request waits for that, otherwise it is refused at once with the time of the load as Retry-After. The wait for an adapter ends within the request's time limit.

--- a/packages/gateway/src/jaytray_gateway/request/target_search.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_search.py
@@ -99,7 +99,7 @@
         limited_wait_s_by_id: dict[str, float] = {}
         request = admitted.request
         begun_s = self._clock()
-        wait = self._replica_wait(admitted, service, software_version, begun_s)
+        wait = self._replica_wait(admitted, service, tried, software_version, begun_s)
         while True:
             holders = self._holders(request, service, software_version)
             untried = [
@@ -180,6 +180,7 @@
         self,
         admitted: AdmittedRequest,
         service: Service,
+        tried: set[str],
         software_version: str | None,
         begun_s: float,
     ) -> _ReplicaWait | None:
@@ -195,12 +196,13 @@
         with_model = self._replicas.targets_with_replica(
             service.name, request.model, ""
         )
-        if _of_version(with_model, software_version):
-            return _ReplicaWait(begun_s + ADAPTER_WAIT_S, ADAPTER_WAIT_S)
+        usable = _of_version(with_model, software_version)
+        left_s = (admitted.expires_at_s - begun_s) * REPLICA_WAIT_FRACTION
+        if any(target.target_id not in tried for target in usable):
+            return _ReplicaWait(begun_s + min(ADAPTER_WAIT_S, left_s), ADAPTER_WAIT_S)
         expected_s = model.load_s + FREE_MEMORY_S
         longest_s = min(
-            _caller_timeout_s(admitted.route) * CALLER_TIMEOUT_FRACTION,
-            (admitted.expires_at_s - begun_s) * REPLICA_WAIT_FRACTION,
+            _caller_timeout_s(admitted.route) * CALLER_TIMEOUT_FRACTION, left_s
         )
         is_in_time = expected_s < longest_s
         return _ReplicaWait(begun_s + (longest_s if is_in_time else 0.0), expected_s)
--- a/packages/gateway/tests/request/support.py
+++ b/packages/gateway/tests/request/support.py
@@ -173,6 +173,13 @@
         services = {"svc": Service("svc", engine)}
         self.directory.route_table = self.table()._replace(services_by_name=services)
 
+    def load_model(self, target_id: str) -> None:
+        """Have the directory show the model at a target."""
+        entry = self.directory.targets_by_id[target_id]
+        self.directory.targets_by_id[target_id] = entry._replace(
+            adapters_by_model={"m": frozenset()}
+        )
+
     def remove_services(self) -> None:
         """Put a table in force whose routes name a service that does not exist."""
         self.directory.route_table = self.table()._replace(services_by_name={})
--- a/packages/gateway/tests/request/test_request_path.py
+++ b/packages/gateway/tests/request/test_request_path.py
@@ -201,6 +201,19 @@
 
         run_with_harness(check, [OK])
 
+    def test_model_whose_only_holder_is_unreachable_is_refused_at_once(self) -> None:
+        async def check(harness: GatewayHarness) -> None:
+            harness.offer_unloaded_model()
+            harness.load_model("t0")
+            begun_s = monotonic_clock()
+            received = await harness.send_request(
+                headers=[*default_headers(), (b"x-model", b"m")]
+            )
+            self.assertEqual((503, b"not_run"), (received.status, received.body))
+            self.assertLess(monotonic_clock() - begun_s, 0.3)
+
+        run_with_harness(check, unreachable=1)
+
     def test_no_target_is_refused_at_once(self) -> None:
         async def check(harness: GatewayHarness) -> None:
             harness.directory.targets_by_id = {}
