Resume a stream of jaytrayd at replicas of the model version that began it

The text after the break then came from other weights.

Change: the router tells the version of the chosen replica, and a stream that has begun goes on at replicas of that version only. A target with replicas of both cannot be told to use one of them; its streams go on anywhere, as before.

Evidence: both new tests fail without the change.

--- a/packages/server/src/jaytray_server/ports.py
+++ b/packages/server/src/jaytray_server/ports.py
@@ -80,7 +80,8 @@
     """The properties of a request that routing depends on.
 
     `name` is a model or an adapter. `prefix_digests` are the digests of prefixes of the
-    prompt, shortest first. `excluded_targets` have been tried already.
+    prompt, shortest first. `excluded_targets` have been tried already. `model_version`
+    is the version of the base model that a stream must go on at, empty for any.
     """
 
     request_id: str
@@ -92,12 +93,14 @@
     prefix_digests: tuple[str, ...]
     excluded_targets: frozenset[str]
     deadline_s: float
+    model_version: str = ""
 
 
 class RoutingDecision(NamedTuple):
     """The chosen target and the reason, as logged in `routing_decision`.
 
     `needs_adapter_load` is set if the target must load the adapter first.
+    `model_version` is the version of the base model there, empty if it has several.
     """
 
     target: str
@@ -105,6 +108,7 @@
     score: float
     candidates: int
     needs_adapter_load: bool
+    model_version: str = ""
 
 
 class Router(NamedTuple):
--- a/packages/server/src/jaytray_server/process/target_table.py
+++ b/packages/server/src/jaytray_server/process/target_table.py
@@ -223,6 +223,12 @@
             entry = self._entries_by_target[target] = TargetEntry()
         return entry
 
+    def model_version_at(self, target: str, model: str) -> str:
+        """Return the version of the model's replicas, empty if there are several."""
+        residents = self.ready_replicas(model).get(target, ())
+        versions = {resident.version for resident in residents}
+        return versions.pop() if len(versions) == 1 else ""
+
     def _index_residents(self, report: LoadReport) -> None:
         for resident in report.residents:
             if resident.state is ResidentState.READY:
--- a/packages/server/src/jaytray_server/request/dispatch.py
+++ b/packages/server/src/jaytray_server/request/dispatch.py
@@ -74,7 +74,7 @@
 async def _send(
     services: RequestServices, work: CompletionWork, attempt: Attempt
 ) -> WholeResponse:
-    connection, attempt_id = attempt
+    connection, attempt_id = attempt.connection, attempt.attempt_id
     timeout_s = services.timeouts.whole_response_s
     try:
         async with asyncio.timeout(timeout_s):
--- a/packages/server/src/jaytray_server/request/routing.py
+++ b/packages/server/src/jaytray_server/request/routing.py
@@ -12,7 +12,6 @@
 its deadline is refused at once. Each decision is logged in one line.
 """
 
-from collections.abc import Mapping
 from random import Random
 from typing import NamedTuple
 
@@ -21,7 +20,6 @@
 from jaytray_core.document.model import Document, Model, Target, TrafficClass
 from jaytray_core.errors import JaytrayError, Step
 from jaytray_core.logs import get_logger
-from jaytray_core.targets import Resident
 from jaytray_server.ports import (
     CurrentDocument,
     Router,
@@ -37,8 +35,8 @@
     TargetLoad,
     TargetTable,
 )
+from jaytray_server.request.candidates import base_model, preferred_targets
 
-NO_REPLICA_RETRY_AFTER_S = 2.0
 MIN_RETRY_AFTER_S = 0.5
 # A piece later than this multiple of the inter-token deadline marks its target slow.
 LATE_PIECE_FACTOR = 3.0
@@ -112,7 +110,7 @@
 
     def choose(request: RoutingRequest) -> RoutingDecision:
         document = current_document()
-        model = _base_model(document, request.name)
+        model = base_model(document, request.name)
         if demand is not None:
             demand.record(request.name, request.output_tokens)
         try:
@@ -139,8 +137,7 @@
         except JaytrayError as err:
             _record(request, "", err.code, 0.0, 0)
             raise
-        reason = _reason(scored, sample_size)
-        target = scored.candidate.target.name
+        reason, target = _reason(scored, sample_size), scored.candidate.target.name
         loads.record(target, scored.candidate.accelerators, request.output_tokens)
         _record(request, target, reason, scored.cost, sample_size)
         cache_index.record_dispatch(target, request.prefix_digests)
@@ -150,6 +147,7 @@
             scored.cost,
             sample_size,
             scored.candidate.needs_adapter_load,
+            table.model_version_at(target, model.name),
         )
 
     def _record(
@@ -191,14 +189,6 @@
     )
 
 
-def _base_model(document: Document, name: str) -> Model:
-    adapter = document.adapters_by_name.get(name)
-    model = document.models_by_name.get(adapter.model if adapter else name)
-    if model is None:
-        raise JaytrayError(messages.MODEL_UNKNOWN, name=name, step=Step.ROUTE)
-    return model
-
-
 def _best_replica(
     request: RoutingRequest,
     document: Document,
@@ -210,8 +200,8 @@
     vm_failure_domain: str,
 ) -> tuple[_ScoredCandidate, int]:
     """Return the sampled replica of lowest cost and the number of replicas sampled."""
-    base = _base_model(document, request.name).name
-    names = _preferred_targets(request, document, table)
+    base = base_model(document, request.name).name
+    names = preferred_targets(request, document, table)
     sampled = _sample_targets(names, request, cache_index, random, policy.choices)
     candidates = [
         _make_candidate(
@@ -248,48 +238,6 @@
     )
 
 
-def _preferred_targets(
-    request: RoutingRequest, document: Document, table: TargetTable
-) -> list[str]:
-    """Return the usable targets of the best available health, in stable order.
-
-    Targets that are neither suspected nor slow come first, then those that are not
-    suspected, then all others.
-    """
-    adapter = document.adapters_by_name.get(request.name)
-    replicas = table.ready_replicas(request.name)
-    usable = _usable_targets(request, replicas, document, table)
-    if adapter is not None:
-        base = table.ready_replicas(adapter.model)
-        usable = usable or _usable_targets(request, base, document, table)
-    if not usable:
-        raise JaytrayError(
-            messages.NO_REPLICA,
-            name=request.name,
-            step=Step.ROUTE,
-            retry_after_s=NO_REPLICA_RETRY_AFTER_S,
-        )
-    healthy = [name for name in usable if not table.is_suspected(name)]
-    quick = [name for name in healthy if not table.is_slow(name)]
-    return quick or healthy or usable
-
-
-def _usable_targets(
-    request: RoutingRequest,
-    replicas: Mapping[str, list[Resident]],
-    document: Document,
-    table: TargetTable,
-) -> list[str]:
-    return [
-        name
-        for name in replicas
-        if name not in request.excluded_targets
-        and (target := document.targets_by_name.get(name)) is not None
-        and not target.is_drained
-        and not table.is_leaving(name)
-    ]
-
-
 def _sample_targets(
     names: list[str],
     request: RoutingRequest,
--- a/packages/server/src/jaytray_server/request/stream.py
+++ b/packages/server/src/jaytray_server/request/stream.py
@@ -1,8 +1,8 @@
 """Runs a streamed completion, resuming it on another replica after a failure.
 
 When a target fails, stops sending or sends inconsistent pieces, the stream continues
-on another replica after the last delivered token. A response is complete only
-with its end mark at the announced length.
+on another replica of the same model version after the last delivered token. A response
+is complete only with its end mark at the announced length.
 """
 
 from collections.abc import AsyncGenerator, AsyncIterator
@@ -40,6 +40,8 @@
         self.tokens = 0
         self.texts: list[str] = []
         self.is_complete = False
+        # Version of the model that generated the first piece, empty if not known.
+        self.model_version = ""
 
     def add(self, piece: StreamPiece) -> None:
         """Record `piece` as delivered."""
@@ -83,8 +85,11 @@
     tracker: DispatchTracker,
     delivered: DeliveredOutput,
 ) -> AsyncGenerator[StreamPiece, None]:
-    async with open_attempt(services, work, tracker) as attempt:
-        connection, attempt_id = attempt
+    opening = open_attempt(
+        services, work, tracker, model_version=delivered.model_version
+    )
+    async with opening as attempt:
+        connection, attempt_id = attempt.connection, attempt.attempt_id
         target = connection.target
         request = make_infer_request(services, work, attempt_id)._replace(
             resume_after_tokens=delivered.tokens,
@@ -94,6 +99,9 @@
             checked = _checked_pieces(services, connection, request, delivered)
             async with aclosing(checked) as pieces:
                 async for piece in pieces:
+                    delivered.model_version = (
+                        delivered.model_version or attempt.model_version
+                    )
                     if piece.end_index % PROGRESS_INTERVAL_TOKENS == 0:
                         remaining = max(0, work.call.output_tokens - piece.end_index)
                         services.router.record_progress(target, attempt_id, remaining)
--- a/packages/server/src/jaytray_server/request/target_run.py
+++ b/packages/server/src/jaytray_server/request/target_run.py
@@ -31,26 +31,40 @@
 
 
 class Attempt(NamedTuple):
-    """An attempt that may be sent now, under the new id `attempt_id`."""
+    """An attempt that may be sent now, under the new id `attempt_id`.
+
+    `model_version` is the version of the base model at the target, empty if it has
+    several.
+    """
 
     connection: TargetConnection
     attempt_id: str
+    model_version: str
 
 
 @asynccontextmanager
 async def open_attempt(
-    services: RequestServices, work: CompletionWork, tracker: DispatchTracker
+    services: RequestServices,
+    work: CompletionWork,
+    tracker: DispatchTracker,
+    *,
+    model_version: str = "",
 ) -> AsyncIterator[Attempt]:
-    """Yield an attempt at the chosen replica and record its outcome."""
+    """Yield an attempt at the chosen replica and record its outcome.
+
+    `model_version` is the only one that a stream may go on at, empty for any.
+    """
     async with AsyncExitStack() as stack:
-        connection = await _acquire_replica(services, work, tracker, stack)
+        connection, found_version = await _acquire_replica(
+            services, work, tracker, model_version, stack
+        )
         target, attempt_id = connection.target, new_attempt_id()
         boot_id = services.quarantine.boot_id_of(target)
         stack.enter_context(services.quarantine.in_flight(target, work.digest))
         tracker.begin()
         services.router.record_start(target, attempt_id, work.call.output_tokens)
         try:
-            yield Attempt(connection, attempt_id)
+            yield Attempt(connection, attempt_id, found_version)
         except JaytrayError as err:
             tracker.fail(target, err)
             if err.code in _TARGET_FAILURE_CODES:
@@ -66,19 +80,27 @@
     services: RequestServices,
     work: CompletionWork,
     tracker: DispatchTracker,
+    model_version: str,
     stack: AsyncExitStack,
-) -> TargetConnection:
-    """Return the connection to a replica; `stack` holds one of its slots."""
+) -> tuple[TargetConnection, str]:
+    """Return the connection to a replica and its model's version.
+
+    `stack` holds one of its slots.
+    """
     while True:
         resources = await stack.enter_async_context(AsyncExitStack())
         is_suspect = services.quarantine.check_suspect(work.digest)
         if is_suspect:
-            decision = await _choose_for_suspect(services, work, tracker, resources)
+            decision = await _choose_for_suspect(
+                services, work, tracker, model_version, resources
+            )
         else:
-            decision = _choose_replica(services, work, tracker, frozenset())
+            decision = _choose_replica(
+                services, work, tracker, model_version, frozenset()
+            )
         connection = await _acquire_slot(services, work, decision, resources)
         if is_suspect or not services.quarantine.check_suspect(work.digest):
-            return connection
+            return connection, decision.model_version
         # The request became a suspect while it waited for the slot: choose again.
         await resources.aclose()
 
@@ -87,12 +109,15 @@
     services: RequestServices,
     work: CompletionWork,
     tracker: DispatchTracker,
+    model_version: str,
     resources: AsyncExitStack,
 ) -> RoutingDecision:
     """Choose a replica where no other suspect runs; waits until the deadline."""
     locked_targets: set[str] = set()
     while True:
-        decision = _choose_replica(services, work, tracker, frozenset(locked_targets))
+        decision = _choose_replica(
+            services, work, tracker, model_version, frozenset(locked_targets)
+        )
         if decision.target not in locked_targets:
             try:
                 lock = services.quarantine.exclusive_run(work.digest, decision.target)
@@ -113,6 +138,7 @@
     services: RequestServices,
     work: CompletionWork,
     tracker: DispatchTracker,
+    model_version: str,
     avoided: frozenset[str],
 ) -> RoutingDecision:
     """Choose a replica, one that failed only if there is no other."""
@@ -128,6 +154,7 @@
         prefix_digests=services.prefix_digests(call.name, call.prompt),
         excluded_targets=excluded,
         deadline_s=work.deadline_s,
+        model_version=model_version,
     )
     try:
         decision = services.router.choose(request)
--- a/packages/server/tests/request/support.py
+++ b/packages/server/tests/request/support.py
@@ -160,6 +160,7 @@
         self.settled: list[int] = []
         self.failed_targets: list[str] = []
         self.slots_held = 0
+        self.version_by_target: dict[str, str] = {}
 
 
 class Site(NamedTuple):
@@ -316,14 +317,23 @@
 
 
 def _make_router(calls: FakeCalls, first_target: int) -> Router:
-    """Choose the first target that is not excluded, from `first_target` on."""
+    """Choose the first target that is not excluded, from `first_target` on.
+
+    Targets have the model versions of `calls`, `v1` if none is set.
+    """
     order = (*TARGETS[first_target:], *TARGETS[:first_target])
 
     def choose(request: RoutingRequest) -> RoutingDecision:
-        free = [name for name in order if name not in request.excluded_targets]
+        free = [
+            name
+            for name in order
+            if name not in request.excluded_targets
+            and request.model_version in ("", calls.version_by_target.get(name, "v1"))
+        ]
         if not free:
             raise JaytrayError(messages.NO_REPLICA, step=Step.ROUTE, name=request.name)
-        return RoutingDecision(free[0], "first", 0.0, len(free), False)
+        version = calls.version_by_target.get(free[0], "v1")
+        return RoutingDecision(free[0], "first", 0.0, len(free), False, version)
 
     return Router(
         choose=choose,
--- a/packages/server/tests/request/test_routing.py
+++ b/packages/server/tests/request/test_routing.py
@@ -62,9 +62,16 @@
         return self.now_s
 
     def report(
-        self, target: str, *, running: int = 0, names: tuple[str, ...] = ("m",)
+        self,
+        target: str,
+        *,
+        running: int = 0,
+        names: tuple[str, ...] = ("m",),
+        version: str = "v1",
     ) -> None:
-        residents = [Resident(n, "m", "v1", 0, 1, ResidentState.READY) for n in names]
+        residents = [
+            Resident(n, "m", version, 0, 1, ResidentState.READY) for n in names
+        ]
         self.table.record_report(
             LoadReport(
                 target,
@@ -131,6 +138,18 @@
         self.assertEqual({"t2"}, self.choices(request))
         self.assertFalse(self.router.choose(request).needs_adapter_load)
 
+    def test_a_stream_goes_on_at_its_model_version_only(self) -> None:
+        self.now_s += 1
+        self.report("t2", names=("m", "ad"), version="v2")
+        for name in ("m", "ad"):
+            for version, target in (("v1", "t1"), ("v2", "t2")):
+                request = REQUEST._replace(name=name, model_version=version)
+                self.assertEqual({target}, self.choices(request))
+                self.assertEqual(version, self.router.choose(request).model_version)
+        self.assertEqual(
+            "no_replica", self.code_of_refusal(REQUEST._replace(model_version="v3"))
+        )
+
     def test_a_late_piece_marks_the_target_as_slow(self) -> None:
         self.router.record_start("t1", "own", 100)
         self.now_s += 1.5
--- a/packages/server/tests/request/test_stream.py
+++ b/packages/server/tests/request/test_stream.py
@@ -102,6 +102,20 @@
 
         _run(test)
 
+    def test_stream_is_resumed_at_the_model_version_that_began_it(self) -> None:
+        async def test() -> None:
+            vm = VmUnderTest()
+            vm.site.calls.version_by_target["t2"] = "v2"
+            running = asyncio.ensure_future(vm.stream())
+            await asyncio.sleep(0.015)
+            vm.targets.states["t1"].crash()
+            text, is_done = stream_text(await running)
+            self.assertTrue(is_done)
+            self.assertEqual(expected_text(encode_json(BODY)), text)
+            self.assertEqual(0, len(vm.targets.states["t2"].ran_requests))
+
+        _run(test)
+
     def test_error_event_ends_stream_that_no_target_can_resume(self) -> None:
         async def test() -> None:
             vm = VmUnderTest()
