--- a/packages/gateway/src/jaytray_gateway/process/directory.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -118,7 +118,7 @@
                     self._apply_batch(batch)
                     self.current_as_of_s = max(self.current_as_of_s, begun_s)
         except (TimeoutError, JaytrayError) as err:
-            get_logger().info("directory_not_updated", error=str(err))
+            get_logger().info("directory_not_updated", error=str(err) or "timed out")
         return self.current_as_of_s >= as_of_s
 
     def find_account(self, name: str) -> ClientAccount | None:
--- a/packages/gateway/src/jaytray_gateway/process/software_versions.py
+++ b/packages/gateway/src/jaytray_gateway/process/software_versions.py
@@ -5,8 +5,6 @@
 that start while there are several learn of those that are gone from records.
 """
 
-import json
-
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.logs import get_logger
 from jaytray_gateway.process.directory import Directory
@@ -14,6 +12,8 @@
 # How long a version is remembered after its last target has gone. Longer than a stream
 # lasts, including the time until its caller continues it.
 VERSION_MEMORY_S = 120.0
+# Between service and version in the item of a record.
+_SEPARATOR = "\0"
 
 
 class SoftwareVersions:
@@ -38,8 +38,13 @@
             service: frozenset(versions) for service, versions in present.items()
         }
         for service, versions in (before | self._present_by_service).items():
-            seen = self._seen_at_s_by_service.setdefault(service, {})
+            seen = self._seen_at_s_by_service.get(service, {})
             seen |= dict.fromkeys(versions | before.get(service, frozenset()), now_s)
+            self._seen_at_s_by_service[service] = {
+                version: seen_at_s
+                for version, seen_at_s in seen.items()
+                if seen_at_s > now_s - VERSION_MEMORY_S
+            }
             if before.get(service) != self._present_by_service.get(service):
                 get_logger().info(
                     "software_versions_changed",
@@ -69,17 +74,17 @@
     def recordable(self) -> frozenset[str]:
         """Return the versions of mixed services as items of records."""
         return frozenset(
-            json.dumps([service, version])
+            service + _SEPARATOR + version
             for service in self.mixed_services()
             for version in self.recent(service)
         )
 
     def add_recorded(self, item: str) -> None:
         """Remember a version that another member has recorded."""
-        service, version = json.loads(item)
+        service, _, version = item.partition(_SEPARATOR)
         self._recorded.add((service, version))
 
     def end_recorded(self, item: str) -> None:
         """Forget a version whose record has expired, unless it was seen recently."""
-        service, version = json.loads(item)
+        service, _, version = item.partition(_SEPARATOR)
         self._recorded.discard((service, version))
