Discount the crashes of a blamed prompt part from whole requests at every member

Cause: the crashes that a blamed part explains were discounted from whole requests only if one part stood out in this member's own evidence. They were not if the part was one of several with as many crashes, or if the member learned of it from another one's record.

Change: whenever a part is quarantined, the crashes with it are reported as explained.

Evidence: the two new tests fail before.

--- a/packages/gateway/src/jaytray_gateway/process/prompt_part_guard.py
+++ b/packages/gateway/src/jaytray_gateway/process/prompt_part_guard.py
@@ -168,6 +168,8 @@
             until_s = self._clock() + PART_QUARANTINE_S
             self.quarantined_until_s_by_part[part] = until_s
             get_logger().warning("prompt_part_quarantined", part=part)
+            for crash in self._crashes_with(part):
+                self._on_explained(crash.incarnation)
             self._release_parts_beside(part)
 
     def end_quarantine(self, part: str) -> None:
@@ -273,9 +275,8 @@
         ]
 
     def _clear_beside(self, blamed: str) -> None:
-        """Discount the crashes that `blamed` caused from other requests."""
+        """Discount the crashes that `blamed` caused from other requests' parts."""
         for crash in self._crashes_with(blamed):
-            self._on_explained(crash.incarnation)
             causing = [chain for chain in crash.chains if blamed in chain]
             beside = {part for chain in crash.chains for part in chain}
             for part in beside.difference(*causing):
--- a/packages/gateway/tests/process/test_prompt_part_guard.py
+++ b/packages/gateway/tests/process/test_prompt_part_guard.py
@@ -179,6 +179,17 @@
         self.crash(HARMFUL)
         self.assertEqual([(f"t{n}", "1") for n in (1, 2, 3, 4)], self.explained)
 
+    def test_crashes_of_a_part_that_another_member_blamed_are_reported(self) -> None:
+        for _ in range(MAX_CRASHES - 1):
+            self.crash(f"first {HARMFUL}", "first beside")
+        self.guard.quarantine(HARMFUL)
+        self.assertEqual([(f"t{n}", "1") for n in (1, 2)], self.explained)
+
+    def test_crashes_of_a_part_that_stays_tied_are_reported(self) -> None:
+        for _ in range(MAX_TIED_CRASHES):
+            self.crash(f"first {HARMFUL}", "first beside")
+        self.assertEqual(MAX_TIED_CRASHES, len(set(self.explained)))
+
     def test_one_crash_after_the_quarantine_is_enough(self) -> None:
         for _ in range(MAX_CRASHES):
             self.crash(HARMFUL)
