Send nothing to a lapsed target once its time to register again is over

The entry was removed 6 ms after a cut of the VM's links had ended, so the VM took it for one that lapsed in an outage and kept the target until 2.2 s after it, 11.63 s. It was removed only by the next full read, at 12.43 s; the request came at 12.17 s.

Cause: the end of that time was noticed at full reads only, which come every 1.5 s then.

Change: a lapsed target whose time is over is no candidate.

Evidence: the new test fails before.

--- a/packages/gateway/src/jaytray_gateway/process/directory.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -128,10 +128,19 @@
 
     def targets_of(self, service: str) -> list[TargetEntry]:
         """Return the targets of a service that accept new requests."""
+        now_s = self._clock()
+        # The read that removes a lapsed target may come later than its time is over.
+        overdue = {
+            target_id
+            for target_id, until_s in self._lapsed_until_s_by_id.items()
+            if until_s <= now_s
+        }
         return [
             target
             for target in self.targets_by_id.values()
-            if target.service == service and not target.is_leaving
+            if target.service == service
+            and not target.is_leaving
+            and target.target_id not in overdue
         ]
 
     async def run_reads(self) -> None:
--- a/packages/gateway/tests/process/test_directory.py
+++ b/packages/gateway/tests/process/test_directory.py
@@ -11,6 +11,7 @@
 from jaytray_gateway.process.directory import (
     FULL_READ_INTERVAL_S,
     REREGISTRATION_S,
+    RETRY_PAUSE_S,
     Directory,
 )
 from jaytray_gateway.process.target_entry import TargetEntry
@@ -234,6 +235,24 @@
 
         run_virtual(run())
 
+    def test_target_that_lapsed_gets_no_requests_once_it_had_time_to_register(
+        self,
+    ) -> None:
+        async def run() -> None:
+            for outage_s in (3.0, 3.3, 3.6, 3.9):
+                harness = Harness()
+                await harness.put("targets/gone", b"ready")
+                await wait_for_propagation()
+                harness.faults.set(Fault(FaultKind.DOWN))
+                await asyncio.sleep(outage_s)
+                await harness.put("targets/gone", None)
+                harness.faults.clear()
+                await asyncio.sleep(RETRY_PAUSE_S + REREGISTRATION_S + 0.2)
+                self.assertEqual([], harness.directory.targets_of("svc"))
+                await harness.end()
+
+        run_virtual(run())
+
     def test_change_without_a_watch_response_is_read(self) -> None:
         async def run() -> None:
             harness = Harness()
