Look at one service only when a stream's origin is recorded

The versions of all services were gathered for each resumable stream, to check one of them, and the same check stood in three places. is_mixed now serves all of them. No change of behaviour.

--- a/packages/gateway/src/jaytray_gateway/process/software_versions.py
+++ b/packages/gateway/src/jaytray_gateway/process/software_versions.py
@@ -63,13 +63,13 @@
             | {version for name, version in self._recorded if name == service}
         )
 
+    def is_mixed(self, service: str) -> bool:
+        """Return whether the service has several recent versions."""
+        return len(self.recent(service)) > 1
+
     def mixed_services(self) -> frozenset[str]:
         """Return the services with several recent versions."""
-        return frozenset(
-            service
-            for service in self._seen_at_s_by_service
-            if len(self.recent(service)) > 1
-        )
+        return frozenset(filter(self.is_mixed, self._seen_at_s_by_service))
 
     def recordable(self) -> frozenset[str]:
         """Return the versions of mixed services as items of records."""
--- a/packages/gateway/src/jaytray_gateway/process/stream_origins.py
+++ b/packages/gateway/src/jaytray_gateway/process/stream_origins.py
@@ -122,7 +122,7 @@
     def record(self, key: str, origin: StreamOrigin) -> None:
         """Remember a stream whose first event this member is about to relay."""
         self._remember(key, origin, is_own=True)
-        if origin.service in self._versions.mixed_services():
+        if self._versions.is_mixed(origin.service):
             self._send_copies(key, origin)
 
     def update(self) -> None:
@@ -172,8 +172,8 @@
 
     async def _only_possible_origin(self, service: str) -> StreamOrigin | None:
         """Return the origin of any stream if the service has had one version only."""
-        is_mixed = len(self._versions.recent(service)) > 1
-        if is_mixed or self._directory.age_s() > MAX_COPY_AGE_S:
+        is_old = self._directory.age_s() > MAX_COPY_AGE_S
+        if is_old or self._versions.is_mixed(service):
             return None
         is_current = await self._directory.wait_until_current(
             self._clock(), UPDATE_TIMEOUT_S
