--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -201,6 +201,18 @@
         clock=clock,
         rng=rng,
     )
+
+    def leased_records(prefix: str, kinds: dict[str, RecordKind]) -> LeasedRecords:
+        return LeasedRecords(
+            kinds_by_name=kinds,
+            directory=directory,
+            prefix=adapter.records_prefix + prefix,
+            own_id=options.vm_id,
+            member_ids=lambda: recent_members.ids,
+            key_value=key_value,
+            clock=clock,
+        )
+
     subsystems = Subsystems(
         lifecycle=lifecycle,
         directory=directory,
@@ -219,8 +231,9 @@
         pools=pools,
         member_messages=member_messages,
         placement=placement,
-        quarantine_records=LeasedRecords(
-            kinds_by_name={
+        quarantine_records=leased_records(
+            QUARANTINE_PREFIX,
+            {
                 "part": RecordKind(
                     lease_s=PART_QUARANTINE_S,
                     items=part_guard.quarantined,
@@ -234,15 +247,10 @@
                     end=crash_guard.end_quarantine,
                 ),
             },
-            directory=directory,
-            prefix=adapter.records_prefix + QUARANTINE_PREFIX,
-            own_id=options.vm_id,
-            member_ids=lambda: recent_members.ids,
-            key_value=key_value,
-            clock=clock,
         ),
-        software_version_records=LeasedRecords(
-            kinds_by_name={
+        software_version_records=leased_records(
+            SOFTWARE_PREFIX,
+            {
                 "version": RecordKind(
                     lease_s=VERSION_MEMORY_S,
                     items=versions.recordable,
@@ -250,12 +258,6 @@
                     end=versions.end_recorded,
                 )
             },
-            directory=directory,
-            prefix=adapter.records_prefix + SOFTWARE_PREFIX,
-            own_id=options.vm_id,
-            member_ids=lambda: recent_members.ids,
-            key_value=key_value,
-            clock=clock,
         ),
         metrics=metrics,
         services=services,
