Log which breaks count against a request, and how old the directory's copy was

The logs could not tell whether breaks of a crashing request were left out, cleared or not heard of, nor whether a request reached a leaving target because the copy of the directory was old or although the leaving was known.

request_break names digest, target, count and whether the break counts; request_try_ended names the digest; request_finished names the age of the copy when the request was sent. No logic changes.

--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -11,13 +11,15 @@
     "request_finished": (
         "request_id outcome status route account version replica tokens rate_state "
         "target software_version original_request_id last_event_id sends runs sent_ms "
-        "first_piece_ms total_ms error"
+        "copy_age_ms first_piece_ms total_ms error"
     ).split(),
     "request_try_ended": (
         "request_id target outcome software_version original_request_id last_event_id "
-        "sends runs first_piece_ms chunks prompt_parts detail"
+        "sends runs first_piece_ms chunks digest prompt_parts detail"
     ).split(),
     "unused_body_not_read": ("detail",),
+    # A response that was cut off, as a sign that its request crashes targets.
+    "request_break": "digest target incarnation breaks is_counted".split(),
     "request_quarantined": ("digest",),
     # Crashes of targets and the prompt parts that are blamed for them.
     "target_crash_counted": "target suspects parts is_explained blamed".split(),
--- a/packages/gateway/src/jaytray_gateway/process/crash_guard.py
+++ b/packages/gateway/src/jaytray_gateway/process/crash_guard.py
@@ -138,6 +138,14 @@
             or now_s - previous.last_break_s < COMMON_CAUSE_S
         )
         breaks = previous.breaks if is_same_cause else (*previous.breaks, incarnation)
+        get_logger().info(
+            "request_break",
+            digest=run_end.digest,
+            target=run_end.target_id,
+            incarnation=run_end.incarnation,
+            breaks=len(breaks),
+            is_counted=not is_same_cause,
+        )
         last_break_s = previous.last_break_s if is_same_cause else now_s
         self._suspect_by_digest[run_end.digest] = _Suspect(breaks, last_break_s)
         if len(breaks) == MAX_BREAKS and not is_same_cause:
--- a/packages/gateway/src/jaytray_gateway/process/request_log.py
+++ b/packages/gateway/src/jaytray_gateway/process/request_log.py
@@ -31,10 +31,14 @@
         is_whole: bool,
         error: JaytrayError | None,
         sent_s: float | None,
+        copy_age_s: float | None,
         first_piece_s: float | None,
         total_s: float,
     ) -> None:
-        """Log and count a request's outcome; durations start at its arrival."""
+        """Log and count a request's outcome; durations start at its arrival.
+
+        `copy_age_s` is the age of the directory's copy when the request was sent last.
+        """
         outcome = _outcome(status, is_whole, error)
         self._metrics.count_request(outcome, total_s, first_piece_s)
         get_logger().info(
@@ -55,6 +59,7 @@
             sends=sends,
             runs=runs,
             sent_ms=_milliseconds(sent_s),
+            copy_age_ms=_milliseconds(copy_age_s),
             first_piece_ms=_milliseconds(first_piece_s),
             total_ms=_milliseconds(total_s),
             error=str(error) if error is not None else "",
--- a/packages/gateway/src/jaytray_gateway/request/admission.py
+++ b/packages/gateway/src/jaytray_gateway/request/admission.py
@@ -69,6 +69,10 @@
         table = self._directory.route_table
         return table.version if table is not None else 0
 
+    def table_age_s(self) -> float:
+        """Return the maximum age of the copy of the route table and the targets."""
+        return self._directory.age_s()
+
     def find_account(self, name: str) -> ClientAccount | None:
         """Return an account of the route table in force, for the log."""
         return self._directory.find_account(name)
--- a/packages/gateway/src/jaytray_gateway/request/attempt.py
+++ b/packages/gateway/src/jaytray_gateway/request/attempt.py
@@ -56,6 +56,7 @@
         services.part_guard.check(request.shared_part_ids)
         state.sends += 1
         state.sent_at_s = services.clock()
+        state.copy_age_s = services.admission.table_age_s()
         state.attempt_first_piece_s = None
         state.attempt_chunks = 0
         state.is_begun = False
--- a/packages/gateway/src/jaytray_gateway/request/request_path.py
+++ b/packages/gateway/src/jaytray_gateway/request/request_path.py
@@ -260,6 +260,7 @@
         is_whole=reply.is_finished,
         error=error,
         sent_s=None if sent_s is None else sent_s - arrived_s,
+        copy_age_s=state.copy_age_s if state else None,
         first_piece_s=None if first_s is None else first_s - arrived_s,
         total_s=services.clock() - arrived_s,
     )
--- a/packages/gateway/src/jaytray_gateway/request/run_state.py
+++ b/packages/gateway/src/jaytray_gateway/request/run_state.py
@@ -65,6 +65,8 @@
         self.required_version: str | None = None
         self.event_buffer = EventBuffer() if admitted.route.is_resumable else None
         self.sent_at_s: float | None = None
+        # Age of the directory's copy when the request was sent last.
+        self.copy_age_s: float | None = None
         self.first_piece_s: float | None = None
         # Start of the current attempt's response body, and the chunks of it so far.
         self.attempt_first_piece_s: float | None = None
@@ -99,6 +101,7 @@
             state.sent_at_s, state.attempt_first_piece_s
         ),
         chunks=state.attempt_chunks,
+        digest=state.digest,
         prompt_parts=",".join(part.part_id for part in request.prompt_parts),
         detail=detail,
     )
