Count breaks of a request by what was under way together, not by time

Cause: breaks within 0.5 s counted as one, whatever their targets, because a network fault or a loss of all targets cuts off several identical requests at once. The second attempt of a request and its caller's return come sooner than that, so each wave of four crashes counted as one, and the request was refused with the third wave.

The simulated fleet of test_crash_guard.py failed before.

Change: a break counts if its run was sent after the last break that counted. Test waits that stood for the half second are gone; the unit tests now state when runs were sent.

--- a/packages/gateway/src/jaytray_gateway/request/request_path.py
+++ b/packages/gateway/src/jaytray_gateway/request/request_path.py
@@ -159,7 +159,9 @@
     """Return if the request may run again; raise otherwise."""
     log_attempt_ended(state, "timed_out" if err.is_timeout else "broken", err.detail)
     if not err.is_timeout:
-        services.crash_guard.record_broken_response(state.digest, target)
+        services.crash_guard.record_broken_response(
+            state.digest, target, sent_at_s=state.sent_at_s or services.clock()
+        )
         if not state.is_begun:
             parts = state.admitted.request.shared_part_ids
             services.part_guard.record_break(parts, target)
--- a/packages/gateway/tests/process/test_crash_guard.py
+++ b/packages/gateway/tests/process/test_crash_guard.py
@@ -83,13 +83,14 @@
 
     async def _run_at(self, guard: CrashGuard, target_id: str) -> None:
         target = entry(target_id, str(self.starts_by_target[target_id]))
-        self.sent_at_s.append(self.clock())
+        sent_at_s = self.clock()
+        self.sent_at_s.append(sent_at_s)
         await asyncio.sleep(self.rng.uniform(0.03, 0.12))
         if target_id in self.up:
             self.up.discard(target_id)
             self.crashed_at_s.append(self.clock())
             asyncio.get_running_loop().call_later(RESTART_S, self._restart, target_id)
-        guard.record_broken_response("digest", target)
+        guard.record_broken_response("digest", target, sent_at_s=sent_at_s)
 
     def _restart(self, target_id: str) -> None:
         self.starts_by_target[target_id] += 1
--- a/packages/gateway/tests/process/test_quarantine_records.py
+++ b/packages/gateway/tests/process/test_quarantine_records.py
@@ -6,7 +6,6 @@
 
 from jaytray_core.errors import JaytrayError
 from jaytray_gateway.process.crash_guard import (
-    COMMON_CAUSE_S,
     MAX_BREAKS,
     QUARANTINE_S,
     CrashGuard,
@@ -20,7 +19,7 @@
 )
 from jaytray_standins.virtual_loop import run_virtual
 from packages.gateway.tests.process.test_directory import Harness
-from packages.gateway.tests.process.test_small_parts import entry
+from packages.gateway.tests.process.test_small_parts import RUN_S, entry
 
 # Longer than the pauses between watches and the delays of all ranks.
 PROPAGATION_S = 6.0
@@ -80,8 +79,11 @@
 
     async def crash_targets_with_request(self, digest: str) -> None:
         for number in range(MAX_BREAKS):
-            self.crash_guard.record_broken_response(digest, entry(f"t{number}"))
-            await asyncio.sleep(2 * COMMON_CAUSE_S)
+            sent_at_s = asyncio.get_running_loop().time()
+            await asyncio.sleep(RUN_S)
+            self.crash_guard.record_broken_response(
+                digest, entry(f"t{number}"), sent_at_s=sent_at_s
+            )
 
     async def crash_targets(self, part: str) -> None:
         for number in range(MAX_CRASHES):
--- a/packages/gateway/tests/process/test_small_parts.py
+++ b/packages/gateway/tests/process/test_small_parts.py
@@ -5,7 +5,6 @@
 
 from jaytray_core.errors import JaytrayError
 from jaytray_gateway.process.crash_guard import (
-    COMMON_CAUSE_S,
     MAX_BREAKS,
     QUARANTINE_S,
     CrashGuard,
@@ -16,6 +15,10 @@
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.process.target_health import INITIAL_AVOID_S, TargetHealth
 
+# Duration of a run until it breaks, and time between the breaks of separate faults.
+RUN_S = 0.1
+INTERVAL_S = 1.0
+
 
 class Clock:
     def __init__(self) -> None:
@@ -113,9 +116,11 @@
         sent_run_ends: list[RunEnd] = []
         guard = CrashGuard(clock=clock, notify_peers=sent_run_ends.append)
         for number in range(MAX_BREAKS):
-            clock.now_s += 2 * COMMON_CAUSE_S
+            clock.now_s += INTERVAL_S
             guard.check("digest")
-            guard.record_broken_response("digest", entry(f"t{number}"))
+            guard.record_broken_response(
+                "digest", entry(f"t{number}"), sent_at_s=clock() - RUN_S
+            )
         self.assertEqual(MAX_BREAKS, len(sent_run_ends))
         err = self.assertRaises(JaytrayError, guard.check, "digest")
         self.assertEqual("request_suspected", err.code)
@@ -124,17 +129,20 @@
         guard.check("digest")
 
     def test_breaks_at_one_incarnation_count_once(self) -> None:
-        guard = CrashGuard(clock=Clock(), notify_peers=lambda _run_end: None)
+        clock = Clock()
+        guard = CrashGuard(clock=clock, notify_peers=lambda _run_end: None)
         for _ in range(MAX_BREAKS + 2):
-            guard.record_broken_response("digest", entry("t"))
+            guard.record_broken_response(
+                "digest", entry("t"), sent_at_s=clock() - RUN_S
+            )
         guard.check("digest")
 
     def test_breaks_reported_by_peers_count(self) -> None:
         clock = Clock()
         guard = CrashGuard(clock=clock, notify_peers=lambda _run_end: None)
         for number in range(MAX_BREAKS):
-            clock.now_s += 2 * COMMON_CAUSE_S
-            guard.apply_run_end(RunEnd("digest", f"t{number}", "1", True))
+            clock.now_s += INTERVAL_S
+            guard.apply_run_end(RunEnd("digest", f"t{number}", "1", True, RUN_S))
         self.assertRaises(JaytrayError, guard.check, "digest")
 
     def test_complete_response_in_between_clears_the_request(self) -> None:
@@ -143,9 +151,11 @@
         clock = Clock()
         guard = CrashGuard(clock=clock, notify_peers=sent_run_ends.append)
         for number in range(3 * MAX_BREAKS):
-            clock.now_s += 2 * COMMON_CAUSE_S
+            clock.now_s += INTERVAL_S
             guard.check("digest")
-            guard.record_broken_response("digest", entry(f"t{number}"))
+            guard.record_broken_response(
+                "digest", entry(f"t{number}"), sent_at_s=clock() - RUN_S
+            )
             guard.record_complete_response("digest", entry("other"))
         self.assertFalse(sent_run_ends[-1].is_broken)
         peer = CrashGuard(clock=Clock(), notify_peers=lambda _run_end: None)
@@ -158,8 +168,10 @@
         clock = Clock()
         guard = CrashGuard(clock=clock, notify_peers=lambda _run_end: None)
         for number in range(MAX_BREAKS):
-            clock.now_s += 2 * COMMON_CAUSE_S
-            guard.record_broken_response("digest", entry(f"t{number}"))
+            clock.now_s += INTERVAL_S
+            guard.record_broken_response(
+                "digest", entry(f"t{number}"), sent_at_s=clock() - RUN_S
+            )
         self.assertRaises(JaytrayError, guard.check, "digest")
         guard.forget_crash(("t1", "1"))
         guard.check("digest")
@@ -172,19 +184,55 @@
         targets = [entry(f"t{number}") for number in range(MAX_BREAKS)]
         for _ in range(4):
             for target in targets:
-                guard.record_broken_response("digest", target)
-            clock.now_s += 2 * COMMON_CAUSE_S
+                guard.record_broken_response(
+                    "digest", target, sent_at_s=clock() - RUN_S
+                )
+            clock.now_s += INTERVAL_S
         guard.check("digest")
         # Breaks at a target that works again count as before.
         for target in targets:
             guard.record_complete_response("other", target)
-            guard.record_broken_response("digest", target)
-            clock.now_s += 2 * COMMON_CAUSE_S
+            guard.record_broken_response("digest", target, sent_at_s=clock() - RUN_S)
+            clock.now_s += INTERVAL_S
+        self.assertRaises(JaytrayError, guard.check, "digest")
+
+    def test_breaks_of_one_request_in_turn_count_however_close(self) -> None:
+        # hoofline: a second attempt ended the next target within 0.2 s.
+        clock = Clock()
+        guard = CrashGuard(clock=clock, notify_peers=lambda _run_end: None)
+        for number in range(MAX_BREAKS):
+            guard.check("digest")
+            sent_at_s = clock() + 0.001
+            clock.now_s += RUN_S
+            guard.record_broken_response(
+                "digest", entry(f"t{number}"), sent_at_s=sent_at_s
+            )
         self.assertRaises(JaytrayError, guard.check, "digest")
 
+    def test_breaks_soon_after_a_complete_response_do_not_count(self) -> None:
+        # Soak seed 11009: targets were killed, and identical requests broke in turn.
+        clock = Clock()
+        sent_run_ends: list[RunEnd] = []
+        guard = CrashGuard(clock=clock, notify_peers=sent_run_ends.append)
+        guard.record_complete_response("digest", entry("t9"))
+        for number in range(MAX_BREAKS):
+            sent_at_s = clock() + 0.001
+            clock.now_s += RUN_S
+            guard.record_broken_response(
+                "digest", entry(f"t{number}"), sent_at_s=sent_at_s
+            )
+        guard.check("digest")
+        self.assertEqual([], sent_run_ends)
+        guard.quarantine("digest")
+        guard.check("digest")
+        self.assertEqual([False], [run_end.is_broken for run_end in sent_run_ends])
+
     def test_simultaneous_breaks_count_once(self) -> None:
         # Soak seed 101: all connections to targets were reset at once.
-        guard = CrashGuard(clock=Clock(), notify_peers=lambda _run_end: None)
+        clock = Clock()
+        guard = CrashGuard(clock=clock, notify_peers=lambda _run_end: None)
         for number in range(MAX_BREAKS):
-            guard.record_broken_response("digest", entry(f"t{number}"))
+            guard.record_broken_response(
+                "digest", entry(f"t{number}"), sent_at_s=clock() - RUN_S
+            )
         guard.check("digest")
--- a/packages/gateway/tests/request/test_attempt.py
+++ b/packages/gateway/tests/request/test_attempt.py
@@ -6,8 +6,7 @@
 from testtools import TestCase
 
 from jaytray_core.clock import monotonic_clock
-from jaytray_gateway.process.crash_guard import COMMON_CAUSE_S
-from jaytray_gateway.process.prompt_part_guard import SETTLE_S
+from jaytray_gateway.process.prompt_part_guard import CRASH_WINDOW_S, SETTLE_S
 from packages.gateway.tests.request.cases import (
     EVENTS,
     IDEMPOTENT,
@@ -189,7 +188,7 @@
             for number in range(4):
                 harness.restart_targets()
                 await harness.send_request(**with_parts(f"shared,deadly,{number}"))
-                await asyncio.sleep(COMMON_CAUSE_S + 0.05)
+                await asyncio.sleep(CRASH_WINDOW_S + 0.05)
             await asyncio.sleep(SETTLE_S)
             received = await harness.send_request(**with_parts("shared,deadly,x"))
             self.assertEqual((503, b"not_run"), (received.status, received.body))
--- a/packages/gateway/tests/request/test_request_path.py
+++ b/packages/gateway/tests/request/test_request_path.py
@@ -7,8 +7,7 @@
 from testtools import TestCase
 
 from jaytray_core.clock import monotonic_clock
-from jaytray_gateway.process.crash_guard import COMMON_CAUSE_S
-from jaytray_gateway.process.prompt_part_guard import SETTLE_S
+from jaytray_gateway.process.prompt_part_guard import CRASH_WINDOW_S, SETTLE_S
 from jaytray_gateway.version.route_table import RequestKind, Route
 from packages.gateway.tests.request.cases import (
     DISCONNECT,
@@ -273,7 +272,6 @@
             for _ in range(3):
                 harness.register_targets()
                 await harness.send_request()
-                await asyncio.sleep(COMMON_CAUSE_S + 0.05)
             received = await harness.send_request()
             self.assertEqual((503, b"not_run"), (received.status, received.body))
             other = await harness.send_request(body=b"another")
@@ -298,7 +296,7 @@
                 await harness.send_request(**with_parts(f"shared,deadly,{number}"))
                 sound = await harness.send_request(**with_parts(f"shared,s,{number}"))
                 self.assertEqual((200, True), (sound.status, sound.is_whole))
-                await asyncio.sleep(COMMON_CAUSE_S + 0.05)
+                await asyncio.sleep(CRASH_WINDOW_S + 0.05)
             harness.restart_targets()
             sends = sum(len(target.heads) for target in harness.targets)
             received = await harness.send_request(**with_parts("other,deadly,x"))
@@ -321,7 +319,7 @@
                 target.crashing_part = b""
                 failed = await harness.send_request(**with_parts(f"s,deadly,{number}"))
                 self.assertEqual(500, failed.status)
-                await asyncio.sleep(COMMON_CAUSE_S + 0.05)
+                await asyncio.sleep(CRASH_WINDOW_S + 0.05)
             await asyncio.sleep(SETTLE_S)
             received = await harness.send_request(**with_parts("other,deadly,x"))
             self.assertEqual((503, b"not_run"), (received.status, received.body))
