Compare what reads and watches say of a key by revision

Cause: a read of all keys took a missing key for removed only if its state in the copy was the same object as when the read began. A watch response sent before the removal, held up by a large configuration on a slow link, arrived during the read, and the removal was left out until the next watch. Had it arrived after the read, the target would have come back.

Change: reads state the store's revision at their first page; missing keys with a known revision up to that one are removed under it. Watches continue after it instead of the highest revision among the records, which could skip changes on early pages. The contract of the key-value service and all its implementations gain read_prefix; a test that wraps the service by position counts one function more.

--- a/packages/core/src/jaytray_core/adapters/key_value_http.py
+++ b/packages/core/src/jaytray_core/adapters/key_value_http.py
@@ -22,13 +22,14 @@
     MAX_VALUE_BYTES,
     KeyValueRecord,
     KeyValueService,
+    PrefixRead,
     SwapResult,
     WatchBatch,
 )
 
 T = TypeVar("T")
 _PEER = "kv"
-_READ_FUNCTIONS = ("get", "get_prefix", "watch")
+_READ_FUNCTIONS = ("get", "get_prefix", "read_prefix", "watch")
 _STATUS_TOO_LARGE = 413
 _MAX_SUCCESS_STATUS = 201
 
@@ -61,6 +62,9 @@
     async def get_prefix(prefix: str) -> list[KeyValueRecord]:
         return _decode(await call("get_prefix", prefix), list[KeyValueRecord])
 
+    async def read_prefix(prefix: str) -> PrefixRead:
+        return _decode(await call("read_prefix", prefix), PrefixRead)
+
     async def compare_and_swap(
         key: str, expected_revision: int, value: bytes | None, lease_id: str
     ) -> SwapResult:
@@ -85,6 +89,7 @@
     service = KeyValueService(
         get=get,
         get_prefix=get_prefix,
+        read_prefix=read_prefix,
         compare_and_swap=compare_and_swap,
         grant_lease=grant_lease,
         keep_lease=keep_lease,
--- a/packages/core/src/jaytray_core/keyvalue.py
+++ b/packages/core/src/jaytray_core/keyvalue.py
@@ -43,10 +43,22 @@
     revision: int
 
 
+class PrefixRead(NamedTuple):
+    """All records under a prefix, which include every change up to `revision`.
+
+    They may also include some later changes, as a read may take several calls.
+    """
+
+    records: list[KeyValueRecord]
+    revision: int
+
+
 # (key) -> the record, or None when the key is absent.
 GetFunction = Callable[[str], Awaitable[KeyValueRecord | None]]
 # (prefix) -> all records whose key starts with the prefix, in key order.
 GetPrefixFunction = Callable[[str], Awaitable[list[KeyValueRecord]]]
+# (prefix) -> the same with the revision after which a watch misses nothing.
+ReadPrefixFunction = Callable[[str], Awaitable[PrefixRead]]
 # (key, expected revision, new value or None to delete, lease id or "") -> outcome.
 SwapFunction = Callable[[str, int, bytes | None, str], Awaitable[SwapResult]]
 # (time to live in seconds) -> lease id.
@@ -73,6 +85,7 @@
 
     get: GetFunction
     get_prefix: GetPrefixFunction
+    read_prefix: ReadPrefixFunction
     compare_and_swap: SwapFunction
     grant_lease: GrantLeaseFunction
     keep_lease: KeepLeaseFunction
--- a/packages/gateway/src/jaytray_gateway/process/directory.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -195,19 +195,20 @@
         return min(pause_s, WATCH_PAUSE_FRACTION * self._bound_s)
 
     async def _read_all(self, begun_s: float) -> None:
-        known_before = dict(self._state_by_key)
-        records = await self._key_value.get_prefix("")
+        records, revision = await self._key_value.read_prefix("")
         self._end_outage()
         is_restored = self._notice_restore()
         self._read_at_s = begun_s
         self.current_as_of_s = max(self.current_as_of_s, begun_s)
         found = {record.key for record in records}
+        # Watch responses may have arrived during the read. What they say of a key that
+        # is missing is outdated, unless it was written after the read.
         removed = [
-            KeyValueRecord(key, b"", state.revision)
-            for key, state in known_before.items()
-            if key not in found and state.value and self._state_by_key[key] == state
+            KeyValueRecord(key, b"", revision)
+            for key, state in self._state_by_key.items()
+            if key not in found and state.value and state.revision <= revision
         ]
-        self._revision = max([self._revision, *(r.revision for r in records)])
+        self._revision = max(self._revision, revision)
         self._expire_lapsed_targets(found)
         if is_restored:
             records = [r for r in records if not self._is_before_leaving(r)]
--- a/packages/server/src/jaytray_server/connection/observed_key_value.py
+++ b/packages/server/src/jaytray_server/connection/observed_key_value.py
@@ -34,6 +34,7 @@
     return KeyValueService(
         get=observed("get", service.get),
         get_prefix=observed("get_prefix", service.get_prefix),
+        read_prefix=observed("read_prefix", service.read_prefix),
         compare_and_swap=observed("compare_and_swap", service.compare_and_swap),
         grant_lease=observed("grant_lease", service.grant_lease),
         keep_lease=observed("keep_lease", service.keep_lease),
--- a/packages/server/src/jaytray_server/connection/scoped_key_value.py
+++ b/packages/server/src/jaytray_server/connection/scoped_key_value.py
@@ -7,6 +7,7 @@
 from jaytray_core.keyvalue import (
     KeyValueRecord,
     KeyValueService,
+    PrefixRead,
     SwapResult,
     WatchBatch,
 )
@@ -25,6 +26,10 @@
     async def get_prefix(key_prefix: str) -> list[KeyValueRecord]:
         return [unscoped(r) for r in await service.get_prefix(prefix + key_prefix)]
 
+    async def read_prefix(key_prefix: str) -> PrefixRead:
+        read = await service.read_prefix(prefix + key_prefix)
+        return read._replace(records=[unscoped(r) for r in read.records])
+
     async def compare_and_swap(
         key: str, expected_revision: int, value: bytes | None, lease_id: str
     ) -> SwapResult:
@@ -39,6 +44,7 @@
     return service._replace(
         get=get,
         get_prefix=get_prefix,
+        read_prefix=read_prefix,
         compare_and_swap=compare_and_swap,
         watch=watch,
     )
--- a/packages/server/tests/process/placement/test_orders_under_faults.py
+++ b/packages/server/tests/process/placement/test_orders_under_faults.py
@@ -103,7 +103,7 @@
     def start(self) -> None:
         world, clock = self.world, self.world.clock
         service = in_process_key_value(world.store, self.service_faults)
-        gated = KeyValueService(*(self.gate.wrap(call) for call in service[:7]))
+        gated = KeyValueService(*(self.gate.wrap(call) for call in service[:8]))
         self.demand = DemandMeter(clock=clock)
         self.controller = GroupController(
             group="group-0",
--- a/packages/standins/src/jaytray_standins/in_process.py
+++ b/packages/standins/src/jaytray_standins/in_process.py
@@ -17,6 +17,7 @@
 from jaytray_core.keyvalue import (
     KeyValueRecord,
     KeyValueService,
+    PrefixRead,
     SwapResult,
     WatchBatch,
 )
@@ -29,7 +30,7 @@
     deliver,
 )
 from jaytray_standins.in_process_target import in_process_service, in_process_target
-from jaytray_standins.key_value.reads import read_key, read_prefix
+from jaytray_standins.key_value.reads import read_key, read_prefix, read_prefix_at
 from jaytray_standins.key_value.store import KeyValueStore, ValueTooLargeError
 from jaytray_standins.vm_list.state import VmListState
 from jaytray_standins.weight_store.state import WeightStoreState
@@ -81,6 +82,9 @@
     async def get_prefix(prefix: str) -> list[KeyValueRecord]:
         return await call("get_prefix", lambda: read_prefix(store, faults, prefix))
 
+    async def read_prefix_and_revision(prefix: str) -> PrefixRead:
+        return await call("get_prefix", lambda: read_prefix_at(store, faults, prefix))
+
     async def compare_and_swap(
         key: str, expected_revision: int, value: bytes | None, lease_id: str
     ) -> SwapResult:
@@ -110,6 +114,7 @@
     return KeyValueService(
         get=get,
         get_prefix=get_prefix,
+        read_prefix=read_prefix_and_revision,
         compare_and_swap=compare_and_swap,
         grant_lease=grant_lease,
         keep_lease=keep_lease,
--- a/packages/standins/src/jaytray_standins/key_value/reads.py
+++ b/packages/standins/src/jaytray_standins/key_value/reads.py
@@ -1,6 +1,6 @@
 """Reads of the key-value store; a STALE fault makes them return an older revision."""
 
-from jaytray_core.keyvalue import KeyValueRecord
+from jaytray_core.keyvalue import KeyValueRecord, PrefixRead
 from jaytray_standins.faults import FaultKind, FaultSwitches
 from jaytray_standins.key_value.store import KeyValueStore
 
@@ -24,3 +24,13 @@
     if stale is None:
         return store.get_prefix(prefix)
     return store.get_as_of(prefix, stale.revision)
+
+
+def read_prefix_at(
+    store: KeyValueStore, faults: FaultSwitches, prefix: str
+) -> PrefixRead:
+    """Return the records under `prefix` and their revision; counts as `get_prefix`."""
+    stale = faults.consume(FaultKind.STALE, "get_prefix")
+    if stale is None:
+        return PrefixRead(store.get_prefix(prefix), store.revision)
+    return PrefixRead(store.get_as_of(prefix, stale.revision), stale.revision)
--- a/packages/standins/src/jaytray_standins/key_value/server.py
+++ b/packages/standins/src/jaytray_standins/key_value/server.py
@@ -14,7 +14,7 @@
 from jaytray_core.codec import encode_json
 from jaytray_standins.admin import admin_handlers
 from jaytray_standins.faults import FaultSwitches
-from jaytray_standins.key_value.reads import read_key, read_prefix
+from jaytray_standins.key_value.reads import read_key, read_prefix, read_prefix_at
 from jaytray_standins.key_value.store import KeyValueStore, ValueTooLargeError
 from jaytray_standins.listener import (
     AnyRequest,
@@ -28,6 +28,7 @@
 _ARGUMENTS_BY_FUNCTION: dict[str, Any] = {
     "get": tuple[str],
     "get_prefix": tuple[str],
+    "read_prefix": tuple[str],
     "compare_and_swap": tuple[str, int, bytes | None, str],
     "grant_lease": tuple[float],
     "keep_lease": tuple[str],
@@ -83,6 +84,9 @@
     async def get_prefix(prefix: str) -> Any:
         return read_prefix(store, faults, prefix)
 
+    async def read_prefix_and_revision(prefix: str) -> Any:
+        return read_prefix_at(store, faults, prefix)
+
     async def compare_and_swap(*arguments: Any) -> Any:
         return store.compare_and_swap(*arguments)
 
@@ -98,6 +102,7 @@
     return {
         "get": get,
         "get_prefix": get_prefix,
+        "read_prefix": read_prefix_and_revision,
         "compare_and_swap": compare_and_swap,
         "grant_lease": grant_lease,
         "keep_lease": keep_lease,
--- a/tests/contracts/key_value_contract.py
+++ b/tests/contracts/key_value_contract.py
@@ -67,6 +67,18 @@
     assert_equal([b"p/1", b"p/2"], [record.value for record in records])
 
 
+async def watch_from_a_read_misses_nothing(bench: KeyValueBench) -> None:
+    kv = bench.service
+    written = await kv.compare_and_swap("a", 0, b"1", "")
+    read = await kv.read_prefix("")
+    assert_equal(["a"], [record.key for record in read.records])
+    assert_equal(True, read.revision >= written.revision)
+    await kv.compare_and_swap("b", 0, b"2", "")
+    batch = await kv.watch("", read.revision, 0.0)
+    assert_equal(["b"], [record.key for record in batch.records])
+    assert_equal(True, batch.records[0].revision > read.revision)
+
+
 async def one_of_racing_swaps_wins(bench: KeyValueBench) -> None:
     kv = bench.service
     calls = [kv.compare_and_swap("a", 0, bytes([n]), "") for n in range(8)]
@@ -243,6 +255,7 @@
         conflict_reports_found_revision,
         revisions_grow_across_keys,
         prefix_is_in_key_order,
+        watch_from_a_read_misses_nothing,
         one_of_racing_swaps_wins,
         lease_end_deletes_its_keys,
         revoked_lease_deletes_its_keys,
--- a/tools/limits_model/network.py
+++ b/tools/limits_model/network.py
@@ -14,6 +14,7 @@
 from jaytray_core.keyvalue import (
     KeyValueRecord,
     KeyValueService,
+    PrefixRead,
     SwapResult,
     WatchBatch,
 )
@@ -118,6 +119,9 @@
         async def get_prefix(_prefix: str) -> list[KeyValueRecord]:
             raise NotImplementedError
 
+        async def read_prefix(_prefix: str) -> PrefixRead:
+            raise NotImplementedError
+
         async def grant_lease(_ttl_s: float) -> str:
             raise NotImplementedError
 
@@ -133,6 +137,7 @@
         return KeyValueService(
             get=get,
             get_prefix=get_prefix,
+            read_prefix=read_prefix,
             compare_and_swap=compare_and_swap,
             grant_lease=grant_lease,
             keep_lease=keep_lease,
