Tell members of departed targets, and take a target at its word that it leaves

Change: the first member that learns of a departure, from a response or from the store, notifies the others. A start of a target that was leaving never counts as ready again, which replaces the check for entries from a restored copy. Whether a target still takes requests is checked once more before the send. What concerns outages of the store moves to store_outage.py.

--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -36,6 +36,8 @@
     "target_unreadable": "target error".split(),
     "target_lapsed": ("target",),
     "target_gone": "target lapsed".split(),
+    "target_says_it_leaves": ("target",),
+    "target_departures_heard": "peer targets".split(),
     "target_failing": "target streak avoid_s detail".split(),
     "target_healthy": ("target",),
     "target_limit_changed": "target incarnation rate_per_s".split(),
--- a/packages/gateway/src/jaytray_gateway/ports.py
+++ b/packages/gateway/src/jaytray_gateway/ports.py
@@ -48,7 +48,8 @@
     not valid. `headers` are those to forward to the caller. `idle_timeout_s` is how
     long the target keeps an idle connection, None if not stated. `rate_limit_per_s` is
     the number of requests per second that the target accepts from all VMs together,
-    None if it states no limit.
+    None if it states no limit. `is_leaving` means that the target is about to stop and
+    takes no more requests.
     """
 
     status: int
@@ -60,6 +61,7 @@
     headers: HeaderList
     idle_timeout_s: float | None
     rate_limit_per_s: float | None = None
+    is_leaving: bool = False
 
 
 class OrderResult(NamedTuple):
--- a/packages/gateway/src/jaytray_gateway/process/directory.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -17,6 +18,7 @@
 from jaytray_core.logs import get_logger
 from jaytray_core.tasks import wait_until_set
 from jaytray_gateway.ports import PlatformAdapter
+from jaytray_gateway.process.store_outage import StoreOutage
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.version.route_table import ClientAccount, RouteTable
 
@@ -39,15 +41,25 @@
 LEADER_WATCH_PAUSE_S = 0.2
 # Wait of a watch that only fetches the changes so far.
 UPDATE_WAIT_S = 0.001
-# Targets register again within about 2 s of the end of an outage.
-REREGISTRATION_S = 2.2
-# Reads that fail for longer than this count as an outage of the key-value service, in
-# which registrations may expire.
-MIN_OUTAGE_S = 0.5
+MAX_LEAVING_TARGETS = 2_000
 
 OnChange = Callable[[], None]
 
 
+class TargetDeparture(NamedTuple):
+    """A start of a target that takes no more requests.
+
+    `removed_at` is the revision at which its entry was removed, 0 if it is leaving.
+    """
+
+    target_id: str
+    incarnation: str
+    removed_at: int = 0
+
+
+OnDeparture = Callable[[list[TargetDeparture]], None]
+
+
 class _KeyState(NamedTuple):
     """Last known state of a key; `value` is empty once the key was removed."""
 
@@ -87,11 +99,14 @@
         self._adapter = adapter
         self._clock = clock
         self._state_by_key: dict[str, _KeyState] = {}
-        self._lapsed_until_s_by_id: dict[str, float] = {}
+        self._outage = StoreOutage(clock=clock)
+        # Last start of a target that was seen leaving. It never takes requests again,
+        # whatever an outdated entry says.
+        self._leaving_incarnation_by_id: OrderedDict[str, str] = OrderedDict()
+        self._departures: list[TargetDeparture] = []
         self._revision = 0
-        self._failing_since_s: float | None = None
-        self._outage_ended_s = -float("inf")
         self._listeners: list[OnChange] = []
+        self._departure_listeners: list[OnDeparture] = []
         self._read_requested = asyncio.Event()
         self._update_lock = asyncio.Lock()
 
@@ -99,6 +114,10 @@
         """Call `listener` after each change of the copy."""
         self._listeners.append(listener)
 
+    def on_departure(self, listener: OnDeparture) -> None:
+        """Call `listener` with departures that this member is the first to know."""
+        self._departure_listeners.append(listener)
+
     def age_s(self) -> float:
         """Return the maximum age of the copy."""
         return self._clock() - self.current_as_of_s
@@ -128,13 +147,8 @@
 
     def targets_of(self, service: str) -> list[TargetEntry]:
         """Return the targets of a service that accept new requests."""
-        now_s = self._clock()
         # The read that removes a lapsed target may come later than its time is over.
-        overdue = {
-            target_id
-            for target_id, until_s in self._lapsed_until_s_by_id.items()
-            if until_s <= now_s
-        }
+        overdue = self._outage.overdue_ids()
         return [
             target
             for target in self.targets_by_id.values()
@@ -143,6 +157,38 @@
             and target.target_id not in overdue
         ]
 
+    def apply_departures(
+        self, departures: list[TargetDeparture]
+    ) -> list[TargetDeparture]:
+        """Apply departures that another source tells of; returns the new ones."""
+        news = []
+        for departure in departures:
+            target = self.targets_by_id.get(departure.target_id)
+            is_same = target and target.incarnation == departure.incarnation
+            if target is None or not is_same or target.is_leaving:
+                continue
+            news.append(departure)
+            if departure.removed_at:
+                key = self._adapter.targets_prefix + departure.target_id
+                self._apply([KeyValueRecord(key, b"", departure.removed_at)])
+            else:
+                self._note_leaving(target)
+                self.targets_by_id[target.target_id] = target._replace(is_leaving=True)
+        self._departures.clear()
+        if news:
+            self._notify_listeners()
+        return news
+
+    def takes_requests(self, target: TargetEntry) -> bool:
+        """Return whether a target that was found earlier still accepts new requests."""
+        known = self.targets_by_id.get(target.target_id)
+        return (
+            known is not None
+            and known.incarnation == target.incarnation
+            and not known.is_leaving
+            and target.target_id not in self._outage.overdue_ids()
+        )
+
     async def run_reads(self) -> None:
         """Read all keys whenever a read is due, until cancelled."""
         while True:
@@ -150,9 +196,7 @@
             try:
                 await self._read_all(begun_s)
             except JaytrayError as err:
-                if self._failing_since_s is None:
-                    self._failing_since_s = begun_s
-                    get_logger().warning("store_lost", error=str(err))
+                self._outage.record_failure(begun_s, str(err))
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
             self._read_requested.clear()
@@ -181,7 +225,7 @@
         while True:
             max_age_s = self._bound_s * MAX_COPY_AGE_FRACTION
             longest_s = (
-                max_age_s if self._lapsed_until_s_by_id else FULL_READ_INTERVAL_S
+                max_age_s if self._outage.has_lapsed_targets() else FULL_READ_INTERVAL_S
             )
             due_s = min(self.current_as_of_s + max_age_s, self._read_at_s + longest_s)
             left_s = due_s - self._clock()
@@ -196,8 +240,8 @@
 
     async def _read_all(self, begun_s: float) -> None:
         records, revision = await self._key_value.read_prefix("")
-        self._end_outage()
-        is_restored = self._notice_restore()
+        self._outage.record_success()
+        self._notice_restore()
         self._read_at_s = begun_s
         self.current_as_of_s = max(self.current_as_of_s, begun_s)
         found = {record.key for record in records}
@@ -210,24 +254,11 @@
         ]
         self._revision = max(self._revision, revision)
         self._expire_lapsed_targets(found)
-        if is_restored:
-            records = [r for r in records if not self._is_before_leaving(r)]
         self._apply([*records, *removed], removed_keys={r.key for r in removed})
+        self._announce_departures()
 
-    def _end_outage(self) -> None:
-        if self._failing_since_s is None:
-            return
-        now_s = self._clock()
-        away_s = now_s - self._failing_since_s
-        self._failing_since_s = None
-        get_logger().info("store_regained", away_s=round(away_s, 2))
-        if away_s > MIN_OUTAGE_S:
-            self._outage_ended_s = now_s
-            for target_id in self._lapsed_until_s_by_id:
-                self._lapsed_until_s_by_id[target_id] = now_s + REREGISTRATION_S
-
-    def _notice_restore(self) -> bool:
-        """Return whether the service has returned from an older copy since last read.
+    def _notice_restore(self) -> None:
+        """Check whether the service has returned from an older copy since last read.
 
         Targets and members that it lost need time to register again.
         """
@@ -236,29 +267,13 @@
         self._restores = restores
         if is_restored:
             get_logger().warning("store_restored", restores=restores)
-            self.restored_at_s = self._outage_ended_s = self._clock()
-        return is_restored
-
-    def _is_before_leaving(self, record: KeyValueRecord) -> bool:
-        """Return whether a record is that of a leaving target before it was leaving."""
-        prefix = self._adapter.targets_prefix
-        known = self.targets_by_id.get(record.key.removeprefix(prefix))
-        if known is None or not known.is_leaving or not record.key.startswith(prefix):
-            return False
-        try:
-            entry = self._adapter.decode_target(known.target_id, record.value)
-        except JaytrayError:
-            # Logged when the record is applied.
-            return False
-        return entry.incarnation == known.incarnation and not entry.is_leaving
-
-    def _is_in_outage(self) -> bool:
-        since_s = self._failing_since_s
-        return since_s is not None and self._clock() - since_s > MIN_OUTAGE_S
+            self.restored_at_s = self._clock()
+            self._outage.record_restore()
 
     def _apply_batch(self, batch: WatchBatch) -> None:
         if batch.records:
             self._apply(batch.records)
+            self._announce_departures()
         self._revision = max(self._revision, batch.revision)
 
     def _apply(
@@ -280,8 +295,17 @@
             self._apply_record(record)
             is_changed = True
         if is_changed:
-            for listener in self._listeners:
-                listener()
+            self._notify_listeners()
+
+    def _notify_listeners(self) -> None:
+        for listener in self._listeners:
+            listener()
+
+    def _announce_departures(self) -> None:
+        departures, self._departures = self._departures, []
+        if departures:
+            for departure_listener in self._departure_listeners:
+                departure_listener(departures)
 
     def _apply_record(self, record: KeyValueRecord) -> None:
         adapter = self._adapter
@@ -292,7 +316,7 @@
             if record.value:
                 self._apply_target(target_id, record)
             else:
-                self._remove_target(target_id)
+                self._remove_target(target_id, record.revision)
         elif record.key.startswith(adapter.records_prefix):
             if record.value:
                 self.records_by_key[record.key] = record.value
@@ -324,8 +348,13 @@
             get_logger().info("target_unreadable", target=target_id, error=str(err))
             self.targets_by_id.pop(target_id, None)
             return
+        if self._leaving_incarnation_by_id.get(target_id) == entry.incarnation:
+            entry = entry._replace(is_leaving=True)
+        elif entry.is_leaving:
+            self._note_leaving(entry)
+            self._departures.append(TargetDeparture(target_id, entry.incarnation))
         before = self.targets_by_id.get(target_id)
-        self._lapsed_until_s_by_id.pop(target_id, None)
+        self._outage.forget_lapsed(target_id)
         self.targets_by_id[target_id] = entry
         if before is None or (before.incarnation, before.is_leaving) != (
             entry.incarnation,
@@ -341,25 +370,29 @@
                 revision=record.revision,
             )
 
-    def _remove_target(self, target_id: str) -> None:
-        if target_id not in self.targets_by_id:
-            return
-        now_s = self._clock()
-        outage_end_s = now_s if self._is_in_outage() else self._outage_ended_s
-        until_s = outage_end_s + REREGISTRATION_S
-        if now_s < until_s and not self.targets_by_id[target_id].is_leaving:
-            self._lapsed_until_s_by_id[target_id] = until_s
-            get_logger().info("target_lapsed", target=target_id)
+    def _note_leaving(self, target: TargetEntry) -> None:
+        self._leaving_incarnation_by_id[target.target_id] = target.incarnation
+        if len(self._leaving_incarnation_by_id) > MAX_LEAVING_TARGETS:
+            self._leaving_incarnation_by_id.popitem(last=False)
+
+    def _remove_target(self, target_id: str, revision: int) -> None:
+        target = self.targets_by_id.get(target_id)
+        if target is None:
             return
+        if not target.is_leaving:
+            if self._outage.try_lapse(target_id):
+                return
+            self._departures.append(
+                TargetDeparture(target_id, target.incarnation, revision)
+            )
         del self.targets_by_id[target_id]
         get_logger().info("target_gone", target=target_id)
 
     def _expire_lapsed_targets(self, found_keys: set[str]) -> None:
-        now_s = self._clock()
-        for target_id, until_s in list(self._lapsed_until_s_by_id.items()):
-            if self._adapter.targets_prefix + target_id in found_keys:
-                del self._lapsed_until_s_by_id[target_id]
-            elif now_s >= until_s:
-                del self._lapsed_until_s_by_id[target_id]
-                self.targets_by_id.pop(target_id, None)
-                get_logger().info("target_gone", target=target_id, lapsed=True)
+        prefix = self._adapter.targets_prefix
+        registered = {
+            key.removeprefix(prefix) for key in found_keys if key.startswith(prefix)
+        }
+        for target_id in self._outage.expire_lapsed(registered):
+            self.targets_by_id.pop(target_id, None)
+            get_logger().info("target_gone", target=target_id, lapsed=True)
--- a/packages/gateway/src/jaytray_gateway/process/replicas.py
+++ b/packages/gateway/src/jaytray_gateway/process/replicas.py
@@ -61,6 +61,10 @@
         """Return the targets of a service that accept new requests."""
         return self._directory.targets_of(service)
 
+    def takes_requests(self, target: TargetEntry) -> bool:
+        """Return whether a target that was found earlier still accepts new requests."""
+        return self._directory.takes_requests(target)
+
     def targets_with_replica(
         self, service: str, model: str, adapter: str
     ) -> list[TargetEntry]:
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -14,6 +14,7 @@
 from jaytray_gateway.ports import PlatformAdapter
 from jaytray_gateway.process.crash_guard import QUARANTINE_S, CrashGuard
 from jaytray_gateway.process.demand_average import DemandAverage
+from jaytray_gateway.process.departure_notices import DepartureNotices
 from jaytray_gateway.process.directory import Directory
 from jaytray_gateway.process.leased_records import LeasedRecords, RecordKind
 from jaytray_gateway.process.lifecycle import Lifecycle
@@ -161,6 +162,7 @@
     )
     member_messages.subscribe(crash_guard, part_guard, placement.add_replica_request)
     limits = TargetLimits(peers=peers, clock=clock)
+    departures = DepartureNotices(peers=peers, directory=directory)
     versions = SoftwareVersions(directory=directory, clock=clock)
     origins = StreamOrigins(
         peers=peers, directory=directory, versions=versions, clock=clock
@@ -195,6 +197,7 @@
         crash_guard=crash_guard,
         part_guard=part_guard,
         limits=limits,
+        departures=departures,
         replica_demand=replica_demand,
         origins=origins,
         log=RequestLog(metrics=metrics),
--- a/packages/gateway/src/jaytray_gateway/request/services.py
+++ b/packages/gateway/src/jaytray_gateway/request/services.py
@@ -8,6 +8,7 @@
 from jaytray_gateway.ports import PlatformAdapter
 from jaytray_gateway.process.crash_guard import CrashGuard
 from jaytray_gateway.process.demand_average import DemandAverage
+from jaytray_gateway.process.departure_notices import DepartureNotices
 from jaytray_gateway.process.load_view import LoadView
 from jaytray_gateway.process.prompt_part_guard import PromptPartGuard
 from jaytray_gateway.process.rate_shares import RateShares
@@ -34,6 +35,7 @@
     crash_guard: CrashGuard
     part_guard: PromptPartGuard
     limits: TargetLimits
+    departures: DepartureNotices
     replica_demand: DemandAverage
     origins: StreamOrigins
     log: RequestLog
--- a/packages/gateway/src/jaytray_gateway/request/target_search.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_search.py
@@ -145,6 +145,10 @@
                 min(left_s, REPLICA_REQUEST_INTERVAL_S)
             )
 
+    def is_usable(self, target: TargetEntry) -> bool:
+        """Return whether a target that was found earlier still takes requests."""
+        return self._replicas.takes_requests(target)
+
     def note_not_run(
         self, request: RoutedRequest, target: TargetEntry, status: int
     ) -> None:
--- a/packages/gateway/tests/process/test_directory.py
+++ b/packages/gateway/tests/process/test_directory.py
@@ -10,10 +10,10 @@
 from jaytray_gateway.ports import PlatformAdapter
 from jaytray_gateway.process.directory import (
     FULL_READ_INTERVAL_S,
-    REREGISTRATION_S,
     RETRY_PAUSE_S,
     Directory,
 )
+from jaytray_gateway.process.store_outage import REREGISTRATION_S
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.version.route_table import CallerLimits, RouteTable
 from jaytray_standins.faults import Fault, FaultKind, FaultSwitches
--- a/packages/gateway/tests/request/scripted_target.py
+++ b/packages/gateway/tests/request/scripted_target.py
@@ -12,6 +12,7 @@
     connection after the response. `limit` is the rate limit that the target states,
     `request_id` one that the response belongs to instead of the request's.
     `is_unframed` sends neither a length nor chunks; the body ends with the connection.
+    `is_leaving` states that the target is about to stop.
     `is_endless` repeats the body until the caller closes the connection.
     """
 
@@ -26,6 +27,7 @@
     request_id: bytes = b""
     is_unframed: bool = False
     is_endless: bool = False
+    is_leaving: bool = False
 
 
 CRASH = ScriptedResponse(body=b"", is_stream=True, is_complete=False)
@@ -110,6 +112,8 @@
         lines.append(b"x-not-run: 1")
     if response.limit:
         lines.append(b"x-limit: " + response.limit.encode())
+    if response.is_leaving:
+        lines.append(b"x-leaving: 1")
     body = response.body
     if response.is_unframed:
         lines.append(b"connection: close")
--- a/packages/gateway/tests/request/support.py
+++ b/packages/gateway/tests/request/support.py
@@ -14,6 +14,7 @@
 )
 from jaytray_gateway.process.crash_guard import CrashGuard
 from jaytray_gateway.process.demand_average import DemandAverage
+from jaytray_gateway.process.departure_notices import DepartureNotices
 from jaytray_gateway.process.directory import Directory
 from jaytray_gateway.process.lifecycle import Lifecycle
 from jaytray_gateway.process.load_view import LoadView
@@ -267,6 +268,7 @@
                 on_explained=self.crash_guard.forget_crash,
             ),
             limits=limits,
+            departures=DepartureNotices(peers=self._peers, directory=self.directory),
             replica_demand=DemandAverage(clock=clock, window_s=5.0),
             origins=self.origins,
             log=RequestLog(metrics=GatewayMetrics()),
--- a/packages/gateway/tests/request/wire_format.py
+++ b/packages/gateway/tests/request/wire_format.py
@@ -2,7 +2,7 @@
 
 Requests carry `x-id`, `x-key`, `x-model`, `x-parts`, `x-deadline`, `x-last` and
 `x-original`;
-responses carry `x-id`, `x-seal`, `x-not-run` and `x-limit`.
+responses carry `x-id`, `x-seal`, `x-not-run`, `x-limit` and `x-leaving`.
 """
 
 from typing import Any
@@ -74,6 +74,7 @@
         headers=[pair for pair in headers if pair[0].startswith(b"x-")],
         idle_timeout_s=None,
         rate_limit_per_s=float(limit) if limit else None,
+        is_leaving=bool(first_value(headers, b"x-leaving")),
     )
 
 
