Log and count when a VM reaches no target of a service

A failed connection, or silence while requests are under way, is checked by connecting to two targets; targets_unreachable and targets_reachable are logged, services_cut_off counts. The connections that were opened are kept for requests. Nothing decides on it yet.

--- a/packages/gateway/src/jaytray_gateway/connection/target_pool.py
+++ b/packages/gateway/src/jaytray_gateway/connection/target_pool.py
@@ -7,6 +7,8 @@
 from collections.abc import Awaitable, Callable
 
 from jaytray_core.clock import MonotonicClock
+from jaytray_core.exchange_errors import ExchangeError
+from jaytray_core.logs import get_logger
 from jaytray_gateway.connection.target_connection import (
     TargetConnection,
     open_connection,
@@ -20,11 +22,12 @@
 # Fraction of a stated idle timeout after which a connection is no longer reused.
 IDLE_TIMEOUT_FRACTION = 0.7
 
-OpenConnection = Callable[[str], Awaitable[TargetConnection]]
+# (address, timeout in seconds) -> a new connection; raises `ExchangeError`.
+OpenConnection = Callable[[str, float], Awaitable[TargetConnection]]
 
 
-async def _open(address: str) -> TargetConnection:
-    return await open_connection(address, timeout_s=CONNECT_TIMEOUT_S)
+async def _open(address: str, timeout_s: float) -> TargetConnection:
+    return await open_connection(address, timeout_s=timeout_s)
 
 
 class TargetConnectionPool:
@@ -50,7 +53,21 @@
                 return connection
             connection.close()
         self.opened_connections += 1
-        return await self._open(address)
+        return await self._open(address, CONNECT_TIMEOUT_S)
+
+    async def open_idle(
+        self, target_id: str, address: str, *, timeout_s: float
+    ) -> bool:
+        """Open a connection for later use; returns whether the target accepted it."""
+        self.opened_connections += 1
+        try:
+            connection = await self._open(address, timeout_s)
+        except ExchangeError as err:
+            get_logger().debug("check_not_connected", target=target_id, error=str(err))
+            return False
+        connection.idle_since_s = self._clock()
+        self._idle_by_target.setdefault((target_id, address), []).append(connection)
+        return True
 
     def release(
         self,
--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -40,6 +40,10 @@
     "target_departures_heard": "peer targets".split(),
     "target_failing": "target streak avoid_s detail".split(),
     "target_healthy": ("target",),
+    # Whether this VM reaches the targets of a service by itself.
+    "targets_unreachable": "service tried silent_s".split(),
+    "targets_reachable": "service away_s".split(),
+    "check_not_connected": "target error".split(),
     "target_limit_changed": "target incarnation rate_per_s".split(),
     "limit_member_silent": "peer target".split(),
     "target_report_failed": "target error".split(),
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -139,6 +139,7 @@
         "membership": subsystems.membership.run,
         "gossip": subsystems.member_messages.run,
         "placement": subsystems.placement.run,
+        "target_reach": subsystems.services.reach.run,
         "quarantine_records": subsystems.quarantine_records.run,
         "software_version_records": subsystems.software_version_records.run,
         "housekeeping": lambda: _run_housekeeping(subsystems),
@@ -168,6 +169,9 @@
         subsystems.metrics.set_gauge(
             "targets_limited", subsystems.services.limits.limited_targets()
         )
+        subsystems.metrics.set_gauge(
+            "services_cut_off", len(subsystems.services.reach.cut_off_services())
+        )
         subsystems.metrics.set_gauge(
             "connections_opened", subsystems.pools.opened_connections
         )
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -46,6 +46,7 @@
 from jaytray_gateway.process.target_choice import TargetChooser
 from jaytray_gateway.process.target_health import TargetHealth
 from jaytray_gateway.process.target_limits import TargetLimits
+from jaytray_gateway.process.target_reach import TargetReach
 from jaytray_gateway.request.admission import Admission
 from jaytray_gateway.request.services import RequestServices
 from jaytray_gateway.request.target_search import TargetSearch
@@ -163,6 +164,7 @@
     member_messages.subscribe(crash_guard, part_guard, placement.add_replica_request)
     limits = TargetLimits(peers=peers, clock=clock)
     departures = DepartureNotices(peers=peers, directory=directory)
+    reach = TargetReach(directory=directory, pools=pools, clock=clock, rng=rng)
     versions = SoftwareVersions(directory=directory, clock=clock)
     origins = StreamOrigins(
         peers=peers, directory=directory, versions=versions, clock=clock
@@ -198,6 +200,7 @@
         part_guard=part_guard,
         limits=limits,
         departures=departures,
+        reach=reach,
         replica_demand=replica_demand,
         origins=origins,
         log=RequestLog(metrics=metrics),
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/process/target_reach.py
@@ -0,0 +1,155 @@
+"""Whether this VM reaches the targets of each service over its own links.
+
+A VM may lose its path to all targets while callers, the key-value service and other VMs
+still reach it. A connection that cannot be opened, or requests under way without a byte
+from any target of their service, raise a suspicion. It is checked by connecting to some
+targets; a service is cut off until one of them accepts.
+"""
+
+import asyncio
+import random
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.logs import get_logger
+from jaytray_core.tasks import cancel_all
+from jaytray_gateway.connection.target_pool import TargetConnectionPool
+from jaytray_gateway.process.directory import Directory
+
+CHECK_INTERVAL_S = 0.1
+# Requests under way without a byte from any target of the service for this long; a
+# stream
+# has an event every few tens of milliseconds.
+SILENCE_S = 0.4
+# Targets accept connections within milliseconds, also when they are busy.
+CONNECT_TIMEOUT_S = 0.5
+TARGETS_PER_CHECK = 2
+# Shortest time between two checks: after a failed connection or while cut off, and of
+# silence, which also occurs when all targets are slow.
+MIN_CHECK_INTERVAL_S = 0.3
+MIN_SILENCE_CHECK_INTERVAL_S = 1.5
+
+
+class _ServiceReach:
+    """State of one service; `exchanges` are start times of those under way."""
+
+    def __init__(self) -> None:
+        self.exchanges: dict[int, float] = {}
+        self.heard_at_s = -float("inf")
+        self.checked_at_s = -float("inf")
+        self.is_suspected = False
+        self.cut_off_since_s: float | None = None
+        self.check: asyncio.Task[None] | None = None
+
+
+class TargetReach:
+    """Checks the links to the targets of all services that requests are sent to."""
+
+    def __init__(
+        self,
+        *,
+        directory: Directory,
+        pools: TargetConnectionPool,
+        clock: MonotonicClock,
+        rng: random.Random,
+    ) -> None:
+        self._directory = directory
+        self._pools = pools
+        self._clock = clock
+        self._rng = rng
+        self._reach_by_service: dict[str, _ServiceReach] = {}
+        self._next_exchange = 0
+
+    def is_cut_off(self, service: str) -> bool:
+        """Return whether no target of the service accepts connections from here."""
+        reach = self._reach_by_service.get(service)
+        return reach is not None and reach.cut_off_since_s is not None
+
+    def cut_off_services(self) -> list[str]:
+        """Return the services that are cut off from this VM."""
+        return [name for name in self._reach_by_service if self.is_cut_off(name)]
+
+    @contextmanager
+    def exchange(self, service: str) -> Iterator[None]:
+        """Expect bytes from the service's targets while the context is open."""
+        reach = self._reach_of(service)
+        self._next_exchange += 1
+        number = self._next_exchange
+        reach.exchanges[number] = self._clock()
+        try:
+            yield
+        finally:
+            del reach.exchanges[number]
+
+    def record_bytes(self, service: str) -> None:
+        """Record that bytes arrived from a target."""
+        self._reach_of(service).heard_at_s = self._clock()
+
+    def record_not_connected(self, service: str) -> None:
+        """Record that a connection to a target could not be opened."""
+        self._reach_of(service).is_suspected = True
+
+    async def run(self) -> None:
+        """Check the links whenever there is a reason, until cancelled."""
+        try:
+            while True:
+                await asyncio.sleep(CHECK_INTERVAL_S)
+                for service, reach in list(self._reach_by_service.items()):
+                    is_checking = reach.check is not None and not reach.check.done()
+                    if not is_checking and self._needs_check(reach):
+                        reach.check = asyncio.create_task(self._check(service, reach))
+        finally:
+            await cancel_all(
+                [
+                    reach.check
+                    for reach in self._reach_by_service.values()
+                    if reach.check
+                ]
+            )
+
+    def _reach_of(self, service: str) -> _ServiceReach:
+        return self._reach_by_service.setdefault(service, _ServiceReach())
+
+    def _needs_check(self, reach: _ServiceReach) -> bool:
+        now_s = self._clock()
+        since_check_s = now_s - reach.checked_at_s
+        if reach.is_suspected or reach.cut_off_since_s is not None:
+            return since_check_s >= MIN_CHECK_INTERVAL_S
+        if not reach.exchanges or since_check_s < MIN_SILENCE_CHECK_INTERVAL_S:
+            return False
+        oldest_s = min(reach.exchanges.values())
+        return now_s - max(oldest_s, reach.heard_at_s) >= SILENCE_S
+
+    async def _check(self, service: str, reach: _ServiceReach) -> None:
+        targets = self._directory.targets_of(service)
+        reach.is_suspected = False
+        reach.checked_at_s = self._clock()
+        if not targets:
+            return
+        chosen = self._rng.sample(targets, min(TARGETS_PER_CHECK, len(targets)))
+        connected = await asyncio.gather(
+            *(
+                self._pools.open_idle(
+                    target.target_id, target.address, timeout_s=CONNECT_TIMEOUT_S
+                )
+                for target in chosen
+            )
+        )
+        if any(connected) == (reach.cut_off_since_s is None):
+            return
+        now_s = self._clock()
+        if any(connected):
+            away_s = now_s - (reach.cut_off_since_s or now_s)
+            reach.cut_off_since_s = None
+            get_logger().info(
+                "targets_reachable", service=service, away_s=round(away_s, 2)
+            )
+            return
+        reach.cut_off_since_s = now_s
+        get_logger().warning(
+            "targets_unreachable",
+            service=service,
+            tried=",".join(target.target_id for target in chosen),
+            silent_s=round(now_s - reach.heard_at_s, 2) if reach.exchanges else "",
+        )
--- a/packages/gateway/src/jaytray_gateway/request/attempt.py
+++ b/packages/gateway/src/jaytray_gateway/request/attempt.py
@@ -73,17 +73,18 @@
         )
 
     try:
-        async with exchange_with(
-            target,
-            request=request,
-            make_dispatch=make_dispatch,
-            pools=services.pools,
-            adapter=services.adapter,
-            clock=services.clock,
-        ) as exchange:
-            is_success = await _handle_response(
-                state, target, in_flight, exchange, reply, services
-            )
+        with services.reach.exchange(state.service.name):
+            async with exchange_with(
+                target,
+                request=request,
+                make_dispatch=make_dispatch,
+                pools=services.pools,
+                adapter=services.adapter,
+                clock=services.clock,
+            ) as exchange:
+                is_success = await _handle_response(
+                    state, target, in_flight, exchange, reply, services
+                )
         services.health.record_success(target.target_id)
         services.crash_guard.record_complete_response(state.digest, target)
         if is_success:
@@ -92,6 +93,7 @@
         is_late = err.progress is ExchangeProgress.TIMED_OUT
         if err.progress is ExchangeProgress.NOT_SENT:
             services.health.record_unreachable(target.target_id, err.detail)
+            services.reach.record_not_connected(state.service.name)
             services.pools.drop_target(target.target_id)
             raise AttemptNotRun(err.detail, reached_target=False) from err
         if is_late:
@@ -115,6 +117,7 @@
     """Relay the response; returns whether it is a success."""
     until_s = _head_deadline_s(state, services)
     head = await exchange.read_head(until_s)
+    services.reach.record_bytes(state.service.name)
     if state.sent_at_s is not None:
         services.limits.record_response(
             target, head.rate_limit_per_s, sent_at_s=state.sent_at_s
@@ -171,6 +174,7 @@
                 progress=ExchangeProgress.BROKEN, detail="event is too large"
             )
         state.attempt_chunks += 1
+        services.reach.record_bytes(state.service.name)
         if state.attempt_first_piece_s is None:
             state.attempt_first_piece_s = services.clock()
         if state.first_piece_s is None:
--- a/packages/gateway/src/jaytray_gateway/request/services.py
+++ b/packages/gateway/src/jaytray_gateway/request/services.py
@@ -17,6 +17,7 @@
 from jaytray_gateway.process.stream_origins import StreamOrigins
 from jaytray_gateway.process.target_health import TargetHealth
 from jaytray_gateway.process.target_limits import TargetLimits
+from jaytray_gateway.process.target_reach import TargetReach
 from jaytray_gateway.request.admission import Admission
 from jaytray_gateway.request.target_search import TargetSearch
 
@@ -36,6 +37,7 @@
     part_guard: PromptPartGuard
     limits: TargetLimits
     departures: DepartureNotices
+    reach: TargetReach
     replica_demand: DemandAverage
     origins: StreamOrigins
     log: RequestLog
--- a/packages/gateway/tests/request/support.py
+++ b/packages/gateway/tests/request/support.py
@@ -31,6 +31,7 @@
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.process.target_health import TargetHealth
 from jaytray_gateway.process.target_limits import TargetLimits
+from jaytray_gateway.process.target_reach import TargetReach
 from jaytray_gateway.request.admission import Admission
 from jaytray_gateway.request.services import RequestServices
 from jaytray_gateway.request.target_search import TargetSearch
@@ -238,6 +239,9 @@
             rng=rng,
         )
         limits = TargetLimits(peers=self._peers, clock=clock)
+        self.reach = TargetReach(
+            directory=self.directory, pools=self.pools, clock=clock, rng=rng
+        )
         return RequestServices(
             adapter=ADAPTER,
             admission=Admission(
@@ -269,6 +273,7 @@
             ),
             limits=limits,
             departures=DepartureNotices(peers=self._peers, directory=self.directory),
+            reach=self.reach,
             replica_demand=DemandAverage(clock=clock, window_s=5.0),
             origins=self.origins,
             log=RequestLog(metrics=GatewayMetrics()),
