--- a/packages/gateway/src/jaytray_gateway/connection/target_connection.py
+++ b/packages/gateway/src/jaytray_gateway/connection/target_connection.py
@@ -29,7 +29,7 @@
         self.idle_since_s = 0.0
         self.idle_timeout_s: float | None = None
         self._http = h11.Connection(h11.CLIENT)
-        self._transport: asyncio.Transport | None = None
+        self.transport: asyncio.Transport | None = None
         self._request: h11.Request | None = None
         self._failure: str | None = None
         self._is_closed = False
@@ -40,7 +40,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Enable TCP keep-alive on the socket."""
         assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+        self.transport = transport
         set_keep_alive(transport.get_extra_info("socket"), KEEP_ALIVE)
 
     def data_received(self, data: bytes) -> None:
@@ -51,8 +51,8 @@
             return
         self._http.receive_data(data)
         self._buffered_bytes += len(data)
-        if self._buffered_bytes > MAX_BUFFERED_BYTES and self._transport:
-            self._transport.pause_reading()
+        if self._buffered_bytes > MAX_BUFFERED_BYTES and self.transport:
+            self.transport.pause_reading()
         self._wake()
 
     def eof_received(self) -> None:
@@ -81,7 +81,7 @@
         self, method: bytes, target: bytes, headers: HeaderList, body: bytes
     ) -> None:
         """Write a request; raises `ExchangeError` if the connection is closed."""
-        if self._is_closed or self._transport is None:
+        if self._is_closed or self.transport is None:
             raise ExchangeError(
                 progress=ExchangeProgress.NOT_SENT,
                 detail="connection closed while idle",
@@ -91,7 +91,7 @@
         if body:
             parts.append(self._http.send(h11.Data(data=body)))
         parts.append(self._http.send(h11.EndOfMessage()))
-        self._transport.write(b"".join(part for part in parts if part))
+        self.transport.write(b"".join(part for part in parts if part))
 
     async def next_event(self) -> h11.Response | h11.Data | h11.EndOfMessage:
         """Return the next event of the response; raises `ExchangeError`."""
@@ -147,8 +147,8 @@
             and self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
             and self._http.trailing_data == (b"", False)
-            and self._transport is not None
-            and self._transport.get_write_buffer_size() == 0
+            and self.transport is not None
+            and self.transport.get_write_buffer_size() == 0
         )
         if not is_reusable:
             self.close()
@@ -161,12 +161,12 @@
     def close(self) -> None:
         """Close immediately and discard bytes that were received but not read."""
         self._is_closed = True
-        if self._transport is not None:
-            self._transport.abort()
+        if self.transport is not None:
+            self.transport.abort()
 
     async def _wait_for_data(self) -> None:
-        if self._buffered_bytes > MAX_BUFFERED_BYTES and self._transport:
-            self._transport.resume_reading()
+        if self._buffered_bytes > MAX_BUFFERED_BYTES and self.transport:
+            self.transport.resume_reading()
         self._buffered_bytes = 0
         self._data_waiter = asyncio.get_running_loop().create_future()
         try:
--- a/packages/gateway/tests/request/support.py
+++ b/packages/gateway/tests/request/support.py
@@ -1,13 +1,19 @@
 """Runs the request path against scripted targets, in the format of `wire_format`."""
 
 import asyncio
+import enum
 import random
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from typing import Any, NamedTuple
 
 from jaytray_core.clock import monotonic_clock
+from jaytray_core.exchange_errors import ExchangeError, ExchangeProgress
 from jaytray_gateway.connection.caller_app import make_caller_app
+from jaytray_gateway.connection.target_connection import (
+    TargetConnection,
+    open_connection,
+)
 from jaytray_gateway.connection.target_pool import TargetConnectionPool
 from jaytray_gateway.ports import (
     HeaderList,
@@ -84,6 +90,19 @@
     is_whole: bool
 
 
+class TargetLink(enum.Enum):
+    """State of a VM's links to all targets.
+
+    SILENT holds back the data of open connections and lets new ones time out. RESET
+    resets the open ones and refuses new ones. REFUSING only refuses new ones.
+    """
+
+    GOOD = "good"
+    SILENT = "silent"
+    RESET = "reset"
+    REFUSING = "refusing"
+
+
 class GatewayHarness:
     """The request path of one VM and the scripted targets behind it."""
 
@@ -110,7 +129,11 @@
         )
         self.directory.current_as_of_s = monotonic_clock()
         self.lifecycle = Lifecycle()
-        self.pools = TargetConnectionPool(clock=monotonic_clock)
+        self.link = TargetLink.GOOD
+        self._connections: list[TargetConnection] = []
+        self.pools = TargetConnectionPool(
+            clock=monotonic_clock, open_connection=self._open_connection
+        )
         self.loads = LoadView(clock=monotonic_clock)
         self.crash_guard = CrashGuard(
             clock=monotonic_clock, notify_peers=lambda _found: None
@@ -131,6 +154,30 @@
             clock=monotonic_clock,
         )
 
+    def set_link(self, link: TargetLink) -> None:
+        """Change this VM's links to all targets."""
+        self.link = link
+        for connection in self._connections:
+            if link is TargetLink.RESET:
+                connection.close()
+            elif connection.transport is not None and link is TargetLink.SILENT:
+                connection.transport.pause_reading()
+
+    async def _open_connection(
+        self, address: str, timeout_s: float
+    ) -> TargetConnection:
+        is_target = any(address == target.address for target in self.targets)
+        if is_target and self.link is not TargetLink.GOOD:
+            if self.link is TargetLink.SILENT:
+                await asyncio.sleep(timeout_s)
+            raise ExchangeError(
+                progress=ExchangeProgress.NOT_SENT, detail="partitioned"
+            )
+        connection = await open_connection(address, timeout_s=timeout_s)
+        if is_target:
+            self._connections.append(connection)
+        return connection
+
     def restart_targets(self) -> None:
         """Enter the targets into the directory with a new incarnation."""
         self.incarnation += 1
