Forward requests by way of other members while a VM reaches no target

Cause: each VM sent requests over its own links only.

Change: TargetReach decides whether a service is cut off; then a request goes to a member that reaches it, which forwards it. The key for that is published in the member's record. The body reader of the callers' interface moves to request_body.py.

--- a/packages/core/src/jaytray_core/message_registry.py
+++ b/packages/core/src/jaytray_core/message_registry.py
@@ -98,6 +98,12 @@
     "the queue for {name} is full",
     "Send the request again after Retry-After.",
 )
+SERVICE_CUT_OFF = MessageTemplate(
+    "service_cut_off",
+    503,
+    "this VM does not reach the targets of {name}",
+    "Send the request again after Retry-After.",
+)
 TARGET_LIMITED = MessageTemplate(
     "target_limited",
     503,
--- a/packages/gateway/src/jaytray_gateway/connection/caller_app.py
+++ b/packages/gateway/src/jaytray_gateway/connection/caller_app.py
@@ -4,7 +4,6 @@
 under any path with method, path, body and headers unchanged.
 """
 
-import asyncio
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from typing import Any
@@ -15,6 +14,7 @@
 from jaytray_gateway.ports import RequestHead
 from jaytray_gateway.process.lifecycle import Lifecycle
 from jaytray_gateway.request.reply import CallerReply
+from jaytray_gateway.request.request_body import read_body
 from jaytray_gateway.request.request_path import (
     send_refusal,
     serve_request,
@@ -30,9 +30,6 @@
 Send = Callable[[Any], Awaitable[None]]
 App = Callable[[Any, Receive, Send], Awaitable[None]]
 
-# Longest wait for the next chunk of a request body.
-BODY_READ_TIMEOUT_S = 5.0
-
 
 def make_caller_app(
     services: RequestServices,
@@ -58,7 +55,7 @@
         try:
             limits = current_limits()
             _check_head(head, limits)
-            body = await _read_body(receive, limits.body_bytes)
+            body = await read_body(receive, limits.body_bytes)
             request = services.adapter.parse_request(head, body)
         except CallerDisconnected:
             return
@@ -105,27 +102,3 @@
             part="header section",
             limit=limits.header_bytes,
         )
-
-
-async def _read_body(receive: Receive, limit_bytes: int) -> bytes:
-    chunks: list[bytes] = []
-    size = 0
-    while True:
-        try:
-            async with asyncio.timeout(BODY_READ_TIMEOUT_S):
-                message = await receive()
-        except TimeoutError as err:
-            raise JaytrayError(
-                messages.BODY_TIMEOUT, step=Step.DECODE, timeout_s=BODY_READ_TIMEOUT_S
-            ) from err
-        if message["type"] == "http.disconnect":
-            raise CallerDisconnected
-        chunk = message.get("body", b"")
-        size += len(chunk)
-        if size > limit_bytes:
-            raise JaytrayError(
-                messages.REQUEST_TOO_LARGE, step=Step.DECODE, limit=limit_bytes
-            )
-        chunks.append(chunk)
-        if not message.get("more_body", False):
-            return chunks[0] if len(chunks) == 1 else b"".join(chunks)
--- a/packages/gateway/src/jaytray_gateway/connection/target_pool.py
+++ b/packages/gateway/src/jaytray_gateway/connection/target_pool.py
@@ -43,7 +43,9 @@
         self._open = open_connection
         self._idle_by_target: dict[tuple[str, str], list[TargetConnection]] = {}
 
-    async def acquire(self, target_id: str, address: str) -> TargetConnection:
+    async def acquire(
+        self, target_id: str, address: str, *, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> TargetConnection:
         """Return an idle or a new connection; raises `ExchangeError`."""
         idle = self._idle_by_target.get((target_id, address), [])
         now_s = self._clock()
@@ -53,7 +55,7 @@
                 return connection
             connection.close()
         self.opened_connections += 1
-        return await self._open(address, CONNECT_TIMEOUT_S)
+        return await self._open(address, timeout_s)
 
     async def open_idle(
         self, target_id: str, address: str, *, timeout_s: float
--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -10,11 +10,13 @@
     # One line per request, and one per attempt that did not give its final response.
     "request_finished": (
         "request_id outcome status route account version replica tokens rate_state "
-        "target software_version original_request_id last_event_id sends runs sent_ms "
+        "target relayed_by relayed_for software_version original_request_id "
+        "last_event_id sends runs sent_ms "
         "copy_age_ms first_piece_ms total_ms error"
     ).split(),
     "request_try_ended": (
-        "request_id target outcome software_version original_request_id last_event_id "
+        "request_id target relayed_by outcome software_version original_request_id "
+        "last_event_id "
         "sends runs first_piece_ms chunks digest prompt_parts detail"
     ).split(),
     "unused_body_not_read": ("detail",),
--- a/packages/gateway/src/jaytray_gateway/process/member_messages.py
+++ b/packages/gateway/src/jaytray_gateway/process/member_messages.py
@@ -13,7 +13,9 @@
 from jaytray_gateway.process.load_view import LoadView, TargetLoad
 from jaytray_gateway.process.membership import RecentMembers
 from jaytray_gateway.process.prompt_part_guard import PartEvidence, PromptPartGuard
+from jaytray_gateway.process.relay_members import RelayMembers
 from jaytray_gateway.process.replicas import ReplicaNotice, Replicas
+from jaytray_gateway.process.target_reach import TargetReach
 from jaytray_server.ports import PeerNetwork
 
 # Interval of load reports in a fleet of up to ten members. Longer in larger fleets, so
@@ -29,11 +31,15 @@
 
 
 class Report(NamedTuple):
-    """A member's requests in flight and its callers' demand by replica."""
+    """A member's requests in flight and its callers' demand by replica.
+
+    `cut_off_services` are those that the member does not reach.
+    """
 
     load_by_target: dict[str, TargetLoad]
     rate_by_replica: dict[str, float]
     replicas_by_target: dict[str, list[str]]
+    cut_off_services: list[str] = []
 
 
 class ReplicaRequest(NamedTuple):
@@ -60,6 +66,8 @@
         recent_members: RecentMembers,
         replicas: Replicas,
         replica_demand: DemandAverage,
+        reach: TargetReach,
+        relays: RelayMembers,
     ) -> None:
         self.replica_rates_by_member: dict[str, dict[str, float]] = {}
         self._peers = peers
@@ -67,6 +75,8 @@
         self._recent_members = recent_members
         self._replicas = replicas
         self._replica_demand = replica_demand
+        self._reach = reach
+        self._relays = relays
 
     def subscribe(
         self,
@@ -136,6 +146,7 @@
             load_by_target=self._loads.own_loads(),
             rate_by_replica=_rounded(self._replica_demand.rates()),
             replicas_by_target=self._loads.own_replicas(),
+            cut_off_services=self._reach.cut_off_services(),
         )
 
     def _handle_report(self, sender: str, body: bytes) -> None:
@@ -144,6 +155,7 @@
             sender, report.load_by_target, report.replicas_by_target
         )
         self.replica_rates_by_member[sender] = report.rate_by_replica
+        self._relays.record_report(sender, set(report.cut_off_services))
 
     def _handle_notices(self, sender: str, body: bytes) -> None:
         for notice in decode_msgpack(body, list[ReplicaNotice], peer=sender):
--- a/packages/gateway/src/jaytray_gateway/process/membership.py
+++ b/packages/gateway/src/jaytray_gateway/process/membership.py
@@ -27,12 +27,18 @@
 
 
 class Member(NamedTuple):
-    """One gateway process: its VM, peer address and public CURVE key (Z85)."""
+    """One gateway process: its VM, peer address and public CURVE key (Z85).
+
+    `relay_address` is where it forwards requests of members that send `relay_key`,
+    empty if it forwards none.
+    """
 
     vm_id: str
     peer_address: str
     failure_domain: str
     curve_public_key: str
+    relay_address: str = ""
+    relay_key: str = ""
 
 
 def decode_members(values_by_key: dict[str, bytes], prefix: str) -> dict[str, Member]:
--- a/packages/gateway/src/jaytray_gateway/process/options.py
+++ b/packages/gateway/src/jaytray_gateway/process/options.py
@@ -11,6 +11,7 @@
     the time between the stop signal and the kill.
     `repeat_ratio`, `repeat_extra` and `repeat_window_s` bound retries over the fleet.
     `lease_s` is the shortest time between two placement leaders' orders to one target.
+    `relay_address` accepts requests that other members want forwarded; empty for none.
     Within `load_window_s`, loads may begin at `load_window_factor` times the stated
     rate.
     """
@@ -20,6 +21,7 @@
     callers_address: str
     probe_address: str
     peers_address: str
+    relay_address: str
     metrics_address: str
     key_value_address: str
     revocation_s: float
--- a/packages/gateway/src/jaytray_gateway/process/request_log.py
+++ b/packages/gateway/src/jaytray_gateway/process/request_log.py
@@ -22,6 +22,8 @@
         tokens: int,
         rate_state: str,
         target: str,
+        relayed_by: str,
+        relayed_for: str,
         software_version: str,
         original_request_id: str,
         last_event_id: str,
@@ -40,7 +42,9 @@
         `copy_age_s` is the age of the directory's copy when the request was sent last.
         """
         outcome = _outcome(status, is_whole, error)
-        self._metrics.count_request(outcome, total_s, first_piece_s)
+        # The member that a request came to counts it.
+        if not relayed_for:
+            self._metrics.count_request(outcome, total_s, first_piece_s)
         get_logger().info(
             "request_finished",
             request_id=request_id,
@@ -53,6 +57,8 @@
             tokens=tokens,
             rate_state=rate_state,
             target=target,
+            relayed_by=relayed_by,
+            relayed_for=relayed_for,
             software_version=software_version,
             original_request_id=original_request_id,
             last_event_id=last_event_id,
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -20,6 +20,7 @@
     build_subsystems,
     update_counted_members,
 )
+from jaytray_gateway.request.relayed_request import make_relay_app
 from jaytray_gateway.version.route_table import DEFAULT_CALLER_LIMITS, CallerLimits
 from jaytray_server.connection.caller_protocol import CallerTimeouts
 from jaytray_server.connection.callers import (
@@ -85,6 +86,14 @@
         )
         await stack.enter_async_context(_serving(probe_server, options.probe_address))
         await stack.enter_async_context(_supervised(_background_tasks(subsystems)))
+        if options.relay_address:
+            relay_app = make_relay_app(
+                subsystems.services, lifecycle=subsystems.lifecycle
+            )
+            relay_server = make_caller_server(relay_app)
+            await stack.enter_async_context(
+                _serving(relay_server, options.relay_address)
+            )
         async with _serving(caller_server, options.callers_address) as stop_accepting:
             get_logger().info(
                 "gateway_started", members=len(subsystems.shares.member_ids)
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -35,6 +35,7 @@
 )
 from jaytray_gateway.process.rate_grants import RateGrants
 from jaytray_gateway.process.rate_shares import RateShares
+from jaytray_gateway.process.relay_members import RelayMembers
 from jaytray_gateway.process.replicas import Replicas
 from jaytray_gateway.process.request_log import RequestLog
 from jaytray_gateway.process.retry_budget import RetryBudget
@@ -108,11 +109,14 @@
         keys=CurveKeys(public_key, secret_key),
         clock=clock,
     )
+    relays = RelayMembers(clock=clock, rng=rng)
     own = Member(
         vm_id=options.vm_id,
         peer_address=options.peers_address,
         failure_domain=options.failure_domain,
         curve_public_key=public_key.decode("ascii"),
+        relay_address=options.relay_address,
+        relay_key=relays.own_key,
     )
     recent_members = RecentMembers(clock=clock)
     shares = RateShares(own_id=options.vm_id, clock=clock)
@@ -126,6 +130,7 @@
     health = TargetHealth(clock=clock)
     pools = TargetConnectionPool(clock=clock)
     replicas = Replicas(directory=directory, clock=clock)
+    reach = TargetReach(directory=directory, pools=pools, clock=clock, rng=rng)
     replica_demand = DemandAverage(clock=clock, window_s=REPLICA_DEMAND_WINDOW_S)
     peers = hub.peer_network()
     grants = RateGrants(
@@ -141,6 +146,8 @@
         recent_members=recent_members,
         replicas=replicas,
         replica_demand=replica_demand,
+        reach=reach,
+        relays=relays,
     )
     crash_guard = CrashGuard(
         clock=clock, notify_peers=member_messages.broadcast_run_end
@@ -164,7 +171,6 @@
     member_messages.subscribe(crash_guard, part_guard, placement.add_replica_request)
     limits = TargetLimits(peers=peers, clock=clock)
     departures = DepartureNotices(peers=peers, directory=directory)
-    reach = TargetReach(directory=directory, pools=pools, clock=clock, rng=rng)
     versions = SoftwareVersions(directory=directory, clock=clock)
     origins = StreamOrigins(
         peers=peers, directory=directory, versions=versions, clock=clock
@@ -181,6 +187,7 @@
         failure_domain=options.failure_domain, loads=loads, health=health, rng=rng
     )
     services = RequestServices(
+        vm_id=options.vm_id,
         adapter=adapter,
         admission=admission,
         search=TargetSearch(
@@ -201,6 +208,7 @@
         limits=limits,
         departures=departures,
         reach=reach,
+        relays=relays,
         replica_demand=replica_demand,
         origins=origins,
         log=RequestLog(metrics=metrics),
@@ -290,6 +298,9 @@
         for member in members_by_id.values()
     ]
     others = frozenset(members_by_id) - {own.vm_id}
+    subsystems.services.relays.update(
+        [member for member in members_by_id.values() if member.vm_id != own.vm_id]
+    )
     subsystems.hub.update_vms(vms, chosen=others)
     subsystems.directory.member_count = len(members_by_id)
     update_counted_members(subsystems)
--- a/packages/gateway/src/jaytray_gateway/process/target_reach.py
+++ b/packages/gateway/src/jaytray_gateway/process/target_reach.py
@@ -16,19 +16,25 @@
 from jaytray_core.tasks import cancel_all
 from jaytray_gateway.connection.target_pool import TargetConnectionPool
 from jaytray_gateway.process.directory import Directory
+from jaytray_gateway.process.target_entry import TargetEntry
 
 CHECK_INTERVAL_S = 0.1
-# Requests under way without a byte from any target of the service for this long; a
-# stream
-# has an event every few tens of milliseconds.
+# Requests under way without a byte from any target of the service for this long. A
+# stream has an event every few tens of milliseconds.
 SILENCE_S = 0.4
 # Targets accept connections within milliseconds, also when they are busy.
 CONNECT_TIMEOUT_S = 0.5
 TARGETS_PER_CHECK = 2
+# Further targets that are tried if none of those accepts: some may be down, or out of
+# reach by themselves.
+MORE_TARGETS_PER_CHECK = 6
 # Shortest time between two checks: after a failed connection or while cut off, and of
 # silence, which also occurs when all targets are slow.
 MIN_CHECK_INTERVAL_S = 0.3
 MIN_SILENCE_CHECK_INTERVAL_S = 1.5
+# Longest wait of a request whose connection failed for the result of a check. Refused
+# connections fail within milliseconds.
+FAILURE_CHECK_WAIT_S = 0.05
 
 
 class _ServiceReach:
@@ -38,7 +44,6 @@
         self.exchanges: dict[int, float] = {}
         self.heard_at_s = -float("inf")
         self.checked_at_s = -float("inf")
-        self.is_suspected = False
         self.cut_off_since_s: float | None = None
         self.check: asyncio.Task[None] | None = None
 
@@ -86,9 +91,13 @@
         """Record that bytes arrived from a target."""
         self._reach_of(service).heard_at_s = self._clock()
 
-    def record_not_connected(self, service: str) -> None:
-        """Record that a connection to a target could not be opened."""
-        self._reach_of(service).is_suspected = True
+    async def check_failure(self, service: str) -> None:
+        """Check after a failed connection; waits for the result only if it is near."""
+        reach = self._reach_of(service)
+        if self._clock() - reach.checked_at_s >= MIN_CHECK_INTERVAL_S:
+            self._start_check(service, reach)
+        if reach.check is not None:
+            await asyncio.wait({reach.check}, timeout=FAILURE_CHECK_WAIT_S)
 
     async def run(self) -> None:
         """Check the links whenever there is a reason, until cancelled."""
@@ -96,9 +105,8 @@
             while True:
                 await asyncio.sleep(CHECK_INTERVAL_S)
                 for service, reach in list(self._reach_by_service.items()):
-                    is_checking = reach.check is not None and not reach.check.done()
-                    if not is_checking and self._needs_check(reach):
-                        reach.check = asyncio.create_task(self._check(service, reach))
+                    if self._needs_check(reach):
+                        self._start_check(service, reach)
         finally:
             await cancel_all(
                 [
@@ -108,13 +116,17 @@
                 ]
             )
 
+    def _start_check(self, service: str, reach: _ServiceReach) -> None:
+        if reach.check is None or reach.check.done():
+            reach.check = asyncio.create_task(self._check(service, reach))
+
     def _reach_of(self, service: str) -> _ServiceReach:
         return self._reach_by_service.setdefault(service, _ServiceReach())
 
     def _needs_check(self, reach: _ServiceReach) -> bool:
         now_s = self._clock()
         since_check_s = now_s - reach.checked_at_s
-        if reach.is_suspected or reach.cut_off_since_s is not None:
+        if reach.cut_off_since_s is not None:
             return since_check_s >= MIN_CHECK_INTERVAL_S
         if not reach.exchanges or since_check_s < MIN_SILENCE_CHECK_INTERVAL_S:
             return False
@@ -123,23 +135,20 @@
 
     async def _check(self, service: str, reach: _ServiceReach) -> None:
         targets = self._directory.targets_of(service)
-        reach.is_suspected = False
         reach.checked_at_s = self._clock()
         if not targets:
             return
-        chosen = self._rng.sample(targets, min(TARGETS_PER_CHECK, len(targets)))
-        connected = await asyncio.gather(
-            *(
-                self._pools.open_idle(
-                    target.target_id, target.address, timeout_s=CONNECT_TIMEOUT_S
-                )
-                for target in chosen
-            )
-        )
-        if any(connected) == (reach.cut_off_since_s is None):
+        self._rng.shuffle(targets)
+        tried = targets[:TARGETS_PER_CHECK]
+        is_reached = await self._can_connect(tried)
+        if not is_reached and reach.cut_off_since_s is None:
+            more = targets[TARGETS_PER_CHECK:][:MORE_TARGETS_PER_CHECK]
+            tried += more
+            is_reached = await self._can_connect(more)
+        if is_reached == (reach.cut_off_since_s is None):
             return
         now_s = self._clock()
-        if any(connected):
+        if is_reached:
             away_s = now_s - (reach.cut_off_since_s or now_s)
             reach.cut_off_since_s = None
             get_logger().info(
@@ -147,9 +156,24 @@
             )
             return
         reach.cut_off_since_s = now_s
+        # Open connections may hang.
+        for target in targets:
+            self._pools.drop_target(target.target_id)
         get_logger().warning(
             "targets_unreachable",
             service=service,
-            tried=",".join(target.target_id for target in chosen),
+            tried=",".join(target.target_id for target in tried),
             silent_s=round(now_s - reach.heard_at_s, 2) if reach.exchanges else "",
         )
+
+    async def _can_connect(self, targets: list[TargetEntry]) -> bool:
+        """Return whether one of the targets accepts a connection."""
+        connected = await asyncio.gather(
+            *(
+                self._pools.open_idle(
+                    target.target_id, target.address, timeout_s=CONNECT_TIMEOUT_S
+                )
+                for target in targets
+            )
+        )
+        return any(connected)
--- a/packages/gateway/src/jaytray_gateway/request/attempt.py
+++ b/packages/gateway/src/jaytray_gateway/request/attempt.py
@@ -93,7 +93,6 @@
         is_late = err.progress is ExchangeProgress.TIMED_OUT
         if err.progress is ExchangeProgress.NOT_SENT:
             services.health.record_unreachable(target.target_id, err.detail)
-            services.reach.record_not_connected(state.service.name)
             services.pools.drop_target(target.target_id)
             raise AttemptNotRun(err.detail, reached_target=False) from err
         if is_late:
--- a/packages/gateway/src/jaytray_gateway/request/request_path.py
+++ b/packages/gateway/src/jaytray_gateway/request/request_path.py
@@ -9,6 +9,7 @@
 from jaytray_gateway.request.admission import AdmittedRequest
 from jaytray_gateway.request.attempt import send_attempt
 from jaytray_gateway.request.refusals import refusal_status
+from jaytray_gateway.request.relay import relay_request
 from jaytray_gateway.request.reply import CallerReply
 from jaytray_gateway.request.routed_request import RoutedRequest, content_digest
 from jaytray_gateway.request.run_state import (
@@ -37,16 +38,16 @@
     try:
         admitted = await services.admission.admit(request)
         state = await _prepare(admitted, services)
-        await _forward(state, reply, services)
+        await forward(state, reply, services)
     except JaytrayError as err:
-        error = _with_earlier_runs(err, state)
+        error = with_earlier_runs(err, state)
         _refund_if_not_run(admitted, error, services)
         if state is not None and state.last_error is not None and not reply.is_started:
-            await _send_error_response(state.last_error, reply)
+            await send_error_response(state.last_error, reply)
         else:
             await _refuse(error, request, reply, services)
     finally:
-        _log_finished(request, state, reply, error, services)
+        log_finished(request, state, reply, error, services)
 
 
 async def _prepare(
@@ -97,11 +98,16 @@
     return origin
 
 
-async def _forward(
+async def forward(
     state: RequestState, reply: CallerReply, services: RequestServices
 ) -> None:
-    """Forward the request until a target responds or no further attempt is allowed."""
+    """Forward the request until a target responds or no further attempt is allowed.
+
+    While this VM does not reach the service, another member forwards it.
+    """
     while True:
+        if await _try_relay(state, reply, services):
+            return
         target = await services.search.find(
             state.admitted,
             state.service,
@@ -116,17 +122,42 @@
             return
         except AttemptNotRun as err:
             _after_not_run(state, err, services)
+            if not err.reached_target:
+                await services.reach.check_failure(state.service.name)
         except ErrorResponse as err:
             log_attempt_ended(state, "error_answer", str(err))
             state.last_error = err
             if not _may_run_again(state, services):
-                await _send_error_response(err, reply)
+                await send_error_response(err, reply)
                 return
         except AttemptFailed as err:
             _after_failure(state, target, err, reply, services)
 
 
-async def _send_error_response(response: ErrorResponse, reply: CallerReply) -> None:
+async def _try_relay(
+    state: RequestState, reply: CallerReply, services: RequestServices
+) -> bool:
+    """Return whether another member has forwarded the request.
+
+    Returns False as well if a target has to be found from here.
+    """
+    service = state.service.name
+    while not state.relayed_for and services.reach.is_cut_off(service):
+        member = services.relays.choose(service, state.tried_members)
+        if member is None:
+            return False
+        state.tried_members.add(member.vm_id)
+        try:
+            await relay_request(state, member, reply, services)
+            return True
+        except AttemptNotRun as err:
+            _after_not_run(state, err, services)
+        except AttemptFailed as err:
+            _after_failure(state, None, err, reply, services)
+    return False
+
+
+async def send_error_response(response: ErrorResponse, reply: CallerReply) -> None:
     head = response.head
     await reply.send_complete(head.status, head.headers, response.body)
 
@@ -151,14 +182,18 @@
 
 def _after_failure(
     state: RequestState,
-    target: TargetEntry,
+    target: TargetEntry | None,
     err: AttemptFailed,
     reply: CallerReply,
     services: RequestServices,
 ) -> None:
-    """Return if the request may run again; raise otherwise."""
+    """Return if the request may run again; raise otherwise.
+
+    `target` is None if the request was sent to another member, which has recorded what
+    its target did.
+    """
     log_attempt_ended(state, "timed_out" if err.is_timeout else "broken", err.detail)
-    if not err.is_timeout:
+    if not err.is_timeout and target is not None:
         services.crash_guard.record_broken_response(
             state.digest, target, sent_at_s=state.sent_at_s or services.clock()
         )
@@ -167,7 +202,7 @@
             services.part_guard.record_break(parts, target)
     if state.event_buffer is not None:
         state.event_buffer.drop_partial()
-    if state.required_version is not None and state.attempt_chunks:
+    if target and state.required_version is not None and state.attempt_chunks:
         # The target sent events, so it may be the best one to go on with the stream.
         state.tried.discard(target.target_id)
     if _may_run_again(state, services):
@@ -189,7 +224,7 @@
     )
 
 
-def _with_earlier_runs(err: JaytrayError, state: RequestState | None) -> JaytrayError:
+def with_earlier_runs(err: JaytrayError, state: RequestState | None) -> JaytrayError:
     """Return the final error, as `may_have_run` if an earlier attempt may have run."""
     if state is None or not state.runs or err.execution is Execution.MAY_HAVE_RUN:
         return err
@@ -231,7 +266,7 @@
     return services.shares.describe(account) if account else ""
 
 
-def _log_finished(
+def log_finished(
     request: RoutedRequest,
     state: RequestState | None,
     reply: CallerReply,
@@ -253,6 +288,8 @@
         tokens=request.prompt_tokens + request.output_tokens,
         rate_state=_rate_state(error, services),
         target=state.target_id if state else "",
+        relayed_by=state.relayed_by if state else "",
+        relayed_for=state.relayed_for if state else "",
         software_version=state.software_version if state else "",
         original_request_id=request.original_request_id,
         last_event_id=request.last_event_id,
--- a/packages/gateway/src/jaytray_gateway/request/run_state.py
+++ b/packages/gateway/src/jaytray_gateway/request/run_state.py
@@ -59,6 +59,11 @@
         self.tried: set[str] = set()
         self.last_error: ErrorResponse | None = None
         self.target_id = ""
+        # Members that were asked to forward the request, the last of them, and the one
+        # that this member forwards it for.
+        self.tried_members: set[str] = set()
+        self.relayed_by = ""
+        self.relayed_for = ""
         # Software version of the target that was chosen last.
         self.software_version = ""
         # Version at which the stream must go on, None before its first event.
@@ -91,6 +96,7 @@
         "request_try_ended",
         request_id=request.request_id,
         target=state.target_id,
+        relayed_by=state.relayed_by,
         outcome=outcome,
         software_version=state.software_version,
         original_request_id=request.original_request_id,
--- a/packages/gateway/src/jaytray_gateway/request/services.py
+++ b/packages/gateway/src/jaytray_gateway/request/services.py
@@ -12,6 +12,7 @@
 from jaytray_gateway.process.load_view import LoadView
 from jaytray_gateway.process.prompt_part_guard import PromptPartGuard
 from jaytray_gateway.process.rate_shares import RateShares
+from jaytray_gateway.process.relay_members import RelayMembers
 from jaytray_gateway.process.request_log import RequestLog
 from jaytray_gateway.process.retry_budget import RetryBudget
 from jaytray_gateway.process.stream_origins import StreamOrigins
@@ -25,6 +26,7 @@
 class RequestServices(NamedTuple):
     """Services of the process that request handling depends on."""
 
+    vm_id: str
     adapter: PlatformAdapter
     admission: Admission
     search: TargetSearch
@@ -38,6 +40,7 @@
     limits: TargetLimits
     departures: DepartureNotices
     reach: TargetReach
+    relays: RelayMembers
     replica_demand: DemandAverage
     origins: StreamOrigins
     log: RequestLog
--- a/packages/gateway/tests/process/placement/test_controller.py
+++ b/packages/gateway/tests/process/placement/test_controller.py
@@ -4,11 +4,13 @@
 """
 
 import asyncio
+import random
 from collections.abc import Awaitable, Callable
 
 from parameterized import parameterized
 from testtools import TestCase
 
+from jaytray_gateway.connection.target_pool import TargetConnectionPool
 from jaytray_gateway.ports import OrderResult, TargetOrder, TargetReport
 from jaytray_gateway.process.demand_average import DemandAverage
 from jaytray_gateway.process.directory import Directory
@@ -18,9 +20,11 @@
 from jaytray_gateway.process.metrics import GatewayMetrics
 from jaytray_gateway.process.options import GatewayOptions
 from jaytray_gateway.process.placement.controller import PlacementController
+from jaytray_gateway.process.relay_members import RelayMembers
 from jaytray_gateway.process.replicas import Replicas
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.process.target_health import TargetHealth
+from jaytray_gateway.process.target_reach import TargetReach
 from jaytray_gateway.version.route_table import CallerLimits, RouteTable, Service
 from jaytray_server.ports import PeerNetwork
 from jaytray_standins.faults import FaultSwitches
@@ -36,6 +40,7 @@
     callers_address="127.0.0.1:1",
     probe_address="127.0.0.1:2",
     peers_address="127.0.0.1:3",
+    relay_address="",
     metrics_address="",
     key_value_address="127.0.0.1:4",
     revocation_s=5.0,
@@ -212,6 +217,13 @@
             recent_members=RecentMembers(clock=clock),
             replicas=self.replicas,
             replica_demand=self.demand,
+            reach=TargetReach(
+                directory=self.directory,
+                pools=TargetConnectionPool(clock=clock),
+                clock=clock,
+                rng=random.Random(1),
+            ),
+            relays=RelayMembers(clock=clock, rng=random.Random(1)),
         )
         self.controller = PlacementController(
             options=OPTIONS,
--- a/packages/gateway/tests/request/support.py
+++ b/packages/gateway/tests/request/support.py
@@ -9,6 +9,7 @@
 
 from jaytray_core.clock import monotonic_clock
 from jaytray_core.exchange_errors import ExchangeError, ExchangeProgress
+from jaytray_core.tasks import cancel_all
 from jaytray_gateway.connection.caller_app import make_caller_app
 from jaytray_gateway.connection.target_connection import (
     TargetConnection,
@@ -24,10 +25,12 @@
 from jaytray_gateway.process.directory import Directory
 from jaytray_gateway.process.lifecycle import Lifecycle
 from jaytray_gateway.process.load_view import LoadView
+from jaytray_gateway.process.membership import Member
 from jaytray_gateway.process.metrics import GatewayMetrics
 from jaytray_gateway.process.prompt_part_guard import PromptPartGuard
 from jaytray_gateway.process.rate_grants import RateGrants
 from jaytray_gateway.process.rate_shares import RateShares
+from jaytray_gateway.process.relay_members import RelayMembers
 from jaytray_gateway.process.replicas import Replicas
 from jaytray_gateway.process.request_log import RequestLog
 from jaytray_gateway.process.retry_budget import RetryBudget
@@ -39,6 +42,7 @@
 from jaytray_gateway.process.target_limits import TargetLimits
 from jaytray_gateway.process.target_reach import TargetReach
 from jaytray_gateway.request.admission import Admission
+from jaytray_gateway.request.relayed_request import make_relay_app
 from jaytray_gateway.request.services import RequestServices
 from jaytray_gateway.request.target_search import TargetSearch
 from jaytray_gateway.version.route_table import (
@@ -54,6 +58,11 @@
     digest_key,
     index_routes,
 )
+from jaytray_server.connection.callers import (
+    bound_address,
+    make_caller_server,
+    open_caller_socket,
+)
 from jaytray_server.ports import PeerNetwork
 from packages.gateway.tests.process.member_network import MemberNetwork
 from packages.gateway.tests.request.scripted_target import (
@@ -147,8 +156,9 @@
             versions=self.versions,
             clock=monotonic_clock,
         )
+        self.services = self._services()
         self.app = make_caller_app(
-            self._services(),
+            self.services,
             lifecycle=self.lifecycle,
             current_limits=lambda: LIMITS,
             clock=monotonic_clock,
@@ -286,10 +296,12 @@
             rng=rng,
         )
         limits = TargetLimits(peers=self._peers, clock=clock)
+        self.relays = RelayMembers(clock=clock, rng=rng)
         self.reach = TargetReach(
             directory=self.directory, pools=self.pools, clock=clock, rng=rng
         )
         return RequestServices(
+            vm_id=self.vm_id,
             adapter=ADAPTER,
             admission=Admission(
                 directory=self.directory,
@@ -321,6 +333,7 @@
             limits=limits,
             departures=DepartureNotices(peers=self._peers, directory=self.directory),
             reach=self.reach,
+            relays=self.relays,
             replica_demand=DemandAverage(clock=clock, window_s=5.0),
             origins=self.origins,
             log=RequestLog(metrics=GatewayMetrics()),
@@ -336,6 +349,36 @@
     vms: list[GatewayHarness]
 
 
+@asynccontextmanager
+async def _connected_by_relays(vms: list[GatewayHarness]) -> AsyncIterator[None]:
+    """Let the VMs check their links, report them, and forward requests."""
+    async with AsyncExitStack() as stack:
+        members = []
+        for vm in vms:
+            app = make_relay_app(vm.services, lifecycle=vm.lifecycle)
+            server = make_caller_server(app)
+            listener = stack.enter_context(open_caller_socket("127.0.0.1:0"))
+            tasks = [
+                asyncio.create_task(server.serve(sockets=[listener])),
+                asyncio.create_task(vm.reach.run()),
+            ]
+            stack.push_async_callback(cancel_all, tasks)
+            address = bound_address(listener)
+            members.append(Member(vm.vm_id, "", "a", "", address, vm.relays.own_key))
+        for vm in vms:
+            vm.relays.update([m for m in members if m.vm_id != vm.vm_id])
+        stack.push_async_callback(cancel_all, [asyncio.create_task(_report_links(vms))])
+        yield
+
+
+async def _report_links(vms: list[GatewayHarness]) -> None:
+    while True:
+        for vm in vms:
+            for other in vms:
+                other.relays.record_report(vm.vm_id, set(vm.reach.cut_off_services()))
+        await asyncio.sleep(0.1)
+
+
 def default_headers() -> HeaderList:
     return [(b"x-id", b"r1"), (b"x-key", KEY)]
 
@@ -390,6 +433,7 @@
             for number, target in enumerate(harness.targets):
                 for _ in range(number * 4):
                     harness.loads.start(target.target_id, 0, "", priority=0)
+        await stack.enter_async_context(_connected_by_relays(fleet.vms))
         yield fleet
 
 
