Send nothing to a target for as long as it asks in a refusal

The time is kept per start of a target. Requests go to other targets meanwhile; one that no target wants is refused at once with the shortest time left, and the time is checked once more right before a send.

--- a/packages/gateway/src/jaytray_gateway/ports.py
+++ b/packages/gateway/src/jaytray_gateway/ports.py
@@ -49,7 +49,8 @@
     long the target keeps an idle connection, None if not stated. `rate_limit_per_s` is
     the number of requests per second that the target accepts from all VMs together,
     None if it states no limit. `is_leaving` means that the target is about to stop and
-    takes no more requests.
+    takes no more requests. `retry_after_s` is how long the target wants no requests
+    from this VM, None if it states no such time.
     """
 
     status: int
@@ -62,6 +63,7 @@
     idle_timeout_s: float | None
     rate_limit_per_s: float | None = None
     is_leaving: bool = False
+    retry_after_s: float | None = None
 
 
 class OrderResult(NamedTuple):
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -165,6 +165,7 @@
         target_ids = frozenset(subsystems.directory.targets_by_id)
         subsystems.health.retain_targets(target_ids)
         subsystems.services.limits.retain_targets(target_ids)
+        subsystems.services.backoff.retain_targets(target_ids)
         table = subsystems.directory.route_table
         if table is not None:
             subsystems.shares.sync_accounts(table)
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -44,6 +44,7 @@
     SoftwareVersions,
 )
 from jaytray_gateway.process.stream_origins import StreamOrigins
+from jaytray_gateway.process.target_backoff import TargetBackoff
 from jaytray_gateway.process.target_choice import TargetChooser
 from jaytray_gateway.process.target_health import TargetHealth
 from jaytray_gateway.process.target_limits import TargetLimits
@@ -170,6 +171,7 @@
     )
     member_messages.subscribe(crash_guard, part_guard, placement.add_replica_request)
     limits = TargetLimits(peers=peers, clock=clock)
+    backoff = TargetBackoff(clock=clock)
     departures = DepartureNotices(peers=peers, directory=directory)
     versions = SoftwareVersions(directory=directory, clock=clock)
     origins = StreamOrigins(
@@ -195,6 +197,7 @@
             chooser=chooser,
             request_replica=placement.request_replica,
             limits=limits,
+            backoff=backoff,
             lifecycle=lifecycle,
             clock=clock,
         ),
@@ -206,6 +209,7 @@
         crash_guard=crash_guard,
         part_guard=part_guard,
         limits=limits,
+        backoff=backoff,
         departures=departures,
         reach=reach,
         relays=relays,
--- a/packages/gateway/src/jaytray_gateway/request/attempt.py
+++ b/packages/gateway/src/jaytray_gateway/request/attempt.py
@@ -52,7 +52,7 @@
     def make_dispatch() -> Dispatch:
         services.admission.check_freshness()
         if not services.search.is_usable(target):
-            raise AttemptNotRun("target is leaving", reached_target=False)
+            raise AttemptNotRun("target takes no requests now", reached_target=False)
         # The request may have been quarantined while it waited for a replica.
         services.crash_guard.check(state.digest)
         services.part_guard.check(request.shared_part_ids)
@@ -123,6 +123,8 @@
         )
     if head.is_leaving:
         services.departures.record_leaving(target)
+    if head.retry_after_s is not None:
+        services.backoff.record(target, head.retry_after_s)
     if head.is_not_run or head.is_other_instance:
         await exchange.discard_body()
         services.search.note_not_run(state.admitted.request, target, head.status)
--- a/packages/gateway/src/jaytray_gateway/request/services.py
+++ b/packages/gateway/src/jaytray_gateway/request/services.py
@@ -16,6 +16,7 @@
 from jaytray_gateway.process.request_log import RequestLog
 from jaytray_gateway.process.retry_budget import RetryBudget
 from jaytray_gateway.process.stream_origins import StreamOrigins
+from jaytray_gateway.process.target_backoff import TargetBackoff
 from jaytray_gateway.process.target_health import TargetHealth
 from jaytray_gateway.process.target_limits import TargetLimits
 from jaytray_gateway.process.target_reach import TargetReach
@@ -38,6 +39,7 @@
     crash_guard: CrashGuard
     part_guard: PromptPartGuard
     limits: TargetLimits
+    backoff: TargetBackoff
     departures: DepartureNotices
     reach: TargetReach
     relays: RelayMembers
--- a/packages/gateway/src/jaytray_gateway/request/target_search.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_search.py
@@ -13,6 +13,7 @@
 from jaytray_gateway.process.engine_cost import prefill_ms
 from jaytray_gateway.process.lifecycle import Lifecycle
 from jaytray_gateway.process.replicas import ReplicaNotice, Replicas
+from jaytray_gateway.process.target_backoff import TargetBackoff
 from jaytray_gateway.process.target_choice import Candidate, TargetChooser
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.process.target_limits import TargetLimits
@@ -72,6 +73,7 @@
         chooser: TargetChooser,
         request_replica: RequestReplica,
         limits: TargetLimits,
+        backoff: TargetBackoff,
         lifecycle: Lifecycle,
         clock: MonotonicClock,
     ) -> None:
@@ -79,6 +81,7 @@
         self._chooser = chooser
         self._request_replica = request_replica
         self._limits = limits
+        self._backoff = backoff
         self._lifecycle = lifecycle
         self._clock = clock
 
@@ -102,6 +105,11 @@
         wait = self._replica_wait(admitted, service, tried, software_version, begun_s)
         while True:
             holders = self._holders(request, service, software_version)
+            for target in holders:
+                if target.target_id not in tried and self._backoff.left_s(target):
+                    limited_wait_s_by_id[target.target_id] = self._backoff.left_s(
+                        target
+                    )
             untried = [
                 target
                 for target in holders
@@ -147,7 +155,8 @@
 
     def is_usable(self, target: TargetEntry) -> bool:
         """Return whether a target that was found earlier still takes requests."""
-        return self._replicas.takes_requests(target)
+        is_backing_off = self._backoff.left_s(target) > 0
+        return not is_backing_off and self._replicas.takes_requests(target)
 
     def note_not_run(
         self, request: RoutedRequest, target: TargetEntry, status: int
--- a/packages/gateway/tests/request/scripted_target.py
+++ b/packages/gateway/tests/request/scripted_target.py
@@ -12,7 +12,8 @@
     connection after the response. `limit` is the rate limit that the target states,
     `request_id` one that the response belongs to instead of the request's.
     `is_unframed` sends neither a length nor chunks; the body ends with the connection.
-    `is_leaving` states that the target is about to stop.
+    `is_leaving` states that the target is about to stop, `retry_after` for how long it
+    wants no requests.
     `is_endless` repeats the body until the caller closes the connection.
     """
 
@@ -28,6 +29,7 @@
     is_unframed: bool = False
     is_endless: bool = False
     is_leaving: bool = False
+    retry_after: str = ""
 
 
 CRASH = ScriptedResponse(body=b"", is_stream=True, is_complete=False)
@@ -114,6 +116,8 @@
         lines.append(b"x-limit: " + response.limit.encode())
     if response.is_leaving:
         lines.append(b"x-leaving: 1")
+    if response.retry_after:
+        lines.append(b"retry-after: " + response.retry_after.encode())
     body = response.body
     if response.is_unframed:
         lines.append(b"connection: close")
--- a/packages/gateway/tests/request/support.py
+++ b/packages/gateway/tests/request/support.py
@@ -36,6 +36,7 @@
 from jaytray_gateway.process.retry_budget import RetryBudget
 from jaytray_gateway.process.software_versions import SoftwareVersions
 from jaytray_gateway.process.stream_origins import StreamOrigins
+from jaytray_gateway.process.target_backoff import TargetBackoff
 from jaytray_gateway.process.target_choice import TargetChooser
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.process.target_health import TargetHealth
@@ -296,6 +297,7 @@
             rng=rng,
         )
         limits = TargetLimits(peers=self._peers, clock=clock)
+        backoff = TargetBackoff(clock=clock)
         self.relays = RelayMembers(clock=clock, rng=rng)
         self.reach = TargetReach(
             directory=self.directory, pools=self.pools, clock=clock, rng=rng
@@ -316,6 +318,7 @@
                 ),
                 request_replica=lambda *_replica: None,
                 limits=limits,
+                backoff=backoff,
                 lifecycle=self.lifecycle,
                 clock=clock,
             ),
@@ -331,6 +334,7 @@
                 on_explained=self.crash_guard.forget_crash,
             ),
             limits=limits,
+            backoff=backoff,
             departures=DepartureNotices(peers=self._peers, directory=self.directory),
             reach=self.reach,
             relays=self.relays,
--- a/packages/gateway/tests/request/wire_format.py
+++ b/packages/gateway/tests/request/wire_format.py
@@ -2,7 +2,8 @@
 
 Requests carry `x-id`, `x-key`, `x-model`, `x-parts`, `x-deadline`, `x-last` and
 `x-original`;
-responses carry `x-id`, `x-seal`, `x-not-run`, `x-limit` and `x-leaving`.
+responses carry `x-id`, `x-seal`, `x-not-run`, `x-limit`, `x-leaving` and
+`retry-after`.
 """
 
 from typing import Any
@@ -64,6 +65,7 @@
 
 def read_response_head(status: int, headers: HeaderList) -> ResponseHead:
     limit = first_value(headers, b"x-limit")
+    retry_after = first_value(headers, b"retry-after")
     return ResponseHead(
         status=status,
         request_id=first_value(headers, b"x-id").decode(),
@@ -74,6 +76,7 @@
         headers=[pair for pair in headers if pair[0].startswith(b"x-")],
         idle_timeout_s=None,
         rate_limit_per_s=float(limit) if limit else None,
+        retry_after_s=float(retry_after) if retry_after else None,
         is_leaving=bool(first_value(headers, b"x-leaving")),
     )
 
