Keep brittle targets from having to reject requests

Change: for each brittle target one member counts the requests of all members that are under way, and permits no more than it has slots; without a permit a request goes elsewhere or is refused at once.

--- a/packages/gateway/src/jaytray_gateway/ports.py
+++ b/packages/gateway/src/jaytray_gateway/ports.py
@@ -50,7 +50,9 @@
     the number of requests per second that the target accepts from all VMs together,
     None if it states no limit. `is_leaving` means that the target is about to stop and
     takes no more requests. `retry_after_s` is how long the target wants no requests
-    from this VM, None if it states no such time.
+    from this VM, None if it states no such time. `max_rejections_per_s` is how many
+    requests per second the target may have to turn away for want of room before it
+    falls over, None if it does not state that it would.
     """
 
     status: int
@@ -64,6 +66,7 @@
     rate_limit_per_s: float | None = None
     is_leaving: bool = False
     retry_after_s: float | None = None
+    max_rejections_per_s: float | None = None
 
 
 class OrderResult(NamedTuple):
--- a/packages/gateway/src/jaytray_gateway/process/metrics.py
+++ b/packages/gateway/src/jaytray_gateway/process/metrics.py
@@ -58,6 +58,7 @@
                 ("members", "Members that share the rate limits."),
                 ("targets", "Targets in the directory."),
                 ("targets_limited", "Targets that state a limit of their rate."),
+                ("targets_brittle", "Targets that fall over when they reject."),
                 ("services_cut_off", "Services that this VM does not reach."),
                 ("connections_opened", "Connections opened to targets."),
                 ("log_lines_dropped", "Log lines dropped because the queue was full."),
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -166,6 +166,7 @@
         subsystems.health.retain_targets(target_ids)
         subsystems.services.limits.retain_targets(target_ids)
         subsystems.services.backoff.retain_targets(target_ids)
+        subsystems.services.brittle.retain_targets(target_ids)
         table = subsystems.directory.route_table
         if table is not None:
             subsystems.shares.sync_accounts(table)
@@ -179,6 +180,9 @@
         subsystems.metrics.set_gauge(
             "targets_limited", subsystems.services.limits.limited_targets()
         )
+        subsystems.metrics.set_gauge(
+            "targets_brittle", subsystems.services.brittle.count()
+        )
         subsystems.metrics.set_gauge(
             "services_cut_off", len(subsystems.services.reach.cut_off_services())
         )
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -12,6 +12,7 @@
 from jaytray_core.vm_list import VmEntry, VmState
 from jaytray_gateway.connection.target_pool import TargetConnectionPool
 from jaytray_gateway.ports import PlatformAdapter
+from jaytray_gateway.process.brittle_targets import BrittleTargets
 from jaytray_gateway.process.crash_guard import QUARANTINE_S, CrashGuard
 from jaytray_gateway.process.demand_average import DemandAverage
 from jaytray_gateway.process.departure_notices import DepartureNotices
@@ -172,6 +173,11 @@
     member_messages.subscribe(crash_guard, part_guard, placement.add_replica_request)
     limits = TargetLimits(peers=peers, clock=clock)
     backoff = TargetBackoff(clock=clock)
+    brittle = BrittleTargets(
+        peers=peers,
+        clock=clock,
+        running_at=lambda target_id: loads.load_of(target_id).running,
+    )
     departures = DepartureNotices(peers=peers, directory=directory)
     versions = SoftwareVersions(directory=directory, clock=clock)
     origins = StreamOrigins(
@@ -198,6 +204,7 @@
             request_replica=placement.request_replica,
             limits=limits,
             backoff=backoff,
+            brittle=brittle,
             lifecycle=lifecycle,
             clock=clock,
         ),
@@ -210,6 +217,7 @@
         part_guard=part_guard,
         limits=limits,
         backoff=backoff,
+        brittle=brittle,
         departures=departures,
         reach=reach,
         relays=relays,
--- a/packages/gateway/src/jaytray_gateway/request/attempt.py
+++ b/packages/gateway/src/jaytray_gateway/request/attempt.py
@@ -72,6 +72,7 @@
             ),
         )
 
+    is_rejected = False
     try:
         with services.reach.exchange(state.service.name):
             async with exchange_with(
@@ -89,6 +90,9 @@
         services.crash_guard.record_complete_response(state.digest, target)
         if is_success:
             services.part_guard.record_begun_response(request.shared_part_ids)
+    except AttemptNotRun as err:
+        is_rejected = err.reached_target
+        raise
     except ExchangeError as err:
         is_late = err.progress is ExchangeProgress.TIMED_OUT
         if err.progress is ExchangeProgress.NOT_SENT:
@@ -103,6 +107,7 @@
         raise AttemptFailed(err.detail, is_timeout=is_late) from err
     finally:
         services.loads.finish(target.target_id, in_flight)
+        services.brittle.release(target, is_rejected=is_rejected)
 
 
 async def _handle_response(
@@ -121,6 +126,9 @@
         services.limits.record_response(
             target, head.rate_limit_per_s, sent_at_s=state.sent_at_s
         )
+        services.brittle.record_response(
+            target, head.max_rejections_per_s, sent_at_s=state.sent_at_s
+        )
     if head.is_leaving:
         services.departures.record_leaving(target)
     if head.retry_after_s is not None:
--- a/packages/gateway/src/jaytray_gateway/request/services.py
+++ b/packages/gateway/src/jaytray_gateway/request/services.py
@@ -6,6 +6,7 @@
 from jaytray_core.clock import MonotonicClock
 from jaytray_gateway.connection.target_pool import TargetConnectionPool
 from jaytray_gateway.ports import PlatformAdapter
+from jaytray_gateway.process.brittle_targets import BrittleTargets
 from jaytray_gateway.process.crash_guard import CrashGuard
 from jaytray_gateway.process.demand_average import DemandAverage
 from jaytray_gateway.process.departure_notices import DepartureNotices
@@ -40,6 +41,7 @@
     part_guard: PromptPartGuard
     limits: TargetLimits
     backoff: TargetBackoff
+    brittle: BrittleTargets
     departures: DepartureNotices
     reach: TargetReach
     relays: RelayMembers
--- a/packages/gateway/src/jaytray_gateway/request/target_search.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_search.py
@@ -10,6 +10,7 @@
 from jaytray_core import message_registry as messages
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.errors import JaytrayError, Step
+from jaytray_gateway.process.brittle_targets import BrittleTargets
 from jaytray_gateway.process.engine_cost import prefill_ms
 from jaytray_gateway.process.lifecycle import Lifecycle
 from jaytray_gateway.process.replicas import ReplicaNotice, Replicas
@@ -74,6 +75,7 @@
         request_replica: RequestReplica,
         limits: TargetLimits,
         backoff: TargetBackoff,
+        brittle: BrittleTargets,
         lifecycle: Lifecycle,
         clock: MonotonicClock,
     ) -> None:
@@ -82,6 +84,7 @@
         self._request_replica = request_replica
         self._limits = limits
         self._backoff = backoff
+        self._brittle = brittle
         self._lifecycle = lifecycle
         self._clock = clock
 
@@ -126,6 +129,10 @@
                 if permit.is_granted:
                     if permit.wait_s:
                         await asyncio.sleep(permit.wait_s)
+                    permit = await self._brittle.acquire(
+                        chosen.target, hold_s=admitted.expires_at_s - self._clock()
+                    )
+                if permit.is_granted:
                     return chosen.target
                 limited_wait_s_by_id[chosen.target.target_id] = permit.wait_s
                 continue
--- a/packages/gateway/tests/process/test_target_limits.py
+++ b/packages/gateway/tests/process/test_target_limits.py
@@ -8,10 +8,9 @@
 from parameterized import parameterized
 from testtools import TestCase
 
+from jaytray_gateway.process.permit_exchange import MAX_MISSED_REPLIES, SILENT_S
 from jaytray_gateway.process.target_limits import (
-    MAX_MISSED_REPLIES,
     MAX_RETURN_WAIT_S,
-    SILENT_S,
     SendSchedule,
     TargetLimits,
 )
--- a/packages/gateway/tests/request/support.py
+++ b/packages/gateway/tests/request/support.py
@@ -19,6 +19,7 @@
 from jaytray_gateway.ports import (
     HeaderList,
 )
+from jaytray_gateway.process.brittle_targets import BrittleTargets
 from jaytray_gateway.process.crash_guard import CrashGuard
 from jaytray_gateway.process.demand_average import DemandAverage
 from jaytray_gateway.process.departure_notices import DepartureNotices
@@ -298,6 +299,11 @@
         )
         limits = TargetLimits(peers=self._peers, clock=clock)
         backoff = TargetBackoff(clock=clock)
+        brittle = BrittleTargets(
+            peers=self._peers,
+            clock=clock,
+            running_at=lambda target_id: 0,
+        )
         self.relays = RelayMembers(clock=clock, rng=rng)
         self.reach = TargetReach(
             directory=self.directory, pools=self.pools, clock=clock, rng=rng
@@ -319,6 +325,7 @@
                 request_replica=lambda *_replica: None,
                 limits=limits,
                 backoff=backoff,
+                brittle=brittle,
                 lifecycle=self.lifecycle,
                 clock=clock,
             ),
@@ -335,6 +342,7 @@
             ),
             limits=limits,
             backoff=backoff,
+            brittle=brittle,
             departures=DepartureNotices(peers=self._peers, directory=self.directory),
             reach=self.reach,
             relays=self.relays,
