Derive the TCP user timeout from the keep-alive probes

Callers' probes ended at 20 s instead of the stated 25 s, and a target that was silent for 2 s lost its connections, though sound ones may be silent for a second or so.

Change: the user timeout is what the probes take; 20 s for callers as before, 3 s for targets.

--- a/packages/core/src/jaytray_core/tcp_options.py
+++ b/packages/core/src/jaytray_core/tcp_options.py
@@ -8,13 +8,21 @@
     """When an idle connection is probed, and when it is closed as dead.
 
     The first probe is sent after `idle_s` and further ones every `interval_s`, at most
-    `probes` in all. Sent data may stay unacknowledged for `user_timeout_ms`.
+    `probes` in all. Sent data may stay unacknowledged for as long as that takes.
     """
 
     idle_s: int
     interval_s: int
     probes: int
-    user_timeout_ms: int
+
+    @property
+    def user_timeout_ms(self) -> int:
+        """Return the time without an acknowledgement after which a connection ends.
+
+        The kernel applies it to probes as well, whatever their number, so it must not
+        be shorter than they take.
+        """
+        return (self.idle_s + self.interval_s * self.probes) * 1000
 
 
 def set_keep_alive(connection: socket.socket, limits: KeepAlive) -> None:
--- a/packages/gateway/src/jaytray_gateway/connection/target_connection.py
+++ b/packages/gateway/src/jaytray_gateway/connection/target_connection.py
@@ -14,8 +14,9 @@
 from jaytray_core.tcp_options import KeepAlive, set_keep_alive
 from jaytray_gateway.ports import HeaderList
 
-# A target whose side of a connection is silent for about this long is unreachable.
-KEEP_ALIVE = KeepAlive(idle_s=1, interval_s=1, probes=2, user_timeout_ms=2_000)
+# A target whose side of a connection is silent for about 3 s is unreachable. Sound
+# targets may be silent for more than a second.
+KEEP_ALIVE = KeepAlive(idle_s=1, interval_s=1, probes=2)
 # Received bytes that are buffered for a slow caller before reading pauses.
 MAX_BUFFERED_BYTES = 262_144
 MAX_INFORMATIONAL_RESPONSES = 10
--- a/packages/server/src/jaytray_server/connection/callers.py
+++ b/packages/server/src/jaytray_server/connection/callers.py
@@ -21,7 +21,7 @@
 )
 
 # Longer than for targets, which are nearby: callers may be on slow networks.
-KEEP_ALIVE = KeepAlive(idle_s=10, interval_s=5, probes=3, user_timeout_ms=20_000)
+KEEP_ALIVE = KeepAlive(idle_s=10, interval_s=5, probes=2)
 # A header usually arrives in one packet, except on bad networks. Idle connections are
 # kept for slightly longer than common load balancers keep them.
 DEFAULT_TIMEOUTS = CallerTimeouts(header_s=5.0, idle_s=75.0)
