Count no crash for prompt parts that were sound shortly before

Change: a crash is not counted for a part that had a response beyond its beginning within the 3 s before it, as a harmful part never gets that far.

The unit test failed before.

--- a/packages/gateway/src/jaytray_gateway/process/prompt_part_guard.py
+++ b/packages/gateway/src/jaytray_gateway/process/prompt_part_guard.py
@@ -3,7 +3,8 @@
 A crash breaks many attempts at once. Those whose response had not begun are suspect, as
 a harmful part crashes the target when it begins the response. Crashes are counted for
 every part of the suspect attempts but the last one, which is the request's own. A part
-of a response that got beyond its beginning is sound, and its count starts again. A
+of a response that got beyond its beginning is sound: its count starts again, and for a
+short time crashes are not counted for it, as a harmful part never gets that far. A
 target that goes on with an earlier request has not crashed, whatever broke the others.
 
 Requests that share a harmful part share the parts before it too, so of the parts with
@@ -35,6 +36,8 @@
 SETTLE_S = 1.0
 # Time since its first chunk after which a response is beyond its beginning.
 RESPONSE_BEGUN_S = 0.25
+# Time before a crash in which a part that was sound is not to blame for it.
+SOUND_S = 3.0
 # Time for which requests with a part are refused. After it, one more crash is enough.
 PART_QUARANTINE_S = 600.0
 MAX_PARTS = 4_000
@@ -97,6 +100,8 @@
         )
         self._counted_crashes: deque[_Crash] = deque(maxlen=MAX_COUNTED_CRASHES)
         self._crash_times_s_by_part: OrderedDict[str, list[float]] = OrderedDict()
+        # Time of the last response here that got beyond its beginning.
+        self._sound_at_s_by_part: OrderedDict[str, float] = OrderedDict()
 
     def check(self, parts: Sequence[str]) -> None:
         """Raise `request_suspected` if one of the parts is quarantined."""
@@ -121,6 +126,11 @@
 
     def record_begun_response(self, parts: tuple[str, ...]) -> None:
         """Record a response that got beyond its beginning."""
+        for part in parts:
+            self._sound_at_s_by_part[part] = self._clock()
+            self._sound_at_s_by_part.move_to_end(part)
+        while len(self._sound_at_s_by_part) > MAX_PARTS:
+            self._sound_at_s_by_part.popitem(last=False)
         suspected = tuple(part for part in parts if self._is_suspected(part))
         if suspected:
             evidence = PartEvidence(suspected, True)
@@ -218,7 +228,10 @@
             if not self.quarantined_until_s_by_part.keys().isdisjoint(chain)
         ]
         # Beside a request that is known to crash targets, no other one is suspect.
-        chains = known or crash.chains
+        chains = known or [
+            tuple(part for part in chain if not self._was_sound(part, crash))
+            for chain in crash.chains
+        ]
         parts = {part for chain in chains for part in chain}
         for part in parts:
             self._add_crash(part, crash.first_break_s)
@@ -297,6 +310,11 @@
             if crashes and all(crash in explained for crash in crashes):
                 self._clear((part,))
 
+    def _was_sound(self, part: str, crash: _Crash) -> bool:
+        """Return whether a response on the part went well shortly before the crash."""
+        sound_at_s = self._sound_at_s_by_part.get(part, -float("inf"))
+        return 0 <= crash.first_break_s - sound_at_s < SOUND_S
+
     def _is_suspected(self, part: str) -> bool:
         return (
             part in self._crash_times_s_by_part
--- a/packages/gateway/tests/process/test_prompt_part_guard.py
+++ b/packages/gateway/tests/process/test_prompt_part_guard.py
@@ -17,6 +17,7 @@
     PART_QUARANTINE_S,
     RESPONSE_BEGUN_S,
     SETTLE_S,
+    SOUND_S,
     PartEvidence,
     PromptPartGuard,
 )
@@ -94,6 +95,17 @@
             self.guard.record_begun_response(("rare",))
         self.assertEqual(set(), self.quarantined())
 
+    def test_part_that_was_sound_is_not_blamed_for_crashes_soon_after(self) -> None:
+        # Soak seed 62000: targets were ended three times in a few seconds.
+        self.guard.record_begun_response(("first", "topic"))
+        for _ in range(MAX_CRASHES):
+            self.crash("first topic")
+        self.assertEqual(set(), self.quarantined())
+        self.clock.now_s += SOUND_S
+        for _ in range(MAX_CRASHES):
+            self.crash("first topic")
+        self.assertEqual({"topic"}, self.quarantined())
+
     def test_target_that_goes_on_has_not_crashed(self) -> None:
         # A target that resets some connections, while others work.
         for number in range(2 * MAX_CRASHES):
