Leave placement to members that reach the targets

Change: a member that does not reach a service's engines, while others report that they do, neither takes nor renews the lease.

--- a/packages/gateway/src/jaytray_gateway/process/member_messages.py
+++ b/packages/gateway/src/jaytray_gateway/process/member_messages.py
@@ -132,6 +132,11 @@
         """Send a replica request to the placement leader."""
         self._peers.send(leader, _REPLICA_REQUEST, encode_msgpack(request))
 
+    def is_reached_by_others_only(self, service: str) -> bool:
+        """Return whether members reach a service that is cut off from this one."""
+        is_cut_off = self._reach.is_cut_off(service)
+        return is_cut_off and self._relays.choose(service, frozenset()) is not None
+
     def replica_rates(self) -> dict[str, float]:
         """Return the demand by replica over all members, in engine ms per second."""
         total = self._replica_demand.rates()
--- a/packages/gateway/src/jaytray_gateway/process/placement/controller.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/controller.py
@@ -81,6 +81,7 @@
             read_record=lambda: directory.records_by_key.get(key),
             restored_at_s=lambda: directory.restored_at_s,
             member_ids=member_messages.member_ids,
+            reaches_targets=self._reaches_targets,
         )
         self._load_limiter = LoadRateLimiter(
             window_s=options.load_window_s,
@@ -111,6 +112,16 @@
         self._term = 0
         self._has_requests = asyncio.Event()
 
+    def _reaches_targets(self) -> bool:
+        """Return False if only other members reach the engines of a service."""
+        table = self._directory.route_table
+        services = table.services_by_name.values() if table is not None else ()
+        return not any(
+            self._member_messages.is_reached_by_others_only(service.name)
+            for service in services
+            if service.engine is not None
+        )
+
     def request_replica(
         self, service: str, model: str, adapter: str, software_version: str | None
     ) -> None:
--- a/packages/gateway/src/jaytray_gateway/process/placement/leadership.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/leadership.py
@@ -4,7 +4,8 @@
 it wrote its record, so each new leader has a higher one. A leader counts its lease
 from before it sent the last renewal and stops well before the lease expires. It never
 revokes the lease, so a successor can take it only after it has expired, and the former
-leader stopped sending orders before that.
+leader stopped sending orders before that. A member that does not reach the targets,
+while others do, neither takes the lease nor keeps it.
 """
 
 import asyncio
@@ -50,6 +51,7 @@
         read_record: Callable[[], bytes | None],
         member_ids: Callable[[], frozenset[str]],
         restored_at_s: Callable[[], float],
+        reaches_targets: Callable[[], bool],
     ) -> None:
         self.fencing_number = 0
         self._own_id = own_id
@@ -60,6 +62,7 @@
         self._read_record = read_record
         self._member_ids = member_ids
         self._restored_at_s = restored_at_s
+        self._reaches_targets = reaches_targets
         self._lease_id = ""
         self._trusted_until_s = -float("inf")
         self._is_stopped = False
@@ -93,9 +96,11 @@
         """Renew the lease, or wait to take it, until cancelled."""
         while not self._is_stopped:
             try:
-                if self._lease_id:
+                if self._lease_id and not self._reaches_targets():
+                    self.step_down("other members reach the targets, this one does not")
+                elif self._lease_id:
                     await self._renew()
-                elif self.leader_id() is None:
+                elif self.leader_id() is None and self._reaches_targets():
                     await self._try_acquire()
             except JaytrayError as err:
                 get_logger().info("placement_lease_call_failed", error=str(err))
--- a/packages/gateway/tests/process/placement/test_leadership.py
+++ b/packages/gateway/tests/process/placement/test_leadership.py
@@ -25,6 +25,7 @@
         self.faults = FaultSwitches()
         key_value: KeyValueService = in_process_key_value(store, self.faults)
         self.record: bytes | None = None
+        self.reaches_targets = True
         self.leadership = Leadership(
             own_id=vm_id,
             key=KEY,
@@ -34,6 +35,7 @@
             read_record=lambda: self.record,
             member_ids=lambda: ids,
             restored_at_s=lambda: -float("inf"),
+            reaches_targets=lambda: self.reaches_targets,
         )
         self.task = asyncio.create_task(self.leadership.run())
 
@@ -126,6 +128,26 @@
 
         run_virtual(run())
 
+    def test_member_that_reaches_no_target_leaves_the_lease_to_others(self) -> None:
+        async def run() -> None:
+            fleet = Fleet(size=3)
+            await asyncio.sleep(3.0)
+            first = fleet.leader()
+            assert first is not None
+            first.reaches_targets = False
+            await asyncio.sleep(4.0)
+            second = fleet.leader()
+            assert second is not None
+            self.assertIsNot(first, second)
+            second.faults.set(Fault(FaultKind.DOWN))
+            await asyncio.sleep(4.0)
+            self.assertNotIn(fleet.leader(), (None, first, second))
+            self.assertEqual(1, fleet.max_leaders)
+            self.assertEqual(sorted(fleet.fencing_numbers), fleet.fencing_numbers)
+            await fleet.end()
+
+        run_virtual(run())
+
     def test_leadership_ends_within_the_lease_without_the_store(self) -> None:
         async def run() -> None:
             fleet = Fleet(size=3)
