Do not resume a stream that broke on its way through another member

The VM that its caller asked does not know the software version at which the other member began it, so it could have gone on at another version. The test of a fleet whose forwarding members may not resume it themselves covers it; two more tests cover refusals and streams by way of a member, and requests with another key.

--- a/packages/gateway/src/jaytray_gateway/request/request_path.py
+++ b/packages/gateway/src/jaytray_gateway/request/request_path.py
@@ -205,7 +205,9 @@
     if target and state.required_version is not None and state.attempt_chunks:
         # The target sent events, so it may be the best one to go on with the stream.
         state.tried.discard(target.target_id)
-    if _may_run_again(state, services):
+    # Only the member that relayed a stream knows the version that began it.
+    is_resumable = target is not None or not reply.is_started
+    if is_resumable and _may_run_again(state, services):
         return
     if err.is_timeout:
         limit_s = state.admitted.expires_at_s - state.admitted.request.received_at_s
--- a/packages/gateway/tests/request/test_partitioned_vm.py
+++ b/packages/gateway/tests/request/test_partitioned_vm.py
@@ -10,8 +10,9 @@
 
 from jaytray_core.clock import monotonic_clock
 from jaytray_core.tasks import cancel_all
+from jaytray_gateway.process.target_health import INITIAL_AVOID_S
 from jaytray_gateway.version.route_table import Route
-from packages.gateway.tests.request.cases import IDEMPOTENT
+from packages.gateway.tests.request.cases import EVENTS, IDEMPOTENT, REST, RESUMABLE
 from packages.gateway.tests.request.scripted_target import ScriptedResponse
 from packages.gateway.tests.request.support import (
     ROUTE,
@@ -30,6 +31,9 @@
 CUT_INTERVAL_S = 0.04
 RESPONSE_DELAY_S = 0.15
 NUMBERS = itertools.count()
+REST_ONLY = ScriptedResponse(body=REST, is_stream=True)
+# A route whose streams the forwarding member may not resume itself.
+ONE_RUN = RESUMABLE._replace(max_attempts=1)
 
 
 async def send_steadily(
@@ -93,3 +97,50 @@
                 self.assertEqual({200}, set(await send_steadily(cut_off, 0.5)))
 
         asyncio.run(check())
+
+    def test_streams_and_refusals_of_the_other_member_reach_the_caller(self) -> None:
+        async def check() -> None:
+            events = ScriptedResponse(body=EVENTS, is_stream=True)
+            async with open_fleet([events], route=RESUMABLE, vms=2) as fleet:
+                cut_off, other = fleet.vms
+                cut_off.set_link(TargetLink.RESET)
+                await cut_off.send_request()
+                received = await cut_off.send_request()
+                self.assertEqual((EVENTS, True), (received.body, received.is_whole))
+                other.directory.targets_by_id = {}
+                received = await cut_off.send_request()
+                self.assertEqual((503, b"not_run"), (received.status, received.body))
+                self.assertIn(b"retry-after", received.headers)
+
+        asyncio.run(check())
+
+    def test_stream_that_breaks_on_its_way_through_a_member_is_not_joined(self) -> None:
+        # The VM does not know the software version at which another member began it.
+        async def check() -> None:
+            cut = ScriptedResponse(body=EVENTS, is_stream=True, is_complete=False)
+            async with open_fleet([cut], [REST_ONLY], route=ONE_RUN, vms=3) as fleet:
+                cut_off, *_ = fleet.vms
+                cut_off.set_link(TargetLink.RESET)
+                await cut_off.send_request()
+                bodies = []
+                for _ in range(4):
+                    bodies.append((await cut_off.send_request()).body)
+                    await asyncio.sleep(INITIAL_AVOID_S)
+                self.assertNotIn(EVENTS + REST, bodies)
+                self.assertIn(EVENTS, bodies)
+
+        asyncio.run(check())
+
+    def test_requests_with_another_key_are_not_forwarded(self) -> None:
+        async def check() -> None:
+            async with open_fleet([ScriptedResponse()], vms=2) as fleet:
+                cut_off, other = fleet.vms
+                cut_off.set_link(TargetLink.RESET)
+                await cut_off.send_request()
+                sends = len(other.targets[0].heads)
+                other.relays.own_key = "changed"
+                received = await cut_off.send_request()
+                self.assertNotEqual(200, received.status)
+                self.assertEqual(sends, len(other.targets[0].heads))
+
+        asyncio.run(check())
