Tell peers which parts of a crash were sound shortly before

A member now tells its peers, when it counts a crash, which of its parts were sound here; that clears them there. The unit test failed before.

--- a/packages/gateway/src/jaytray_gateway/process/prompt_part_guard.py
+++ b/packages/gateway/src/jaytray_gateway/process/prompt_part_guard.py
@@ -228,10 +228,7 @@
             if not self.quarantined_until_s_by_part.keys().isdisjoint(chain)
         ]
         # Beside a request that is known to crash targets, no other one is suspect.
-        chains = known or [
-            tuple(part for part in chain if not self._was_sound(part, crash))
-            for chain in crash.chains
-        ]
+        chains = known or self._without_sound_parts(crash)
         parts = {part for chain in chains for part in chain}
         for part in parts:
             self._add_crash(part, crash.first_break_s)
@@ -310,6 +307,16 @@
             if crashes and all(crash in explained for crash in crashes):
                 self._clear((part,))
 
+    def _without_sound_parts(self, crash: _Crash) -> list[tuple[str, ...]]:
+        """Return the chains of a crash without sound parts, and tell peers of these."""
+        parts = {part for chain in crash.chains for part in chain}
+        sound = {part for part in parts if self._was_sound(part, crash)}
+        if sound:
+            self._notify_peers(PartEvidence(tuple(sorted(sound)), True))
+        return [
+            tuple(part for part in chain if part not in sound) for chain in crash.chains
+        ]
+
     def _was_sound(self, part: str, crash: _Crash) -> bool:
         """Return whether a response on the part went well shortly before the crash."""
         sound_at_s = self._sound_at_s_by_part.get(part, -float("inf"))
--- a/packages/gateway/tests/process/test_prompt_part_guard.py
+++ b/packages/gateway/tests/process/test_prompt_part_guard.py
@@ -106,6 +106,18 @@
             self.crash("first topic")
         self.assertEqual({"topic"}, self.quarantined())
 
+    def test_members_learn_which_parts_were_sound_elsewhere(self) -> None:
+        # Soak seed 63023: the members that blamed a topic had served none of it lately.
+        peer = make_peer(self.clock)
+        self.guard.record_begun_response(("first", "topic"))
+        for number in range(MAX_CRASHES):
+            peer.record_break(("first", "topic"), entry(f"t{number + 1}"))
+            self.crash("first topic")
+            peer.settle_crashes()
+        for evidence in self.sent:
+            peer.apply_evidence(evidence)
+        peer.check(("first", "topic"))
+
     def test_target_that_goes_on_has_not_crashed(self) -> None:
         # A target that resets some connections, while others work.
         for number in range(2 * MAX_CRASHES):
