Read other members' responses with the reader of target responses

The relay had a copy of reading events, chunks and whole bodies, and of the state that each attempt and chunk sets. It uses TargetExchange now, which lends its reading of a head without the platform's format, and RequestState has one method for each of the three updates.

--- a/packages/gateway/src/jaytray_gateway/request/attempt.py
+++ b/packages/gateway/src/jaytray_gateway/request/attempt.py
@@ -56,12 +56,8 @@
         # The request may have been quarantined while it waited for a replica.
         services.crash_guard.check(state.digest)
         services.part_guard.check(request.shared_part_ids)
-        state.sends += 1
-        state.sent_at_s = services.clock()
-        state.copy_age_s = services.admission.table_age_s()
-        state.attempt_first_piece_s = None
-        state.attempt_chunks = 0
-        state.is_begun = False
+        state.note_sent(services.clock(), copy_age_s=services.admission.table_age_s())
+        state.clear_response()
         return Dispatch(
             target_id=target.target_id,
             account=admitted.account_name,
@@ -182,12 +178,8 @@
             raise ExchangeError(
                 progress=ExchangeProgress.BROKEN, detail="event is too large"
             )
-        state.attempt_chunks += 1
         services.reach.record_bytes(state.service.name)
-        if state.attempt_first_piece_s is None:
-            state.attempt_first_piece_s = services.clock()
-        if state.first_piece_s is None:
-            state.first_piece_s = state.attempt_first_piece_s
+        state.note_chunk(services.clock())
         _record_progress(state, target, services)
         services.loads.mark_prompt_read(target.target_id, in_flight)
         if state.event_buffer is not None:
--- a/packages/gateway/src/jaytray_gateway/request/relay.py
+++ b/packages/gateway/src/jaytray_gateway/request/relay.py
@@ -6,13 +6,10 @@
 here.
 """
 
-import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import NamedTuple
 
-import h11
-
 from jaytray_core import message_registry as messages
 from jaytray_core.codec import decode_msgpack, encode_msgpack
 from jaytray_core.errors import Execution, JaytrayError, Step
@@ -30,7 +27,7 @@
     RequestState,
 )
 from jaytray_gateway.request.services import RequestServices
-from jaytray_gateway.request.target_exchange import MAX_WHOLE_BODY_BYTES
+from jaytray_gateway.request.target_exchange import TargetExchange
 from jaytray_gateway.version.route_table import ClientAccount, RequestKind, Route
 
 RELAY_PATH = b"/relay"
@@ -103,13 +100,12 @@
     """
     services.admission.check_freshness()
     state.relayed_by = member.vm_id
-    state.attempt_first_piece_s = None
-    state.attempt_chunks = 0
+    state.clear_response()
     try:
         async with _connection_to(member, services) as connection:
-            state.sends += 1
-            state.sent_at_s = services.clock()
-            state.copy_age_s = services.admission.table_age_s()
+            state.note_sent(
+                services.clock(), copy_age_s=services.admission.table_age_s()
+            )
             body = encode_msgpack(_relayed_request(state, services))
             headers: HeaderList = [
                 (b"host", member.relay_address.encode()),
@@ -117,7 +113,15 @@
                 (b"content-length", b"%d" % len(body)),
             ]
             connection.send(b"POST", RELAY_PATH, headers, body)
-            await _pass_on(state, connection, reply, services)
+            exchange = TargetExchange(
+                connection=connection,
+                request=state.admitted.request,
+                pools=services.pools,
+                adapter=services.adapter,
+                clock=services.clock,
+                peer_kind="member",
+            )
+            await _pass_on(state, exchange, reply, services)
     except ExchangeError as err:
         if err.progress is ExchangeProgress.NOT_SENT:
             raise AttemptNotRun(err.detail, reached_target=False) from err
@@ -166,18 +170,15 @@
 
 async def _pass_on(
     state: RequestState,
-    connection: TargetConnection,
+    exchange: TargetExchange,
     reply: CallerReply,
     services: RequestServices,
 ) -> None:
-    head = await _next_event(state, connection, services)
-    if not isinstance(head, h11.Response):
-        raise ExchangeError(
-            progress=ExchangeProgress.BROKEN, detail="response has no head"
-        )
+    until_s = state.admitted.expires_at_s
+    head = await exchange.read_any_head(until_s)
     names = {name for name, _ in head.headers}
     if RELAY_REFUSED_HEADER in names:
-        body = await _read_body(state, connection, services)
+        body = await exchange.read_body(until_s)
         refusal = decode_msgpack(body, RelayRefusal, peer=state.relayed_by)
         if refusal.code in _CODES_OF_MEMBER:
             raise AttemptNotRun(refusal.text, reached_target=False)
@@ -187,7 +188,7 @@
         state.admitted.route.kind is not RequestKind.STREAM
         or b"content-length" in names
     ):
-        body = await _read_body(state, connection, services)
+        body = await exchange.read_body(until_s)
         state.runs += 1
         if reply.is_started:
             raise AttemptFailed(
@@ -195,12 +196,8 @@
             )
         await reply.send_complete(head.status_code, headers, body)
         return
-    while (chunk := await _next_chunk(state, connection, services)) is not None:
-        state.attempt_chunks += 1
-        if state.attempt_first_piece_s is None:
-            state.attempt_first_piece_s = services.clock()
-        if state.first_piece_s is None:
-            state.first_piece_s = state.attempt_first_piece_s
+    while (chunk := await exchange.read_chunk(until_s)) is not None:
+        state.note_chunk(services.clock())
         if state.event_buffer is not None:
             chunk = state.event_buffer.feed(chunk)
         if not chunk:
@@ -214,40 +211,6 @@
     await reply.finish()
 
 
-async def _read_body(
-    state: RequestState, connection: TargetConnection, services: RequestServices
-) -> bytes:
-    chunks: list[bytes] = []
-    size = 0
-    while (chunk := await _next_chunk(state, connection, services)) is not None:
-        size += len(chunk)
-        if size > MAX_WHOLE_BODY_BYTES:
-            raise ExchangeError(
-                progress=ExchangeProgress.BROKEN, detail="response body is too large"
-            )
-        chunks.append(chunk)
-    return b"".join(chunks)
-
-
-async def _next_chunk(
-    state: RequestState, connection: TargetConnection, services: RequestServices
-) -> bytes | None:
-    event = await _next_event(state, connection, services)
-    return bytes(event.data) if isinstance(event, h11.Data) else None
-
-
-async def _next_event(
-    state: RequestState, connection: TargetConnection, services: RequestServices
-) -> h11.Response | h11.Data | h11.EndOfMessage:
-    try:
-        async with asyncio.timeout(state.admitted.expires_at_s - services.clock()):
-            return await connection.next_event()
-    except TimeoutError as err:
-        raise ExchangeError(
-            progress=ExchangeProgress.TIMED_OUT, detail="member sent nothing in time"
-        ) from err
-
-
 def _to_error(refusal: RelayRefusal) -> JaytrayError:
     text = refusal.text.replace("{", "{{").replace("}", "}}")
     return JaytrayError(
--- a/packages/gateway/src/jaytray_gateway/request/run_state.py
+++ b/packages/gateway/src/jaytray_gateway/request/run_state.py
@@ -79,6 +79,26 @@
         # Whether the current attempt's response got beyond its beginning.
         self.is_begun = False
 
+    def clear_response(self) -> None:
+        """Forget what the attempt before has received."""
+        self.attempt_first_piece_s = None
+        self.attempt_chunks = 0
+        self.is_begun = False
+
+    def note_sent(self, now_s: float, *, copy_age_s: float) -> None:
+        """Record that an attempt is sent now, by a directory copy of this age."""
+        self.sends += 1
+        self.sent_at_s = now_s
+        self.copy_age_s = copy_age_s
+
+    def note_chunk(self, now_s: float) -> None:
+        """Record a chunk of the current attempt's response body."""
+        self.attempt_chunks += 1
+        if self.attempt_first_piece_s is None:
+            self.attempt_first_piece_s = now_s
+        if self.first_piece_s is None:
+            self.first_piece_s = now_s
+
     @property
     def is_retryable(self) -> bool:
         """Return whether the request may run more than once."""
--- a/packages/gateway/src/jaytray_gateway/request/target_exchange.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_exchange.py
@@ -44,6 +44,7 @@
         pools: TargetConnectionPool,
         adapter: PlatformAdapter,
         clock: MonotonicClock,
+        peer_kind: str = "target",
     ) -> None:
         self.is_complete = False
         # Whether the body has no length and no chunks, and ends with the connection.
@@ -54,15 +55,22 @@
         self._request = request
         self._adapter = adapter
         self._clock = clock
+        # Who responds, for errors.
+        self._peer_kind = peer_kind
+
+    async def read_any_head(self, until_s: float) -> h11.Response:
+        """Return the next response head as it is; raises `ExchangeError`."""
+        event = await self._next_event(until_s)
+        if not isinstance(event, h11.Response):
+            raise ExchangeError(
+                progress=ExchangeProgress.BROKEN, detail="response has no head"
+            )
+        return event
 
     async def read_head(self, until_s: float) -> ResponseHead:
         """Return the head of the response to this request; raises `ExchangeError`."""
         for _ in range(MAX_FOREIGN_RESPONSES + 1):
-            event = await self._next_event(until_s)
-            if not isinstance(event, h11.Response):
-                raise ExchangeError(
-                    progress=ExchangeProgress.BROKEN, detail="response has no head"
-                )
+            event = await self.read_any_head(until_s)
             headers: HeaderList = list(event.headers)
             head = self._adapter.read_response_head(event.status_code, headers)
             if head.request_id in ("", self._request.request_id):
@@ -145,7 +153,7 @@
         except TimeoutError as err:
             raise ExchangeError(
                 progress=ExchangeProgress.TIMED_OUT,
-                detail="target sent nothing in time",
+                detail=f"{self._peer_kind} sent nothing in time",
             ) from err
 
 
