Share the sending to other members and the memory of recent times

Three classes sent to each other member with a loop of their own, and both guards kept when something was last sound in an ordered dict of their own. peer_sends.py and recent_times.py serve them now. Departures that several removals tell of notify the directory's listeners once, not once each and once more. The choice of a relay is one pass.

--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -11,13 +11,11 @@
     "request_finished": (
         "request_id outcome status route account version replica tokens rate_state "
         "target relayed_by relayed_for software_version original_request_id "
-        "last_event_id sends runs sent_ms "
-        "copy_age_ms first_piece_ms total_ms error"
+        "last_event_id sends runs sent_ms copy_age_ms first_piece_ms total_ms error"
     ).split(),
     "request_try_ended": (
         "request_id target relayed_by outcome software_version original_request_id "
-        "last_event_id "
-        "sends runs first_piece_ms chunks digest prompt_parts detail"
+        "last_event_id sends runs first_piece_ms chunks digest prompt_parts detail"
     ).split(),
     "unused_body_not_read": ("detail",),
     # A response that was cut off, as a sign that its request crashes targets.
--- a/packages/gateway/src/jaytray_gateway/process/crash_guard.py
+++ b/packages/gateway/src/jaytray_gateway/process/crash_guard.py
@@ -21,6 +21,7 @@
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.errors import JaytrayError, Step
 from jaytray_core.logs import get_logger
+from jaytray_gateway.process.recent_times import RecentTimes
 from jaytray_gateway.process.target_entry import TargetEntry
 
 # Number of breaks after which a request is refused: the contract allows three runs.
@@ -66,8 +67,8 @@
         self._first_break_s_by_incarnation: OrderedDict[tuple[str, str], float] = (
             OrderedDict()
         )
-        # Time of the last complete response here.
-        self._sound_at_s_by_digest: OrderedDict[str, float] = OrderedDict()
+        # Last complete responses here.
+        self._sound_digests = RecentTimes(max_keys=MAX_SOUND_DIGESTS)
 
     def check(self, digest: str) -> None:
         """Raise `request_suspected` if the request with this digest is quarantined."""
@@ -131,10 +132,7 @@
         self._first_break_s_by_incarnation.pop(
             (target.target_id, target.incarnation), None
         )
-        self._sound_at_s_by_digest[digest] = self._clock()
-        self._sound_at_s_by_digest.move_to_end(digest)
-        if len(self._sound_at_s_by_digest) > MAX_SOUND_DIGESTS:
-            self._sound_at_s_by_digest.popitem(last=False)
+        self._sound_digests.note(digest, self._clock())
         if digest in self._suspect_by_digest:
             run_end = RunEnd(digest, target.target_id, target.incarnation, False, 0.0)
             self.apply_run_end(run_end)
@@ -186,5 +184,4 @@
 
     def _is_sound(self, digest: str) -> bool:
         """Return whether an identical request had a complete response recently."""
-        sound_at_s = self._sound_at_s_by_digest.get(digest, -float("inf"))
-        return self._clock() - sound_at_s < SOUND_S
+        return self._clock() - self._sound_digests.last(digest) < SOUND_S
--- a/packages/gateway/src/jaytray_gateway/process/departure_notices.py
+++ b/packages/gateway/src/jaytray_gateway/process/departure_notices.py
@@ -7,6 +7,7 @@
 from jaytray_core.codec import decode_msgpack, encode_msgpack
 from jaytray_core.logs import get_logger
 from jaytray_gateway.process.directory import Directory, TargetDeparture
+from jaytray_gateway.process.peer_sends import send_to_others
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_server.ports import PeerNetwork
 
@@ -30,10 +31,7 @@
             self._notify_peers([departure])
 
     def _notify_peers(self, departures: list[TargetDeparture]) -> None:
-        body = encode_msgpack(departures)
-        for member in self._peers.listed_vms():
-            if member != self._peers.vm_id:
-                self._peers.send(member, _DEPARTURES, body)
+        send_to_others(self._peers, _DEPARTURES, encode_msgpack(departures))
 
     def _handle_departures(self, sender: str, body: bytes) -> None:
         departures = decode_msgpack(body, list[TargetDeparture], peer=sender)
--- a/packages/gateway/src/jaytray_gateway/process/directory.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -162,6 +162,7 @@
     ) -> list[TargetDeparture]:
         """Apply departures that another source tells of; returns the new ones."""
         news = []
+        removed = []
         for departure in departures:
             target = self.targets_by_id.get(departure.target_id)
             is_same = target and target.incarnation == departure.incarnation
@@ -170,12 +171,13 @@
             news.append(departure)
             if departure.removed_at:
                 key = self._adapter.targets_prefix + departure.target_id
-                self._apply([KeyValueRecord(key, b"", departure.removed_at)])
+                removed.append(KeyValueRecord(key, b"", departure.removed_at))
             else:
                 self._note_leaving(target)
                 self.targets_by_id[target.target_id] = target._replace(is_leaving=True)
+        self._apply(removed)
         self._departures.clear()
-        if news:
+        if len(news) > len(removed):
             self._notify_listeners()
         return news
 
--- a/packages/gateway/src/jaytray_gateway/process/member_messages.py
+++ b/packages/gateway/src/jaytray_gateway/process/member_messages.py
@@ -12,6 +12,7 @@
 from jaytray_gateway.process.demand_average import DemandAverage
 from jaytray_gateway.process.load_view import LoadView, TargetLoad
 from jaytray_gateway.process.membership import RecentMembers
+from jaytray_gateway.process.peer_sends import send_to_others
 from jaytray_gateway.process.prompt_part_guard import PartEvidence, PromptPartGuard
 from jaytray_gateway.process.relay_members import RelayMembers
 from jaytray_gateway.process.replicas import ReplicaNotice, Replicas
@@ -108,10 +109,10 @@
     async def run(self) -> None:
         """Send load reports to all members until cancelled."""
         while True:
-            members = self._other_members()
-            if members:
+            others = len(self.member_ids() - {self._peers.vm_id})
+            if others:
                 self._broadcast(_REPORT, encode_msgpack(self._report()))
-            scaled_s = REPORT_S_PER_MEMBER * len(members)
+            scaled_s = REPORT_S_PER_MEMBER * others
             await asyncio.sleep(max(REPORT_INTERVAL_S, scaled_s))
 
     def broadcast_run_end(self, run_end: RunEnd) -> None:
@@ -166,12 +167,8 @@
         for notice in decode_msgpack(body, list[ReplicaNotice], peer=sender):
             self._replicas.apply_notice(notice)
 
-    def _other_members(self) -> list[str]:
-        return [vm for vm in self._peers.listed_vms() if vm != self._peers.vm_id]
-
     def _broadcast(self, topic: str, body: bytes) -> None:
-        for member in self._other_members():
-            self._peers.send(member, topic, body)
+        send_to_others(self._peers, topic, body)
 
 
 def _rounded(rates: dict[str, float]) -> dict[str, float]:
--- a/packages/gateway/src/jaytray_gateway/process/prompt_part_guard.py
+++ b/packages/gateway/src/jaytray_gateway/process/prompt_part_guard.py
@@ -21,6 +21,7 @@
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.errors import JaytrayError, Step
 from jaytray_core.logs import get_logger
+from jaytray_gateway.process.recent_times import RecentTimes
 from jaytray_gateway.process.target_entry import TargetEntry
 
 # Number of crashes after which requests with a part are refused.
@@ -100,8 +101,8 @@
         )
         self._counted_crashes: deque[_Crash] = deque(maxlen=MAX_COUNTED_CRASHES)
         self._crash_times_s_by_part: OrderedDict[str, list[float]] = OrderedDict()
-        # Time of the last response here that got beyond its beginning.
-        self._sound_at_s_by_part: OrderedDict[str, float] = OrderedDict()
+        # Last responses here that got beyond their beginning.
+        self._sound_parts = RecentTimes(max_keys=MAX_PARTS)
 
     def check(self, parts: Sequence[str]) -> None:
         """Raise `request_suspected` if one of the parts is quarantined."""
@@ -127,10 +128,7 @@
     def record_begun_response(self, parts: tuple[str, ...]) -> None:
         """Record a response that got beyond its beginning."""
         for part in parts:
-            self._sound_at_s_by_part[part] = self._clock()
-            self._sound_at_s_by_part.move_to_end(part)
-        while len(self._sound_at_s_by_part) > MAX_PARTS:
-            self._sound_at_s_by_part.popitem(last=False)
+            self._sound_parts.note(part, self._clock())
         suspected = tuple(part for part in parts if self._is_suspected(part))
         if suspected:
             evidence = PartEvidence(suspected, True)
@@ -319,8 +317,7 @@
 
     def _was_sound(self, part: str, crash: _Crash) -> bool:
         """Return whether a response on the part went well shortly before the crash."""
-        sound_at_s = self._sound_at_s_by_part.get(part, -float("inf"))
-        return 0 <= crash.first_break_s - sound_at_s < SOUND_S
+        return 0 <= crash.first_break_s - self._sound_parts.last(part) < SOUND_S
 
     def _is_suspected(self, part: str) -> bool:
         return (
--- a/packages/gateway/src/jaytray_gateway/process/relay_members.py
+++ b/packages/gateway/src/jaytray_gateway/process/relay_members.py
@@ -47,17 +47,13 @@
     def choose(self, service: str, tried: Set[str]) -> Member | None:
         """Return a member that reaches the service and is not in `tried`."""
         oldest_s = self._clock() - REPORT_TTL_S
-        reaching = [
-            vm_id
-            for vm_id, report in self._report_by_id.items()
-            if report.received_at_s >= oldest_s
-            and service not in report.cut_off_services
-        ]
         usable = [
             member
-            for vm_id in reaching
-            if vm_id not in tried
-            and (member := self._member_by_id.get(vm_id)) is not None
-            and member.relay_address
+            for vm_id, member in self._member_by_id.items()
+            if member.relay_address
+            and vm_id not in tried
+            and (report := self._report_by_id.get(vm_id)) is not None
+            and report.received_at_s >= oldest_s
+            and service not in report.cut_off_services
         ]
         return self._rng.choice(usable) if usable else None
--- a/packages/gateway/src/jaytray_gateway/process/stated_values.py
+++ b/packages/gateway/src/jaytray_gateway/process/stated_values.py
@@ -9,6 +9,7 @@
 
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.codec import decode_msgpack, encode_msgpack
+from jaytray_gateway.process.peer_sends import send_to_others
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_server.ports import PeerNetwork
 
@@ -55,10 +56,7 @@
         stated = StatedValue(target.target_id, target.incarnation, value)
         self._apply(stated)
         if known is None or known.value != value:
-            body = encode_msgpack(stated)
-            for member in self._peers.listed_vms():
-                if member != self._peers.vm_id:
-                    self._peers.send(member, self._topic, body)
+            send_to_others(self._peers, self._topic, encode_msgpack(stated))
 
     def find(self, target: TargetEntry) -> float | None:
         """Return the value in force, or None."""
