--- a/packages/gateway/tests/process/placement/test_controller.py
+++ b/packages/gateway/tests/process/placement/test_controller.py
@@ -18,7 +18,6 @@
 from jaytray_gateway.process.member_messages import MemberMessages, ReplicaRequest
 from jaytray_gateway.process.membership import RecentMembers
 from jaytray_gateway.process.metrics import GatewayMetrics
-from jaytray_gateway.process.options import GatewayOptions
 from jaytray_gateway.process.placement.controller import PlacementController
 from jaytray_gateway.process.relay_members import RelayMembers
 from jaytray_gateway.process.replicas import Replicas
@@ -31,28 +30,10 @@
 from jaytray_standins.in_process import in_process_key_value
 from jaytray_standins.key_value.store import KeyValueStore
 from jaytray_standins.virtual_loop import run_virtual
+from packages.gateway.tests.process.placement.options import OPTIONS
 from packages.gateway.tests.process.placement.test_planner import ENGINE
 from packages.gateway.tests.request.wire_format import ADAPTER
 
-OPTIONS = GatewayOptions(
-    vm_id="vm",
-    failure_domain="a",
-    callers_address="127.0.0.1:1",
-    probe_address="127.0.0.1:2",
-    peers_address="127.0.0.1:3",
-    relay_address="",
-    metrics_address="",
-    key_value_address="127.0.0.1:4",
-    revocation_s=5.0,
-    change_s=2.0,
-    grace_s=8.0,
-    repeat_ratio=0.2,
-    repeat_extra=56.0,
-    repeat_window_s=10.0,
-    lease_s=3.0,
-    load_window_s=5.0,
-    load_window_factor=1.1,
-)
 LOAD_S = 1.0
 REPORT_LAG_S = 0.15
 
--- a/packages/gateway/tests/request/cases.py
+++ b/packages/gateway/tests/request/cases.py
@@ -4,8 +4,8 @@
 
 from jaytray_gateway.ports import HeaderList
 from jaytray_gateway.version.route_table import RequestKind
+from packages.gateway.tests.request.harness import ROUTE, default_headers
 from packages.gateway.tests.request.scripted_target import ScriptedResponse
-from packages.gateway.tests.request.support import ROUTE, default_headers
 
 IDEMPOTENT = ROUTE._replace(kind=RequestKind.IDEMPOTENT)
 STREAM = ROUTE._replace(kind=RequestKind.STREAM, max_attempts=1)
--- a/packages/gateway/tests/request/test_attempt.py
+++ b/packages/gateway/tests/request/test_attempt.py
@@ -16,16 +16,16 @@
     STREAM,
     with_parts,
 )
-from packages.gateway.tests.request.scripted_target import (
-    ScriptedResponse,
-    header_value,
-)
-from packages.gateway.tests.request.support import (
+from packages.gateway.tests.request.harness import (
     ROUTE,
     GatewayHarness,
     ReceivedResponse,
-    run_with_harness,
 )
+from packages.gateway.tests.request.scripted_target import (
+    ScriptedResponse,
+    header_value,
+)
+from packages.gateway.tests.request.support import run_with_harness
 
 
 class StreamTests(TestCase):
--- a/packages/gateway/tests/request/test_leaving_targets.py
+++ b/packages/gateway/tests/request/test_leaving_targets.py
@@ -6,12 +6,9 @@
 
 from jaytray_gateway.process.directory import TargetDeparture
 from packages.gateway.tests.request.cases import OK
+from packages.gateway.tests.request.harness import GatewayHarness
 from packages.gateway.tests.request.scripted_target import ScriptedResponse
-from packages.gateway.tests.request.support import (
-    GatewayHarness,
-    open_fleet,
-    run_with_harness,
-)
+from packages.gateway.tests.request.support import open_fleet, run_with_harness
 
 LEAVING = ScriptedResponse(is_leaving=True)
 # Several times the delay of a message between members.
--- a/packages/gateway/tests/request/test_mixed_versions.py
+++ b/packages/gateway/tests/request/test_mixed_versions.py
@@ -10,15 +10,12 @@
 from jaytray_gateway.process.stream_origins import MAX_COPY_AGE_S, REPLY_TIMEOUT_S
 from jaytray_gateway.version.route_table import Route
 from packages.gateway.tests.request.cases import DISCONNECT, EVENTS, REST, RESUMABLE
+from packages.gateway.tests.request.harness import KEY
 from packages.gateway.tests.request.scripted_target import (
     ScriptedResponse,
     header_value,
 )
-from packages.gateway.tests.request.support import (
-    KEY,
-    Fleet,
-    open_fleet,
-)
+from packages.gateway.tests.request.support import Fleet, open_fleet
 
 CUT = ScriptedResponse(body=EVENTS, is_stream=True, is_complete=False)
 WHOLE = ScriptedResponse(body=REST, is_stream=True)
--- a/packages/gateway/tests/request/test_partitioned_vm.py
+++ b/packages/gateway/tests/request/test_partitioned_vm.py
@@ -13,14 +13,14 @@
 from jaytray_gateway.process.target_health import INITIAL_AVOID_S
 from jaytray_gateway.version.route_table import Route
 from packages.gateway.tests.request.cases import EVENTS, IDEMPOTENT, REST, RESUMABLE
-from packages.gateway.tests.request.scripted_target import ScriptedResponse
-from packages.gateway.tests.request.support import (
+from packages.gateway.tests.request.harness import (
     ROUTE,
     GatewayHarness,
     TargetLink,
     default_headers,
-    open_fleet,
 )
+from packages.gateway.tests.request.scripted_target import ScriptedResponse
+from packages.gateway.tests.request.support import open_fleet
 
 # Stated time within which the VM must serve its callers all the same.
 CONTACT_S = 3.0
--- a/packages/gateway/tests/request/test_request_path.py
+++ b/packages/gateway/tests/request/test_request_path.py
@@ -23,20 +23,20 @@
     UNSIGNED,
     with_parts,
 )
-from packages.gateway.tests.request.scripted_target import (
-    ScriptedResponse,
-    ScriptedTarget,
-    header_value,
-)
-from packages.gateway.tests.request.support import (
+from packages.gateway.tests.request.harness import (
     ACCOUNT,
     KEY,
     ROUTE,
     GatewayHarness,
     ReceivedResponse,
     default_headers,
-    run_with_harness,
 )
+from packages.gateway.tests.request.scripted_target import (
+    ScriptedResponse,
+    ScriptedTarget,
+    header_value,
+)
+from packages.gateway.tests.request.support import run_with_harness
 
 
 class Case(NamedTuple):
--- a/packages/gateway/tests/request/test_targets_that_back_off.py
+++ b/packages/gateway/tests/request/test_targets_that_back_off.py
@@ -5,12 +5,9 @@
 from testtools import TestCase
 
 from packages.gateway.tests.request.cases import NOT_RUN, OK
+from packages.gateway.tests.request.harness import GatewayHarness
 from packages.gateway.tests.request.scripted_target import ScriptedResponse
-from packages.gateway.tests.request.support import (
-    GatewayHarness,
-    open_fleet,
-    run_with_harness,
-)
+from packages.gateway.tests.request.support import open_fleet, run_with_harness
 
 BACKOFF_S = 0.6
 BUSY = NOT_RUN._replace(retry_after=str(BACKOFF_S))
