Plan loads by what is gained and lost within a horizon

Surplus replicas of the busiest model were never unloaded, as an unload with running requests cost more than most loads gained; so rarely requested models displaced each other and the idle models that the next shift needed, in the order of their names. Models of different sizes were unloaded although that did not make enough room.

Change: gain and loss of a step are demand within ten seconds. A victim's running requests delay the gain; unloading the last replica of an idle model costs what may come to it while it is loaded again, which is little where the target keeps a copy. Victims make enough room, if needed several.

Loads of rare models still hold up those of the next busy one.

--- a/packages/gateway/src/jaytray_gateway/process/placement/planner.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/planner.py
@@ -26,18 +26,24 @@
 # Demand added for a model without replicas that requests wait for: its measured demand
 # is still that of the time when it could not be served.
 WAITING_DEMAND_MS = 60.0
+# Time over which the gain and the loss of a step are compared. Demand moves on after a
+# few such times.
+HORIZON_S = 10.0
+# Demand that may return at any time to a model that has none now. Loads from the weight
+# store take several seconds, in which none of it could be served.
+RETURNING_DEMAND_MS = 150.0
 # Fraction of a replica's demand that is lost when a surplus replica is unloaded; the
 # remaining replicas take over the rest.
 SURPLUS_LOSS_FRACTION = 0.02
-# Cost per second of load time, during which requests wait.
+# Cost per second of load time, during which the target executes no other order.
 LOAD_SECOND_COST_MS = 10.0
 # Cost of a load or unload as a fraction of the target's demand: the target loads no
 # adapters meanwhile.
 DISRUPTION_COST_FRACTION = 0.1
 # Cost of an unload, so that a target with free memory is preferred.
 UNLOAD_COST_MS = 5.0
-# Cost of unloading a model with running requests: the unload waits until they finish.
-IN_USE_COST_MS = 100.0
+# Time that an unload of a model with running requests waits until they finish.
+RUNS_FINISH_S = 1.5
 
 
 class VersionedModel(NamedTuple):
@@ -85,6 +91,19 @@
     makes_room_for: str
 
 
+class _Victim(NamedTuple):
+    """A model that may be unloaded, and the demand lost by it within the horizon.
+
+    `risk` is the demand that may come to a model that has none now.
+    """
+
+    model: str
+    weights_mb: float
+    loss: float
+    risk: float
+    is_in_use: bool
+
+
 class _ReplicaCounts(NamedTuple):
     """Replica counts by model.
 
@@ -164,7 +183,7 @@
             if version in (None, p.software_version)
             and (loads_allowed > 0 or p.has_cached_weights(model))
         ]
-        found = _cheapest_step(engine, wanted, candidates, counts, demand)
+        found = _best_step(engine, wanted, candidates, counts, demand)
         if found is None:
             continue
         plan, step = found
@@ -232,32 +251,41 @@
     return rate / (count + 1)
 
 
-def _cheapest_step(
+def _best_step(
     engine: Engine,
     wanted: _WantedReplica,
     plans: list[TargetPlan],
     counts: _ReplicaCounts,
     demand: Demand,
 ) -> tuple[TargetPlan, ModelStep] | None:
-    """Return the cheapest target for one more replica and the step to order there."""
-    model, gain = wanted.model, wanted.gain
-    needed_mb = engine.models_by_name[model].weights_mb
+    """Return the target where one more replica gains most, and the step to order there.
+
+    Gain and loss are demand served or lost within the horizon.
+    """
+    model = wanted.model
     best: tuple[float, TargetPlan, ModelStep] | None = None
     for plan in plans:
         if model in plan.possibly_resident_models() or model in plan.expected_models():
             continue
-        cost = _disruption_cost(plan, counts, demand)
-        cost += LOAD_SECOND_COST_MS * plan.load_time_s(engine, model)
-        if engine.weights_mb - plan.used_mb(engine) >= needed_mb:
-            step = ModelStep(plan.target_id, True, model, "")
-        else:
-            victim, loss = _cheapest_unload(plan, counts, demand)
-            if victim is None or loss * MIN_GAIN_RATIO >= gain:
-                continue
-            cost += loss + UNLOAD_COST_MS
-            step = ModelStep(plan.target_id, False, victim, model)
-        if best is None or cost < best[0]:
-            best = (cost, plan, step)
+        load_s = plan.load_time_s(engine, model)
+        victims = _cheapest_unloads(engine, plan, model, counts, demand)
+        if victims is None:
+            continue
+        ready_s = load_s + sum(RUNS_FINISH_S for victim in victims if victim.is_in_use)
+        gain = wanted.gain * max(HORIZON_S - ready_s, 1.0)
+        loss = sum(victim.loss for victim in victims)
+        if loss and loss * MIN_GAIN_RATIO >= gain:
+            continue
+        cost = loss + sum(victim.risk + UNLOAD_COST_MS for victim in victims)
+        cost += LOAD_SECOND_COST_MS * load_s
+        net = gain - cost - _disruption_cost(plan, counts, demand)
+        step = (
+            ModelStep(plan.target_id, False, victims[0].model, model)
+            if victims
+            else ModelStep(plan.target_id, True, model, "")
+        )
+        if best is None or net > best[0]:
+            best = (net, plan, step)
     return None if best is None else best[1:]
 
 
@@ -269,24 +297,72 @@
     )
 
 
-def _cheapest_unload(
-    plan: TargetPlan, counts: _ReplicaCounts, demand: Demand
-) -> tuple[str | None, float]:
-    """Return the model whose unload from this target costs least, and the cost."""
+def _cheapest_unloads(
+    engine: Engine,
+    plan: TargetPlan,
+    model: str,
+    counts: _ReplicaCounts,
+    demand: Demand,
+) -> list[_Victim] | None:
+    """Return the models to unload from this target so that `model` fits.
+
+    The first of them is unloaded first. Returns None if the model does not fit
+    whatever is unloaded.
+    """
+    lacking_mb = engine.models_by_name[model].weights_mb - (
+        engine.weights_mb - plan.used_mb(engine)
+    )
+    if lacking_mb <= 0:
+        return []
+    victims = _victims(engine, plan, counts, demand)
+    for victim in victims:
+        if victim.weights_mb >= lacking_mb:
+            return [victim]
+    chosen: list[_Victim] = []
+    for victim in victims:
+        chosen.append(victim)
+        lacking_mb -= victim.weights_mb
+        if lacking_mb <= 0:
+            return chosen
+    return None
+
+
+def _victims(
+    engine: Engine, plan: TargetPlan, counts: _ReplicaCounts, demand: Demand
+) -> list[_Victim]:
+    """Return the models that may be unloaded from this target, cheapest first."""
     in_use = {
         split_replica(name)[0]
         for name in demand.in_use_by_target.get(plan.target_id, ())
     }
-    best: tuple[str | None, float] = (None, math.inf)
-    for model in sorted(plan.models):
-        count = counts.current.get(model, 1)
-        if model in demand.awaited and count <= 1:
-            continue
-        loss = demand.rates.get(model, 0.0) / max(count, 1)
-        if count > max(1, counts.retained.get(model, 0)):
-            loss *= SURPLUS_LOSS_FRACTION
-        if model in in_use:
-            loss += IN_USE_COST_MS
-        if loss < best[1]:
-            best = (model, loss)
-    return best
+    victims = [
+        _victim(engine, plan, name, counts, demand, is_in_use=name in in_use)
+        for name in plan.models
+        if name in engine.models_by_name
+        and not (name in demand.awaited and counts.current.get(name, 1) <= 1)
+    ]
+    return sorted(victims, key=lambda v: (v.loss + v.risk, v.is_in_use, v.model))
+
+
+def _victim(
+    engine: Engine,
+    plan: TargetPlan,
+    model: str,
+    counts: _ReplicaCounts,
+    demand: Demand,
+    *,
+    is_in_use: bool,
+) -> _Victim:
+    """Return the model with what its unload costs.
+
+    An unloaded model whose weights the target keeps a copy of is back soon.
+    """
+    count = counts.current.get(model, 1)
+    loss = demand.rates.get(model, 0.0) / max(count, 1) * HORIZON_S
+    risk = 0.0
+    if count > max(1, counts.retained.get(model, 0)):
+        loss *= SURPLUS_LOSS_FRACTION
+    elif count <= 1:
+        risk = RETURNING_DEMAND_MS * plan.load_time_s(engine, model)
+    weights_mb = engine.models_by_name[model].weights_mb
+    return _Victim(model, weights_mb, loss, risk, is_in_use)
--- /dev/null
+++ b/packages/gateway/tests/process/placement/test_demand_shifts.py
@@ -0,0 +1,85 @@
+"""Replays shifts of demand to other models against the planner, in virtual time.
+
+A few models get most requests and, every few seconds, others take their place, while
+all models are requested now and then. Models differ in size, so that not all of them
+have a place at a time.
+"""
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from jaytray_gateway.version.route_table import Engine, EngineModel
+from packages.gateway.tests.process.placement.replay import (
+    Arrivals,
+    Outcome,
+    Replay,
+    RequestClass,
+    constant_rates,
+)
+
+# Lowest share of the worth in any four seconds, also after a shift (issue 29).
+MIN_SHARE_AFTER_SHIFT = 0.8
+WINDOW_S = 4
+LENGTH_S = 34
+SEEDS = [(seed,) for seed in range(1, 9)]
+
+_LARGE, _MIDDLE, _SMALL = (72.7, 5.8), (65.1, 5.0), (42.7, 3.4)
+_SIZES = {"m5": _SMALL, "m7": _MIDDLE, "m10": _MIDDLE, "m13": _MIDDLE}
+_NAMES = [f"m{number}" for number in range(15)]
+ENGINE = Engine(
+    48,
+    200.0,
+    8,
+    1.8,
+    {
+        name: EngineModel(
+            name, _SIZES.get(name, _LARGE)[0], _SIZES.get(name, _LARGE)[1], 1.2, 0.63, 0
+        )
+        for name in _NAMES
+    },
+)
+# The weights in gigabytes of which each target keeps copies in its memory.
+COPIES_GB = 140.0
+MODELS_BY_TARGET = {
+    "t1": "m0 m1",
+    "t2": "m0 m2",
+    "t3": "m0 m1",
+    "t4": "m0 m3",
+    "t5": "m4 m6",
+    "t6": "m7 m10 m13",
+}
+LIVE = RequestClass(0.5, 1.7, 12.0, 0.0215, 1.6)
+PATIENT = RequestClass(4.0, 12.0, 20.0, 0.0215, 1.6)
+LIVE_PER_S = 22.0
+PATIENT_PER_S = 2.4
+SHIFTS = ((0, "m0", "m1"), (7, "m1", "m3"), (16, "m3", "m2"), (25, "m2", "m4"))
+
+
+def play_shifts(seed: int) -> Outcome:
+    rare = constant_rates(" ".join(_NAMES), PATIENT_PER_S / len(_NAMES))
+    arrivals = [Arrivals(0.0, PATIENT, rare)]
+    for begin_s, first, second in SHIFTS:
+        rates = {first: 0.73 * LIVE_PER_S, second: 0.27 * LIVE_PER_S}
+        arrivals.append(Arrivals(begin_s, LIVE, rates))
+    replay = Replay(
+        engine=ENGINE,
+        models_by_target=MODELS_BY_TARGET,
+        arrivals=arrivals,
+        copies_gb=COPIES_GB,
+        seed=seed,
+    )
+    return replay.run(LENGTH_S + 6.0)
+
+
+class DemandShiftTests(TestCase):
+    @parameterized.expand(SEEDS)
+    def test_requests_are_served_after_a_shift(self, seed: int) -> None:
+        outcome = play_shifts(seed)
+        worst = outcome.worst_share(0, LENGTH_S, window_s=WINDOW_S)
+        self.assertGreaterEqual(worst, MIN_SHARE_AFTER_SHIFT)
+
+    @parameterized.expand(SEEDS)
+    def test_rare_models_are_served(self, seed: int) -> None:
+        outcome = play_shifts(seed)
+        # One model in ten may be left out (the users' rule on starved models).
+        self.assertGreaterEqual(len(outcome.served_models), 0.9 * len(_NAMES))
