Keep targets free for models that demand moves to

Models that had just been loaded were unloaded for others before the requests that waited for them arrived, every 1.3 s. A target that keeps a copy of a model's weights, but executes another order, was passed over for a load from the store that took longer.

Change: loads of rare models occupy a third of the targets at most; a model stays two seconds after its load; a step that is best waits up to 3 s for a busy target; an unload of a model in use is expected to take 3 s.

--- a/packages/gateway/src/jaytray_gateway/process/placement/planner.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/planner.py
@@ -9,12 +9,12 @@
 import math
 from typing import NamedTuple
 
-from jaytray_gateway.process.placement.target_plan import TargetPlan
+from jaytray_gateway.process.placement.target_plan import RUNS_FINISH_S, TargetPlan
 from jaytray_gateway.replica_names import models_with_adapters, split_replica
 from jaytray_gateway.version.route_table import Engine
 
 # Fraction of an engine's time that one model's requests may take per replica.
-MAX_ENGINE_UTILIZATION = 0.5
+MAX_ENGINE_UTILIZATION = 0.65
 # Adapters with less demand count as idle. It is the demand of one short request some
 # seconds ago.
 MIN_ADAPTER_DEMAND_MS = 3.0
@@ -42,8 +42,16 @@
 DISRUPTION_COST_FRACTION = 0.1
 # Cost of an unload, so that a target with free memory is preferred.
 UNLOAD_COST_MS = 5.0
-# Time that an unload of a model with running requests waits until they finish.
-RUNS_FINISH_S = 1.5
+# Models with less than this fraction of all demand are rare. Their loads may occupy
+# only a fraction of the targets at a time: a target executes one order at a time, and a
+# model that demand moves to must not wait for them.
+RARE_DEMAND_FRACTION = 0.1
+MAX_RARE_LOAD_FRACTION = 0.34
+# A model is not unloaded for this time after its load: requests that waited for it
+# still arrive.
+MIN_RESIDENCE_S = 2.0
+# Longest wait for a target that keeps a copy of a model and executes another order.
+MAX_BUSY_S = 3.0
 
 
 class VersionedModel(NamedTuple):
@@ -166,14 +174,22 @@
             if not _is_last_for_adapters(plan, plans, demand.rates):
                 usable.append(plan)
             continue
+        step = _reserved_step(engine, plan, counts, demand, now_s)
         is_from_store = not plan.has_cached_weights(plan.reserved_model)
-        if plan.has_room(engine, plan.reserved_model, "") and (
-            loads_allowed > 0 or not is_from_store
-        ):
-            loads_allowed -= is_from_store
-            steps.append(ModelStep(plan.target_id, True, plan.reserved_model, ""))
+        if step is None or (step.is_load and is_from_store and loads_allowed <= 0):
+            continue
+        loads_allowed -= step.is_load and is_from_store
+        steps.append(step)
+    rare_demand = RARE_DEMAND_FRACTION * _total_demand(demand)
+    rare_loads_allowed = max(1, round(MAX_RARE_LOAD_FRACTION * len(plans))) - sum(
+        demand.rates.get(model, 0.0) < rare_demand
+        for model in _pending_models(engine, plans, now_s)
+    )
     for wanted in _wanted_replicas(engine, plans, counts, demand):
         model, version = wanted.model, wanted.software_version
+        is_rare = demand.rates.get(model, 0.0) < rare_demand
+        if is_rare and rare_loads_allowed <= 0:
+            continue
         is_enough = counts.current.get(model, 0) >= counts.desired.get(model, 0)
         if version is None and is_enough:
             continue
@@ -183,11 +199,19 @@
             if version in (None, p.software_version)
             and (loads_allowed > 0 or p.has_cached_weights(model))
         ]
-        found = _best_step(engine, wanted, candidates, counts, demand)
+        candidates += [
+            p
+            for p in plans
+            if p.has_model_step
+            and version in (None, p.software_version)
+            and p.has_cached_weights(model)
+        ]
+        found = _best_step(engine, wanted, candidates, counts, demand, now_s)
         if found is None:
             continue
         plan, step = found
         loads_allowed -= not plan.has_cached_weights(model)
+        rare_loads_allowed -= is_rare
         steps.append(step)
         usable.remove(plan)
         counts.current[model] = counts.current.get(model, 0) + 1
@@ -196,6 +220,38 @@
     return steps
 
 
+def _pending_models(engine: Engine, plans: list[TargetPlan], now_s: float) -> list[str]:
+    """Return the models that targets load now, one for each load."""
+    pending = [plan.pending_load(engine, now_s) for plan in plans]
+    return [load[0] for load in pending if load is not None]
+
+
+def _reserved_step(
+    engine: Engine,
+    plan: TargetPlan,
+    counts: _ReplicaCounts,
+    demand: Demand,
+    now_s: float,
+) -> ModelStep | None:
+    """Return the next step for the model that the target's memory is reserved for."""
+    model = plan.reserved_model
+    if plan.has_room(engine, model, ""):
+        return ModelStep(plan.target_id, True, model, "")
+    if model not in engine.models_by_name:
+        return None
+    victims = _cheapest_unloads(engine, plan, model, counts, demand, now_s)
+    if not victims:
+        return None
+    return ModelStep(plan.target_id, False, victims[0].model, model)
+
+
+def _total_demand(demand: Demand) -> float:
+    """Return the demand for all models; that for adapters is part of their model's."""
+    return sum(
+        rate for name, rate in demand.rates.items() if not split_replica(name)[1]
+    )
+
+
 def _current_counts(plans: list[TargetPlan]) -> dict[str, int]:
     counts: dict[str, int] = {}
     for plan in plans:
@@ -257,10 +313,12 @@
     plans: list[TargetPlan],
     counts: _ReplicaCounts,
     demand: Demand,
+    now_s: float,
 ) -> tuple[TargetPlan, ModelStep] | None:
     """Return the target where one more replica gains most, and the step to order there.
 
-    Gain and loss are demand served or lost within the horizon.
+    Gain and loss are demand served or lost within the horizon. Returns None if no
+    target gains, or if it is best to wait for one that executes another order.
     """
     model = wanted.model
     best: tuple[float, TargetPlan, ModelStep] | None = None
@@ -268,10 +326,20 @@
         if model in plan.possibly_resident_models() or model in plan.expected_models():
             continue
         load_s = plan.load_time_s(engine, model)
-        victims = _cheapest_unloads(engine, plan, model, counts, demand)
+        victims = _cheapest_unloads(engine, plan, model, counts, demand, now_s)
         if victims is None:
             continue
-        ready_s = load_s + sum(RUNS_FINISH_S for victim in victims if victim.is_in_use)
+        busy_s = 0.0
+        if plan.has_model_step:
+            pending = plan.pending_load(engine, now_s)
+            if pending is None or pending[1] > MAX_BUSY_S:
+                continue
+            busy_s = pending[1]
+        ready_s = (
+            busy_s
+            + load_s
+            + sum(RUNS_FINISH_S for victim in victims if victim.is_in_use)
+        )
         gain = wanted.gain * max(HORIZON_S - ready_s, 1.0)
         loss = sum(victim.loss for victim in victims)
         if loss and loss * MIN_GAIN_RATIO >= gain:
@@ -286,7 +354,9 @@
         )
         if best is None or net > best[0]:
             best = (net, plan, step)
-    return None if best is None else best[1:]
+    if best is None or best[1].has_model_step:
+        return None
+    return best[1:]
 
 
 def _disruption_cost(plan: TargetPlan, counts: _ReplicaCounts, demand: Demand) -> float:
@@ -303,6 +373,7 @@
     model: str,
     counts: _ReplicaCounts,
     demand: Demand,
+    now_s: float,
 ) -> list[_Victim] | None:
     """Return the models to unload from this target so that `model` fits.
 
@@ -314,7 +385,7 @@
     )
     if lacking_mb <= 0:
         return []
-    victims = _victims(engine, plan, counts, demand)
+    victims = _victims(engine, plan, counts, demand, now_s)
     for victim in victims:
         if victim.weights_mb >= lacking_mb:
             return [victim]
@@ -328,7 +399,11 @@
 
 
 def _victims(
-    engine: Engine, plan: TargetPlan, counts: _ReplicaCounts, demand: Demand
+    engine: Engine,
+    plan: TargetPlan,
+    counts: _ReplicaCounts,
+    demand: Demand,
+    now_s: float,
 ) -> list[_Victim]:
     """Return the models that may be unloaded from this target, cheapest first."""
     in_use = {
@@ -339,6 +414,7 @@
         _victim(engine, plan, name, counts, demand, is_in_use=name in in_use)
         for name in plan.models
         if name in engine.models_by_name
+        and now_s - plan.loaded_at_s_by_model.get(name, -math.inf) >= MIN_RESIDENCE_S
         and not (name in demand.awaited and counts.current.get(name, 1) <= 1)
     ]
     return sorted(victims, key=lambda v: (v.loss + v.risk, v.is_in_use, v.model))
--- a/packages/gateway/src/jaytray_gateway/process/placement/target_plan.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/target_plan.py
@@ -14,6 +14,8 @@
 LATE_ORDER_LIMIT_S = 13.0
 # Multiple of the stated load time after which the target's report is read again.
 OVERDUE_FACTOR = 3.0
+# Time that an unload of a model with running requests waits until they finish.
+RUNS_FINISH_S = 3.0
 # Time that an unload may wait for running requests before the report is read again.
 UNLOAD_OVERDUE_S = 6.0
 # Time after which memory that was freed for a model may be used for another.
@@ -58,6 +60,8 @@
         self.models: set[str] = set(adapters_by_model)
         # Unloaded during this term. An outdated directory entry may still list them.
         self.unloaded_models: set[str] = set()
+        # When the loads that completed during this term were noticed.
+        self.loaded_at_s_by_model: dict[str, float] = {}
         self.model_order: PendingOrder | None = None
         self.has_model_step = False
         self.reserved_model = ""
@@ -132,6 +136,21 @@
             else engine_model.load_s
         )
 
+    def pending_load(self, engine: Engine, now_s: float) -> tuple[str, float] | None:
+        """Return the model that the target loads, or will after an unload.
+
+        The second value is the time until the load should have ended.
+        """
+        order = self.model_order
+        if order is not None and order.is_load and order.model in engine.models_by_name:
+            load_s = self.load_time_s(engine, order.model)
+            return order.model, max(order.sent_at_s + load_s - now_s, 0.0)
+        model = self.reserved_model
+        if model in engine.models_by_name:
+            wait_s = max(self.reserved_at_s + RUNS_FINISH_S - now_s, 0.0)
+            return model, wait_s + self.load_time_s(engine, model)
+        return None
+
     def has_room_after_unload(self, engine: Engine, model: str) -> bool:
         """Return whether a model would fit once the pending unload is complete."""
         order = self.model_order
@@ -208,6 +227,8 @@
         if order is not None and order.was_listed != (order.model in listed):
             self._finish_model_order(order)
             loaded = order.model if order.is_load else None
+        if loaded is not None:
+            self.loaded_at_s_by_model[loaded] = now_s
         if self.model_order is not None and not self.model_order.is_load:
             listed.discard(self.model_order.model)
         # Models are removed only by orders, which this plan tracks. An entry that does
