Decide waits for models and queues by when they are served

Callers that returned from a full queue were rejected again, though they had missed their objective already.

A request waits if that is before its caller gives up, and is rejected at once otherwise; Retry-After is the time at which the load should have ended, spread in the order of rejection. A request that returns, as its shorter deadline shows, may queue as long as its caller waits.

--- a/packages/gateway/src/jaytray_gateway/process/member_messages.py
+++ b/packages/gateway/src/jaytray_gateway/process/member_messages.py
@@ -10,6 +10,7 @@
 from jaytray_core.codec import decode_msgpack, encode_msgpack
 from jaytray_gateway.process.crash_guard import CrashGuard, RunEnd
 from jaytray_gateway.process.demand_average import DemandAverage
+from jaytray_gateway.process.load_forecasts import LoadForecast, LoadForecasts
 from jaytray_gateway.process.load_view import LoadView, TargetLoad
 from jaytray_gateway.process.membership import RecentMembers
 from jaytray_gateway.process.peer_sends import send_to_others
@@ -28,6 +29,7 @@
 _RUN_END = "gateway.run_end"
 _PART_EVIDENCE = "gateway.part_evidence"
 _NOTICES = "gateway.notices"
+_FORECASTS = "gateway.load_forecasts"
 _REPLICA_REQUEST = "gateway.replica_request"
 
 
@@ -67,6 +69,7 @@
         recent_members: RecentMembers,
         replicas: Replicas,
         replica_demand: DemandAverage,
+        forecasts: LoadForecasts,
         reach: TargetReach,
         relays: RelayMembers,
     ) -> None:
@@ -76,6 +79,7 @@
         self._recent_members = recent_members
         self._replicas = replicas
         self._replica_demand = replica_demand
+        self._forecasts = forecasts
         self._reach = reach
         self._relays = relays
 
@@ -101,6 +105,7 @@
         self._peers.set_handler(_RUN_END, on_run_end)
         self._peers.set_handler(_PART_EVIDENCE, on_part_evidence)
         self._peers.set_handler(_REPLICA_REQUEST, on_replica_request)
+        self._peers.set_handler(_FORECASTS, self._handle_forecasts)
 
     def member_ids(self) -> frozenset[str]:
         """Return the ids of the registered members, including this one."""
@@ -129,6 +134,11 @@
             self._replicas.apply_notice(notice)
         self._broadcast(_NOTICES, encode_msgpack(notices))
 
+    def broadcast_forecasts(self, forecasts: list[LoadForecast]) -> None:
+        """Apply the leader's forecasts of loads and send them to all members."""
+        self._forecasts.apply(forecasts)
+        self._broadcast(_FORECASTS, encode_msgpack(forecasts))
+
     def send_replica_request(self, leader: str, request: ReplicaRequest) -> None:
         """Send a replica request to the placement leader."""
         self._peers.send(leader, _REPLICA_REQUEST, encode_msgpack(request))
@@ -167,6 +177,9 @@
         for notice in decode_msgpack(body, list[ReplicaNotice], peer=sender):
             self._replicas.apply_notice(notice)
 
+    def _handle_forecasts(self, sender: str, body: bytes) -> None:
+        self._forecasts.apply(decode_msgpack(body, list[LoadForecast], peer=sender))
+
     def _broadcast(self, topic: str, body: bytes) -> None:
         send_to_others(self._peers, topic, body)
 
--- a/packages/gateway/src/jaytray_gateway/process/placement/controller.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/controller.py
@@ -10,6 +10,7 @@
 from jaytray_core.tasks import wait_until_set
 from jaytray_gateway.ports import PlatformAdapter
 from jaytray_gateway.process.directory import Directory
+from jaytray_gateway.process.load_forecasts import LoadForecast
 from jaytray_gateway.process.load_view import LoadView
 from jaytray_gateway.process.member_messages import MemberMessages, ReplicaRequest
 from jaytray_gateway.process.metrics import GatewayMetrics
@@ -19,6 +20,7 @@
     choose_target,
     choose_victim,
 )
+from jaytray_gateway.process.placement.forecasts import forecast_ready_s
 from jaytray_gateway.process.placement.leadership import Leadership
 from jaytray_gateway.process.placement.load_rate_limiter import LoadRateLimiter
 from jaytray_gateway.process.placement.orders import OrderSender
@@ -39,9 +41,15 @@
 # Key of the leader's leased record, relative to the platform adapter's own prefix.
 LEADER_KEY = "placement"
 PLAN_INTERVAL_S = 0.25
+# Shortest interval: at overload, each rejected request is also a replica request.
+MIN_PLAN_INTERVAL_S = 0.05
 # Replica requests that are not repeated within this time expire. Callers that were
 # told to retry do so sooner.
 REPLICA_REQUEST_TTL_S = 4.0
+# Interval at which unchanged forecasts of loads are repeated, as messages may be lost.
+# Longer in larger fleets, like the members' reports.
+FORECAST_INTERVAL_S = 1.0
+FORECAST_S_PER_MEMBER = 0.02
 # Time to load an adapter: 9 to 29 ms by the deployment files, plus the time
 # that the response takes.
 ADAPTER_LOAD_S = 0.032
@@ -101,15 +109,15 @@
             orders=self._orders,
             health=health,
             clock=clock,
-            on_loaded=lambda entry, model: self._announce(
-                entry, model, is_present=True
-            ),
+            on_loaded=self._on_loaded,
             start_task=self._start_task,
         )
         self._requested_at_s: dict[ReplicaRequest, float] = {}
         self._loading_adapters: set[ReplicaRequest] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._term = 0
+        self._forecast_models: set[tuple[str, str]] = set()
+        self._forecast_sent_at_s = -float("inf")
         self._has_requests = asyncio.Event()
 
     def _reaches_targets(self) -> bool:
@@ -150,6 +158,7 @@
                 await wait_until_set(self._has_requests, PLAN_INTERVAL_S)
                 self._has_requests.clear()
                 self._plan()
+                await asyncio.sleep(MIN_PLAN_INTERVAL_S)
         finally:
             leadership_task.cancel()
             for task in self._tasks:
@@ -168,21 +177,37 @@
         table = self._directory.route_table
         if table is None:
             return
+        forecasts: list[LoadForecast] = []
         for service in table.services_by_name.values():
             if service.engine is not None:
-                self._plan_service(service, service.engine)
+                forecasts += self._plan_service(service, service.engine)
+        self._send_forecasts(forecasts)
 
-    def _plan_service(self, service: Service, engine: Engine) -> None:
+    def _send_forecasts(self, forecasts: list[LoadForecast]) -> None:
+        """Send the members news of when models will be loaded, or repeat them."""
+        models = {(forecast["service"], forecast["model"]) for forecast in forecasts}
+        members = len(self._member_messages.member_ids())
+        interval_s = max(FORECAST_INTERVAL_S, FORECAST_S_PER_MEMBER * members)
+        now_s = self._clock()
+        is_due = models and now_s - self._forecast_sent_at_s >= interval_s
+        if is_due or models != self._forecast_models:
+            self._forecast_models = models
+            self._forecast_sent_at_s = now_s
+            self._member_messages.broadcast_forecasts(forecasts)
+
+    def _plan_service(self, service: Service, engine: Engine) -> list[LoadForecast]:
+        """Start the next steps for a service; returns forecasts of its loads."""
         entries_by_id = {
             target.target_id: target
             for target in self._directory.targets_of(service.name)
         }
         plans = self._plans.refresh(engine, entries_by_id)
         self._load_requested_adapters(service, engine, plans, entries_by_id)
+        demand = self._current_demand(service, engine, plans)
         steps = next_steps(
             engine,
             plans,
-            self._current_demand(service, engine, plans),
+            demand,
             loads_allowed=self._load_limiter.allowed(engine.loads_per_s),
             now_s=self._clock(),
         )
@@ -192,6 +217,14 @@
             plan.has_model_step = True
             entry = entries_by_id[step.target_id]
             self._start_task(self._execute(step, plan, entry, engine))
+        awaited = sorted(
+            demand.awaited, key=lambda model: -demand.rates.get(model, 0.0)
+        )
+        ready_s = forecast_ready_s(engine, plans, awaited, self._clock())
+        return [
+            LoadForecast(service=service.name, model=model, ready_in_s=seconds)
+            for model, seconds in ready_s.items()
+        ]
 
     def _current_demand(
         self, service: Service, engine: Engine, plans: list[TargetPlan]
@@ -357,6 +390,15 @@
             plan, entry, engine, is_load=True, model=model, adapter=""
         )
 
+    def _on_loaded(self, entry: TargetEntry, model: str) -> None:
+        """Announce a completed load, which serves all requests that waited for it."""
+        self._announce(entry, model, is_present=True)
+        for request in list(self._requested_at_s):
+            is_served = request.software_version in (None, entry.software_version)
+            if is_served and (request.service, request.model) == (entry.service, model):
+                if not request.adapter:
+                    del self._requested_at_s[request]
+
     def _announce(self, entry: TargetEntry, replica: str, *, is_present: bool) -> None:
         notice = ReplicaNotice(
             target_id=entry.target_id,
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -20,6 +20,7 @@
 from jaytray_gateway.process.engine_speed import EngineSpeeds
 from jaytray_gateway.process.leased_records import LeasedRecords, RecordKind
 from jaytray_gateway.process.lifecycle import Lifecycle
+from jaytray_gateway.process.load_forecasts import LoadForecasts
 from jaytray_gateway.process.load_view import LoadView
 from jaytray_gateway.process.member_messages import MemberMessages
 from jaytray_gateway.process.membership import (
@@ -135,6 +136,7 @@
     replicas = Replicas(directory=directory, clock=clock)
     reach = TargetReach(directory=directory, pools=pools, clock=clock, rng=rng)
     replica_demand = DemandAverage(clock=clock, window_s=REPLICA_DEMAND_WINDOW_S)
+    forecasts = LoadForecasts(clock=clock)
     peers = hub.peer_network()
     grants = RateGrants(
         shares=shares,
@@ -149,6 +151,7 @@
         recent_members=recent_members,
         replicas=replicas,
         replica_demand=replica_demand,
+        forecasts=forecasts,
         reach=reach,
         relays=relays,
     )
@@ -212,6 +215,8 @@
             backoff=backoff,
             brittle=brittle,
             speeds=speeds,
+            forecasts=forecasts,
+            member_count=lambda: len(member_messages.member_ids()),
             lifecycle=lifecycle,
             clock=clock,
         ),
--- a/packages/gateway/src/jaytray_gateway/request/admission.py
+++ b/packages/gateway/src/jaytray_gateway/request/admission.py
@@ -39,6 +39,16 @@
         """Return the client account's name, or an empty string on a public route."""
         return self.account.name if self.account else ""
 
+    @property
+    def elapsed_s(self) -> float:
+        """Return the time since the caller first sent the request, as far as stated.
+
+        A caller that returns after a rejection states a shorter deadline.
+        """
+        if self.request.deadline_s is None:
+            return 0.0
+        return max(0.0, self.route.timeout_s - self.request.deadline_s)
+
 
 class Admission:
     """Admits requests by the route table in force and this VM's share of the rates."""
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/request/overload.py
@@ -0,0 +1,54 @@
+"""Decides whether a request may queue at the best target, and when it returns if not.
+
+Answers bursts, and the return of those that were rejected in one. A request that
+would miss its latency objective in the queue is rejected at once, as it would make
+those behind it late as well. One that comes back has missed it anyway: rejected once
+more, it would not be served at all, so it may queue for as long as its caller waits.
+Times are in seconds.
+"""
+
+from jaytray_gateway.version.route_table import RequestKind, Route
+
+# Callers abandon a stream that has no event for the longest of these: a fixed time, a
+# multiple of the latency objective and a multiple of the route's longest pause.
+CALLER_TIMEOUT_S = 2.0
+CALLER_TIMEOUT_OBJECTIVES = 4.0
+CALLER_TIMEOUT_PAUSES = 8.0
+# Fraction of the time until the caller gives up that a wait may take.
+CALLER_TIMEOUT_FRACTION = 0.85
+# Retry-After is a multiple of the delay in the queue, by when a burst should be over.
+RETRY_WAITS = 3.0
+MIN_RETRY_S = 1.0
+MAX_RETRY_S = 3.0
+
+
+def longest_wait_s(route: Route) -> float:
+    """Return how long a request may wait before its caller gives up on a response."""
+    timeout_s = route.timeout_s
+    if route.kind is RequestKind.STREAM:
+        timeout_s = max(
+            CALLER_TIMEOUT_S,
+            CALLER_TIMEOUT_OBJECTIVES * route.objective_s,
+            CALLER_TIMEOUT_PAUSES * route.max_pause_s,
+        )
+    return timeout_s * CALLER_TIMEOUT_FRACTION
+
+
+def may_queue(
+    route: Route, *, queue_s: float, first_piece_s: float, elapsed_s: float
+) -> bool:
+    """Return whether a request may be sent to a target with a queue of `queue_s`.
+
+    `first_piece_s` is its expected time to the first piece with the queue, `elapsed_s`
+    the time since its caller first sent it.
+    """
+    if not queue_s:
+        return True
+    if elapsed_s > route.objective_s:
+        return first_piece_s <= longest_wait_s(route)
+    return elapsed_s + first_piece_s <= route.objective_s
+
+
+def retry_delay_s(queue_s: float) -> float:
+    """Return when the first caller that is turned away from a queue may return."""
+    return min(MAX_RETRY_S, max(MIN_RETRY_S, queue_s * RETRY_WAITS))
--- a/packages/gateway/src/jaytray_gateway/request/target_search.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_search.py
@@ -13,36 +13,34 @@
 from jaytray_gateway.process.brittle_targets import BrittleTargets
 from jaytray_gateway.process.engine_speed import EngineSpeeds
 from jaytray_gateway.process.lifecycle import Lifecycle
+from jaytray_gateway.process.load_forecasts import LoadForecasts
 from jaytray_gateway.process.replicas import ReplicaNotice, Replicas
 from jaytray_gateway.process.target_backoff import TargetBackoff
 from jaytray_gateway.process.target_choice import Candidate, TargetChooser
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.process.target_limits import TargetLimits
 from jaytray_gateway.request.admission import AdmittedRequest
+from jaytray_gateway.request.overload import (
+    longest_wait_s,
+    may_queue,
+    retry_delay_s,
+)
+from jaytray_gateway.request.replica_wait import (
+    ReturnSchedule,
+    WaitDecision,
+    decide_wait,
+)
 from jaytray_gateway.request.routed_request import RoutedRequest
-from jaytray_gateway.version.route_table import RequestKind, Route, Service
+from jaytray_gateway.version.route_table import EngineModel, Route, Service
 
 # Time to free memory for a model before it is loaded.
 FREE_MEMORY_S = 0.5
 # Longest wait for an adapter of a loaded model; loading it takes tens of milliseconds.
 ADAPTER_WAIT_S = 1.7
-# Callers abandon a stream that has no event for the longest of these: a fixed time, a
-# multiple of the latency objective and a multiple of the route's longest pause.
-CALLER_TIMEOUT_S = 2.0
-CALLER_TIMEOUT_OBJECTIVES = 4.0
-CALLER_TIMEOUT_PAUSES = 8.0
-# Fraction of the time until the caller gives up that a wait for a replica may take.
-CALLER_TIMEOUT_FRACTION = 0.85
 # Interval at which the placement leader is asked again during a wait for a replica.
 REPLICA_REQUEST_INTERVAL_S = 0.25
 # Fraction of the remaining time that a request may wait before it is sent.
 REPLICA_WAIT_FRACTION = 0.6
-# A request is refused immediately if the queue at the best target would delay its first
-# piece beyond the latency objective, because serving it late would also delay those
-# behind it. Retry-After is a multiple of that delay, by when a burst should be over.
-OVERLOAD_RETRY_WAITS = 3.0
-OVERLOAD_MIN_RETRY_S = 1.0
-OVERLOAD_MAX_RETRY_S = 3.0
 # Retry-After when a service has no target.
 NO_TARGET_RETRY_S = 0.5
 # Longest wait until a target that limits its rate accepts a request. The same for
@@ -58,10 +56,11 @@
 
 
 class _ReplicaWait(NamedTuple):
-    """When a wait for a replica ends, and how long loading it is expected to take."""
+    """How long a request may wait for a replica, and how long a load of it takes."""
 
-    until_s: float
-    expected_s: float
+    longest_s: float
+    load_s: float
+    is_for_adapter: bool
 
 
 class TargetSearch:
@@ -77,6 +76,8 @@
         backoff: TargetBackoff,
         brittle: BrittleTargets,
         speeds: EngineSpeeds,
+        forecasts: LoadForecasts,
+        member_count: Callable[[], int],
         lifecycle: Lifecycle,
         clock: MonotonicClock,
     ) -> None:
@@ -87,6 +88,9 @@
         self._backoff = backoff
         self._brittle = brittle
         self._speeds = speeds
+        self._forecasts = forecasts
+        self._member_count = member_count
+        self._returns = ReturnSchedule()
         self._lifecycle = lifecycle
         self._clock = clock
 
@@ -124,8 +128,13 @@
             if chosen is not None:
                 speed = self._speeds.of(service.name)
                 own_s = speed.prefill_ms(request.prompt_tokens) / 1000
-                if chosen.wait_s and chosen.wait_s + own_s > admitted.route.objective_s:
-                    raise _queue_full_error(chosen)
+                if not may_queue(
+                    admitted.route,
+                    queue_s=chosen.wait_s,
+                    first_piece_s=chosen.wait_s + own_s,
+                    elapsed_s=admitted.elapsed_s + self._clock() - begun_s,
+                ):
+                    raise self._queue_full_error(chosen, own_s)
                 permit = await self._limits.acquire(
                     chosen.target, max_wait_s=_limit_wait_s(admitted.route)
                 )
@@ -156,11 +165,12 @@
             self._request_replica(
                 service.name, request.model, request.adapter, software_version
             )
-            left_s = wait.until_s - self._clock()
-            if left_s <= 0:
-                raise _no_replica_error(request, service, wait.expected_s)
+            waited_s = self._clock() - begun_s
+            decision = self._decide_wait(request, service, wait, waited_s)
+            if not decision.is_waiting:
+                raise _no_replica_error(request, service, decision.retry_after_s)
             await self._replicas.wait_for_change(
-                min(left_s, REPLICA_REQUEST_INTERVAL_S)
+                min(wait.longest_s - waited_s, REPLICA_REQUEST_INTERVAL_S)
             )
 
     def is_usable(self, target: TargetEntry) -> bool:
@@ -207,11 +217,7 @@
         software_version: str | None,
         begun_s: float,
     ) -> _ReplicaWait | None:
-        """Return the wait for a replica, or None if the service cannot load it.
-
-        If the caller is expected to give up before the load ends, the wait is zero
-        and the refusal's Retry-After tells when to try again.
-        """
+        """Return the wait for a replica, or None if the service cannot load it."""
         request, engine = admitted.request, service.engine
         model = engine.models_by_name.get(request.model) if engine else None
         if model is None:
@@ -222,13 +228,60 @@
         usable = _of_version(with_model, software_version)
         left_s = (admitted.expires_at_s - begun_s) * REPLICA_WAIT_FRACTION
         if any(target.target_id not in tried for target in usable):
-            return _ReplicaWait(begun_s + min(ADAPTER_WAIT_S, left_s), ADAPTER_WAIT_S)
-        expected_s = model.load_s + FREE_MEMORY_S
-        longest_s = min(
-            _caller_timeout_s(admitted.route) * CALLER_TIMEOUT_FRACTION, left_s
+            return _ReplicaWait(min(ADAPTER_WAIT_S, left_s), 0.0, is_for_adapter=True)
+        targets = self._targets_of(service.name, software_version)
+        load_s = min((_load_s(model, t) for t in targets), default=model.load_s)
+        longest_s = min(longest_wait_s(admitted.route), left_s)
+        return _ReplicaWait(longest_s, load_s + FREE_MEMORY_S, is_for_adapter=False)
+
+    def _decide_wait(
+        self,
+        request: RoutedRequest,
+        service: Service,
+        wait: _ReplicaWait,
+        waited_s: float,
+    ) -> WaitDecision:
+        """Return whether to wait on for the replica, and when to return if not."""
+        if wait.is_for_adapter:
+            return WaitDecision(waited_s < wait.longest_s, ADAPTER_WAIT_S)
+        decision = decide_wait(
+            waited_s=waited_s,
+            longest_s=wait.longest_s,
+            ready_in_s=self._forecasts.ready_in_s(service.name, request.model),
+            load_s=wait.load_s,
+        )
+        if decision.is_waiting:
+            return decision
+        prefill_ms = self._speeds.of(service.name).prefill_ms(request.prompt_tokens)
+        retry_after_s = self._retry_after_s(
+            (service.name, request.model), decision.retry_after_s, prefill_ms / 1000
+        )
+        return WaitDecision(False, retry_after_s)
+
+    def _retry_after_s(
+        self, key: tuple[str, str], ready_in_s: float, own_s: float
+    ) -> float:
+        """Return when a rejected caller returns, behind those of all members."""
+        now_s = self._clock()
+        self._returns.drop_past(now_s)
+        return self._returns.retry_after_s(
+            key,
+            now_s=now_s,
+            ready_in_s=ready_in_s,
+            takes_s=own_s * self._member_count(),
+        )
+
+    def _queue_full_error(self, chosen: Candidate, own_s: float) -> JaytrayError:
+        target = chosen.target
+        return JaytrayError(
+            messages.QUEUE_FULL,
+            step=Step.QUEUE,
+            peer=target.target_id,
+            retry_after_s=self._retry_after_s(
+                (target.service, target.target_id), retry_delay_s(chosen.wait_s), own_s
+            ),
+            name=target.service,
         )
-        is_in_time = expected_s < longest_s
-        return _ReplicaWait(begun_s + (longest_s if is_in_time else 0.0), expected_s)
 
 
 def _of_version(
@@ -240,28 +293,11 @@
     return [t for t in targets if t.software_version == software_version]
 
 
-def _caller_timeout_s(route: Route) -> float:
-    """Return how long callers of the route wait for the next chunk of a response."""
-    if route.kind is not RequestKind.STREAM:
-        return route.timeout_s
-    return max(
-        CALLER_TIMEOUT_S,
-        CALLER_TIMEOUT_OBJECTIVES * route.objective_s,
-        CALLER_TIMEOUT_PAUSES * route.max_pause_s,
-    )
-
-
-def _queue_full_error(chosen: Candidate) -> JaytrayError:
-    return JaytrayError(
-        messages.QUEUE_FULL,
-        step=Step.QUEUE,
-        peer=chosen.target.target_id,
-        retry_after_s=min(
-            OVERLOAD_MAX_RETRY_S,
-            max(OVERLOAD_MIN_RETRY_S, chosen.wait_s * OVERLOAD_RETRY_WAITS),
-        ),
-        name=chosen.target.service,
-    )
+def _load_s(model: EngineModel, target: TargetEntry) -> float:
+    """Return the time that the target takes to load the model."""
+    if model.name in target.models_in_memory:
+        return model.memory_load_s
+    return model.disk_load_s if model.name in target.models_on_disk else model.load_s
 
 
 def _version_gone_error(service: Service, software_version: str) -> JaytrayError:
--- a/packages/gateway/tests/process/placement/test_controller.py
+++ b/packages/gateway/tests/process/placement/test_controller.py
@@ -14,6 +14,7 @@
 from jaytray_gateway.ports import OrderResult, TargetOrder, TargetReport
 from jaytray_gateway.process.demand_average import DemandAverage
 from jaytray_gateway.process.directory import Directory
+from jaytray_gateway.process.load_forecasts import LoadForecasts
 from jaytray_gateway.process.load_view import LoadView
 from jaytray_gateway.process.member_messages import MemberMessages, ReplicaRequest
 from jaytray_gateway.process.membership import RecentMembers
@@ -198,6 +199,7 @@
             recent_members=RecentMembers(clock=clock),
             replicas=self.replicas,
             replica_demand=self.demand,
+            forecasts=LoadForecasts(clock=clock),
             reach=TargetReach(
                 directory=self.directory,
                 pools=TargetConnectionPool(clock=clock),
--- a/packages/gateway/tests/request/harness.py
+++ b/packages/gateway/tests/request/harness.py
@@ -23,6 +23,7 @@
 from jaytray_gateway.process.directory import Directory
 from jaytray_gateway.process.engine_speed import EngineSpeeds
 from jaytray_gateway.process.lifecycle import Lifecycle
+from jaytray_gateway.process.load_forecasts import LoadForecasts
 from jaytray_gateway.process.load_view import LoadView
 from jaytray_gateway.process.metrics import GatewayMetrics
 from jaytray_gateway.process.prompt_part_guard import PromptPartGuard
@@ -292,6 +293,7 @@
             running_at=lambda target_id: 0,
         )
         self.speeds = EngineSpeeds()
+        self.forecasts = LoadForecasts(clock=clock)
         self.relays = RelayMembers(clock=clock, rng=rng)
         self.reach = TargetReach(
             directory=self.directory, pools=self.pools, clock=clock, rng=rng
@@ -319,6 +321,8 @@
                 backoff=backoff,
                 brittle=brittle,
                 speeds=self.speeds,
+                forecasts=self.forecasts,
+                member_count=lambda: 1,
                 lifecycle=self.lifecycle,
                 clock=clock,
             ),
