--- a/packages/cli/src/jaytray_cli/request_timeline.py
+++ b/packages/cli/src/jaytray_cli/request_timeline.py
@@ -24,7 +24,13 @@
 )
 # Events about the placement of models, considered from every VM.
 _PLACEMENT_EVENTS = frozenset(
-    ("placement_step", "placement_taken", "placement_lost", "order_given")
+    (
+        "placement_step",
+        "placement_taken",
+        "placement_lost",
+        "order_given",
+        "loads_forecast",
+    )
 )
 # Outcomes that are decided before a target is selected.
 _OUTCOMES_BEFORE_PLACEMENT = frozenset(
@@ -88,6 +94,8 @@
             fields.get(key, "").partition("/")[0]
             for key in ("model", "replica", "makes_room_for")
         }
+        forecasts = fields.get("ready_in_s", "").split(",")
+        named_models |= {forecast.partition(":")[0] for forecast in forecasts}
         return event.startswith(("placement_taken", "placement_lost")) or bool(
             named_models & models
         )
--- a/packages/cli/tests/test_request_timeline.py
+++ b/packages/cli/tests/test_request_timeline.py
@@ -60,6 +60,15 @@
         parsed = [found for text in texts if (found := parse_line(text))]
         self.assertEqual(parsed, request_timeline("r1", parsed))
 
+    def test_forecast_of_the_requests_model_is_kept(self) -> None:
+        texts = (
+            line(24.0, "b", "loads_forecast", ready_in_s="o:3.2,m:1.4"),
+            line(24.5, "b", "loads_forecast", ready_in_s="o:2.7"),
+            line(25.0, "a", "request_finished", request_id="r1", replica="m/a1"),
+        )
+        parsed = [found for text in texts if (found := parse_line(text))]
+        self.assertEqual([parsed[0], parsed[2]], request_timeline("r1", parsed))
+
     def test_placement_is_left_out_for_rate_limited_requests(self) -> None:
         texts = (
             line(24.0, "b", "placement_step", model="m", makes_room_for=""),
--- a/packages/gateway/src/jaytray_gateway/request/overload.py
+++ b/packages/gateway/src/jaytray_gateway/request/overload.py
@@ -3,8 +3,8 @@
 Answers bursts, and the return of those that were rejected in one. A request that
 would miss its latency objective in the queue is rejected at once, as it would make
 those behind it late as well. One that comes back has missed it anyway: rejected once
-more, it would not be served at all, so it may queue for as long as its caller waits.
-Times are in seconds.
+more, it would not be served at all, so it may queue for as long as its caller waits,
+behind those that can still be in time. Times are in seconds.
 """
 
 from jaytray_gateway.version.route_table import RequestKind, Route
