Split the planner and the controller of placement

What demand needs (replica_demand), what is unloaded (victims), when forecasts are sent (forecast_sender) and what members have requested (replica_requests) are modules of their own; the decisions are the same.

--- a/packages/gateway/src/jaytray_gateway/process/placement/controller.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/controller.py
@@ -20,16 +20,14 @@
     choose_target,
     choose_victim,
 )
+from jaytray_gateway.process.placement.forecast_sender import ForecastSender
 from jaytray_gateway.process.placement.forecasts import forecast_ready_s
 from jaytray_gateway.process.placement.leadership import Leadership
 from jaytray_gateway.process.placement.load_rate_limiter import LoadRateLimiter
 from jaytray_gateway.process.placement.orders import OrderSender
-from jaytray_gateway.process.placement.planner import (
-    Demand,
-    ModelStep,
-    VersionedModel,
-    next_steps,
-)
+from jaytray_gateway.process.placement.planner import ModelStep, next_steps
+from jaytray_gateway.process.placement.replica_demand import Demand
+from jaytray_gateway.process.placement.replica_requests import ReplicaRequests
 from jaytray_gateway.process.placement.target_plan import TargetPlan
 from jaytray_gateway.process.placement.target_plans import TargetPlans
 from jaytray_gateway.process.replicas import ReplicaNotice
@@ -43,13 +41,6 @@
 PLAN_INTERVAL_S = 0.25
 # Shortest interval: at overload, each rejected request is also a replica request.
 MIN_PLAN_INTERVAL_S = 0.05
-# Replica requests that are not repeated within this time expire. Callers that were
-# told to retry do so sooner.
-REPLICA_REQUEST_TTL_S = 4.0
-# Interval at which unchanged forecasts of loads are repeated, as messages may be lost.
-# Longer in larger fleets, like the members' reports.
-FORECAST_INTERVAL_S = 1.0
-FORECAST_S_PER_MEMBER = 0.02
 # Time to load an adapter: 9 to 29 ms by the deployment files, plus the time
 # that the response takes.
 ADAPTER_LOAD_S = 0.032
@@ -112,12 +103,15 @@
             on_loaded=self._on_loaded,
             start_task=self._start_task,
         )
-        self._requested_at_s: dict[ReplicaRequest, float] = {}
+        self._requests = ReplicaRequests(clock=clock)
         self._loading_adapters: set[ReplicaRequest] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._term = 0
-        self._forecast_models: set[tuple[str, str]] = set()
-        self._forecast_sent_at_s = -float("inf")
+        self._forecast_sender = ForecastSender(
+            broadcast=member_messages.broadcast_forecasts,
+            member_count=lambda: len(member_messages.member_ids()),
+            clock=clock,
+        )
         self._has_requests = asyncio.Event()
 
     def _reaches_targets(self) -> bool:
@@ -143,7 +137,7 @@
 
     def add_replica_request(self, request: ReplicaRequest) -> None:
         """Record a replica request from this or another member and wake the planner."""
-        self._requested_at_s[request] = self._clock()
+        self._requests.add(request)
         self._has_requests.set()
 
     def stop(self) -> None:
@@ -173,7 +167,7 @@
         if self._term != self._leadership.fencing_number:
             self._term = self._leadership.fencing_number
             self._plans.clear()
-        self._drop_expired_requests()
+        self._requests.drop_expired()
         table = self._directory.route_table
         if table is None:
             return
@@ -181,27 +175,7 @@
         for service in table.services_by_name.values():
             if service.engine is not None:
                 forecasts += self._plan_service(service, service.engine)
-        self._send_forecasts(forecasts)
-
-    def _send_forecasts(self, forecasts: list[LoadForecast]) -> None:
-        """Send the members news of when models will be loaded, or repeat them."""
-        models = {(forecast["service"], forecast["model"]) for forecast in forecasts}
-        members = len(self._member_messages.member_ids())
-        interval_s = max(FORECAST_INTERVAL_S, FORECAST_S_PER_MEMBER * members)
-        now_s = self._clock()
-        is_due = models and now_s - self._forecast_sent_at_s >= interval_s
-        if is_due or models != self._forecast_models:
-            if models != self._forecast_models:
-                get_logger().info(
-                    "loads_forecast",
-                    ready_in_s=",".join(
-                        f"{forecast['model']}:{forecast['ready_in_s']}"
-                        for forecast in forecasts
-                    ),
-                )
-            self._forecast_models = models
-            self._forecast_sent_at_s = now_s
-            self._member_messages.broadcast_forecasts(forecasts)
+        self._forecast_sender.send(forecasts)
 
     def _plan_service(self, service: Service, engine: Engine) -> list[LoadForecast]:
         """Start the next steps for a service; returns forecasts of its loads."""
@@ -243,21 +217,16 @@
             if split_replica(name)[0] in engine.models_by_name
         }
         loaded = set().union(*(plan.models for plan in plans))
-        requested = {
-            request.model
-            for request in self._requested_at_s
-            if request.service == service.name and request.software_version is None
-        }
-        requested_at_version = frozenset(
-            VersionedModel(request.model, request.software_version)
-            for request in self._requested_at_s
-            if request.service == service.name and request.software_version is not None
-        )
         in_use_by_target = {
             plan.target_id: self._loads.replicas_in_use(plan.target_id)
             for plan in plans
         }
-        return Demand(rates, requested - loaded, in_use_by_target, requested_at_version)
+        return Demand(
+            rates,
+            self._requests.models_of(service.name) - loaded,
+            in_use_by_target,
+            self._requests.versioned_models_of(service.name),
+        )
 
     def _load_requested_adapters(
         self,
@@ -266,9 +235,8 @@
         plans: list[TargetPlan],
         entries_by_id: dict[str, TargetEntry],
     ) -> None:
-        for request in self._requested_at_s:
-            is_for_adapter = request.service == service.name and request.adapter
-            if not is_for_adapter or request in self._loading_adapters:
+        for request in self._requests.adapters_of(service.name):
+            if request in self._loading_adapters:
                 continue
             self._loading_adapters.add(request)
             self._start_task(self._load_adapter(request, engine, plans, entries_by_id))
@@ -304,7 +272,7 @@
                 await asyncio.sleep(ready_in_s)
                 name = replica_name(request.model, request.adapter)
                 self._announce(entry, name, is_present=True)
-                self._requested_at_s.pop(request, None)
+                self._requests.drop(request)
         finally:
             self._loading_adapters.discard(request)
 
@@ -401,11 +369,7 @@
     def _on_loaded(self, entry: TargetEntry, model: str) -> None:
         """Announce a completed load, which serves all requests that waited for it."""
         self._announce(entry, model, is_present=True)
-        for request in list(self._requested_at_s):
-            is_served = request.software_version in (None, entry.software_version)
-            if is_served and (request.service, request.model) == (entry.service, model):
-                if not request.adapter:
-                    del self._requested_at_s[request]
+        self._requests.drop_served(entry, model)
 
     def _announce(self, entry: TargetEntry, replica: str, *, is_present: bool) -> None:
         notice = ReplicaNotice(
@@ -416,12 +380,6 @@
         )
         self._member_messages.broadcast_notices([notice])
 
-    def _drop_expired_requests(self) -> None:
-        oldest_s = self._clock() - REPLICA_REQUEST_TTL_S
-        for request, requested_at_s in list(self._requested_at_s.items()):
-            if requested_at_s < oldest_s:
-                del self._requested_at_s[request]
-
     def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
--- a/packages/gateway/tests/process/placement/replay.py
+++ b/packages/gateway/tests/process/placement/replay.py
@@ -10,7 +10,8 @@
 
 from jaytray_gateway.process.demand_average import DemandAverage
 from jaytray_gateway.process.placement.load_rate_limiter import LoadRateLimiter
-from jaytray_gateway.process.placement.planner import Demand, ModelStep, next_steps
+from jaytray_gateway.process.placement.planner import ModelStep, next_steps
+from jaytray_gateway.process.placement.replica_demand import Demand
 from jaytray_gateway.process.placement.target_plan import PendingOrder, TargetPlan
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.version.route_table import Engine
--- a/packages/gateway/tests/process/placement/test_planner.py
+++ b/packages/gateway/tests/process/placement/test_planner.py
@@ -4,12 +4,11 @@
 from parameterized import parameterized
 from testtools import TestCase
 
-from jaytray_gateway.process.placement.planner import (
+from jaytray_gateway.process.placement.planner import ModelStep, next_steps
+from jaytray_gateway.process.placement.replica_demand import (
     Demand,
-    ModelStep,
     VersionedModel,
     desired_replicas,
-    next_steps,
 )
 from jaytray_gateway.process.placement.target_plan import PendingOrder, TargetPlan
 from jaytray_gateway.process.target_entry import TargetEntry
