Let requests that return queue as others do again

Cause: longer queues for those that return were to lose fewer callers in bursts. Callers that repeat at once, whose deadlines shrink as well, fill these queues.

Change: the rule and the lower priority are taken out.

--- a/packages/gateway/src/jaytray_gateway/request/admission.py
+++ b/packages/gateway/src/jaytray_gateway/request/admission.py
@@ -19,8 +19,6 @@
 # Retry-After while this VM cannot serve. The load balancer takes two seconds to notice,
 # but the caller's next connection may reach another VM immediately.
 NOT_READY_RETRY_S = 0.3
-# Requests of the lowest priority, the greatest number, are served last.
-LOWEST_PRIORITY = 9
 # Subtracted from a request's time limit, so that the final response arrives in time.
 RESPONSE_MARGIN_S = 0.04
 
@@ -41,11 +39,6 @@
         """Return the client account's name, or an empty string on a public route."""
         return self.account.name if self.account else ""
 
-    @property
-    def elapsed_s(self) -> float:
-        """Return the time since the caller first sent the request, as far as stated."""
-        return _elapsed_s(self.route, self.request)
-
 
 class Admission:
     """Admits requests by the route table in force and this VM's share of the rates."""
@@ -120,7 +113,7 @@
             route=route,
             account=account,
             charge=charge,
-            priority=_priority(route, account, request),
+            priority=_priority(route, account),
             expires_at_s=request.received_at_s + limit_s - RESPONSE_MARGIN_S,
         )
 
@@ -138,28 +131,11 @@
     return table.accounts_by_name[name]
 
 
-def _elapsed_s(route: Route, request: RoutedRequest) -> float:
-    """Return the time since the caller first sent the request.
-
-    A caller that returns after a rejection states a shorter deadline.
-    """
-    if request.deadline_s is None:
-        return 0.0
-    return max(0.0, route.timeout_s - request.deadline_s)
-
-
-def _priority(
-    route: Route, account: ClientAccount | None, request: RoutedRequest
-) -> int:
-    """Return the account's priority if it has one, else the route's.
-
-    A request that has missed its latency objective comes after those that have not.
-    """
-    priority = route.priority
+def _priority(route: Route, account: ClientAccount | None) -> int:
+    """Return the account's priority if it has one, else the route's."""
     if account is not None and account.priority is not None:
-        priority = account.priority
-    has_missed_objective = _elapsed_s(route, request) > route.objective_s
-    return min(priority + has_missed_objective, LOWEST_PRIORITY)
+        return account.priority
+    return route.priority
 
 
 def _charged_tokens(request: RoutedRequest, account: ClientAccount) -> int:
--- a/packages/gateway/src/jaytray_gateway/request/overload.py
+++ b/packages/gateway/src/jaytray_gateway/request/overload.py
@@ -1,10 +1,7 @@
 """Decides whether a request may queue at the best target, and when it returns if not.
 
-Answers bursts, and the return of those that were rejected in one. A request that
-would miss its latency objective in the queue is rejected at once, as it would make
-those behind it late as well. One that comes back has missed it anyway: rejected once
-more, it would not be served at all, so it may queue for as long as its caller waits,
-behind those that can still be in time. Times are in seconds.
+Answers bursts. A request that would miss its latency objective in the queue is rejected
+at once, as it would make those behind it late as well. Times are in seconds.
 """
 
 from jaytray_gateway.version.route_table import RequestKind, Route
@@ -34,19 +31,12 @@
     return timeout_s * CALLER_TIMEOUT_FRACTION
 
 
-def may_queue(
-    route: Route, *, queue_s: float, first_piece_s: float, elapsed_s: float
-) -> bool:
+def may_queue(route: Route, *, queue_s: float, first_piece_s: float) -> bool:
     """Return whether a request may be sent to a target with a queue of `queue_s`.
 
-    `first_piece_s` is its expected time to the first piece with the queue, `elapsed_s`
-    the time since its caller first sent it.
+    `first_piece_s` is its expected time to the first piece with the queue.
     """
-    if not queue_s:
-        return True
-    if elapsed_s > route.objective_s:
-        return first_piece_s <= longest_wait_s(route)
-    return elapsed_s + first_piece_s <= route.objective_s
+    return not queue_s or first_piece_s <= route.objective_s
 
 
 def retry_delay_s(queue_s: float) -> float:
--- a/packages/gateway/src/jaytray_gateway/request/target_search.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_search.py
@@ -132,7 +132,6 @@
                     admitted.route,
                     queue_s=chosen.wait_s,
                     first_piece_s=chosen.wait_s + own_s,
-                    elapsed_s=admitted.elapsed_s + self._clock() - begun_s,
                 ):
                     raise self._queue_full_error(chosen, own_s)
                 permit = await self._limits.acquire(
