--- a/packages/gateway/tests/process/placement/replay.py
+++ b/packages/gateway/tests/process/placement/replay.py
@@ -125,11 +125,13 @@
         copies_gb: float,
         seed: int = 1,
         cost_factor: float = 1.0,
+        lost_at_s: dict[str, float] | None = None,
     ) -> None:
         self._engine = engine
         self._copies_gb = copies_gb
         self._arrivals = arrivals
         self._cost_factor = cost_factor
+        self._lost_at_s = lost_at_s or {}
         self._rng = random.Random(seed)
         self._now_s = 0.0
         self._targets = [
@@ -159,6 +161,7 @@
         """Play the load for `duration_s` and return what was served."""
         planned_s = -1.0
         while self._now_s < duration_s:
+            self._lose_targets()
             self._finish_orders()
             self._arrive()
             self._serve_waiting()
@@ -168,6 +171,12 @@
             self._now_s += TICK_S
         return self._outcome._replace(store_loads=self._store_loads)
 
+    def _lose_targets(self) -> None:
+        for target_id, at_s in self._lost_at_s.items():
+            if at_s <= self._now_s and target_id in self._plan_by_id:
+                del self._plan_by_id[target_id]
+                self._targets = [t for t in self._targets if t.target_id != target_id]
+
     def _clock(self) -> float:
         return self._now_s
 
--- a/packages/gateway/tests/process/placement/test_demand_shifts.py
+++ b/packages/gateway/tests/process/placement/test_demand_shifts.py
@@ -1,8 +1,9 @@
-"""Replays shifts of demand to other models against the planner, in virtual time.
+"""Replays shifts of demand against the planner, in virtual time.
 
 A few models get most requests and, every few seconds, others take their place, while
 all models are requested now and then. Models differ in size, so that not all of them
-have a place at a time.
+have a place at a time. Besides, a rush at a rare model, and the loss of half of the
+targets.
 """
 
 from parameterized import parameterized
@@ -83,3 +84,57 @@
         outcome = play_shifts(seed)
         # One model in ten may be left out (the users' rule on starved models).
         self.assertGreaterEqual(len(outcome.served_models), 0.9 * len(_NAMES))
+
+
+def play_rush(seed: int) -> Outcome:
+    """Play a rush at a rare model that no target holds, beside usual demand."""
+    rare = constant_rates(" ".join(_NAMES), PATIENT_PER_S / len(_NAMES))
+    usual = {"m0": 0.73 * LIVE_PER_S, "m1": 0.27 * LIVE_PER_S}
+    arrivals = [
+        Arrivals(0.0, PATIENT, rare),
+        Arrivals(0.0, LIVE, usual),
+        Arrivals(RUSH_S, PATIENT, rare | {"m14": 10.0}),
+    ]
+    replay = Replay(
+        engine=ENGINE,
+        models_by_target=MODELS_BY_TARGET,
+        arrivals=arrivals,
+        copies_gb=COPIES_GB,
+        seed=seed,
+    )
+    return replay.run(LENGTH_S + 6.0)
+
+
+def play_loss(seed: int) -> Outcome:
+    """Play the loss of half of the targets, among them those of the busiest model."""
+    rare = constant_rates(" ".join(_NAMES), PATIENT_PER_S / len(_NAMES))
+    usual = {"m0": 0.73 * LIVE_PER_S, "m1": 0.27 * LIVE_PER_S}
+    replay = Replay(
+        engine=ENGINE,
+        models_by_target=MODELS_BY_TARGET,
+        arrivals=[Arrivals(0.0, PATIENT, rare), Arrivals(0.0, LIVE, usual)],
+        copies_gb=COPIES_GB,
+        seed=seed,
+        lost_at_s=dict.fromkeys(("t1", "t2", "t3"), LOSS_S),
+    )
+    return replay.run(LENGTH_S + 6.0)
+
+
+RUSH_S = LOSS_S = 8.0
+# Time to serve again after a loss (the users' bound).
+RECOVER_S = 12
+
+
+class RushAndLossTests(TestCase):
+    @parameterized.expand([(seed,) for seed in range(1, 13)])
+    def test_rush_at_a_rare_model_is_served(self, seed: int) -> None:
+        outcome = play_rush(seed)
+        # Patient callers wait for a load, so also those before its end are served.
+        worst = outcome.worst_share(int(RUSH_S) + 8, LENGTH_S, window_s=WINDOW_S)
+        self.assertGreaterEqual(worst, MIN_SHARE_AFTER_SHIFT)
+
+    @parameterized.expand([(seed,) for seed in range(1, 13)])
+    def test_half_of_the_targets_may_be_lost(self, seed: int) -> None:
+        outcome = play_loss(seed)
+        begin_s = int(LOSS_S) + RECOVER_S
+        self.assertGreaterEqual(outcome.share(begin_s, LENGTH_S), MIN_SHARE_AFTER_SHIFT)
