Judge the progress of streams by the ends of their events

Cause: any byte of a resumable stream counted as progress, so one that sent a byte now and then went on until its deadline, while its caller heard nothing; and a stream was cut after 1.5 s without a byte even where its route states longer pauses.

Change: a stream is resumed elsewhere when no event has ended for 1.5 s or six of the route's longest pauses.

--- a/packages/gateway/src/jaytray_gateway/request/attempt.py
+++ b/packages/gateway/src/jaytray_gateway/request/attempt.py
@@ -21,9 +21,11 @@
 # fraction of the remaining time, at least this multiple of the latency objective.
 ATTEMPT_TIME_FRACTION = 0.5
 MIN_ATTEMPT_OBJECTIVES = 3.0
-# A resumable stream that sends nothing for this long is resumed on another target; well
-# below the two seconds after which callers abandon a stream.
+# A resumable stream that ends no event for this long, or for this multiple of the
+# longest pause that its route states, is resumed on another target. Callers abandon a
+# stream after two seconds, or after eight such pauses.
 STREAM_STALL_TIMEOUT_S = 1.5
+STREAM_STALL_PAUSES = 6.0
 # Bytes that do not end an event for this long are not those of a stream.
 MAX_EVENT_BYTES = 1_048_576
 HTTP_SUCCESS = range(200, 300)
@@ -167,11 +169,14 @@
 ) -> None:
     """Relay the stream in chunks; the head is sent with the first one."""
     expires_at_s = state.admitted.expires_at_s
+    pause_s = state.admitted.route.max_pause_s
+    stall_s = max(STREAM_STALL_TIMEOUT_S, STREAM_STALL_PAUSES * pause_s)
+    progress_at_s = services.clock()
     boundary = EventBoundary()
     while True:
         until_s = expires_at_s
         if state.event_buffer is not None and state.first_piece_s is not None:
-            until_s = min(until_s, services.clock() + STREAM_STALL_TIMEOUT_S)
+            until_s = min(until_s, progress_at_s + stall_s)
         chunk = await exchange.read_chunk(until_s)
         if chunk is None:
             break
@@ -181,11 +186,14 @@
                 progress=ExchangeProgress.BROKEN, detail="event is too large"
             )
         services.reach.record_bytes(state.service.name)
+        is_first_piece = state.first_piece_s is None
         state.note_chunk(services.clock())
         _record_progress(state, target, services)
         services.loads.mark_prompt_read(target.target_id, in_flight)
         if state.event_buffer is not None:
             chunk = state.event_buffer.feed(chunk)
+        if chunk or is_first_piece:
+            progress_at_s = services.clock()
         if not chunk:
             continue
         if not reply.is_started:
--- a/packages/gateway/tests/request/scripted_target.py
+++ b/packages/gateway/tests/request/scripted_target.py
@@ -15,6 +15,7 @@
     `is_leaving` states that the target is about to stop, `retry_after` for how long it
     wants no requests.
     `is_endless` repeats the body until the caller closes the connection.
+    `pieces` follow as chunks of their own, each after `piece_pause_s`.
     """
 
     body: bytes | None = b"ok"
@@ -30,8 +31,11 @@
     is_endless: bool = False
     is_leaving: bool = False
     retry_after: str = ""
+    pieces: tuple[bytes, ...] = ()
+    piece_pause_s: float = 0.0
 
 
+LAST_CHUNK = b"0\r\n\r\n"
 CRASH = ScriptedResponse(body=b"", is_stream=True, is_complete=False)
 
 
@@ -91,6 +95,12 @@
         request_id = response.request_id or header_value(head, b"x-id")
         writer.write(_render(response, request_id))
         await writer.drain()
+        for piece in response.pieces:
+            await asyncio.sleep(response.piece_pause_s)
+            writer.write(b"%x\r\n%s\r\n" % (len(piece), piece))
+            await writer.drain()
+        if response.pieces:
+            writer.write(LAST_CHUNK)
         while response.is_endless:
             writer.write(response.body * 1000)
             await writer.drain()
@@ -124,7 +134,8 @@
     elif response.is_stream:
         lines.append(b"transfer-encoding: chunked")
         body = b"%x\r\n%s\r\n" % (len(body), body) if body else b""
-        body += b"0\r\n\r\n" if response.is_complete else b""
+        is_ended = response.is_complete and not response.pieces
+        body += LAST_CHUNK if is_ended else b""
     else:
         lines.append(b"content-length: %d" % len(body))
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
--- a/packages/gateway/tests/request/test_attempt.py
+++ b/packages/gateway/tests/request/test_attempt.py
@@ -139,6 +139,38 @@
         run_with_harness(check, [ENDLESS], [OK], route=route)
 
 
+class StalledStreamTests(TestCase):
+    def test_stream_that_sends_a_byte_now_and_then_is_resumed(self) -> None:
+        async def check(harness: GatewayHarness) -> None:
+            begun_s = monotonic_clock()
+            received = await harness.send_request()
+            self.assertEqual((EVENTS + REST, True), (received.body, received.is_whole))
+            # Callers abandon a stream that has no event for two seconds.
+            self.assertLess(monotonic_clock() - begun_s, 2.0)
+
+        trickle = ScriptedResponse(
+            body=EVENTS,
+            is_stream=True,
+            pieces=tuple(REST[n : n + 1] for n in range(6)),
+            piece_pause_s=0.7,
+        )
+        rest = ScriptedResponse(body=REST, is_stream=True)
+        route = RESUMABLE._replace(timeout_s=10.0)
+        run_with_harness(check, [trickle], [rest], route=route)
+
+    def test_slow_stream_is_not_cut_within_the_pauses_of_its_route(self) -> None:
+        async def check(harness: GatewayHarness) -> None:
+            received = await harness.send_request()
+            self.assertEqual((EVENTS + REST, True), (received.body, received.is_whole))
+            self.assertEqual([], harness.targets[1].heads)
+
+        slow = ScriptedResponse(
+            body=EVENTS, is_stream=True, pieces=(REST,), piece_pause_s=1.8
+        )
+        route = RESUMABLE._replace(timeout_s=10.0, max_pause_s=2.0)
+        run_with_harness(check, [slow], [OK], route=route)
+
+
 class UnframedResponseTests(TestCase):
     """Responses without length or chunks, which end with their connection."""
 
