Call one piece of code for load times, callers' patience and replica requests

Found on reading the change again: the time of a load by a target's copies was computed in the placement leader's plans and once more in the search for a target, now both by EngineModel.load_time_s; the limits after which callers abandon a stream stood twice, once as multiples that were worked out by hand, now in caller_timeout; the replay kept replica requests by a copy of the leader's rules, now by ReplicaRequests, and its unused parts went; the three replays were built by the same lines. Plain services no longer sum up a load that only engines need.

--- a/packages/gateway/src/jaytray_gateway/process/placement/target_plan.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/target_plan.py
@@ -127,13 +127,8 @@
 
     def load_time_s(self, engine: Engine, model: str) -> float:
         """Return the time that this target takes to load the model."""
-        engine_model = engine.models_by_name[model]
-        if model in self.models_in_memory:
-            return engine_model.memory_load_s
-        return (
-            engine_model.disk_load_s
-            if model in self.models_on_disk
-            else engine_model.load_s
+        return engine.models_by_name[model].load_time_s(
+            in_memory=self.models_in_memory, on_disk=self.models_on_disk
         )
 
     def pending_load(self, engine: Engine, now_s: float) -> tuple[str, float] | None:
--- a/packages/gateway/src/jaytray_gateway/request/attempt.py
+++ b/packages/gateway/src/jaytray_gateway/request/attempt.py
@@ -5,6 +5,7 @@
 from jaytray_gateway.process.prompt_part_guard import RESPONSE_BEGUN_S
 from jaytray_gateway.process.stream_origins import StreamOrigin, stream_key
 from jaytray_gateway.process.target_entry import TargetEntry
+from jaytray_gateway.request.caller_timeout import stall_timeout_s
 from jaytray_gateway.request.event_buffer import EventBoundary
 from jaytray_gateway.request.reply import CallerReply
 from jaytray_gateway.request.run_state import (
@@ -21,11 +22,6 @@
 # fraction of the remaining time, at least this multiple of the latency objective.
 ATTEMPT_TIME_FRACTION = 0.5
 MIN_ATTEMPT_OBJECTIVES = 3.0
-# A resumable stream that ends no event for this long, or for this multiple of the
-# longest pause that its route states, is resumed on another target. Callers abandon a
-# stream after two seconds, or after eight such pauses.
-STREAM_STALL_TIMEOUT_S = 1.5
-STREAM_STALL_PAUSES = 6.0
 # Bytes that do not end an event for this long are not those of a stream.
 MAX_EVENT_BYTES = 1_048_576
 HTTP_SUCCESS = range(200, 300)
@@ -169,8 +165,7 @@
 ) -> None:
     """Relay the stream in chunks; the head is sent with the first one."""
     expires_at_s = state.admitted.expires_at_s
-    pause_s = state.admitted.route.max_pause_s
-    stall_s = max(STREAM_STALL_TIMEOUT_S, STREAM_STALL_PAUSES * pause_s)
+    stall_s = stall_timeout_s(state.admitted.route)
     progress_at_s = services.clock()
     boundary = EventBoundary()
     while True:
@@ -219,9 +214,10 @@
 ) -> bool:
     """Return whether a request sent now waits at the target, as far as is known."""
     engine = state.service.engine
+    if engine is None:
+        return False
     load = services.loads.load_of(target.target_id)
-    is_full = engine is not None and load.running >= engine.slots
-    return is_full or any(load.waiting_tokens_by_priority.values())
+    return load.running >= engine.slots or any(load.waiting_tokens_by_priority.values())
 
 
 def _record_speed(
--- a/packages/gateway/src/jaytray_gateway/request/overload.py
+++ b/packages/gateway/src/jaytray_gateway/request/overload.py
@@ -4,33 +4,14 @@
 at once, as it would make those behind it late as well. Times are in seconds.
 """
 
-from jaytray_gateway.version.route_table import RequestKind, Route
-
-# Callers abandon a stream that has no event for the longest of these: a fixed time, a
-# multiple of the latency objective and a multiple of the route's longest pause.
-CALLER_TIMEOUT_S = 2.0
-CALLER_TIMEOUT_OBJECTIVES = 4.0
-CALLER_TIMEOUT_PAUSES = 8.0
-# Fraction of the time until the caller gives up that a wait may take.
-CALLER_TIMEOUT_FRACTION = 0.85
+from jaytray_gateway.version.route_table import Route
+
 # Retry-After is a multiple of the delay in the queue, by when a burst should be over.
 RETRY_WAITS = 3.0
 MIN_RETRY_S = 1.0
 MAX_RETRY_S = 3.0
 
 
-def longest_wait_s(route: Route) -> float:
-    """Return how long a request may wait before its caller gives up on a response."""
-    timeout_s = route.timeout_s
-    if route.kind is RequestKind.STREAM:
-        timeout_s = max(
-            CALLER_TIMEOUT_S,
-            CALLER_TIMEOUT_OBJECTIVES * route.objective_s,
-            CALLER_TIMEOUT_PAUSES * route.max_pause_s,
-        )
-    return timeout_s * CALLER_TIMEOUT_FRACTION
-
-
 def may_queue(route: Route, *, queue_s: float, first_piece_s: float) -> bool:
     """Return whether a request may be sent to a target with a queue of `queue_s`.
 
--- a/packages/gateway/src/jaytray_gateway/request/target_search.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_search.py
@@ -20,18 +20,15 @@
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.process.target_limits import TargetLimits
 from jaytray_gateway.request.admission import AdmittedRequest
-from jaytray_gateway.request.overload import (
-    longest_wait_s,
-    may_queue,
-    retry_delay_s,
-)
+from jaytray_gateway.request.caller_timeout import longest_wait_s
+from jaytray_gateway.request.overload import may_queue, retry_delay_s
 from jaytray_gateway.request.replica_wait import (
     ReturnSchedule,
     WaitDecision,
     decide_wait,
 )
 from jaytray_gateway.request.routed_request import RoutedRequest
-from jaytray_gateway.version.route_table import EngineModel, Route, Service
+from jaytray_gateway.version.route_table import Route, Service
 
 # Time to free memory for a model before it is loaded.
 FREE_MEMORY_S = 0.5
@@ -229,7 +226,15 @@
         if any(target.target_id not in tried for target in usable):
             return _ReplicaWait(min(ADAPTER_WAIT_S, left_s), 0.0, is_for_adapter=True)
         targets = self._targets_of(service.name, software_version)
-        load_s = min((_load_s(model, t) for t in targets), default=model.load_s)
+        load_s = min(
+            (
+                model.load_time_s(
+                    in_memory=t.models_in_memory, on_disk=t.models_on_disk
+                )
+                for t in targets
+            ),
+            default=model.load_s,
+        )
         longest_s = min(longest_wait_s(admitted.route), left_s)
         return _ReplicaWait(longest_s, load_s + FREE_MEMORY_S, is_for_adapter=False)
 
@@ -292,13 +297,6 @@
     return [t for t in targets if t.software_version == software_version]
 
 
-def _load_s(model: EngineModel, target: TargetEntry) -> float:
-    """Return the time that the target takes to load the model."""
-    if model.name in target.models_in_memory:
-        return model.memory_load_s
-    return model.disk_load_s if model.name in target.models_on_disk else model.load_s
-
-
 def _version_gone_error(service: Service, software_version: str) -> JaytrayError:
     return JaytrayError(
         messages.SOFTWARE_VERSION_GONE,
--- a/packages/gateway/src/jaytray_gateway/version/route_table.py
+++ b/packages/gateway/src/jaytray_gateway/version/route_table.py
@@ -60,6 +60,14 @@
     memory_load_s: float
     adapter_mb: float
 
+    def load_time_s(
+        self, *, in_memory: frozenset[str], on_disk: frozenset[str]
+    ) -> float:
+        """Return the time of a load at a target that keeps copies of these models."""
+        if self.name in in_memory:
+            return self.memory_load_s
+        return self.disk_load_s if self.name in on_disk else self.load_s
+
 
 class Engine(NamedTuple):
     """Properties shared by the model engines of one service.
--- a/packages/gateway/tests/process/placement/replay.py
+++ b/packages/gateway/tests/process/placement/replay.py
@@ -9,17 +9,18 @@
 from typing import NamedTuple
 
 from jaytray_gateway.process.demand_average import DemandAverage
+from jaytray_gateway.process.member_messages import ReplicaRequest
+from jaytray_gateway.process.placement.controller import PLAN_INTERVAL_S
 from jaytray_gateway.process.placement.load_rate_limiter import LoadRateLimiter
 from jaytray_gateway.process.placement.planner import ModelStep, next_steps
 from jaytray_gateway.process.placement.replica_demand import Demand
+from jaytray_gateway.process.placement.replica_requests import ReplicaRequests
 from jaytray_gateway.process.placement.target_plan import PendingOrder, TargetPlan
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.version.route_table import Engine
 
 TICK_S = 0.05
-PLAN_INTERVAL_S = 0.25
 DEMAND_WINDOW_S = 6.0
-REQUEST_TTL_S = 4.0
 
 
 class RequestClass(NamedTuple):
@@ -45,12 +46,11 @@
 
 
 class Outcome(NamedTuple):
-    """Worth served by second of arrival, and the requests and loads that there were."""
+    """Worth served by second of arrival, and the requests that there were."""
 
     worth_by_s: dict[int, float]
     requests_by_s: dict[int, int]
     served_models: set[str]
-    store_loads: int
 
     def share(self, begin_s: int, end_s: int) -> float:
         """Return the share of the possible worth of requests that arrived then."""
@@ -123,14 +123,12 @@
         models_by_target: dict[str, str],
         arrivals: list[Arrivals],
         copies_gb: float,
-        seed: int = 1,
-        cost_factor: float = 1.0,
+        seed: int,
         lost_at_s: dict[str, float] | None = None,
     ) -> None:
         self._engine = engine
         self._copies_gb = copies_gb
         self._arrivals = arrivals
-        self._cost_factor = cost_factor
         self._lost_at_s = lost_at_s or {}
         self._rng = random.Random(seed)
         self._now_s = 0.0
@@ -151,11 +149,10 @@
         }
         self._demand = DemandAverage(clock=self._clock, window_s=DEMAND_WINDOW_S)
         self._limiter = LoadRateLimiter(window_s=5.0, factor=1.0, clock=self._clock)
-        self._requested_at_s: dict[str, float] = {}
+        self._requests = ReplicaRequests(clock=self._clock)
         self._waiting: list[_Request] = []
         self._returns: list[tuple[float, _Request]] = []
-        self._outcome = Outcome({}, {}, set(), 0)
-        self._store_loads = 0
+        self._outcome = Outcome({}, {}, set())
 
     def run(self, duration_s: float) -> Outcome:
         """Play the load for `duration_s` and return what was served."""
@@ -169,7 +166,7 @@
                 planned_s = self._now_s
                 self._plan()
             self._now_s += TICK_S
-        return self._outcome._replace(store_loads=self._store_loads)
+        return self._outcome
 
     def _lose_targets(self) -> None:
         for target_id, at_s in self._lost_at_s.items():
@@ -202,7 +199,7 @@
         request_class = request.request_class
         slots = max(self._engine.slots, 1)
         cost_s = request_class.prefill_s + request_class.generation_s / slots
-        self._demand.add(request.model, 1000 * cost_s * self._cost_factor)
+        self._demand.add(request.model, 1000 * cost_s)
         self._waiting.append(request)
 
     def _serve_waiting(self) -> None:
@@ -219,7 +216,7 @@
                     min(holders, key=lambda t: (t.prompts_read_at_s, len(t.runs))),
                 )
                 continue
-            self._requested_at_s[request.model] = self._now_s
+            self._requests.add(ReplicaRequest("svc", request.model, ""))
             load_s = self._engine.models_by_name[request.model].load_s + 0.5
             patience_s = request.request_class.patience_s
             waited_s = self._now_s - request.arrived_s
@@ -257,9 +254,9 @@
 
     def _plan(self) -> None:
         plans = list(self._plan_by_id.values())
-        oldest_s = self._now_s - REQUEST_TTL_S
+        self._requests.drop_expired()
         loaded = {model for plan in plans for model in plan.models}
-        awaited = {m for m, at_s in self._requested_at_s.items() if at_s >= oldest_s}
+        awaited = self._requests.models_of("svc")
         in_use = {
             t.target_id: {model for end_s, model in t.runs if end_s > self._now_s}
             for t in self._targets
@@ -280,7 +277,6 @@
         plan.has_model_step = True
         if not plan.has_cached_weights(step.makes_room_for or step.model):
             self._limiter.record_load()
-            self._store_loads += 1
         if step.is_load:
             self._start_load(target, step.model)
             return
@@ -316,7 +312,7 @@
             plan = self._plan_by_id[target.target_id]
             if is_load:
                 target.models.add(model)
-                self._requested_at_s.pop(model, None)
+                self._requests.drop_served(target.entry(), model)
                 target.keep_copy(self._engine, model, self._copies_gb)
             else:
                 target.models.discard(model)
--- a/packages/gateway/tests/process/placement/test_demand_shifts.py
+++ b/packages/gateway/tests/process/placement/test_demand_shifts.py
@@ -56,22 +56,34 @@
 SHIFTS = ((0, "m0", "m1"), (7, "m1", "m3"), (16, "m3", "m2"), (25, "m2", "m4"))
 
 
-def play_shifts(seed: int) -> Outcome:
-    rare = constant_rates(" ".join(_NAMES), PATIENT_PER_S / len(_NAMES))
-    arrivals = [Arrivals(0.0, PATIENT, rare)]
-    for begin_s, first, second in SHIFTS:
-        rates = {first: 0.73 * LIVE_PER_S, second: 0.27 * LIVE_PER_S}
-        arrivals.append(Arrivals(begin_s, LIVE, rates))
+RARE = constant_rates(" ".join(_NAMES), PATIENT_PER_S / len(_NAMES))
+
+
+def busy(first: str, second: str) -> dict[str, float]:
+    """Return the rates of live requests, most of them for the first model."""
+    return {first: 0.73 * LIVE_PER_S, second: 0.27 * LIVE_PER_S}
+
+
+def play(
+    seed: int, *arrivals: Arrivals, lost_at_s: dict[str, float] | None = None
+) -> Outcome:
+    """Play arrivals beside rare requests for all models."""
     replay = Replay(
         engine=ENGINE,
         models_by_target=MODELS_BY_TARGET,
-        arrivals=arrivals,
+        arrivals=[Arrivals(0.0, PATIENT, RARE), *arrivals],
         copies_gb=COPIES_GB,
         seed=seed,
+        lost_at_s=lost_at_s,
     )
     return replay.run(LENGTH_S + 6.0)
 
 
+def play_shifts(seed: int) -> Outcome:
+    shifts = (Arrivals(at_s, LIVE, busy(one, two)) for at_s, one, two in SHIFTS)
+    return play(seed, *shifts)
+
+
 class DemandShiftTests(TestCase):
     @parameterized.expand(SEEDS)
     def test_requests_are_served_after_a_shift(self, seed: int) -> None:
@@ -86,43 +98,21 @@
         self.assertGreaterEqual(len(outcome.served_models), 0.9 * len(_NAMES))
 
 
+RUSH_S = LOSS_S = 8.0
+# Time to serve again after a loss (the users' bound).
+RECOVER_S = 12
+
+
 def play_rush(seed: int) -> Outcome:
     """Play a rush at a rare model that no target holds, beside usual demand."""
-    rare = constant_rates(" ".join(_NAMES), PATIENT_PER_S / len(_NAMES))
-    usual = {"m0": 0.73 * LIVE_PER_S, "m1": 0.27 * LIVE_PER_S}
-    arrivals = [
-        Arrivals(0.0, PATIENT, rare),
-        Arrivals(0.0, LIVE, usual),
-        Arrivals(RUSH_S, PATIENT, rare | {"m14": 10.0}),
-    ]
-    replay = Replay(
-        engine=ENGINE,
-        models_by_target=MODELS_BY_TARGET,
-        arrivals=arrivals,
-        copies_gb=COPIES_GB,
-        seed=seed,
-    )
-    return replay.run(LENGTH_S + 6.0)
+    rush = Arrivals(RUSH_S, PATIENT, RARE | {"m14": 10.0})
+    return play(seed, Arrivals(0.0, LIVE, busy("m0", "m1")), rush)
 
 
 def play_loss(seed: int) -> Outcome:
     """Play the loss of half of the targets, among them those of the busiest model."""
-    rare = constant_rates(" ".join(_NAMES), PATIENT_PER_S / len(_NAMES))
-    usual = {"m0": 0.73 * LIVE_PER_S, "m1": 0.27 * LIVE_PER_S}
-    replay = Replay(
-        engine=ENGINE,
-        models_by_target=MODELS_BY_TARGET,
-        arrivals=[Arrivals(0.0, PATIENT, rare), Arrivals(0.0, LIVE, usual)],
-        copies_gb=COPIES_GB,
-        seed=seed,
-        lost_at_s=dict.fromkeys(("t1", "t2", "t3"), LOSS_S),
-    )
-    return replay.run(LENGTH_S + 6.0)
-
-
-RUSH_S = LOSS_S = 8.0
-# Time to serve again after a loss (the users' bound).
-RECOVER_S = 12
+    usual = Arrivals(0.0, LIVE, busy("m0", "m1"))
+    return play(seed, usual, lost_at_s=dict.fromkeys(("t1", "t2", "t3"), LOSS_S))
 
 
 class RushAndLossTests(TestCase):
