Split the follower of the store from the directory

Change: StoreFollower reads and watches; Directory keeps the copy. Tests build both; none of their checks changed.

--- a/packages/gateway/src/jaytray_gateway/process/directory.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -1,10 +1,8 @@
 """Local copy of the key-value service: route table, targets and members.
 
-One task watches for changes; a response proves that every change before the call is
-known. Another task reads all keys: rarely while watches succeed, and at once when they
-fail. The version of the route table never decreases within a process. When the
-service returns from an older copy, what it lost stays valid for a short time, in which
-it is written again.
+`StoreFollower` keeps it up to date. The version of the route table never decreases
+within a process. When the service returns from an older copy, what it lost stays valid
+for a short time, in which it is written again.
 """
 
 import asyncio
@@ -14,31 +12,18 @@
 
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.errors import JaytrayError
-from jaytray_core.keyvalue import KeyValueRecord, KeyValueService, WatchBatch
+from jaytray_core.keyvalue import (
+    KeyValueRecord,
+    KeyValueService,
+    PrefixRead,
+    WatchBatch,
+)
 from jaytray_core.logs import get_logger
-from jaytray_core.tasks import wait_until_set
 from jaytray_gateway.ports import PlatformAdapter
 from jaytray_gateway.process.store_outage import StoreOutage
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.version.route_table import ClientAccount, RouteTable
 
-# Age of the copy, as a fraction of the bound on a change, at which all keys are read if
-# no watch has succeeded, so that a change that no watch reports is in force in time.
-MAX_COPY_AGE_FRACTION = 0.75
-# Interval of reading all keys while watches succeed, in case one missed a change.
-FULL_READ_INTERVAL_S = 8.0
-# Pause after a failed call. Short, because the process stops serving when its copy is
-# too old.
-RETRY_PAUSE_S = 0.25
-WATCH_WAIT_S = 10.0
-# Changes within the pause after a watch are fetched by one call. The calls of all
-# members have a cost, so the pause grows with the number of members, up to a fraction
-# of the bound. The placement leader pauses for less, as it waits for targets to
-# complete its orders.
-WATCH_PAUSE_S = 0.4
-WATCH_PAUSE_S_PER_MEMBER = 0.025
-WATCH_PAUSE_FRACTION = 0.6
-LEADER_WATCH_PAUSE_S = 0.2
 # Wait of a watch that only fetches the changes so far.
 UPDATE_WAIT_S = 0.001
 MAX_LEAVING_TARGETS = 2_000
@@ -70,10 +55,9 @@
 class Directory:
     """Local copy of the key-value service.
 
-    `bound_s` is the shortest time within which a change must be in force.
-
     `current_as_of_s` is the start of the last successful read or watch, by a clock that
-    also runs while the VM is suspended. All earlier changes are known.
+    also runs while the VM is suspended. All earlier changes are known. A watch goes on
+    after `revision`, which is 0 before the first read.
     """
 
     def __init__(
@@ -82,19 +66,17 @@
         key_value: KeyValueService,
         adapter: PlatformAdapter,
         clock: MonotonicClock,
-        bound_s: float,
     ) -> None:
         self.route_table: RouteTable | None = None
         self.targets_by_id: dict[str, TargetEntry] = {}
         self.records_by_key: dict[str, bytes] = {}
         self.member_count = 1
         self.is_placement_leader = False
-        self._bound_s = bound_s
+        self.revision = 0
         self.current_as_of_s = -float("inf")
         # When the service was last found to have returned from an older copy.
         self.restored_at_s = -float("inf")
         self._restores: int | None = None
-        self._read_at_s = -float("inf")
         self._key_value = key_value
         self._adapter = adapter
         self._clock = clock
@@ -104,10 +86,8 @@
         # whatever an outdated entry says.
         self._leaving_incarnation_by_id: OrderedDict[str, str] = OrderedDict()
         self._departures: list[TargetDeparture] = []
-        self._revision = 0
         self._listeners: list[OnChange] = []
         self._departure_listeners: list[OnDeparture] = []
-        self._read_requested = asyncio.Event()
         self._update_lock = asyncio.Lock()
 
     def on_change(self, listener: OnChange) -> None:
@@ -129,13 +109,12 @@
         """
         try:
             async with asyncio.timeout(timeout_s), self._update_lock:
-                if self.current_as_of_s < as_of_s and self._revision:
+                if self.current_as_of_s < as_of_s and self.revision:
                     begun_s = self._clock()
                     batch = await self._key_value.watch(
-                        "", self._revision, UPDATE_WAIT_S
+                        "", self.revision, UPDATE_WAIT_S
                     )
-                    self._apply_batch(batch)
-                    self.current_as_of_s = max(self.current_as_of_s, begun_s)
+                    self.apply_batch(batch, begun_s)
         except (TimeoutError, JaytrayError) as err:
             get_logger().info("directory_not_updated", error=str(err) or "timed out")
         return self.current_as_of_s >= as_of_s
@@ -191,61 +170,12 @@
             and target.target_id not in self._outage.overdue_ids()
         )
 
-    async def run_reads(self) -> None:
-        """Read all keys whenever a read is due, until cancelled."""
-        while True:
-            begun_s = self._clock()
-            try:
-                await self._read_all(begun_s)
-            except JaytrayError as err:
-                self._outage.record_failure(begun_s, str(err))
-                await asyncio.sleep(RETRY_PAUSE_S)
-                continue
-            self._read_requested.clear()
-            await self._wait_until_read_is_due()
-
-    async def run_watch(self) -> None:
-        """Watch for changes and apply them until cancelled."""
-        while True:
-            if self._revision == 0:
-                await asyncio.sleep(LEADER_WATCH_PAUSE_S)
-                continue
-            try:
-                begun_s = self._clock()
-                batch = await self._key_value.watch("", self._revision, WATCH_WAIT_S)
-            except JaytrayError as err:
-                get_logger().info("store_watch_ended", error=str(err))
-                self._read_requested.set()
-                await asyncio.sleep(RETRY_PAUSE_S)
-                continue
-            self._apply_batch(batch)
-            self.current_as_of_s = max(self.current_as_of_s, begun_s)
-            await asyncio.sleep(self._watch_pause_s())
-
-    async def _wait_until_read_is_due(self) -> None:
-        """Wait until a read is requested, the copy is old, or a target has lapsed."""
-        while True:
-            max_age_s = self._bound_s * MAX_COPY_AGE_FRACTION
-            longest_s = (
-                max_age_s if self._outage.has_lapsed_targets() else FULL_READ_INTERVAL_S
-            )
-            due_s = min(self.current_as_of_s + max_age_s, self._read_at_s + longest_s)
-            left_s = due_s - self._clock()
-            if left_s <= 0 or await wait_until_set(self._read_requested, left_s):
-                return
-
-    def _watch_pause_s(self) -> float:
-        if self.is_placement_leader:
-            return LEADER_WATCH_PAUSE_S
-        pause_s = WATCH_PAUSE_S + WATCH_PAUSE_S_PER_MEMBER * self.member_count
-        return min(pause_s, WATCH_PAUSE_FRACTION * self._bound_s)
-
-    async def _read_all(self, begun_s: float) -> None:
-        records, revision = await self._key_value.read_prefix("")
+    def apply_read(self, read: PrefixRead, begun_s: float) -> None:
+        """Apply a read of all keys that began at `begun_s`."""
+        records, revision = read
         self._outage.record_success()
         self._notice_restore()
-        self._read_at_s = begun_s
-        self.current_as_of_s = max(self.current_as_of_s, begun_s)
+        self.note_current(begun_s)
         found = {record.key for record in records}
         # Watch responses may have arrived during the read. What they say of a key that
         # is missing is outdated, unless it was written after the read.
@@ -254,7 +184,7 @@
             for key, state in self._state_by_key.items()
             if key not in found and state.value and state.revision <= revision
         ]
-        self._revision = max(self._revision, revision)
+        self.revision = max(self.revision, revision)
         self._expire_lapsed_targets(found)
         self._apply([*records, *removed], removed_keys={r.key for r in removed})
         self._announce_departures()
@@ -272,11 +202,25 @@
             self.restored_at_s = self._clock()
             self._outage.record_restore()
 
-    def _apply_batch(self, batch: WatchBatch) -> None:
+    def apply_batch(self, batch: WatchBatch, begun_s: float) -> None:
+        """Apply the response to a watch that began at `begun_s`."""
         if batch.records:
             self._apply(batch.records)
             self._announce_departures()
-        self._revision = max(self._revision, batch.revision)
+        self.revision = max(self.revision, batch.revision)
+        self.note_current(begun_s)
+
+    def note_current(self, as_of_s: float) -> None:
+        """Record that all changes before `as_of_s` are known."""
+        self.current_as_of_s = max(self.current_as_of_s, as_of_s)
+
+    def record_failed_read(self, begun_s: float, error: str) -> None:
+        """Record that a read that began at `begun_s` failed."""
+        self._outage.record_failure(begun_s, error)
+
+    def has_lapsed_targets(self) -> bool:
+        """Return whether a target without an entry may still register again."""
+        return self._outage.has_lapsed_targets()
 
     def _apply(
         self,
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -143,8 +143,8 @@
     subsystems: Subsystems,
 ) -> dict[str, Callable[[], Awaitable[None]]]:
     return {
-        "directory_reads": subsystems.directory.run_reads,
-        "directory_watch": subsystems.directory.run_watch,
+        "directory_reads": subsystems.follower.run_reads,
+        "directory_watch": subsystems.follower.run_watch,
         "membership": subsystems.membership.run,
         "gossip": subsystems.member_messages.run,
         "placement": subsystems.placement.run,
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -46,6 +46,7 @@
     VERSION_MEMORY_S,
     SoftwareVersions,
 )
+from jaytray_gateway.process.store_follower import StoreFollower
 from jaytray_gateway.process.stream_origins import StreamOrigins
 from jaytray_gateway.process.target_backoff import TargetBackoff
 from jaytray_gateway.process.target_choice import TargetChooser
@@ -76,6 +77,7 @@
 
     lifecycle: Lifecycle
     directory: Directory
+    follower: StoreFollower
     membership: Membership
     recent_members: RecentMembers
     hub: PeerHub
@@ -104,9 +106,7 @@
     """Return the connected subsystems; none of them is started."""
     rng = random.Random()
     public_key, secret_key = zmq.curve_keypair()
-    directory = Directory(
-        key_value=key_value, adapter=adapter, clock=clock, bound_s=options.change_s
-    )
+    directory = Directory(key_value=key_value, adapter=adapter, clock=clock)
     hub = PeerHub(
         vm_id=options.vm_id,
         boot_epoch_ms=time.time_ns() // 1_000_000,
@@ -255,6 +255,12 @@
     subsystems = Subsystems(
         lifecycle=lifecycle,
         directory=directory,
+        follower=StoreFollower(
+            directory=directory,
+            key_value=key_value,
+            clock=clock,
+            bound_s=options.change_s,
+        ),
         membership=Membership(
             own=own,
             prefix=adapter.records_prefix + MEMBERS_PREFIX,
--- a/packages/gateway/tests/process/placement/test_controller.py
+++ b/packages/gateway/tests/process/placement/test_controller.py
@@ -171,9 +171,7 @@
         store = KeyValueStore(clock=clock)
         key_value = in_process_key_value(store, FaultSwitches())
         adapter = ADAPTER._replace(send_order=self._send, read_report=self._report)
-        self.directory = Directory(
-            key_value=key_value, adapter=adapter, clock=clock, bound_s=2.0
-        )
+        self.directory = Directory(key_value=key_value, adapter=adapter, clock=clock)
         self.directory.route_table = RouteTable(
             1,
             {},
--- a/packages/gateway/tests/process/test_directory.py
+++ b/packages/gateway/tests/process/test_directory.py
@@ -8,10 +8,11 @@
 from jaytray_core.codec import malformed_message
 from jaytray_core.keyvalue import ABSENT_REVISION, WatchBatch
 from jaytray_gateway.ports import PlatformAdapter
-from jaytray_gateway.process.directory import (
+from jaytray_gateway.process.directory import Directory
+from jaytray_gateway.process.store_follower import (
     FULL_READ_INTERVAL_S,
     RETRY_PAUSE_S,
-    Directory,
+    StoreFollower,
 )
 from jaytray_gateway.process.store_outage import REREGISTRATION_S
 from jaytray_gateway.process.target_entry import TargetEntry
@@ -84,15 +85,19 @@
                 return batch._replace(records=[])
             return batch
 
+        key_value = faulty._replace(watch=watch)
         self.directory = Directory(
-            key_value=faulty._replace(watch=watch),
-            adapter=ADAPTER,
+            key_value=key_value, adapter=ADAPTER, clock=loop.time
+        )
+        follower = StoreFollower(
+            directory=self.directory,
+            key_value=key_value,
             clock=loop.time,
             bound_s=BOUND_S,
         )
         self.tasks = [
-            asyncio.create_task(self.directory.run_reads()),
-            asyncio.create_task(self.directory.run_watch()),
+            asyncio.create_task(follower.run_reads()),
+            asyncio.create_task(follower.run_watch()),
         ]
 
     async def put(self, key: str, value: bytes | None) -> None:
--- a/packages/gateway/tests/request/harness.py
+++ b/packages/gateway/tests/request/harness.py
@@ -116,7 +116,6 @@
             key_value=not_used,  # type: ignore[arg-type]
             adapter=ADAPTER,
             clock=monotonic_clock,
-            bound_s=2.0,
         )
         self.directory.route_table = RouteTable(
             version=1,
