Log how a new route table was fetched, and the time limit of requests

Cause: the logs could not tell whether a version of the configuration was late because of the pause before a call or because of its transfer, nor whether a request had been held past its route's time limit.

--- a/packages/cli/src/jaytray_cli/request_timeline.py
+++ b/packages/cli/src/jaytray_cli/request_timeline.py
@@ -14,6 +14,7 @@
 # Events that affect every request of the VM that logs them.
 _VM_EVENTS = frozenset(
     (
+        "route_table_fetched",
         "route_table_in_force",
         "store_lost",
         "store_regained",
--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -11,7 +11,8 @@
     "request_finished": (
         "request_id outcome status route account version replica tokens rate_state "
         "target relayed_by relayed_for software_version original_request_id "
-        "last_event_id sends runs sent_ms copy_age_ms first_piece_ms total_ms error"
+        "last_event_id sends runs sent_ms copy_age_ms first_piece_ms limit_ms "
+        "total_ms error"
     ).split(),
     "request_try_ended": (
         "request_id target relayed_by outcome software_version original_request_id "
@@ -57,6 +58,7 @@
     "stream_replies_missing": ("replies",),
     # The route table and the key-value service.
     "route_table_in_force": "version revision routes accounts".split(),
+    "route_table_fetched": "function versions bytes call_ms copy_age_ms".split(),
     "route_table_older": ("version",),
     "route_table_unreadable": ("error",),
     "store_lost": ("error",),
--- a/packages/gateway/src/jaytray_gateway/process/directory.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -13,6 +13,7 @@
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.errors import JaytrayError
 from jaytray_core.keyvalue import (
+    ABSENT_REVISION,
     KeyValueRecord,
     KeyValueService,
     PrefixRead,
@@ -210,6 +211,12 @@
         self.revision = max(self.revision, batch.revision)
         self.note_current(begun_s)
 
+    def newer_tables(self, records: list[KeyValueRecord]) -> list[KeyValueRecord]:
+        """Return those of the records that are newer versions of the route table."""
+        key = self._adapter.route_table_key
+        known = self._state_by_key.get(key, _KeyState(b"", ABSENT_REVISION))
+        return [r for r in records if r.key == key and r.revision > known.revision]
+
     def note_current(self, as_of_s: float) -> None:
         """Record that all changes before `as_of_s` are known."""
         self.current_as_of_s = max(self.current_as_of_s, as_of_s)
--- a/packages/gateway/src/jaytray_gateway/process/request_log.py
+++ b/packages/gateway/src/jaytray_gateway/process/request_log.py
@@ -35,10 +35,12 @@
         sent_s: float | None,
         copy_age_s: float | None,
         first_piece_s: float | None,
+        limit_s: float | None,
         total_s: float,
     ) -> None:
         """Log and count a request's outcome; durations start at its arrival.
 
+        `limit_s` is when the final response was due, None if it was not admitted.
         `copy_age_s` is the age of the directory's copy when the request was sent last.
         """
         outcome = _outcome(status, is_whole, error)
@@ -67,6 +69,7 @@
             sent_ms=_milliseconds(sent_s),
             copy_age_ms=_milliseconds(copy_age_s),
             first_piece_ms=_milliseconds(first_piece_s),
+            limit_ms=_milliseconds(limit_s),
             total_ms=_milliseconds(total_s),
             error=str(error) if error is not None else "",
         )
--- a/packages/gateway/src/jaytray_gateway/process/store_follower.py
+++ b/packages/gateway/src/jaytray_gateway/process/store_follower.py
@@ -6,10 +6,11 @@
 """
 
 import asyncio
+from math import isfinite
 
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.errors import JaytrayError
-from jaytray_core.keyvalue import KeyValueService
+from jaytray_core.keyvalue import KeyValueRecord, KeyValueService
 from jaytray_core.logs import get_logger
 from jaytray_core.tasks import wait_until_set
 from jaytray_gateway.process.directory import Directory
@@ -65,6 +66,7 @@
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
             self._read_at_s = begun_s
+            self._log_fetch("read", read.records, begun_s)
             self._directory.apply_read(read, begun_s)
             self._read_requested.clear()
             await self._wait_until_read_is_due()
@@ -86,6 +88,7 @@
                 self._read_requested.set()
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
+            self._log_fetch("watch", batch.records, begun_s)
             directory.apply_batch(batch, begun_s)
             await asyncio.sleep(self._watch_pause_s())
 
@@ -110,3 +113,22 @@
         members = self._directory.member_count
         pause_s = WATCH_PAUSE_S + WATCH_PAUSE_S_PER_MEMBER * members
         return min(pause_s, WATCH_PAUSE_FRACTION * self._bound_s)
+
+    def _log_fetch(
+        self, function: str, records: list[KeyValueRecord], begun_s: float
+    ) -> None:
+        """Log a call that brought newer versions of the route table.
+
+        `copy_age_ms` is the longest time for which they have been in the store.
+        """
+        sizes = [len(record.value) for record in self._directory.newer_tables(records)]
+        age_s = self._directory.age_s()
+        if sizes:
+            get_logger().info(
+                "route_table_fetched",
+                function=function,
+                versions=len(sizes),
+                bytes=sum(sizes),
+                call_ms=round((self._clock() - begun_s) * 1000),
+                copy_age_ms=round(age_s * 1000) if isfinite(age_s) else "",
+            )
--- a/packages/gateway/src/jaytray_gateway/request/request_path.py
+++ b/packages/gateway/src/jaytray_gateway/request/request_path.py
@@ -303,5 +303,6 @@
         sent_s=None if sent_s is None else sent_s - arrived_s,
         copy_age_s=state.copy_age_s if state else None,
         first_piece_s=None if first_s is None else first_s - arrived_s,
+        limit_s=None if admitted is None else admitted.expires_at_s - arrived_s,
         total_s=services.clock() - arrived_s,
     )
