--- a/packages/standins/src/jaytray_standins/key_value/store.py
+++ b/packages/standins/src/jaytray_standins/key_value/store.py
@@ -1,8 +1,8 @@
 """In-memory key-value store with revisions, leases and long-poll watches.
 
 Each write is assigned the next store-wide revision. A watch from any revision is
-served from the last change of each key, deletions included; a read as of an older
-revision is served from a bounded history of writes.
+served from the last change of each key, deletions included, or from each write; a read
+as of an older revision is served from a bounded history of writes.
 """
 
 import asyncio
@@ -53,6 +53,7 @@
     """State of the key-value service; `sleep` must follow the time of `clock`.
 
     `calls_by_function` counts the calls; a watch that waits counts once.
+    `reports_every_write` has watches report the versions of a key in between as well.
     """
 
     def __init__(
@@ -61,10 +62,12 @@
         clock: MonotonicClock,
         sleep: Sleep = asyncio.sleep,
         max_value_bytes: int = MAX_VALUE_BYTES,
+        reports_every_write: bool = False,
     ) -> None:
         self.clock = clock
         self.sleep = sleep
         self.max_value_bytes = max_value_bytes
+        self.reports_every_write = reports_every_write
         self.revision = 0
         self.restores = 0
         self.calls_by_function: collections.Counter[str] = collections.Counter()
@@ -194,10 +197,17 @@
         return None if write is None or write.is_deletion else write.record
 
     def _changes(self, prefix: str, after: int) -> WatchBatch:
+        writes = (
+            itertools.takewhile(
+                lambda write: write.record.revision > after, reversed(self._history)
+            )
+            if self.reports_every_write
+            else self._last_write_by_key.values()
+        )
         records = [
             write.record
-            for key, write in self._last_write_by_key.items()
-            if write.record.revision > after and key.startswith(prefix)
+            for write in writes
+            if write.record.revision > after and write.record.key.startswith(prefix)
         ]
         records.sort(key=lambda record: record.revision)
         return WatchBatch(records, max(self.revision, after))
