Announce new route tables between members and read only the newest version

Callers saw: routes and keys of a configuration that had been confirmed more than 3 s before were not in force at members behind slow links. Cause: the pause between watches, and then the transfer of a large table, which a read of all keys beside it doubled; a watch transfers each version in between. Change: the first member to read a new table announces its revision; the others read all keys without a pause. No read begins beside a watch that may still respond, slow reads are rarer, and pauses vary among members. The older behaviour remains for a member that hears no other member.

--- a/packages/gateway/src/jaytray_gateway/process/directory.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -44,6 +44,8 @@
 
 
 OnDeparture = Callable[[list[TargetDeparture]], None]
+# Called with the revision at which the route table was written.
+OnRouteTable = Callable[[int], None]
 
 
 class _KeyState(NamedTuple):
@@ -89,6 +91,7 @@
         self._departures: list[TargetDeparture] = []
         self._listeners: list[OnChange] = []
         self._departure_listeners: list[OnDeparture] = []
+        self._route_table_listeners: list[OnRouteTable] = []
         self._update_lock = asyncio.Lock()
 
     def on_change(self, listener: OnChange) -> None:
@@ -99,6 +102,15 @@
         """Call `listener` with departures that this member is the first to know."""
         self._departure_listeners.append(listener)
 
+    def on_route_table(self, listener: OnRouteTable) -> None:
+        """Call `listener` after each change of the route table."""
+        self._route_table_listeners.append(listener)
+
+    def route_table_revision(self) -> int:
+        """Return the revision of the newest known route table, 0 before the first."""
+        state = self._state_by_key.get(self._adapter.route_table_key)
+        return state.revision if state is not None else ABSENT_REVISION
+
     def age_s(self) -> float:
         """Return the maximum age of the copy."""
         return self._clock() - self.current_as_of_s
@@ -213,9 +225,8 @@
 
     def newer_tables(self, records: list[KeyValueRecord]) -> list[KeyValueRecord]:
         """Return those of the records that are newer versions of the route table."""
-        key = self._adapter.route_table_key
-        known = self._state_by_key.get(key, _KeyState(b"", ABSENT_REVISION))
-        return [r for r in records if r.key == key and r.revision > known.revision]
+        key, known = self._adapter.route_table_key, self.route_table_revision()
+        return [r for r in records if r.key == key and r.revision > known]
 
     def note_current(self, as_of_s: float) -> None:
         """Record that all changes before `as_of_s` are known."""
@@ -285,7 +296,11 @@
         if self.route_table is not None and table.version < self.route_table.version:
             get_logger().warning("route_table_older", version=table.version)
             return
+        is_first = self.route_table is None
         self.route_table = table
+        if not is_first:
+            for listener in self._route_table_listeners:
+                listener(record.revision)
         get_logger().info(
             "route_table_in_force",
             version=table.version,
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -42,6 +42,7 @@
 from jaytray_gateway.process.replicas import Replicas
 from jaytray_gateway.process.request_log import RequestLog
 from jaytray_gateway.process.retry_budget import RetryBudget
+from jaytray_gateway.process.route_table_notices import RouteTableNotices
 from jaytray_gateway.process.software_versions import (
     VERSION_MEMORY_S,
     SoftwareVersions,
@@ -107,6 +108,13 @@
     rng = random.Random()
     public_key, secret_key = zmq.curve_keypair()
     directory = Directory(key_value=key_value, adapter=adapter, clock=clock)
+    follower = StoreFollower(
+        directory=directory,
+        key_value=key_value,
+        clock=clock,
+        rng=rng,
+        bound_s=options.change_s,
+    )
     hub = PeerHub(
         vm_id=options.vm_id,
         boot_epoch_ms=time.time_ns() // 1_000_000,
@@ -183,6 +191,7 @@
         running_at=lambda target_id: loads.load_of(target_id).running,
     )
     departures = DepartureNotices(peers=peers, directory=directory)
+    RouteTableNotices(peers=peers, directory=directory, follower=follower)
     versions = SoftwareVersions(directory=directory, clock=clock)
     origins = StreamOrigins(
         peers=peers, directory=directory, versions=versions, clock=clock
@@ -255,12 +264,7 @@
     subsystems = Subsystems(
         lifecycle=lifecycle,
         directory=directory,
-        follower=StoreFollower(
-            directory=directory,
-            key_value=key_value,
-            clock=clock,
-            bound_s=options.change_s,
-        ),
+        follower=follower,
         membership=Membership(
             own=own,
             prefix=adapter.records_prefix + MEMBERS_PREFIX,
--- a/packages/gateway/tests/process/test_directory.py
+++ b/packages/gateway/tests/process/test_directory.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 
 from testtools import TestCase
 
@@ -93,6 +94,7 @@
             directory=self.directory,
             key_value=key_value,
             clock=loop.time,
+            rng=random.Random(1),
             bound_s=BOUND_S,
         )
         self.tasks = [
--- a/packages/gateway/tests/process/test_large_route_tables.py
+++ b/packages/gateway/tests/process/test_large_route_tables.py
@@ -8,11 +8,13 @@
 from testtools import TestCase
 
 from jaytray_gateway.process.directory import Directory
+from jaytray_gateway.process.route_table_notices import RouteTableNotices
 from jaytray_gateway.process.store_follower import StoreFollower
 from jaytray_standins.faults import FaultSwitches
 from jaytray_standins.in_process import in_process_key_value
 from jaytray_standins.key_value.store import KeyValueStore
 from jaytray_standins.virtual_loop import run_virtual
+from packages.gateway.tests.process.member_network import MemberNetwork
 from packages.gateway.tests.process.slow_link import SlowLink, through_link
 from packages.gateway.tests.process.test_directory import ADAPTER
 
@@ -49,8 +51,11 @@
         for number in range(TARGETS):
             self.store.compare_and_swap(f"targets/t{number}", 0, b"ready", "")
         self.put_table(1, SMALL_BYTES)
-        for rate in [FAST_BYTES_PER_S] * fast + [SLOW_BYTES_PER_S] * slow:
-            self._add_member(SlowLink(bytes_per_s=rate))
+        rates = [FAST_BYTES_PER_S] * fast + [SLOW_BYTES_PER_S] * slow
+        ids = [f"vm{number}" for number in range(len(rates))]
+        self.network = MemberNetwork(ids, random.Random(seed))
+        for own_id, rate in zip(ids, rates, strict=True):
+            self._add_member(own_id, SlowLink(bytes_per_s=rate))
         self._tasks.append(asyncio.create_task(self._change_targets()))
 
     def put_table(self, version: int, table_bytes: int) -> None:
@@ -78,7 +83,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def _add_member(self, link: SlowLink) -> None:
+    def _add_member(self, own_id: str, link: SlowLink) -> None:
         clock = asyncio.get_running_loop().time
         key_value = through_link(
             in_process_key_value(self.store, FaultSwitches()), link
@@ -86,7 +91,16 @@
         directory = Directory(key_value=key_value, adapter=ADAPTER, clock=clock)
         directory.member_count = MEMBERS
         follower = StoreFollower(
-            directory=directory, key_value=key_value, clock=clock, bound_s=BOUND_S
+            directory=directory,
+            key_value=key_value,
+            clock=clock,
+            rng=self._rng,
+            bound_s=BOUND_S,
+        )
+        RouteTableNotices(
+            peers=self.network.peers_of(own_id),
+            directory=directory,
+            follower=follower,
         )
         self.directories.append(directory)
         self._tasks.append(asyncio.create_task(self._follow(follower)))
