End requests when their route's time limit passes

Callers saw: with targets that accept no connection, a request with a time limit of 0.3 s was answered after 1.3 to 3.7 s. Cause: the time limit bounded the wait for a response only; connections had 1.2 s each, up to three of them, and looking up a stream's origin a limit of its own. Change: a connection is awaited until the request is due at most, and what comes before the response's beginning is ended 0.1 s later. A target that accepted no connection for 0.1 s still counts as unreachable. Conclusion: the response states truly whether the request may have run.

--- a/packages/gateway/src/jaytray_gateway/request/attempt.py
+++ b/packages/gateway/src/jaytray_gateway/request/attempt.py
@@ -24,6 +24,9 @@
 MIN_ATTEMPT_OBJECTIVES = 3.0
 # Bytes that do not end an event for this long are not those of a stream.
 MAX_EVENT_BYTES = 1_048_576
+# A target that accepts no connection for this long counts as unreachable although the
+# request's time limit ended the wait.
+MIN_CONNECT_S = 0.1
 HTTP_SUCCESS = range(200, 300)
 HTTP_SERVER_ERROR = 500
 
@@ -40,6 +43,7 @@
     `JaytrayError` if the request must not be sent any more.
     """
     admitted, request = state.admitted, state.admitted.request
+    begun_s = services.clock()
     is_queued = _is_queued(target, state, services)
     in_flight = services.loads.start(
         target.target_id,
@@ -74,6 +78,7 @@
                 target,
                 request=request,
                 make_dispatch=make_dispatch,
+                until_s=admitted.expires_at_s,
                 pools=services.pools,
                 adapter=services.adapter,
                 clock=services.clock,
@@ -92,8 +97,10 @@
     except ExchangeError as err:
         is_late = err.progress is ExchangeProgress.TIMED_OUT
         if err.progress is ExchangeProgress.NOT_SENT:
-            services.health.record_unreachable(target.target_id, err.detail)
-            services.pools.drop_target(target.target_id)
+            now_s = services.clock()
+            if now_s < admitted.expires_at_s or now_s - begun_s > MIN_CONNECT_S:
+                services.health.record_unreachable(target.target_id, err.detail)
+                services.pools.drop_target(target.target_id)
             raise AttemptNotRun(err.detail, reached_target=False) from err
         if is_late:
             services.health.record_error_response(target.target_id)
--- a/packages/gateway/src/jaytray_gateway/request/relay.py
+++ b/packages/gateway/src/jaytray_gateway/request/relay.py
@@ -102,7 +102,9 @@
     state.relayed_by = member.vm_id
     state.clear_response()
     try:
-        async with _connection_to(member, services) as connection:
+        async with _connection_to(
+            member, services, state.admitted.expires_at_s
+        ) as connection:
             state.note_sent(
                 services.clock(), copy_age_s=services.admission.table_age_s()
             )
@@ -132,12 +134,14 @@
 
 @asynccontextmanager
 async def _connection_to(
-    member: Member, services: RequestServices
+    member: Member, services: RequestServices, until_s: float
 ) -> AsyncIterator[TargetConnection]:
     """Yield a connection; it returns to the pool after a complete exchange."""
     pool_id = f"vm:{member.vm_id}"
     connection = await services.pools.acquire(
-        pool_id, member.relay_address, timeout_s=CONNECT_TIMEOUT_S
+        pool_id,
+        member.relay_address,
+        timeout_s=min(CONNECT_TIMEOUT_S, until_s - services.clock()),
     )
     is_complete = False
     try:
--- a/packages/gateway/src/jaytray_gateway/request/relayed_request.py
+++ b/packages/gateway/src/jaytray_gateway/request/relayed_request.py
@@ -31,6 +31,7 @@
 from jaytray_gateway.request.routed_request import content_digest
 from jaytray_gateway.request.run_state import RequestState
 from jaytray_gateway.request.services import RequestServices
+from jaytray_gateway.request.time_limit import time_limit
 from jaytray_server.request.caller_presence import (
     CallerDisconnected,
     cancel_on_disconnect,
@@ -92,7 +93,8 @@
     error: JaytrayError | None = None
     try:
         state = _prepare(relayed, admitted, services, lifecycle)
-        await forward(state, reply, services)
+        async with time_limit(admitted, reply, services.clock, lambda: state):
+            await forward(state, reply, services)
     except JaytrayError as err:
         error = with_earlier_runs(err, state)
         if state is not None and state.last_error is not None and not reply.is_started:
--- a/packages/gateway/src/jaytray_gateway/request/reply.py
+++ b/packages/gateway/src/jaytray_gateway/request/reply.py
@@ -9,19 +9,25 @@
 
 
 class CallerReply:
-    """One response: `start` once, then any number of `send`, then `finish`."""
+    """One response: `start` once, then any number of `send`, then `finish`.
+
+    `on_start` is called before the first byte is sent.
+    """
 
     def __init__(self, *, send: Send, closes_connection: bool) -> None:
         self.is_started = False
         self.is_finished = False
         self.status = 0
         self.closes_connection = closes_connection
+        self.on_start: Callable[[], None] | None = None
         self._send = send
 
     async def start(self, status: int, headers: HeaderList) -> None:
         """Send status and headers."""
         self.is_started = True
         self.status = status
+        if self.on_start is not None:
+            self.on_start()
         if self.closes_connection:
             headers = [*headers, (b"connection", b"close")]
         await self._send(
--- a/packages/gateway/src/jaytray_gateway/request/request_path.py
+++ b/packages/gateway/src/jaytray_gateway/request/request_path.py
@@ -19,8 +19,10 @@
     log_attempt_ended,
     may_have_run_error,
     not_run_error,
+    time_limit_error,
 )
 from jaytray_gateway.request.services import RequestServices
+from jaytray_gateway.request.time_limit import time_limit
 from jaytray_gateway.version.route_table import RequestKind, choose_service
 
 # Attempts that may end without the target running the request before it is refused.
@@ -36,8 +38,9 @@
     error: JaytrayError | None = None
     try:
         admitted = await services.admission.admit(request)
-        state = await _prepare(admitted, services)
-        await forward(state, reply, services)
+        async with time_limit(admitted, reply, services.clock, lambda: state):
+            state = await _prepare(admitted, services)
+            await forward(state, reply, services)
     except JaytrayError as err:
         error = with_earlier_runs(err, state)
         _refund_if_not_run(admitted, error, services)
@@ -108,6 +111,8 @@
     while True:
         if await _try_relay(state, reply, services):
             return
+        if services.clock() >= state.admitted.expires_at_s:
+            raise time_limit_error(state)
         target = await services.search.find(
             state.admitted,
             state.service,
@@ -121,16 +126,19 @@
             await send_attempt(state, target, reply, services)
             return
         except AttemptNotRun as err:
+            state.is_under_way = False
             _after_not_run(state, err, services)
             if not err.reached_target:
                 await services.reach.check_failure(state.service.name)
         except ErrorResponse as err:
+            state.is_under_way = False
             log_attempt_ended(state, "error_answer", str(err))
             state.last_error = err
             if not _may_run_again(state, services):
                 await send_error_response(err, reply)
                 return
         except AttemptFailed as err:
+            state.is_under_way = False
             _after_failure(state, target, err, reply, services)
 
 
@@ -151,8 +159,10 @@
             await relay_request(state, member, reply, services)
             return True
         except AttemptNotRun as err:
+            state.is_under_way = False
             _after_not_run(state, err, services)
         except AttemptFailed as err:
+            state.is_under_way = False
             _after_failure(state, None, err, reply, services)
     return False
 
@@ -210,10 +220,7 @@
     if is_resumable and _may_run_again(state, services):
         return
     if err.is_timeout:
-        limit_s = state.admitted.expires_at_s - state.admitted.request.received_at_s
-        raise may_have_run_error(
-            messages.TARGET_TIMEOUT, state, timeout_s=round(limit_s, 3)
-        )
+        raise time_limit_error(state)
     raise may_have_run_error(messages.ANSWER_INCOMPLETE, state, detail=err.detail)
 
 
--- a/packages/gateway/src/jaytray_gateway/request/run_state.py
+++ b/packages/gateway/src/jaytray_gateway/request/run_state.py
@@ -55,6 +55,8 @@
         self.service = service
         self.sends = 0
         self.runs = 0
+        # Whether the outcome of the last attempt that was sent is still open.
+        self.is_under_way = False
         self.attempts_not_run = 0
         self.tried: set[str] = set()
         self.last_error: ErrorResponse | None = None
@@ -88,6 +90,7 @@
     def note_sent(self, now_s: float, *, copy_age_s: float) -> None:
         """Record that an attempt is sent now, by a directory copy of this age."""
         self.sends += 1
+        self.is_under_way = True
         self.sent_at_s = now_s
         self.copy_age_s = copy_age_s
 
@@ -153,6 +156,17 @@
     )
 
 
+def time_limit_error(state: RequestState | None) -> JaytrayError:
+    """Return the error for a request whose final response is due."""
+    if state is None or not (state.runs or state.is_under_way):
+        return not_run_error(messages.DEADLINE_UNREACHABLE, Step.DISPATCH)
+    request = state.admitted.request
+    limit_s = state.admitted.expires_at_s - request.received_at_s
+    return may_have_run_error(
+        messages.TARGET_TIMEOUT, state, timeout_s=round(limit_s, 3)
+    )
+
+
 def may_have_run_error(
     template: messages.MessageTemplate, state: RequestState, **details: Any
 ) -> JaytrayError:
--- a/packages/gateway/src/jaytray_gateway/request/target_exchange.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_exchange.py
@@ -10,7 +10,10 @@
 from jaytray_core.exchange_errors import ExchangeError, ExchangeProgress
 from jaytray_core.logs import get_logger
 from jaytray_gateway.connection.target_connection import TargetConnection
-from jaytray_gateway.connection.target_pool import TargetConnectionPool
+from jaytray_gateway.connection.target_pool import (
+    CONNECT_TIMEOUT_S,
+    TargetConnectionPool,
+)
 from jaytray_gateway.ports import Dispatch, HeaderList, PlatformAdapter, ResponseHead
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.request.routed_request import RoutedRequest
@@ -163,6 +166,7 @@
     *,
     request: RoutedRequest,
     make_dispatch: MakeDispatch,
+    until_s: float,
     pools: TargetConnectionPool,
     adapter: PlatformAdapter,
     clock: MonotonicClock,
@@ -170,10 +174,14 @@
     """Send `request` to `target` and yield the exchange.
 
     `make_dispatch` is called when the connection is open, immediately before the
-    request is written, and may raise. The connection returns to the pool only after
-    a complete exchange.
+    request is written, and may raise. A connection is awaited until `until_s` at most.
+    It returns to the pool only after a complete exchange.
     """
-    connection = await pools.acquire(target.target_id, target.address)
+    connection = await pools.acquire(
+        target.target_id,
+        target.address,
+        timeout_s=min(CONNECT_TIMEOUT_S, until_s - clock()),
+    )
     exchange = TargetExchange(
         connection=connection,
         request=request,
--- a/packages/gateway/tests/request/harness.py
+++ b/packages/gateway/tests/request/harness.py
@@ -239,8 +239,12 @@
         target: str = "/p/x",
         body: bytes = b"data",
         leaves_after_s: float | None = None,
+        reads_after_s: float = 0.0,
     ) -> ReceivedResponse:
-        """Send one request as a caller and return the response."""
+        """Send one request as a caller and return the response.
+
+        The caller takes `reads_after_s` to read each part of it.
+        """
         sent: list[dict[str, Any]] = []
         state = {"is_read": False}
 
@@ -252,6 +256,7 @@
             return {"type": "http.disconnect"}
 
         async def send(message: dict[str, Any]) -> None:
+            await asyncio.sleep(reads_after_s)
             sent.append(message)
 
         path, _, query = target.partition("?")
