Believe no response without a request id on a kept connection

Callers could see: a request that a target had run, sent to a second target, or answered "not run", because the target wrote an earlier refusal once more. Cause: a response that names no request counted as the response to the request under way, also on a connection that had carried others. Change: there it is a broken response, after which the request may have run and the connection is closed. On a new connection it is believed as before. Conclusion: a repeated refusal no longer decides about another request.

--- a/packages/gateway/src/jaytray_gateway/connection/target_connection.py
+++ b/packages/gateway/src/jaytray_gateway/connection/target_connection.py
@@ -27,6 +27,8 @@
     """An open connection, created by `open_connection`."""
 
     def __init__(self) -> None:
+        # Whether a response to another request may arrive, as one has before.
+        self.has_other_responses = False
         self.idle_since_s = 0.0
         self.idle_timeout_s: float | None = None
         self._http = h11.Connection(h11.CLIENT)
@@ -127,6 +129,7 @@
         """
         if self._http.their_state is not h11.DONE or self._request is None:
             return False
+        self.has_other_responses = True
         following, is_ended = self._http.trailing_data
         self._http = h11.Connection(h11.CLIENT)
         # Of the request, only the method affects how the next response is framed.
@@ -156,6 +159,7 @@
             return False
         self._http.start_next_cycle()
         self._request = None
+        self.has_other_responses = True
         self.idle_since_s = now_s
         return True
 
--- a/packages/gateway/src/jaytray_gateway/request/target_exchange.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_exchange.py
@@ -76,6 +76,11 @@
             event = await self.read_any_head(until_s)
             headers: HeaderList = list(event.headers)
             head = self._adapter.read_response_head(event.status_code, headers)
+            if not head.request_id and self._connection.has_other_responses:
+                raise ExchangeError(
+                    progress=ExchangeProgress.BROKEN,
+                    detail="response may belong to an earlier request",
+                )
             if head.request_id in ("", self._request.request_id):
                 self.head = head
                 names = {name for name, _ in headers}
--- a/packages/gateway/tests/request/scripted_target.py
+++ b/packages/gateway/tests/request/scripted_target.py
@@ -16,6 +16,8 @@
     wants no requests.
     `is_endless` repeats the body until the caller closes the connection.
     `pieces` follow as chunks of their own, each after `piece_pause_s`.
+    `raw` is sent instead of the rendered response, and the connection closed after it.
+    `has_id` False leaves out the request's id.
     """
 
     body: bytes | None = b"ok"
@@ -33,6 +35,8 @@
     retry_after: str = ""
     pieces: tuple[bytes, ...] = ()
     piece_pause_s: float = 0.0
+    raw: bytes | None = None
+    has_id: bool = True
 
 
 LAST_CHUNK = b"0\r\n\r\n"
@@ -43,6 +47,8 @@
     """Sends the scripted responses in order, repeating the last; records heads.
 
     A request with `crashing_part` in its prompt gets a response head and no more.
+    `repeats_refusals` sends a refusal once more before the next response on the same
+    connection, without the request's id if `repeated_without_id` is true.
     """
 
     def __init__(self, *, target_id: str, responses: list[ScriptedResponse]) -> None:
@@ -50,6 +56,8 @@
         self.software_version = "v1"
         self.responses = list(responses)
         self.crashing_part = b""
+        self.repeats_refusals = False
+        self.repeated_without_id = False
         self.heads: list[bytes] = []
         self.open_connections = 0
         self.address = "127.0.0.1:1"
@@ -58,8 +66,10 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.open_connections += 1
+        # Refusals on this connection that are still to be repeated.
+        refusals: list[bytes] = []
         try:
-            while await self._serve_one(reader, writer):
+            while await self._serve_one(reader, writer, refusals):
                 pass
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
@@ -68,7 +78,10 @@
             writer.close()
 
     async def _serve_one(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        refusals: list[bytes],
     ) -> bool:
         head = await reader.readuntil(b"\r\n\r\n")
         length = int(header_value(head, b"content-length") or b"0")
@@ -92,7 +105,16 @@
             await asyncio.gather(leaving, return_exceptions=True)
         if response.body is None:
             return False
+        if response.raw is not None:
+            writer.write(response.raw)
+            await writer.drain()
+            return False
         request_id = response.request_id or header_value(head, b"x-id")
+        while refusals:
+            writer.write(refusals.pop())
+        if self.repeats_refusals and (response.is_not_run or response.status == 421):
+            has_id = response.has_id and not self.repeated_without_id
+            refusals.append(_render(response._replace(has_id=has_id), request_id))
         writer.write(_render(response, request_id))
         await writer.drain()
         for piece in response.pieces:
@@ -117,7 +139,9 @@
 
 def _render(response: ScriptedResponse, request_id: bytes) -> bytes:
     assert response.body is not None
-    lines = [b"HTTP/1.1 %d X" % response.status, b"x-id: " + request_id]
+    lines = [b"HTTP/1.1 %d X" % response.status]
+    if response.has_id:
+        lines.append(b"x-id: " + request_id)
     if response.is_signed:
         lines.append(b"x-seal: s")
     if response.is_not_run:
