Pass no error response on to a stream that has begun

Callers could see: a stream that ends with an internal error of the HTTP server. Cause: an error response (500 and above) of the target that a stream was resumed at was sent as a second response. The HTTP server refuses that and closes the connection, which is all that kept the error's text out of the stream. Change: once a response has begun, an error response counts as a failed attempt: another target is tried as far as the route allows, else the stream is cut. The same holds for client errors and redirects, which counted as crashes before. Conclusion: the cut stream no longer depends on the HTTP server's check.

--- a/packages/gateway/src/jaytray_gateway/request/attempt.py
+++ b/packages/gateway/src/jaytray_gateway/request/attempt.py
@@ -151,12 +151,11 @@
         return True
     body = await exchange.read_body(until_s)
     state.runs += 1
-    if head.status >= HTTP_SERVER_ERROR:
+    is_error = head.status >= HTTP_SERVER_ERROR
+    if is_error:
         services.health.record_error_response(target.target_id)
-        if state.is_retryable:
-            raise ErrorResponse(head, body)
-    if reply.is_started:
-        raise AttemptFailed(f"status {head.status} when resuming", is_timeout=False)
+    if reply.is_started or (is_error and state.is_retryable):
+        raise ErrorResponse(head, body)
     await reply.send_complete(head.status, head.headers, body)
     return is_success
 
--- a/packages/gateway/src/jaytray_gateway/request/request_path.py
+++ b/packages/gateway/src/jaytray_gateway/request/request_path.py
@@ -133,10 +133,17 @@
         except ErrorResponse as err:
             state.is_under_way = False
             log_attempt_ended(state, "error_answer", str(err))
-            state.last_error = err
-            if not _may_run_again(state, services):
-                await send_error_response(err, reply)
-                return
+            if not reply.is_started:
+                state.last_error = err
+            if _may_run_again(state, services):
+                continue
+            if reply.is_started:
+                detail = f"{err} when resuming"
+                raise may_have_run_error(
+                    messages.ANSWER_INCOMPLETE, state, detail=detail
+                ) from err
+            await send_error_response(err, reply)
+            return
         except AttemptFailed as err:
             state.is_under_way = False
             _after_failure(state, target, err, reply, services)
--- a/packages/gateway/src/jaytray_gateway/request/run_state.py
+++ b/packages/gateway/src/jaytray_gateway/request/run_state.py
@@ -35,7 +35,8 @@
 class ErrorResponse(Exception):
     """A target's complete error response to a request that may be retried.
 
-    It is sent to the caller if no further attempt gives a better response.
+    It is sent to the caller if no further attempt gives a better response, unless a
+    stream has begun.
     """
 
     def __init__(self, head: ResponseHead, body: bytes) -> None:
