Wait for granted tokens as long as replies take on busy links

Cause: a member waited 30 ms for tokens of the account's owners. Replies took longer while links were full, so each of three rounds ended before them. Change: the wait follows recent replies, late ones included, doubles with each round and ends after 0.3 s; late tokens go to requests that wait for some.

--- a/packages/gateway/src/jaytray_gateway/process/rate_grants.py
+++ b/packages/gateway/src/jaytray_gateway/process/rate_grants.py
@@ -4,11 +4,15 @@
 whatever messages are lost or late. Tokens that a request did not need are returned.
 Each grant carries the tokens that the owner has left, from which this member estimates
 which owners to ask next.
+
+Grants are late while links are busy, so the wait for them follows recent ones and grows
+with each round.
 """
 
 import asyncio
 import itertools
 import random
+from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -21,11 +25,12 @@
     Charge,
     RateShares,
 )
+from jaytray_gateway.process.reply_times import ReplyTimes
 from jaytray_gateway.version.route_table import ClientAccount, RouteTable
 from jaytray_server.ports import PeerNetwork
 
-# Time limit for a grant: several times the latency between failure domains.
-GRANT_TIMEOUT_S = 0.03
+# Longest time for asking on behalf of one request, rounds together.
+MAX_ASKING_S = 0.3
 # Owners asked in parallel for one request: each costs a message and a reply.
 MAX_OWNERS_ASKED = 8
 # Rounds of asking for one request: the tokens that owners have left are an estimate.
@@ -95,6 +100,9 @@
         self._rng = rng
         self._level_by_owner: dict[tuple[str, str], _Level] = {}
         self._numbers = itertools.count(1)
+        # Requests that are waiting for grants.
+        self._asking_by_account: Counter[str] = Counter()
+        self._reply_times = ReplyTimes(clock=clock)
         self._waiter_by_number: dict[int, asyncio.Future[float]] = {}
         peers.set_handler(_ASK, self._handle_ask)
         peers.set_handler(_GRANT, self._handle_grant)
@@ -106,7 +114,11 @@
         charge = self._shares.try_charge(account, cost)
         if charge is not None:
             return charge
-        grants = await self._collect_grants(account, cost)
+        self._asking_by_account[account.name] += 1
+        try:
+            grants = await self._collect_grants(account, cost)
+        finally:
+            self._asking_by_account[account.name] -= 1
         charge = self._shares.try_charge(account, cost)
         if charge is not None:
             return charge
@@ -139,12 +151,17 @@
     ) -> list[_Received]:
         """Ask owners until no tokens are missing or the owners have too few."""
         grants: list[_Received] = []
-        for _ in range(MAX_ASK_ROUNDS):
+        ends_s = self._clock() + MAX_ASKING_S
+        for asked_before in range(MAX_ASK_ROUNDS):
+            timeout_s = self._reply_times.timeout_s() * 2**asked_before
+            timeout_s = min(timeout_s, ends_s - self._clock())
             missing = self._shares.shortfall(account, cost)
             asks = self._plan_asks(account, missing) if missing > 0 else []
-            if not asks:
+            if not asks or timeout_s <= 0:
                 break
-            grants += await asyncio.gather(*(self._ask(account, *ask) for ask in asks))
+            grants += await asyncio.gather(
+                *(self._ask(account, owner, part, timeout_s) for owner, part in asks)
+            )
         return grants
 
     def _plan_asks(
@@ -188,7 +205,7 @@
         return min(capacity, last.tokens + earned)
 
     async def _ask(
-        self, account: ClientAccount, owner: str, tokens: float
+        self, account: ClientAccount, owner: str, tokens: float, timeout_s: float
     ) -> _Received:
         """Ask an owner for tokens; it may grant fewer, or not reply in time."""
         number = next(self._numbers)
@@ -200,7 +217,8 @@
         try:
             if not self._peers.send(owner, _ASK, encode_msgpack(ask)):
                 return _Received(owner, 0.0)
-            async with asyncio.timeout(GRANT_TIMEOUT_S):
+            self._reply_times.record_sent(number)
+            async with asyncio.timeout(timeout_s):
                 return _Received(owner, await waiter)
         except TimeoutError:
             return _Received(owner, 0.0)
@@ -225,6 +243,7 @@
 
     def _handle_grant(self, sender: str, body: bytes) -> None:
         grant = decode_msgpack(body, _Grant, peer=sender)
+        self._reply_times.record_reply(grant.number)
         account = self._find_account(grant.account)
         if account is None:
             return
@@ -233,6 +252,9 @@
         if waiter is not None and not waiter.done():
             self._shares.receive(account, grant.tokens)
             waiter.set_result(grant.tokens)
+        elif self._asking_by_account[account.name]:
+            # Late for the request that asked, but another one is short of them.
+            self._shares.receive(account, grant.tokens)
         else:
             self._return_tokens(account, sender, grant.tokens)
 
--- a/packages/gateway/tests/process/member_network.py
+++ b/packages/gateway/tests/process/member_network.py
@@ -13,6 +13,8 @@
         self.member_ids = member_ids
         self.rng = rng
         self.loss = 0.0
+        # Shortest and longest delay of a message.
+        self.delays_s = (0.001, 0.02)
         self.cut_off: set[str] = set()
         self.listed = set(member_ids)
         self.handlers: dict[tuple[str, str], PeerHandler] = {}
@@ -24,7 +26,7 @@
                 return not is_cut
             handler = self.handlers[to, topic]
             loop = asyncio.get_running_loop()
-            loop.call_later(self.rng.uniform(0.001, 0.02), handler, own, body)
+            loop.call_later(self.rng.uniform(*self.delays_s), handler, own, body)
             return True
 
         return PeerNetwork(
