--- a/packages/gateway/tests/process/test_directory.py
+++ b/packages/gateway/tests/process/test_directory.py
@@ -27,6 +27,8 @@
 
 
 def decode_route_table(data: bytes) -> RouteTable:
+    if data == b"foreign":
+        raise malformed_message(peer="op/table", detail="foreign")
     return RouteTable(json.loads(data), {}, {}, {}, {}, CallerLimits(1, 1, 1.0, 1.0))
 
 
@@ -194,6 +196,22 @@
 
         run_virtual(run())
 
+    def test_unreadable_route_table_leaves_the_one_in_force(self) -> None:
+        async def run() -> None:
+            harness = Harness()
+            await harness.put("op/table", b"3")
+            await wait_for_propagation()
+            await harness.put("op/table", b"foreign")
+            await wait_for_propagation()
+            assert harness.directory.route_table is not None
+            self.assertEqual(3, harness.directory.route_table.version)
+            await harness.put("op/table", b"4")
+            await wait_for_propagation()
+            self.assertEqual(4, harness.directory.route_table.version)
+            await harness.end()
+
+        run_virtual(run())
+
     def test_malformed_entry_is_no_target(self) -> None:
         async def run() -> None:
             harness = Harness()
