--- a/packages/gateway/src/jaytray_gateway/request/request_path.py
+++ b/packages/gateway/src/jaytray_gateway/request/request_path.py
@@ -126,7 +126,6 @@
             await send_attempt(state, target, reply, services)
             return
         except AttemptNotRun as err:
-            state.is_under_way = False
             _after_not_run(state, err, services)
             if not err.reached_target:
                 await services.reach.check_failure(state.service.name)
@@ -145,7 +144,6 @@
             await send_error_response(err, reply)
             return
         except AttemptFailed as err:
-            state.is_under_way = False
             _after_failure(state, target, err, reply, services)
 
 
@@ -166,10 +164,8 @@
             await relay_request(state, member, reply, services)
             return True
         except AttemptNotRun as err:
-            state.is_under_way = False
             _after_not_run(state, err, services)
         except AttemptFailed as err:
-            state.is_under_way = False
             _after_failure(state, None, err, reply, services)
     return False
 
@@ -183,6 +179,7 @@
     state: RequestState, err: AttemptNotRun, services: RequestServices
 ) -> None:
     """Return if the request may be sent to another target; raise otherwise."""
+    state.is_under_way = False
     state.attempts_not_run += 1
     log_attempt_ended(state, "not_run", err.detail)
     is_allowed = state.attempts_not_run < MAX_ATTEMPTS_NOT_RUN and (
@@ -209,6 +206,7 @@
     `target` is None if the request was sent to another member, which has recorded what
     its target did.
     """
+    state.is_under_way = False
     log_attempt_ended(state, "timed_out" if err.is_timeout else "broken", err.detail)
     if not err.is_timeout and target is not None:
         services.crash_guard.record_broken_response(
