Share the cut stream and the stream's head among the tests of faulty targets

Cause: on reading the change once more: two scripted constants stood twice. Change: both are in cases.py. No assertion changed. Conclusion: tests only.

--- a/packages/gateway/tests/request/cases.py
+++ b/packages/gateway/tests/request/cases.py
@@ -21,6 +21,13 @@
 SLOW = ScriptedResponse(delay_s=5.0)
 EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 REST = b"id: 3\ndata: c\n\n"
+# A stream that breaks off after its second event.
+CUT = ScriptedResponse(body=EVENTS, is_stream=True, is_complete=False)
+# Head of a stream of ten bytes to the request `r1`.
+STREAM_HEAD = (
+    b"HTTP/1.1 200 OK\r\nx-id: r1\r\nx-seal: s\r\n"
+    b"content-type: text/event-stream\r\ncontent-length: 10\r\n\r\n"
+)
 
 
 class PartsOfRequest(TypedDict):
--- a/packages/gateway/tests/request/test_failed_resumptions.py
+++ b/packages/gateway/tests/request/test_failed_resumptions.py
@@ -4,6 +4,7 @@
 from testtools import TestCase
 
 from packages.gateway.tests.request.cases import (
+    CUT,
     DISCONNECT,
     ERROR,
     EVENTS,
@@ -11,18 +12,13 @@
     OTHER_INSTANCE,
     REST,
     RESUMABLE,
+    STREAM_HEAD,
     UNSIGNED,
 )
 from packages.gateway.tests.request.harness import GatewayHarness
 from packages.gateway.tests.request.scripted_target import ScriptedResponse
 from packages.gateway.tests.request.support import run_with_harness
 
-CUT = ScriptedResponse(body=EVENTS, is_stream=True, is_complete=False)
-HEAD = (
-    b"HTTP/1.1 200 OK\r\nx-id: r1\r\nx-seal: s\r\n"
-    b"content-type: text/event-stream\r\ncontent-length: 10\r\n\r\n"
-)
-
 
 class FailedResumptionTests(TestCase):
     @parameterized.expand(
@@ -38,10 +34,10 @@
             ("refused", NOT_RUN),
             ("refused_with_text", NOT_RUN._replace(body=b"busy\n\n")),
             ("other_instance", OTHER_INSTANCE._replace(body=EVENTS)),
-            ("head_only", ScriptedResponse(raw=HEAD)),
-            ("part_of_head", ScriptedResponse(raw=HEAD[:-2])),
+            ("head_only", ScriptedResponse(raw=STREAM_HEAD)),
+            ("part_of_head", ScriptedResponse(raw=STREAM_HEAD[:-2])),
             ("no_http", ScriptedResponse(raw=b"failed\n\n")),
-            ("cut_again", ScriptedResponse(raw=HEAD + b"id: 3\n")),
+            ("cut_again", ScriptedResponse(raw=STREAM_HEAD + b"id: 3\n")),
         ]
     )
     def test_caller_sees_a_cut_stream_without_the_error(
--- a/packages/gateway/tests/request/test_partial_heads.py
+++ b/packages/gateway/tests/request/test_partial_heads.py
@@ -4,16 +4,17 @@
 from testtools import TestCase
 
 from jaytray_gateway.version.route_table import Route
-from packages.gateway.tests.request.cases import IDEMPOTENT, OK, RESUMABLE, STREAM
+from packages.gateway.tests.request.cases import (
+    IDEMPOTENT,
+    OK,
+    RESUMABLE,
+    STREAM,
+    STREAM_HEAD,
+)
 from packages.gateway.tests.request.harness import ROUTE, GatewayHarness
 from packages.gateway.tests.request.scripted_target import ScriptedResponse
 from packages.gateway.tests.request.support import run_with_harness
 
-HEAD = (
-    b"HTTP/1.1 200 OK\r\nx-id: r1\r\nx-seal: s\r\n"
-    b"content-type: text/event-stream\r\ncontent-length: 10\r\n\r\n"
-)
-
 
 class PartOfHeadTests(TestCase):
     @parameterized.expand(
@@ -26,11 +27,14 @@
     )
     def test_is_no_success_wherever_it_ends(self, _name: str, route: Route) -> None:
         async def check(harness: GatewayHarness) -> None:
-            for _ in range(len(HEAD) - 1):
+            for _ in range(len(STREAM_HEAD) - 1):
                 received = await harness.send_request()
                 self.assertEqual((502, True), (received.status, received.is_whole))
 
-        parts = [ScriptedResponse(raw=HEAD[:length]) for length in range(1, len(HEAD))]
+        parts = [
+            ScriptedResponse(raw=STREAM_HEAD[:length])
+            for length in range(1, len(STREAM_HEAD))
+        ]
         run_with_harness(check, parts, route=route)
 
     def test_is_no_success_on_a_kept_connection(self) -> None:
@@ -38,5 +42,5 @@
             statuses = [(await harness.send_request()).status for _ in range(6)]
             self.assertEqual([200, 502, 200, 502, 200, 502], statuses)
 
-        part = ScriptedResponse(raw=HEAD[:30])
+        part = ScriptedResponse(raw=STREAM_HEAD[:30])
         run_with_harness(check, [OK, part, OK, part, OK, part])
--- a/packages/gateway/tests/request/test_time_limits.py
+++ b/packages/gateway/tests/request/test_time_limits.py
@@ -9,6 +9,7 @@
 from jaytray_gateway.ports import HeaderList
 from jaytray_gateway.version.route_table import Route
 from packages.gateway.tests.request.cases import (
+    CUT,
     DISCONNECT,
     EVENTS,
     IDEMPOTENT,
@@ -37,7 +38,6 @@
     ("stream", STREAM),
     ("resumable", RESUMABLE),
 ]
-CUT = ScriptedResponse(body=EVENTS, is_stream=True, is_complete=False)
 
 
 class TimeLimitTests(TestCase):
