--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -88,11 +88,13 @@
         self.record(text)
         print(text, flush=True)
 
-    def spawn(self, name: str, words: list[str], env: dict[str, str] | None = None):
+    def spawn(
+        self, name: str, words: list[str], env: dict[str, str] | None = None, cwd: Path = ROOT
+    ):
         """Start a process; its output goes to a file of its name."""
         out = (self.tmp / f"{name}.log").open("ab")
         process = subprocess.Popen(
-            words, cwd=ROOT, stdin=subprocess.DEVNULL, stdout=out, stderr=out,
+            words, cwd=cwd, stdin=subprocess.DEVNULL, stdout=out, stderr=out,
             env=env if env is not None else dict(os.environ),
         )  # fmt: skip
         self.processes.append(process)
@@ -127,8 +129,8 @@
         self.record(f"operator: version {self.version} is acknowledged")
         return answer.end_s
 
-    def start_gateway(self, name: str) -> None:
-        """Start or restart a gateway by the `run` line of the deploy file."""
+    def start_gateway(self, name: str, build: Path = ROOT) -> None:
+        """Start or restart a gateway by the `run` line of a build's deploy file."""
         known = self.gateways.get(name)
         if known is None:
             number = len(self.gateways)
@@ -153,13 +155,13 @@
             path = self.tmp / f"{name}.json"
             path.write_text(json.dumps(settings))
             known = self.gateways[name] = {"settings": path, **settings["listen"]}
-        deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+        deploy = tomllib.loads((build / "deploy" / "system.toml").read_text())
         (role,) = deploy["roles"].values()
         kept = ("PATH", "HOME", "JAVA_HOME", "LANG")
         env = {name: os.environ[name] for name in kept if name in os.environ}
         env["JAYTRAY_CONFIG"] = str(known["settings"])
         env["PYTHONPATH"] = str(ROOT / "target" / "deps")
-        known["process"] = self.spawn(name, role["run"].split(), env)
+        known["process"] = self.spawn(name, role["run"].split(), env, build)
 
     async def is_ready(self, name: str) -> bool:
         address = self.gateways[name]["ready"]
--- a/review/lib/server.py
+++ b/review/lib/server.py
@@ -9,7 +9,6 @@
 import hashlib
 import json
 import os
-import random
 import sys
 import time
 from pathlib import Path
@@ -63,7 +62,7 @@
     async def beat(self) -> None:
         """Write the entry to the store, again and again."""
         path = f"/control/put?key={quote('servers/' + self.id, safe='')}"
-        while not self.switches.get("leaving"):
+        while True:
             await call(
                 self.options["store"], "POST", path, {"Host": "s"}, self.entry(), timeout_s=1.0
             )
@@ -105,8 +104,6 @@
             return True
         request_id = request.headers.get("jaytray-request-id", "")
         stated = {"Jaytray-Request-Id": request_id}
-        if self.switches.get("leaving"):
-            stated["Server-Leaving"] = "1"
         if request.headers.get("jaytray-expect-instance", self.id) != self.id:
             writer.write(response(421, b"", {"Jaytray-Instance-Id": self.id}))
             return True
@@ -142,11 +139,8 @@
             return True
         await asyncio.sleep(self.options.get("work_ms", 20) / 1000)
         body = seal(request_id).encode() * 50
-        status = 200
-        if random.random() < float(self.switches.get("fail_share") or 0):
-            status, body = 503, b"the register is not available"
-        self.log(f"answers {request_id} {status}")
-        writer.write(response(status, body, stated))
+        self.log(f"answers {request_id}")
+        writer.write(response(200, body, stated))
         return True
 
     def execute(self, order: dict) -> int:
--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -1,13 +1,11 @@
 """Stand-in of the platform's key-value store, as PROTOCOL describes it.
 
-Argument: address to listen on. Calls below `/control` are for the test only: they act
-for the operator and the servers (`put`, `delete`), and bring the store back from a copy
-(`copy`, `restore`), as the drill in the news does.
+Argument: address to listen on. `/control/put` is for the test only: it acts for the
+operator and the servers.
 """
 
 import asyncio
 import base64
-import copy
 import json
 import sys
 import time
@@ -32,9 +30,8 @@
 class Store:
     def __init__(self) -> None:
         self.state = State()
-        self.saved: State | None = None
+        # The store has come back from an older copy once, before the case.
         self.era = 1
-        self.is_away = False
         self.changed = asyncio.Condition()
 
     def put(self, key: str, value: bytes, lease: int) -> None:
@@ -75,14 +72,12 @@
             self.delete(key)
         await self.notify()
 
-    async def handle(self, request: Request) -> bytes | None:
+    async def handle(self, request: Request) -> bytes:
         url = urlsplit(request.target)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         path, state = url.path, self.state
         if path.startswith("/control/"):
             return await self.control(path.removeprefix("/control/"), query, request.body)
-        if self.is_away:
-            return None
         if path == "/kv-key":
             item = state.items.get(query["key"])
             found = {**(item or {}), "current_rev": state.revision}
@@ -116,13 +111,10 @@
             return self.answer(200, {})
         return self.answer(400, {})
 
-    async def watch(self, query: dict[str, str]) -> bytes | None:
+    async def watch(self, query: dict[str, str]) -> bytes:
         prefix, after = query.get("prefix", ""), int(query["after"])
         ends = time.monotonic() + int(query["wait_ms"]) / 1000
-        era = self.era
         while True:
-            if self.is_away or era != self.era:
-                return None
             state = self.state
             oldest = state.history[0][0] if state.history else state.revision
             if after > state.revision or after < oldest - 1:
@@ -158,28 +150,10 @@
         await self.notify()
         return self.answer(200, {"revision": state.revision})
 
-    async def control(self, verb: str, query: dict[str, str], body: bytes) -> bytes | None:
-        """Act for the operator, the servers and the platform itself."""
-        if verb in ("put", "delete") and self.is_away:
-            return None
+    async def control(self, verb: str, query: dict[str, str], body: bytes) -> bytes:
+        """Act for the operator and the servers."""
         if verb == "put":
             self.put(query["key"], body, 0)
-        elif verb == "delete":
-            self.delete(query["key"])
-        elif verb == "copy":
-            self.saved = copy.deepcopy(self.state)
-        elif verb == "away":
-            self.is_away = True
-        elif verb == "back":
-            self.is_away = False
-        elif verb == "restore":
-            assert self.saved is not None
-            self.state, self.saved = self.saved, None
-            now = time.monotonic()
-            for lease in self.state.leases.values():
-                lease[1] = now + lease[0]
-            self.era += 1
-            self.is_away = False
         await self.notify()
         return self.answer(200, {"revision": self.state.revision})
 
@@ -194,9 +168,6 @@
 
     async def handler(request, _reader, writer) -> bool:
         answer = await store.handle(request)
-        if answer is None:
-            writer.transport.abort()
-            return False
         await asyncio.sleep(0.002)
         writer.write(answer)
         return True
