Return refunded tokens to an owner of the account

A member that is not an owner of an account's rate has no share, so tokens that it refunded for a request that was not run were lost. In large fleets most members are no owners, and each refusal after admission took its tokens from the account. They now go to the owner that should have the fewest tokens.

--- a/packages/gateway/src/jaytray_gateway/process/rate_grants.py
+++ b/packages/gateway/src/jaytray_gateway/process/rate_grants.py
@@ -14,6 +14,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
 from jaytray_core import message_registry as messages
@@ -139,6 +140,22 @@
             account=account.name,
         )
 
+    def refund(self, charge: Charge) -> None:
+        """Refund the tokens of a request that was certainly not run.
+
+        A member that is no owner has no share that could keep them, so they go to the
+        owner that should have the fewest.
+        """
+        account = self._find_account(charge.account)
+        if account is None or not charge.tokens:
+            return
+        owners = sorted(self._shares.owners_of(account))
+        if self._shares.own_id in owners:
+            self._shares.refund(charge)
+        else:
+            owner = min(owners, key=partial(self._expected_level, account))
+            self._return_tokens(account, owner, charge.tokens)
+
     def drop_stale_levels(self, table: RouteTable) -> None:
         """Drop the levels of accounts and members that no longer exist."""
         for account, owner in list(self._level_by_owner):
--- a/packages/gateway/src/jaytray_gateway/request/admission.py
+++ b/packages/gateway/src/jaytray_gateway/request/admission.py
@@ -117,6 +117,11 @@
             expires_at_s=request.received_at_s + limit_s - RESPONSE_MARGIN_S,
         )
 
+    def refund(self, admitted: AdmittedRequest) -> None:
+        """Refund the tokens of a request that was certainly not run."""
+        if admitted.charge is not None:
+            self._grants.refund(admitted.charge)
+
 
 def _authenticate(
     table: RouteTable, route: Route, request: RoutedRequest
--- a/packages/gateway/src/jaytray_gateway/request/request_path.py
+++ b/packages/gateway/src/jaytray_gateway/request/request_path.py
@@ -248,9 +248,8 @@
 def _refund_if_not_run(
     admitted: AdmittedRequest | None, err: JaytrayError, services: RequestServices
 ) -> None:
-    is_not_run = err.execution is Execution.NOT_RUN
-    if is_not_run and admitted is not None and admitted.charge is not None:
-        services.shares.refund(admitted.charge)
+    if err.execution is Execution.NOT_RUN and admitted is not None:
+        services.admission.refund(admitted)
 
 
 async def _refuse(
--- a/packages/gateway/tests/process/test_rate_shares.py
+++ b/packages/gateway/tests/process/test_rate_shares.py
@@ -232,6 +232,18 @@
         self.assertFalse(fleet.admit("vm-1", 900))
         self.assertAlmostEqual(before, fleet.total_level(), places=6)
 
+    def test_refund_at_a_member_that_is_no_owner_is_not_lost(self) -> None:
+        # At overload most refusals happen at such members, and the account would lose
+        # the tokens of each.
+        fleet, clock = make_fleet(8)
+        clock.now_s += 5.0
+        outsider = min(fleet.ids - fleet.shares["vm-0"].owners_of(ACCOUNT))
+        before = fleet.total_level()
+        charge = asyncio.run(fleet.grants[outsider].charge(ACCOUNT, 200))
+        self.assertAlmostEqual(before - 200, fleet.total_level(), places=6)
+        fleet.grants[outsider].refund(charge)
+        self.assertAlmostEqual(before, fleet.total_level(), places=6)
+
     def test_silent_owner_is_not_asked_again_at_once(self) -> None:
         fleet, clock = make_fleet(8)
         clock.now_s += 5.0
