Leave places to rare models when demand exceeds all engines

A model that takes 9 s to load also gained nothing within the fixed horizon of 10 s.

Change: the replicas of all models together follow what the engines can serve; the horizon is at least 2.2 times the longest load; all but ten targets may load rare models at a time.

--- a/packages/gateway/src/jaytray_gateway/process/placement/planner.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/planner.py
@@ -16,7 +16,7 @@
     total_demand,
 )
 from jaytray_gateway.process.placement.target_plan import RUNS_FINISH_S, TargetPlan
-from jaytray_gateway.process.placement.victims import HORIZON_S, cheapest_unloads
+from jaytray_gateway.process.placement.victims import cheapest_unloads, horizon_s
 from jaytray_gateway.replica_names import models_with_adapters
 from jaytray_gateway.version.route_table import Engine
 
@@ -34,9 +34,11 @@
 UNLOAD_COST_MS = 5.0
 # Models with less than this fraction of all demand are rare. Their loads may occupy
 # only a fraction of the targets at a time: a target executes one order at a time, and a
-# model that demand moves to must not wait for them.
+# model that demand moves to must not wait for them. That many targets without a load
+# are enough in any fleet.
 RARE_DEMAND_FRACTION = 0.1
 MAX_RARE_LOAD_FRACTION = 0.34
+FREE_TARGETS = 10
 # Longest wait for a target that keeps a copy of a model and executes another order.
 MAX_BUSY_S = 3.0
 
@@ -90,7 +92,7 @@
         loads_allowed -= step.is_load and is_from_store
         steps.append(step)
     rare_demand = RARE_DEMAND_FRACTION * total_demand(demand)
-    rare_loads_allowed = max(1, round(MAX_RARE_LOAD_FRACTION * len(plans))) - sum(
+    rare_loads_allowed = _max_rare_loads(len(plans)) - sum(
         demand.rates.get(model, 0.0) < rare_demand
         for model in _pending_models(engine, plans, now_s)
     )
@@ -129,6 +131,12 @@
     return steps
 
 
+def _max_rare_loads(target_count: int) -> int:
+    """Return the number of targets that may load rare models at a time."""
+    fraction = round(MAX_RARE_LOAD_FRACTION * target_count)
+    return max(1, fraction, target_count - FREE_TARGETS)
+
+
 def _pending_models(engine: Engine, plans: list[TargetPlan], now_s: float) -> list[str]:
     """Return the models that targets load now, one for each load."""
     pending = [plan.pending_load(engine, now_s) for plan in plans]
@@ -234,7 +242,7 @@
             + load_s
             + sum(RUNS_FINISH_S for victim in victims if victim.is_in_use)
         )
-        gain = wanted.gain * max(HORIZON_S - ready_s, 1.0)
+        gain = wanted.gain * max(horizon_s(engine) - ready_s, 1.0)
         loss = sum(victim.loss for victim in victims)
         if loss and loss * MIN_GAIN_RATIO >= gain:
             continue
--- a/packages/gateway/src/jaytray_gateway/process/placement/replica_demand.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/replica_demand.py
@@ -62,15 +62,22 @@
     *,
     min_adapter_demand_ms: float = MIN_ADAPTER_DEMAND_MS,
 ) -> dict[str, int]:
-    """Return the desired replicas by model; models without demand are omitted."""
+    """Return the desired replicas by model; models without demand are omitted.
+
+    Demand beyond what all engines together can serve needs no more replicas: they would
+    take the places of models that have none.
+    """
     adapters: dict[str, int] = {}
     counts: dict[str, int] = dict.fromkeys(demand.awaited, 1)
+    utilization = max(
+        MAX_ENGINE_UTILIZATION, total_demand(demand) / 1000 / max(target_count, 1)
+    )
     for name, rate in demand.rates.items():
         model, adapter = split_replica(name)
         if adapter:
             adapters[model] = adapters.get(model, 0) + (rate > min_adapter_demand_ms)
         else:
-            counts[model] = max(1, round(rate / 1000 / MAX_ENGINE_UTILIZATION))
+            counts[model] = max(1, round(rate / 1000 / utilization))
     slots = max(engine.adapter_slots, 1)
     for model, count in adapters.items():
         counts[model] = max(counts.get(model, 1), math.ceil(count / slots))
--- a/packages/gateway/src/jaytray_gateway/process/placement/victims.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/victims.py
@@ -13,9 +13,12 @@
 from jaytray_gateway.replica_names import split_replica
 from jaytray_gateway.version.route_table import Engine
 
-# Time over which the gain and the loss of a step are compared. Demand moves on after a
-# few such times.
-HORIZON_S = 10.0
+# Shortest time over which the gain and the loss of a step are compared. Demand moves on
+# after a few such times.
+MIN_HORIZON_S = 10.0
+# The same time as a multiple of the longest load: within a shorter one, a model that
+# takes long to load would seem to gain nothing.
+HORIZON_LOADS = 2.2
 # Demand that may return at any time to a model that has none now. Loads from the weight
 # store take several seconds, in which none of it could be served.
 RETURNING_DEMAND_MS = 150.0
@@ -40,6 +43,12 @@
     is_in_use: bool
 
 
+def horizon_s(engine: Engine) -> float:
+    """Return the time over which the gain and the loss of a step are compared."""
+    longest_s = max((m.load_s for m in engine.models_by_name.values()), default=0.0)
+    return max(MIN_HORIZON_S, HORIZON_LOADS * longest_s)
+
+
 def cheapest_unloads(
     engine: Engine,
     plan: TargetPlan,
@@ -107,7 +116,7 @@
     An unloaded model whose weights the target keeps a copy of is back soon.
     """
     count = counts.current.get(model, 1)
-    loss = demand.rates.get(model, 0.0) / max(count, 1) * HORIZON_S
+    loss = demand.rates.get(model, 0.0) / max(count, 1) * horizon_s(engine)
     risk = 0.0
     if count > max(1, counts.retained.get(model, 0)):
         loss *= SURPLUS_LOSS_FRACTION
