Streams without events no longer hold up a gateway

Cause: EventBuffer.feed searched the whole incomplete event again for each chunk, and the parser took all received bytes (up to 256 KB) without yielding to the event loop. A stream that went on without ending an event counted as a time-out, so its target was chosen again.

Change: the event buffer follows the boundary of events incrementally. A target connection parses received bytes in pieces of 4 KB and yields between two pieces, which also bounds heads, trailers, informational responses and bodies. A stream that is still sending at its time limit and has ended no event for the stall time counts as a failure of the target; a target that is silent does not. Bodies are collected in one buffer.

--- a/packages/gateway/src/jaytray_gateway/connection/target_connection.py
+++ b/packages/gateway/src/jaytray_gateway/connection/target_connection.py
@@ -2,7 +2,8 @@
 
 It uses h11 directly on an asyncio transport, because forwarding depends on whether any
 byte may have been sent and whether bytes arrived that belong to no request; httpx
-exposes neither.
+exposes neither. Received bytes are parsed in pieces, and other tasks run in between, so
+that a target that sends without end does not hold up the whole process.
 """
 
 import asyncio
@@ -19,6 +20,9 @@
 KEEP_ALIVE = KeepAlive(idle_s=1, interval_s=1, probes=2)
 # Received bytes that are buffered for a slow caller before reading pauses.
 MAX_BUFFERED_BYTES = 262_144
+# Received bytes that are parsed before other tasks run: some 60 chunks of a stream of
+# small ones, which take a few milliseconds.
+PIECE_BYTES = 4_096
 MAX_INFORMATIONAL_RESPONSES = 10
 _PLACEHOLDER_HOST = [(b"host", b"-")]
 
@@ -37,7 +41,13 @@
         self._failure: str | None = None
         self._is_closed = False
         self._has_stray_bytes = False
-        self._buffered_bytes = 0
+        # Received bytes that have not been given to the parser yet, and whether the
+        # parser has been told that the target closed its sending side.
+        self._unparsed = bytearray()
+        self._is_end_received = False
+        self._is_end_parsed = False
+        # Whether other tasks ran since the parser was given bytes.
+        self._has_yielded = True
         self._data_waiter: asyncio.Future[None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -47,21 +57,20 @@
         set_keep_alive(transport.get_extra_info("socket"), KEEP_ALIVE)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes; bytes between requests close the connection."""
+        """Buffer received bytes; bytes between requests close the connection."""
         if self._request is None:
             self._has_stray_bytes = True
             self.close()
             return
-        self._http.receive_data(data)
-        self._buffered_bytes += len(data)
-        if self._buffered_bytes > MAX_BUFFERED_BYTES and self.transport:
+        self._unparsed += data
+        if len(self._unparsed) > MAX_BUFFERED_BYTES and self.transport:
             self.transport.pause_reading()
         self._wake()
 
     def eof_received(self) -> None:
-        """Tell the parser that the target has closed its sending side."""
+        """Record that the target has closed its sending side."""
         self._is_closed = True
-        self._http.receive_data(b"")
+        self._is_end_received = True
         self._wake()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -116,6 +125,8 @@
                         detail="too many informational responses",
                     )
                 continue
+            if event is h11.NEED_DATA and await self._parse_next_piece():
+                continue
             if self._failure is not None or event is not h11.NEED_DATA:
                 detail = self._failure or "connection closed before the response ended"
                 raise ExchangeError(progress=ExchangeProgress.BROKEN, detail=detail)
@@ -140,7 +151,7 @@
         self._http.send(h11.EndOfMessage())
         if following:
             self._http.receive_data(following)
-        if is_ended or self._is_closed:
+        if is_ended:
             self._http.receive_data(b"")
         return True
 
@@ -151,6 +162,7 @@
             and self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
             and self._http.trailing_data == (b"", False)
+            and not self._unparsed
             and self.transport is not None
             and self.transport.get_write_buffer_size() == 0
         )
@@ -169,10 +181,26 @@
         if self.transport is not None:
             self.transport.abort()
 
+    async def _parse_next_piece(self) -> bool:
+        """Give the parser the next piece; returns False if nothing is left."""
+        if not self._unparsed:
+            if self._is_end_parsed or not self._is_end_received:
+                return False
+            self._is_end_parsed = True
+            self._http.receive_data(b"")
+            return True
+        if not self._has_yielded:
+            await asyncio.sleep(0)
+        self._has_yielded = False
+        piece = bytes(self._unparsed[:PIECE_BYTES])
+        del self._unparsed[:PIECE_BYTES]
+        self._http.receive_data(piece)
+        return True
+
     async def _wait_for_data(self) -> None:
-        if self._buffered_bytes > MAX_BUFFERED_BYTES and self.transport:
+        if self.transport is not None and not self._is_closed:
             self.transport.resume_reading()
-        self._buffered_bytes = 0
+        self._has_yielded = True
         self._data_waiter = asyncio.get_running_loop().create_future()
         try:
             await self._data_waiter
--- a/packages/gateway/src/jaytray_gateway/request/attempt.py
+++ b/packages/gateway/src/jaytray_gateway/request/attempt.py
@@ -24,13 +24,21 @@
 MIN_ATTEMPT_OBJECTIVES = 3.0
 # Bytes that do not end an event for this long are not those of a stream.
 MAX_EVENT_BYTES = 1_048_576
+# Fraction of the stall time for which a target that ends no event may be silent and
+# still counts as sending. Sound targets may be silent for more than a second.
+SILENT_FRACTION = 0.6
 # A target that accepts no connection for this long counts as unreachable although the
 # request's time limit ended the wait.
 MIN_CONNECT_S = 0.1
+UNENDING = "stream went on without ending an event"
 HTTP_SUCCESS = range(200, 300)
 HTTP_SERVER_ERROR = 500
 
 
+class UnendingEvent(ExchangeError):
+    """A stream that went on until its time limit without ending an event."""
+
+
 async def send_attempt(
     state: RequestState,
     target: TargetEntry,
@@ -102,7 +110,7 @@
                 services.health.record_unreachable(target.target_id, err.detail)
                 services.pools.drop_target(target.target_id)
             raise AttemptNotRun(err.detail, reached_target=False) from err
-        if is_late:
+        if is_late and not isinstance(err, UnendingEvent):
             services.health.record_error_response(target.target_id)
         else:
             services.health.record_failure(target.target_id, err.detail)
@@ -173,28 +181,40 @@
     expires_at_s = state.admitted.expires_at_s
     stall_s = stall_timeout_s(state.admitted.route)
     progress_at_s = services.clock()
+    event_at_s = received_at_s = progress_at_s
     boundary = EventBoundary()
     while True:
         until_s = expires_at_s
         if state.event_buffer is not None and state.first_piece_s is not None:
             until_s = min(until_s, progress_at_s + stall_s)
-        chunk = await exchange.read_chunk(until_s)
+        try:
+            chunk = await exchange.read_chunk(until_s)
+        except ExchangeError as err:
+            is_sending = received_at_s > services.clock() - stall_s * SILENT_FRACTION
+            is_unending = is_sending and until_s - event_at_s >= stall_s
+            if err.progress is ExchangeProgress.TIMED_OUT and is_unending:
+                raise UnendingEvent(progress=err.progress, detail=UNENDING) from err
+            raise
         if chunk is None:
             break
+        received_at_s = services.clock()
+        earlier_bytes = boundary.event_bytes
         boundary.feed(chunk)
+        if boundary.event_bytes < earlier_bytes + len(chunk):
+            event_at_s = received_at_s
         if boundary.event_bytes > MAX_EVENT_BYTES:
             raise ExchangeError(
                 progress=ExchangeProgress.BROKEN, detail="event is too large"
             )
         services.reach.record_bytes(state.service.name)
         is_first_piece = state.first_piece_s is None
-        state.note_chunk(services.clock())
+        state.note_chunk(received_at_s)
         _record_progress(state, target, services)
         services.loads.mark_prompt_read(target.target_id, in_flight)
         if state.event_buffer is not None:
             chunk = state.event_buffer.feed(chunk)
         if chunk or is_first_piece:
-            progress_at_s = services.clock()
+            progress_at_s = received_at_s
         if not chunk:
             continue
         if not reply.is_started:
--- a/packages/gateway/src/jaytray_gateway/request/event_buffer.py
+++ b/packages/gateway/src/jaytray_gateway/request/event_buffer.py
@@ -8,7 +8,6 @@
 import re
 
 _EVENT_ENDS = (b"\n\n", b"\n\r\n")
-_EVENT_END = re.compile(rb"\r?\n\r?\n")
 _EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 
 
@@ -47,19 +46,23 @@
 
     def __init__(self) -> None:
         self.last_event_id = ""
-        self._partial = b""
+        self._partial = bytearray()
+        self._boundary = EventBoundary()
 
     def feed(self, data: bytes) -> bytes:
         """Append `data` and return the bytes of all events that are now complete."""
         self._partial += data
-        end = 0
-        for match in _EVENT_END.finditer(self._partial):
-            end = match.end()
-        whole, self._partial = self._partial[:end], self._partial[end:]
+        self._boundary.feed(data)
+        end = len(self._partial) - self._boundary.event_bytes
+        if not end:
+            return b""
+        whole = bytes(self._partial[:end])
+        del self._partial[:end]
         for match in _EVENT_ID.finditer(whole):
             self.last_event_id = match.group(1).decode("ascii", "replace")
         return whole
 
     def drop_partial(self) -> None:
         """Discard the incomplete event; the next target sends it again."""
-        self._partial = b""
+        self._partial.clear()
+        self._boundary = EventBoundary()
--- a/packages/gateway/src/jaytray_gateway/request/target_exchange.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_exchange.py
@@ -109,21 +109,19 @@
 
     async def read_body(self, until_s: float) -> bytes:
         """Return the whole body."""
-        chunks: list[bytes] = []
-        size = 0
+        body = bytearray()
         try:
             while (chunk := await self.read_chunk(until_s)) is not None:
-                size += len(chunk)
+                body += chunk
                 self._pools.buffered_body_bytes += len(chunk)
                 if (
-                    size > MAX_WHOLE_BODY_BYTES
+                    len(body) > MAX_WHOLE_BODY_BYTES
                     or self._pools.buffered_body_bytes > MAX_BUFFERED_BODY_BYTES
                 ):
                     raise _too_large()
-                chunks.append(chunk)
         finally:
-            self._pools.buffered_body_bytes -= size
-        return b"".join(chunks)
+            self._pools.buffered_body_bytes -= len(body)
+        return bytes(body)
 
     async def discard_body(self) -> None:
         """Read the rest of a response that is not used, if it is short.
--- a/packages/gateway/tests/connection/test_target_connection.py
+++ b/packages/gateway/tests/connection/test_target_connection.py
@@ -12,6 +12,8 @@
 
 from jaytray_core.exchange_errors import ExchangeError, ExchangeProgress
 from jaytray_gateway.connection.target_connection import (
+    PIECE_BYTES,
+
     TargetConnection,
     open_connection,
 )
@@ -156,6 +158,38 @@
         self.assertEqual((b"not", b"ok"), asyncio.run(run()))
 
 
+CHUNK = b"1\r\nx\r\n"
+CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+
+
+class FairnessTests(TestCase):
+    def test_other_tasks_run_while_many_chunks_are_read(self) -> None:
+        # A target that sent small chunks without end held up the whole process.
+        async def run() -> int:
+            longest = unbroken = 0
+
+            async def run_other_task() -> None:
+                nonlocal unbroken
+                while True:
+                    unbroken = 0
+                    await asyncio.sleep(0)
+
+            async with target(b"") as address:
+                connection = await open_connection(address, timeout_s=1.0)
+                send(connection)
+                connection.data_received(CHUNKED + CHUNK * 40_000 + b"0\r\n\r\n")
+                other = asyncio.create_task(run_other_task())
+                while not isinstance(await connection.next_event(), h11.EndOfMessage):
+                    unbroken += 1
+                    longest = max(longest, unbroken)
+                self.assertTrue(connection.finish(0.0))
+                other.cancel()
+                connection.close()
+            return longest
+
+        self.assertLessEqual(asyncio.run(run()), PIECE_BYTES // len(CHUNK) + 1)
+
+
 class BrokenResponseTests(TestCase):
     @parameterized.expand(
         [
--- a/packages/gateway/tests/request/test_attempt.py
+++ b/packages/gateway/tests/request/test_attempt.py
@@ -147,6 +147,8 @@
             self.assertEqual((EVENTS + REST, True), (received.body, received.is_whole))
             # Callers abandon a stream that has no event for two seconds.
             self.assertLess(monotonic_clock() - begun_s, 2.0)
+            # It would answer the next stream the same way.
+            self.assertTrue(harness.services.health.is_avoided("t0"))
 
         trickle = ScriptedResponse(
             body=EVENTS,
@@ -158,6 +160,23 @@
         route = RESUMABLE._replace(timeout_s=10.0)
         run_with_harness(check, [trickle], [rest], route=route)
 
+    def test_target_that_is_silent_within_an_event_is_not_avoided(self) -> None:
+        # Sound targets may be silent for more than a second.
+        async def check(harness: GatewayHarness) -> None:
+            received = await harness.send_request()
+            self.assertEqual((EVENTS + REST, True), (received.body, received.is_whole))
+            self.assertFalse(harness.services.health.is_avoided("t0"))
+
+        silent = ScriptedResponse(
+            body=EVENTS + REST[:6],
+            is_stream=True,
+            pieces=(REST[6:],),
+            piece_pause_s=5.0,
+        )
+        rest = ScriptedResponse(body=REST, is_stream=True)
+        route = RESUMABLE._replace(timeout_s=10.0)
+        run_with_harness(check, [silent], [rest], route=route)
+
     def test_slow_stream_is_not_cut_within_the_pauses_of_its_route(self) -> None:
         async def check(harness: GatewayHarness) -> None:
             received = await harness.send_request()
--- a/packages/gateway/tests/request/test_event_buffer.py
+++ b/packages/gateway/tests/request/test_event_buffer.py
@@ -1,5 +1,7 @@
 """Tests that the event buffer emits complete events, however a stream is split."""
 
+import time
+
 from hypothesis import given, strategies as st
 from testtools import TestCase
 
@@ -41,6 +43,16 @@
             (0, count > 0), (boundary.event_bytes, boundary.is_after_event)
         )
 
+    def test_work_is_linear_in_the_size_of_an_event(self) -> None:
+        # Searching the whole event again for each chunk takes minutes here.
+        buffer = EventBuffer()
+        begun_s = time.process_time()
+        for _ in range(200_000):
+            self.assertEqual(b"", buffer.feed(b"x" * 8))
+            if time.process_time() - begun_s > 10.0:
+                self.fail("the work is not linear")
+        self.assertEqual(1_600_002, len(buffer.feed(b"\n\n")))
+
     def test_dropped_partial_event_is_not_emitted(self) -> None:
         buffer = EventBuffer()
         self.assertEqual(b"id: 1\n\n", buffer.feed(b"id: 1\n\nid: 2\nda"))
