Reading bodies and member messages yields to other tasks

Cause: parts of a body that have arrived, and messages in the receive queue of the peer socket, are returned without a wait, so that the reading task did not yield while any were left.

Change: other tasks run after 64 parts of a body and after 32 messages. Bodies are collected in one buffer instead of one object for each part.

--- a/packages/core/src/jaytray_core/adapters/http_pool.py
+++ b/packages/core/src/jaytray_core/adapters/http_pool.py
@@ -7,6 +7,7 @@
 too, because the fault that left one of them unusable may affect the others.
 """
 
+import asyncio
 import functools
 import ssl
 from collections.abc import AsyncIterator
@@ -38,6 +39,9 @@
 _UNUSED_TLS_CONTEXT = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
 # Statuses whose responses never have a body.
 _BODILESS_STATUSES = (204, 304)
+# Parts of a body that are read before other tasks run; a peer may send small ones
+# without end.
+_PARTS_PER_TURN = 64
 
 
 class HttpRequest(NamedTuple):
@@ -176,16 +180,18 @@
         raise ExchangeError(
             progress=ExchangeProgress.BROKEN, detail="body of unknown length"
         )
-    parts = []
-    size = 0
+    body = bytearray()
+    parts = 0
     async for part in response.aiter_raw():
-        size += len(part)
-        if size > limit_bytes:
+        body += part
+        parts += 1
+        if parts % _PARTS_PER_TURN == 0:
+            await asyncio.sleep(0)
+        if len(body) > limit_bytes:
             raise ExchangeError(
                 progress=ExchangeProgress.BROKEN, detail="body exceeds the size limit"
             )
-        parts.append(part)
-    return b"".join(parts)
+    return bytes(body)
 
 
 def _exchange_error(progress: ExchangeProgress, err: Exception) -> ExchangeError:
--- a/packages/server/src/jaytray_server/connection/peer_network.py
+++ b/packages/server/src/jaytray_server/connection/peer_network.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import itertools
 from collections import OrderedDict
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -38,6 +39,9 @@
 
 # Number of recent broadcasts remembered to detect duplicates.
 REMEMBERED_BROADCASTS = 4096
+# Messages that are received before other tasks run, as thousands may have arrived while
+# the process was paused.
+MESSAGES_PER_TURN = 32
 # Age in heartbeats that means "never", in milliseconds.
 NEVER_AGE_MS = 1_000_000_000
 
@@ -204,10 +208,13 @@
             context.destroy(linger=0)
 
     async def _receive_all(self, socket: zmq.asyncio.Socket) -> None:
-        while True:
+        for count in itertools.count(1):
             frames = await socket.recv_multipart()
             if len(frames) == 2:
                 self.receive(frames[1])
+            if count % MESSAGES_PER_TURN == 0:
+                # Messages that have already arrived are received without a wait.
+                await asyncio.sleep(0)
 
     def _receive_heartbeat(self, envelope: Envelope) -> None:
         try:
--- a/packages/server/tests/connection/test_peer_network.py
+++ b/packages/server/tests/connection/test_peer_network.py
@@ -23,6 +23,8 @@
 
 KEYS = CurveKeys(*zmq.curve_keypair())
 WAIT_S = 20.0
+LOOPBACK = "tcp://127.0.0.1"
+MESSAGES = 5_000
 
 
 def make_hub(vm_id: str, *, keys: CurveKeys = KEYS, boot: int = 1) -> PeerHub:
@@ -210,6 +212,36 @@
         hub.receive(heartbeat(origin="b", boot=5, sequence=8))
         self.assertNotEqual(before, hub.heard_by_id)
 
+    def test_other_tasks_run_while_many_messages_are_received(self) -> None:
+        # After a pause of the process, thousands of messages have arrived.
+        async def run() -> int:
+            turns = 0
+            context = zmq.asyncio.Context()
+            sender, receiver = context.socket(zmq.DEALER), context.socket(zmq.ROUTER)
+            sender.sndhwm = receiver.rcvhwm = 0
+            sender.connect(f"tcp://127.0.0.1:{receiver.bind_to_random_port(LOOPBACK)}")
+            for _ in range(MESSAGES):
+                await sender.send(b"x")
+            hub = make_hub("vm-0")
+            received = 0
+
+            def receive(_frame: bytes) -> None:
+                nonlocal received, turns
+                turns = 0 if not received else turns
+                received += 1
+
+            hub.receive = receive  # type: ignore[method-assign]
+            await asyncio.sleep(1.0)
+            receiving = asyncio.create_task(hub._receive_all(receiver))
+            while received < MESSAGES:
+                turns += 1
+                await asyncio.sleep(0)
+            receiving.cancel()
+            context.destroy(linger=0)
+            return turns
+
+        self.assertGreaterEqual(asyncio.run(run()), MESSAGES // 50)
+
     def test_contact_with_the_service_is_relayed(self) -> None:
         hub = make_hub("a")
         hub.update_vms([entry("a"), entry("b")], chosen=frozenset())
