An empty list of accounts no longer opens the routes

Cause: the decoder gave a configuration without "tenants" an empty list, and admission took an empty list as "no key is needed". When the last account left, every request was served.

Change: RouteTable.needs_key, True by default, is False only if the configuration has no list of accounts. With an empty list every route that is not public answers 401.

--- a/packages/gateway/src/jaytray_gateway/request/admission.py
+++ b/packages/gateway/src/jaytray_gateway/request/admission.py
@@ -121,7 +121,7 @@
 def _authenticate(
     table: RouteTable, route: Route, request: RoutedRequest
 ) -> ClientAccount | None:
-    if route.is_public or not table.accounts_by_name:
+    if route.is_public or not table.needs_key:
         return None
     if request.key_digest is None:
         raise JaytrayError(messages.KEY_MISSING, step=Step.AUTHENTICATE)
--- a/packages/gateway/src/jaytray_gateway/version/route_table.py
+++ b/packages/gateway/src/jaytray_gateway/version/route_table.py
@@ -125,8 +125,8 @@
     """One version of the operator's configuration.
 
     `routes_by_host` lists each host's routes with the longest prefix first.
-    `account_by_key_digest` is empty if no account is declared; routes then need no
-    key.
+    `needs_key` False means that the configuration declares no list of accounts, so that
+    no route needs a key. With an empty list, keys are needed and none is known.
     """
 
     version: int
@@ -135,6 +135,7 @@
     accounts_by_name: dict[str, ClientAccount]
     account_by_key_digest: dict[str, str]
     limits: CallerLimits
+    needs_key: bool = True
 
 
 def digest_key(key: bytes) -> str:
--- a/packages/gateway/tests/request/test_request_path.py
+++ b/packages/gateway/tests/request/test_request_path.py
@@ -131,6 +131,20 @@
 
         run_with_harness(check, [OK])
 
+    def test_without_accounts_a_key_is_needed_unless_none_are_declared(self) -> None:
+        # An empty list of accounts opened every route.
+        async def check(harness: GatewayHarness) -> None:
+            empty = harness.table()._replace(
+                accounts_by_name={}, account_by_key_digest={}
+            )
+            for table, status in ((empty, 401), (empty._replace(needs_key=False), 200)):
+                harness.directory.route_table = table
+                for headers in (default_headers(), [(b"x-id", b"r")]):
+                    received = await harness.send_request(headers=headers)
+                    self.assertEqual(status, received.status)
+
+        run_with_harness(check, [OK])
+
     def test_public_route_needs_no_key(self) -> None:
         async def check(harness: GatewayHarness) -> None:
             received = await harness.send_request(headers=[(b"x-id", b"r")])
