A repeated stop signal no longer cuts off running requests

Cause: the second SIGTERM or SIGINT terminated the process immediately, also within the grace period, so that requests that targets were running got no complete response.

Change: within the gateway's grace period a further signal is logged and has no effect; after it, the signal ends the process as before. jaytrayd is unchanged.

--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -60,7 +60,7 @@
     `lease_key_value` is a connection with shorter time limits, for a lease that is
     renewed several times per second.
     """
-    stop = install_stop_signals()
+    stop = install_stop_signals(grace_s=options.grace_s)
     asyncio.get_running_loop().add_signal_handler(
         signal.SIGHUP, lambda: _log_reload(options, read_options)
     )
--- a/packages/gateway/tests/connection/test_target_connection.py
+++ b/packages/gateway/tests/connection/test_target_connection.py
@@ -13,7 +13,6 @@
 from jaytray_core.exchange_errors import ExchangeError, ExchangeProgress
 from jaytray_gateway.connection.target_connection import (
     PIECE_BYTES,
-
     TargetConnection,
     open_connection,
 )
