Expect slot waits by the length of streams, and prefer open connections

Change: the wait for a slot is at least the learned length of streams divided by the slots; a target without an open connection costs 5 ms in the choice.

--- a/packages/gateway/src/jaytray_gateway/connection/target_pool.py
+++ b/packages/gateway/src/jaytray_gateway/connection/target_pool.py
@@ -57,6 +57,11 @@
         self.opened_connections += 1
         return await self._open(address, timeout_s)
 
+    def has_idle(self, target_id: str, address: str) -> bool:
+        """Return whether a connection can be reused now."""
+        idle = self._idle_by_target.get((target_id, address), [])
+        return bool(idle) and idle[-1].is_usable(self._clock(), DEFAULT_IDLE_TIMEOUT_S)
+
     async def open_idle(
         self, target_id: str, address: str, *, timeout_s: float
     ) -> bool:
--- a/packages/gateway/src/jaytray_gateway/process/engine_speed.py
+++ b/packages/gateway/src/jaytray_gateway/process/engine_speed.py
@@ -23,15 +23,24 @@
 
 
 class EngineSpeed(NamedTuple):
-    """Milliseconds per prompt token, and per declared output token of one stream."""
+    """Milliseconds per prompt token, and per declared output token of one stream.
+
+    `stream_ms` is the mean time from the first event of a stream to its end, 0 until
+    one is known.
+    """
 
     prompt_token_ms: float
     output_token_ms: float
+    stream_ms: float = 0.0
 
     def prefill_ms(self, prompt_tokens: int) -> float:
         """Return the milliseconds that an engine takes to read the prompt tokens."""
         return prompt_tokens * self.prompt_token_ms
 
+    def slot_wait_ms(self, slots: int) -> float:
+        """Return the mean time until one of the engine's occupied slots is free."""
+        return self.stream_ms / max(slots, 1)
+
     def engine_time_ms(self, request: RoutedRequest, engine: Engine) -> float:
         """Return the milliseconds of engine time that the request takes.
 
@@ -86,7 +95,11 @@
         moved_ms = speed.output_token_ms + GENERATION_WEIGHT * (
             seen_ms - speed.output_token_ms
         )
-        self._speed_by_service[service] = speed._replace(output_token_ms=moved_ms)
+        stream_ms = speed.stream_ms or generation_s * 1000
+        stream_ms += GENERATION_WEIGHT * (generation_s * 1000 - stream_ms)
+        self._speed_by_service[service] = speed._replace(
+            output_token_ms=moved_ms, stream_ms=stream_ms
+        )
 
 
 def _bounded(value: float, initial: float) -> float:
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -210,6 +210,7 @@
         loads=loads,
         health=health,
         speeds=speeds,
+        has_connection=lambda target: pools.has_idle(target.target_id, target.address),
         rng=rng,
     )
     services = RequestServices(
--- a/packages/gateway/src/jaytray_gateway/process/target_choice.py
+++ b/packages/gateway/src/jaytray_gateway/process/target_choice.py
@@ -1,6 +1,11 @@
-"""Chooses a target by expected wait, prompt prefix affinity and failure domain."""
+"""Chooses a target by expected wait, prompt prefix affinity and failure domain.
+
+Answers load on targets that differ in how long a request waits for a slot, and many
+members with few requests each, which would open a connection for nearly every one.
+"""
 
 import random
+from collections.abc import Callable
 from typing import NamedTuple
 
 from jaytray_core.rendezvous import owner_of
@@ -20,8 +25,12 @@
 CROSS_DOMAIN_COST_MS = 4.0
 # Cost in milliseconds of a target whose recent exchanges have all failed.
 MS_PER_FAILURE = 200.0
-# Milliseconds per request beyond an engine's slots: it waits for a whole run.
-MS_PER_QUEUED = 60.0
+# Least wait in milliseconds for each request beyond an engine's slots. It is longer
+# where streams are long and slots few, as one of them has to end.
+MIN_MS_PER_QUEUED = 60.0
+# Cost in milliseconds of a target without an open connection: opening one takes a round
+# trip and, for a moment, one of the target's slots.
+NEW_CONNECTION_COST_MS = 5.0
 
 
 class Candidate(NamedTuple):
@@ -42,12 +51,14 @@
         loads: LoadView,
         health: TargetHealth,
         speeds: EngineSpeeds,
+        has_connection: Callable[[TargetEntry], bool],
         rng: random.Random,
     ) -> None:
         self._failure_domain = failure_domain
         self._loads = loads
         self._health = health
         self._speeds = speeds
+        self._has_connection = has_connection
         self._rng = rng
 
     def choose(
@@ -92,12 +103,16 @@
         cost_ms = MS_PER_FAILURE * self._health.failure_rate(target.target_id)
         if target.failure_domain != self._failure_domain:
             cost_ms += CROSS_DOMAIN_COST_MS
+        if not self._has_connection(target):
+            cost_ms += NEW_CONNECTION_COST_MS
         if service.engine is None:
             cost_ms += MS_PER_PLAIN_REQUEST * load.running / max(target.slots, 1)
             return Candidate(target, cost_ms, 0.0)
         speed = self._speeds.of(service.name)
         wait_ms = speed.prefill_ms(load.waiting_tokens(priority))
-        wait_ms += MS_PER_QUEUED * max(0, load.running - service.engine.slots)
+        slots = service.engine.slots
+        ms_per_queued = max(MIN_MS_PER_QUEUED, speed.slot_wait_ms(slots))
+        wait_ms += ms_per_queued * max(0, load.running - slots)
         cost_ms += wait_ms + MS_PER_RUNNING * load.running
         if target.target_id != preferred:
             shared = sum(part.tokens for part in request.prompt_parts[:-1])
--- a/packages/gateway/tests/request/harness.py
+++ b/packages/gateway/tests/request/harness.py
@@ -318,6 +318,7 @@
                     loads=self.loads,
                     health=health,
                     speeds=self.speeds,
+                    has_connection=lambda _target: True,
                     rng=rng,
                 ),
                 request_replica=lambda *_replica: None,
