--- a/packages/server/tests/connection/test_peer_network.py
+++ b/packages/server/tests/connection/test_peer_network.py
@@ -230,7 +230,7 @@
                 turns = 0 if not received else turns
                 received += 1
 
-            hub.receive = receive  # type: ignore[method-assign]
+            self.patch(hub, "receive", receive)
             await asyncio.sleep(1.0)
             receiving = asyncio.create_task(hub._receive_all(receiver))
             while received < MESSAGES:
