--- a/packages/server/tests/connection/test_peer_network.py
+++ b/packages/server/tests/connection/test_peer_network.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
+from unittest import mock
 
 import zmq
 import zmq.asyncio
@@ -230,13 +231,13 @@
                 turns = 0 if not received else turns
                 received += 1
 
-            hub.receive = receive  # type: ignore[method-assign]
             await asyncio.sleep(1.0)
-            receiving = asyncio.create_task(hub._receive_all(receiver))
-            while received < MESSAGES:
-                turns += 1
-                await asyncio.sleep(0)
-            receiving.cancel()
+            with mock.patch.object(hub, "receive", receive):
+                receiving = asyncio.create_task(hub._receive_all(receiver))
+                while received < MESSAGES:
+                    turns += 1
+                    await asyncio.sleep(0)
+                receiving.cancel()
             context.destroy(linger=0)
             return turns
 
