A process whose output nobody reads stops in time

Cause: the log writer's thread blocked in a write to standard output and held the lock of its stream; at exit the interpreter flushes that stream and waits for the lock. Also, the wait for the last lines was 1 s, more than the grace period leaves after the drain.

--- a/packages/gateway/src/jaytray_gateway/process/log_writer.py
+++ b/packages/gateway/src/jaytray_gateway/process/log_writer.py
@@ -4,6 +4,7 @@
 the queue has space again.
 """
 
+import os
 import queue
 import threading
 from collections.abc import Callable, Iterator
@@ -14,6 +15,9 @@
 QUEUE_LINES = 4_000
 # Interval at which lines are written: each wake-up costs processor time.
 WRITE_INTERVAL_S = 0.1
+# Time at the end for the remaining lines to be written. It is part of the grace period,
+# and nobody may be reading.
+LAST_LINES_S = 0.2
 
 
 class _BoundedStream:
@@ -37,25 +41,40 @@
 
 @contextmanager
 def bounded_log_stream(
-    target: TextIO, *, set_dropped: Callable[[int], None]
+    write: Callable[[str], object], *, set_dropped: Callable[[int], None]
 ) -> Iterator[TextIO]:
-    """Yield a stream whose lines a thread writes to `target`."""
+    """Yield a stream whose lines a thread passes to `write`."""
     stream = _BoundedStream()
     ended = threading.Event()
     writer = threading.Thread(
-        target=_write_lines, args=(stream, target, ended, set_dropped), daemon=True
+        target=_write_lines, args=(stream, write, ended, set_dropped), daemon=True
     )
     writer.start()
     try:
         yield stream  # type: ignore[misc]
     finally:
         ended.set()
-        writer.join(timeout=1.0)
+        writer.join(timeout=LAST_LINES_S)
+
+
+def make_writer(descriptor: int) -> Callable[[str], None]:
+    """Return a function that writes text to a file descriptor.
+
+    A text stream is not used, because the interpreter flushes it at exit and waits for
+    its lock, which a thread holds whose write nobody reads.
+    """
+
+    def write(text: str) -> None:
+        data = memoryview(text.encode("utf-8", "replace"))
+        while data:
+            data = data[os.write(descriptor, data) :]
+
+    return write
 
 
 def _write_lines(
     stream: _BoundedStream,
-    target: TextIO,
+    write: Callable[[str], object],
     ended: threading.Event,
     set_dropped: Callable[[int], None],
 ) -> None:
@@ -70,7 +89,6 @@
             set_dropped(reported)
             parts.append(f"event=log_lines_dropped total={reported}\n")
         if parts:
-            target.write("".join(parts))
-            target.flush()
+            write("".join(parts))
         if is_last:
             return
--- a/packages/gateway/tests/test_logs.py
+++ b/packages/gateway/tests/test_logs.py
@@ -86,7 +86,7 @@
     def test_logging_does_not_block_and_dropped_lines_are_reported(self) -> None:
         reader = StalledReader()
         dropped: list[int] = []
-        with bounded_log_stream(reader, set_dropped=dropped.append) as stream:
+        with bounded_log_stream(reader.write, set_dropped=dropped.append) as stream:
             # Block the writing thread with one line before the others are logged.
             stream.write("event=first\n")
             self.assertTrue(reader.is_stalled.wait(10.0))
