Deeply nested data counts as malformed

Cause: msgspec raises RecursionError for some thousand nested brackets; the decoders translated only its own errors, so that one store entry ended the tasks that follow the store, once a second as long as it existed.

Change: codec.DECODE_ERRORS names what the decoders translate, RecursionError included; used for entries, configurations, reports, records, member messages, settings, responses of the store and bodies of jaytrayd.

--- a/packages/core/src/jaytray_core/adapters/event_stream.py
+++ b/packages/core/src/jaytray_core/adapters/event_stream.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from jaytray_core.codec import DECODE_ERRORS
 from jaytray_core.targets import StreamPiece
 
 END_MARK = b"[DONE]"
@@ -122,7 +123,7 @@
     def _decode(self, data: bytes) -> StreamPiece:
         try:
             event = _EVENT_DECODER.decode(data)
-        except (msgspec.DecodeError, UnicodeDecodeError) as err:
+        except DECODE_ERRORS as err:
             raise StreamFormatError(f"malformed event: {err}") from err
         if event.get("id") != self._request_id:
             raise ResponseMismatchError
--- a/packages/core/src/jaytray_core/codec.py
+++ b/packages/core/src/jaytray_core/codec.py
@@ -13,6 +13,9 @@
 from jaytray_core.errors import Execution, JaytrayError, Step
 
 T = TypeVar("T")
+# What msgspec raises for data that cannot be decoded; deeply nested data exceeds the
+# interpreter's recursion limit.
+DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 
 
 def encode_json(message: Any) -> bytes:
@@ -24,7 +27,7 @@
     """Decode JSON into `message_type`; `peer` names the sender in errors."""
     try:
         return msgspec.json.decode(data, type=message_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as err:
+    except DECODE_ERRORS as err:
         raise malformed_message(peer=peer, detail=str(err)) from err
 
 
@@ -37,7 +40,7 @@
     """Decode MessagePack into `message_type`; `peer` names the sender in errors."""
     try:
         return msgspec.msgpack.decode(data, type=message_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as err:
+    except DECODE_ERRORS as err:
         raise malformed_message(peer=peer, detail=str(err)) from err
 
 
--- a/packages/server/src/jaytray_server/request/deferred_routes.py
+++ b/packages/server/src/jaytray_server/request/deferred_routes.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from jaytray_core import message_registry as messages
-from jaytray_core.codec import encode_json
+from jaytray_core.codec import DECODE_ERRORS, encode_json
 from jaytray_core.document.model import TrafficClass
 from jaytray_core.errors import JaytrayError, Step
 from jaytray_core.targets import WholeResponse
@@ -158,7 +158,7 @@
 ) -> Job:
     try:
         fields = msgspec.json.decode(exchange.body, type=DeferredBody)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as err:
+    except DECODE_ERRORS as err:
         raise invalid_request(f"the body is not a deferred request: {err}") from err
     body = encode_json(_without_streaming(fields))
     if len(body) > MAX_JOB_BODY_BYTES:
@@ -233,7 +233,7 @@
 def _json_or_text(body: bytes) -> msgspec.Raw | str:
     try:
         msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return body.decode("utf-8", errors="replace")
     return msgspec.Raw(body)
 
--- a/packages/server/src/jaytray_server/request/parsing.py
+++ b/packages/server/src/jaytray_server/request/parsing.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from jaytray_core import message_registry as messages
+from jaytray_core.codec import DECODE_ERRORS
 from jaytray_core.document.model import Document, Model
 from jaytray_core.errors import JaytrayError, Step
 from jaytray_server.request.refusals import invalid_request
@@ -55,7 +56,7 @@
     """Return the call in `body`; raises `invalid_request` or `model_unknown`."""
     try:
         fields = msgspec.json.decode(body, type=CompletionBody)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as err:
+    except DECODE_ERRORS as err:
         raise invalid_request(f"the body is not a completion request: {err}") from err
     name = fields["model"]
     model = find_model(name, document)
--- a/packages/server/src/jaytray_server/request/work.py
+++ b/packages/server/src/jaytray_server/request/work.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from jaytray_core.codec import DECODE_ERRORS
 from jaytray_core.document.model import ClientAccount, TrafficClass
 from jaytray_core.errors import Execution, JaytrayError
 from jaytray_core.targets import InferRequest, WholeResponse
@@ -122,7 +123,7 @@
         usage = msgspec.json.decode(response.body, type=_ResponseFields).get(
             "usage", {}
         )
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         usage = {}
     prompt_tokens = usage.get("prompt_tokens", call.prompt_tokens)
     return prompt_tokens + usage.get("completion_tokens", call.output_tokens)
