Count orders without a response through restarts of their target

An order names its target by id and order count only, so a later start under the same id may carry it out once it has reached the count. The leader forgot such orders with the target's start and with its own term, and a step that waited for the target's lock could send from a plan that had been replaced, so that its outcome was recorded nowhere.

An unload frees no memory for a model whose own late load is still possible. Steps are sent only from the current plan.

The new controller test fails without the change.

--- a/packages/gateway/src/jaytray_gateway/process/placement/controller.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/controller.py
@@ -327,6 +327,10 @@
             self._load_limiter.record_load()
         try:
             async with self._orders.lock_of(entry.target_id):
+                # While this step waited for the lock, a report may have replaced the
+                # plan, which would not know of the order.
+                if self._plans.find(entry.target_id) is not plan:
+                    return
                 if step.is_load:
                     await self._order_load(plan, entry, engine, step.model)
                 else:
--- a/packages/gateway/src/jaytray_gateway/process/placement/orders.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/orders.py
@@ -6,6 +6,7 @@
 from jaytray_core.logs import get_logger
 from jaytray_gateway.ports import OrderResult, PlatformAdapter, TargetOrder
 from jaytray_gateway.process.metrics import GatewayMetrics
+from jaytray_gateway.process.placement.late_orders import LateOrders
 from jaytray_gateway.process.placement.leadership import Leadership
 from jaytray_gateway.process.placement.target_plan import PendingOrder, TargetPlan
 from jaytray_gateway.process.target_entry import TargetEntry
@@ -31,6 +32,7 @@
         metrics: GatewayMetrics,
         clock: MonotonicClock,
     ) -> None:
+        self.late_orders = LateOrders(clock=clock)
         self._own_id = own_id
         self._adapter = adapter
         self._leadership = leadership
@@ -67,6 +69,7 @@
             if not plan.has_room(engine, model, adapter):
                 return False
         order = PendingOrder(
+            incarnation=plan.incarnation,
             is_load=is_load,
             model=model,
             adapter=adapter,
@@ -125,6 +128,7 @@
         if result.is_unreachable:
             self._health.record_unreachable(entry.target_id, result.detail)
         elif not result.is_certain:
+            self.late_orders.record(entry.target_id, order)
             plan.record_unacknowledged(order)
         elif result.is_fenced_off:
             self._leadership.step_down(
--- a/packages/gateway/src/jaytray_gateway/process/placement/target_plan.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/target_plan.py
@@ -2,9 +2,12 @@
 
 An order without a response may still take effect seconds later, but only while the
 target's order count is the expected one. Until the count has advanced or that time has
-passed, the order is treated as if it had taken effect.
+passed, the order is treated as if it had taken effect. An order names its target by id
+only, and the count starts again when the target does, so an order to an earlier start
+counts for the whole time.
 """
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from jaytray_gateway.process.target_entry import TargetEntry
@@ -25,9 +28,11 @@
 class PendingOrder(NamedTuple):
     """An order whose outcome is pending; `adapter` is empty for a model.
 
-    `was_listed` is whether the directory listed the model when the order was sent.
+    `incarnation` is the start of the target whose order count is expected, and
+    `was_listed` whether the directory listed the model when the order was sent.
     """
 
+    incarnation: str
     is_load: bool
     model: str
     adapter: str
@@ -45,6 +50,7 @@
         entry: TargetEntry,
         adapters_by_model: dict[str, frozenset[str]],
         order_count: int,
+        unacknowledged_orders: Iterable[PendingOrder] = (),
     ) -> None:
         self.target_id = entry.target_id
         self.incarnation = entry.incarnation
@@ -67,6 +73,9 @@
         self.reserved_model = ""
         self.reserved_at_s = 0.0
         self.unacknowledged_orders: list[PendingOrder] = []
+        for order in unacknowledged_orders:
+            if self._is_unsettled(order):
+                self.unacknowledged_orders.append(order)
         self.avoided_until_s = 0.0
         self.is_unconfirmed = False
         self.was_report_busy = False
@@ -93,12 +102,7 @@
         models = set(self.models)
         if self.model_order is not None:
             models.add(self.model_order.model)
-        models.update(
-            order.model
-            for order in self.unacknowledged_orders
-            if order.is_load and not order.adapter
-        )
-        return models
+        return models | self._late_loads()
 
     def possibly_resident_adapters(self) -> set[tuple[str, str]]:
         """Return all adapters that may occupy memory and an adapter slot."""
@@ -153,7 +157,7 @@
             return False
         freed = engine.models_by_name.get(order.model)
         needed = engine.models_by_name.get(model)
-        if freed is None or needed is None:
+        if freed is None or needed is None or order.model in self._late_loads():
             return False
         used_mb = self.used_mb(engine) - freed.weights_mb
         return used_mb + needed.weights_mb <= engine.weights_mb
@@ -178,7 +182,7 @@
         self.unacknowledged_orders = [
             pending
             for pending in self.unacknowledged_orders
-            if pending.expected_order_count >= self.order_count
+            if self._is_unsettled(pending)
         ]
         if order.adapter:
             key = (order.model, order.adapter)
@@ -242,6 +246,19 @@
             limit_s = OVERDUE_FACTOR * (model.load_s if model else 1.0)
         return now_s - order.sent_at_s > limit_s
 
+    def _is_unsettled(self, order: PendingOrder) -> bool:
+        """Return whether an order without a response may still take effect."""
+        is_earlier_start = order.incarnation != self.incarnation
+        return is_earlier_start or order.expected_order_count >= self.order_count
+
+    def _late_loads(self) -> set[str]:
+        """Return the models whose loads got no response and may still take effect."""
+        return {
+            order.model
+            for order in self.unacknowledged_orders
+            if order.is_load and not order.adapter
+        }
+
     def _finish_model_order(self, order: PendingOrder) -> None:
         self.model_order = None
         self.has_model_step = False
--- a/packages/gateway/src/jaytray_gateway/process/placement/target_plans.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/target_plans.py
@@ -1,6 +1,6 @@
 """The leader's plans of all targets, built from reports and the directory."""
 
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any
 
 from jaytray_core.clock import MonotonicClock
@@ -8,7 +8,7 @@
 from jaytray_core.logs import get_logger
 from jaytray_gateway.ports import PlatformAdapter, TargetReport
 from jaytray_gateway.process.placement.orders import ORDER_PAUSE_S, OrderSender
-from jaytray_gateway.process.placement.target_plan import TargetPlan
+from jaytray_gateway.process.placement.target_plan import PendingOrder, TargetPlan
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.process.target_health import TargetHealth
 from jaytray_gateway.version.route_table import Engine
@@ -101,14 +101,18 @@
         previous = self._plan_by_id.get(entry.target_id)
         if previous is not None and previous.incarnation != entry.incarnation:
             previous = None
-        plan = _plan_from_report(entry, report, previous)
+        late_orders = self._orders.late_orders.of(entry.target_id)
+        plan = _plan_from_report(entry, report, previous, late_orders)
         if plan.is_unconfirmed:
             plan.avoided_until_s = self._clock() + ORDER_PAUSE_S
         self._plan_by_id[entry.target_id] = plan
 
 
 def _plan_from_report(
-    entry: TargetEntry, report: TargetReport, previous: TargetPlan | None
+    entry: TargetEntry,
+    report: TargetReport,
+    previous: TargetPlan | None,
+    late_orders: Iterable[PendingOrder],
 ) -> TargetPlan:
     """Return a plan built from a report and the still valid state of the previous plan.
 
@@ -121,12 +125,12 @@
         entry=entry,
         adapters_by_model=report.adapters_by_model,
         order_count=report.order_count,
+        unacknowledged_orders=late_orders,
     )
     plan.was_report_busy = report.is_busy
     if previous is None:
         plan.is_unconfirmed = True
         return plan
-    plan.unacknowledged_orders = previous.unacknowledged_orders
     plan.reserved_model = previous.reserved_model
     plan.reserved_at_s = previous.reserved_at_s
     for key in plan.used_at_s_by_adapter:
--- a/packages/gateway/tests/process/placement/replay.py
+++ b/packages/gateway/tests/process/placement/replay.py
@@ -298,7 +298,13 @@
     ) -> None:
         plan = self._plan_by_id[target.target_id]
         order = PendingOrder(
-            is_load, model, "", plan.order_count, self._now_s, model in target.models
+            plan.incarnation,
+            is_load,
+            model,
+            "",
+            plan.order_count,
+            self._now_s,
+            model in target.models,
         )
         plan.record_accepted(order, is_done=False)
         target.order = (is_load, model, done_s)
--- a/packages/gateway/tests/process/placement/test_controller.py
+++ b/packages/gateway/tests/process/placement/test_controller.py
@@ -6,6 +6,7 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 from parameterized import parameterized
 from testtools import TestCase
@@ -43,7 +44,8 @@
     """A target that executes one model order at a time.
 
     `is_overcommitted` is set once it was ordered to load more than fits. With
-    `drops_responses`, orders take effect `delay_s` seconds later and get no response.
+    `drops_responses`, orders take effect `delay_s` seconds later and get no response;
+    so does a load of `dropped_load`, also if the target starts again in between.
     """
 
     def __init__(self, *, target_id: str, models: str, version: str = "v1") -> None:
@@ -57,18 +59,29 @@
         self.is_busy = False
         self.is_overcommitted = False
         self.drops_responses = False
+        self.dropped_load = ""
+        self.incarnation = 1
         self.delay_s = 0.0
         self.highest_fencing_number = 0
         self.unload_s = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def handle_order(self, order: TargetOrder) -> OrderResult:
-        if not self.drops_responses:
+        is_dropped = order.is_load and order.model == self.dropped_load
+        if not self.drops_responses and not is_dropped:
             return self._execute(order)
+        self.dropped_load = ""
         self._start_task(self._execute_late(order))
         await asyncio.sleep(0.6)
         return result(is_certain=False)
 
+    def restart(self) -> None:
+        """Start again under the same id, empty and with a new order count."""
+        self.incarnation += 1
+        self.models, self.reported_models, self.adapters = set(), set(), set()
+        self.order_count, self.highest_fencing_number = 0, 0
+        self.is_busy = False
+
     def complete_other_leaders_load(self, model: str) -> None:
         self.models.add(model)
         self.is_busy = False
@@ -88,7 +101,7 @@
     def entry(self) -> TargetEntry:
         return TargetEntry(
             self.target_id,
-            "1",
+            str(self.incarnation),
             "svc",
             self.software_version,
             self.target_id,
@@ -135,7 +148,10 @@
             self.is_overcommitted = True
 
     async def _finish(self, order: TargetOrder) -> None:
+        incarnation = self.incarnation
         await asyncio.sleep(LOAD_S if order.is_load else self.unload_s)
+        if incarnation != self.incarnation:
+            return
         if order.is_load:
             self.models.add(order.model)
         else:
@@ -363,6 +379,31 @@
 
         run_with_harness(check, target)
 
+    def test_late_order_to_an_earlier_start_never_overcommits_memory(self) -> None:
+        # The order names only the id, and the new start reaches the expected count.
+        target = ScriptedTarget(target_id="t1", models="abc")
+        target.delay_s = 10.0
+
+        async def check(harness: Harness) -> None:
+            harness.controller.request_replica("svc", "d", "", None)
+            await harness.wait_until(lambda: harness.has_replica("d"), 5.0)
+            target.dropped_load = "e"
+            harness.controller.request_replica("svc", "e", "", None)
+            await harness.wait_until(lambda: not target.dropped_load, 5.0)
+            # The target is down until the request for the model is forgotten.
+            await asyncio.sleep(1.0)
+            target_by_id, harness.target_by_id = harness.target_by_id, {}
+            await asyncio.sleep(3.0)
+            target.restart()
+            harness.target_by_id = target_by_id
+            for model in "fgh":
+                is_loaded = partial(request_and_check, harness, model)
+                await harness.wait_until(is_loaded, 20.0)
+            await asyncio.sleep(target.delay_s)
+            self.assertFalse(target.is_overcommitted)
+
+        run_with_harness(check, target)
+
     @parameterized.expand([(step / 20,) for step in range(8)])
     def test_target_busy_with_another_leaders_order_gets_none_until_done(
         self, after_s: float
--- a/packages/gateway/tests/process/placement/test_planner.py
+++ b/packages/gateway/tests/process/placement/test_planner.py
@@ -250,7 +250,7 @@
 def order(
     is_load: bool, model: str, *, listed: bool, adapter: str = ""
 ) -> PendingOrder:
-    return PendingOrder(is_load, model, adapter, 0, 1.0, listed)
+    return PendingOrder("1", is_load, model, adapter, 0, 1.0, listed)
 
 
 class TargetPlanTests(TestCase):
@@ -303,6 +303,19 @@
         target_plan.apply_entry(entry("t1", "ab"), 20.0)
         self.assertTrue(target_plan.has_room(ENGINE, "d", ""))
 
+    def test_unload_of_a_model_that_may_load_late_frees_no_memory(self) -> None:
+        late = order(True, "c", listed=False)._replace(incarnation="0")
+        found = entry("t1", "abc")
+        target_plan = TargetPlan(
+            entry=found,
+            adapters_by_model=found.adapters_by_model,
+            order_count=5,
+            unacknowledged_orders=[late],
+        )
+        unload = order(False, "c", listed=True)._replace(expected_order_count=5)
+        target_plan.record_accepted(unload, is_done=False)
+        self.assertFalse(target_plan.has_room_after_unload(ENGINE, "d"))
+
     def test_adapters_never_exceed_their_slots(self) -> None:
         target_plan = plan("t1", "a")
         for number in range(4):
