Count the store's era in fencing numbers from a stored base

Beside a build that does not know the era, this one ordered with the era in the high bits of its fencing numbers and the other with the bare revision, which is lower than the numbers used before.

The era is counted from a base, a record under our own prefix that is written once and never rises: while it is the era, the number is the bare revision. Members that know the base write it again when the store has lost it. No member leads before it knows the base.

The tests of the placement folder and of the store's restore pass.

--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -75,6 +75,9 @@
     # Placement.
     "placement_taken": ("fencing_number",),
     "placement_lost": ("reason",),
+    "fencing_base_written": "base is_written".split(),
+    "fencing_base_not_written": ("error",),
+    "fencing_base_unreadable": ("error",),
     "placement_record_unreadable": ("error",),
     "placement_lease_call_failed": ("error",),
     "loads_forecast": ("ready_in_s",),
--- a/packages/gateway/src/jaytray_gateway/ports.py
+++ b/packages/gateway/src/jaytray_gateway/ports.py
@@ -107,13 +107,19 @@
     order_count: int
 
 
+def _only_era(_revision: int) -> int:
+    return 0
+
+
 class PlatformAdapter(NamedTuple):
     """Key names and functions of a platform's adapter.
 
     `render_refusal` takes the error and the request id. `decode_route_table` and
     `decode_target` raise `JaytrayError` for invalid data, and `parse_request` raises
     it for a request that cannot be forwarded. `send_order` and `read_report` raise
-    no other exception than `JaytrayError`.
+    no other exception than `JaytrayError`. `era_start` takes a revision of the
+    key-value service and returns what to subtract from it for the one that the service
+    itself gave out; 0 if the service never returned from an older copy.
     """
 
     route_table_key: str
@@ -127,3 +133,4 @@
     render_refusal: Callable[[JaytrayError, str], tuple[HeaderList, bytes]]
     send_order: Callable[[str, str, TargetOrder], Awaitable[OrderResult]]
     read_report: Callable[[str], Awaitable[TargetReport]]
+    era_start: Callable[[int], int] = _only_era
--- a/packages/gateway/src/jaytray_gateway/process/placement/controller.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/controller.py
@@ -20,6 +20,7 @@
     choose_target,
     choose_victim,
 )
+from jaytray_gateway.process.placement.fencing_base import FencingBase
 from jaytray_gateway.process.placement.forecast_sender import ForecastSender
 from jaytray_gateway.process.placement.forecasts import forecast_ready_s
 from jaytray_gateway.process.placement.leadership import Leadership
@@ -63,6 +64,7 @@
         loads: LoadView,
         health: TargetHealth,
         metrics: GatewayMetrics,
+        fencing_base: FencingBase,
         clock: MonotonicClock,
     ) -> None:
         self._own_id = options.vm_id
@@ -81,6 +83,7 @@
             restored_at_s=lambda: directory.restored_at_s,
             member_ids=member_messages.member_ids,
             reaches_targets=self._reaches_targets,
+            fencing_base=lambda: fencing_base.base,
         )
         self._load_limiter = LoadRateLimiter(
             window_s=options.load_window_s,
--- a/packages/gateway/src/jaytray_gateway/process/placement/leadership.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/leadership.py
@@ -1,11 +1,12 @@
 """Leader election for placement, by a lease in the key-value service.
 
 Only the leader sends orders to targets. Its fencing number is the revision at which
-it wrote its record, so each new leader has a higher one. A leader counts its lease
-from before it sent the last renewal and stops well before the lease expires. It never
-revokes the lease, so a successor can take it only after it has expired, and the former
-leader stopped sending orders before that. A member that does not reach the targets,
-while others do, neither takes the lease nor keeps it.
+it wrote its record, so each new leader has a higher one; `fencing_base` tells from
+which era it is counted, and without it no member becomes the leader. A leader counts
+its lease from before it sent the last renewal and stops well before the lease expires.
+It never revokes the lease, so a successor can take it only after it has expired, and
+the former leader stopped sending orders before that. A member that does not reach the
+targets, while others do, neither takes the lease nor keeps it.
 """
 
 import asyncio
@@ -52,8 +53,8 @@
         member_ids: Callable[[], frozenset[str]],
         restored_at_s: Callable[[], float],
         reaches_targets: Callable[[], bool],
+        fencing_base: Callable[[], int | None],
     ) -> None:
-        self.fencing_number = 0
         self._own_id = own_id
         self._key = key
         self._lease_s = lease_s * LEASE_FRACTION
@@ -63,10 +64,17 @@
         self._member_ids = member_ids
         self._restored_at_s = restored_at_s
         self._reaches_targets = reaches_targets
+        self._fencing_base = fencing_base
+        self._revision = 0
         self._lease_id = ""
         self._trusted_until_s = -float("inf")
         self._is_stopped = False
 
+    @property
+    def fencing_number(self) -> int:
+        """Return the fencing number of the current or last term, 0 before the first."""
+        return self._revision - (self._fencing_base() or 0) if self._revision else 0
+
     def is_leader(self) -> bool:
         """Return whether this member may send orders now."""
         return not self._is_stopped and self._clock() < self._trusted_until_s
@@ -123,6 +131,8 @@
         await asyncio.sleep(rank * RANK_DELAY_S)
         if self.leader_id() is not None or self._is_stopped:
             return
+        if self._fencing_base() is None:
+            return
         # A lease that the service lost with its record is still trusted by its holder.
         if self._clock() < self._restored_at_s() + self._lease_s:
             return
@@ -135,6 +145,6 @@
         if not outcome.is_swapped:
             return
         self._lease_id = lease_id
-        self.fencing_number = outcome.revision
+        self._revision = outcome.revision
         self._trusted_until_s = begun_s + self._lease_s * TRUSTED_FRACTION
-        get_logger().info("placement_taken", fencing_number=outcome.revision)
+        get_logger().info("placement_taken", fencing_number=self.fencing_number)
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -148,6 +148,7 @@
         "membership": subsystems.membership.run,
         "gossip": subsystems.member_messages.run,
         "placement": subsystems.placement.run,
+        "fencing_base": subsystems.fencing_base.run,
         "target_reach": subsystems.services.reach.run,
         "quarantine_records": subsystems.quarantine_records.run,
         "software_version_records": subsystems.software_version_records.run,
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -32,6 +32,10 @@
 from jaytray_gateway.process.metrics import GatewayMetrics
 from jaytray_gateway.process.options import GatewayOptions
 from jaytray_gateway.process.placement.controller import PlacementController
+from jaytray_gateway.process.placement.fencing_base import (
+    FENCING_BASE_KEY,
+    FencingBase,
+)
 from jaytray_gateway.process.prompt_part_guard import (
     PART_QUARANTINE_S,
     PromptPartGuard,
@@ -90,6 +94,7 @@
     pools: TargetConnectionPool
     member_messages: MemberMessages
     placement: PlacementController
+    fencing_base: FencingBase
     quarantine_records: LeasedRecords
     software_version_records: LeasedRecords
     metrics: GatewayMetrics
@@ -171,6 +176,21 @@
         notify_peers=member_messages.broadcast_part_evidence,
         on_explained=crash_guard.forget_crash,
     )
+
+    def other_members() -> list[Member]:
+        prefix = adapter.records_prefix + MEMBERS_PREFIX
+        members_by_id = decode_members(directory.records_by_key, prefix)
+        return [m for m in members_by_id.values() if m.vm_id != options.vm_id]
+
+    fencing_base = FencingBase(
+        own_id=options.vm_id,
+        key=adapter.records_prefix + FENCING_BASE_KEY,
+        directory=directory,
+        other_members=other_members,
+        era_start=adapter.era_start,
+        key_value=key_value,
+        clock=clock,
+    )
     placement = PlacementController(
         options=options,
         key_value=lease_key_value,
@@ -180,6 +200,7 @@
         loads=loads,
         health=health,
         metrics=metrics,
+        fencing_base=fencing_base,
         clock=clock,
     )
     member_messages.subscribe(crash_guard, part_guard, placement.add_replica_request)
@@ -280,6 +301,7 @@
         pools=pools,
         member_messages=member_messages,
         placement=placement,
+        fencing_base=fencing_base,
         quarantine_records=leased_records(
             QUARANTINE_PREFIX,
             {
--- a/packages/gateway/tests/process/placement/test_controller.py
+++ b/packages/gateway/tests/process/placement/test_controller.py
@@ -21,6 +21,7 @@
 from jaytray_gateway.process.membership import RecentMembers
 from jaytray_gateway.process.metrics import GatewayMetrics
 from jaytray_gateway.process.placement.controller import PlacementController
+from jaytray_gateway.process.placement.fencing_base import FencingBase
 from jaytray_gateway.process.relay_members import RelayMembers
 from jaytray_gateway.process.replicas import Replicas
 from jaytray_gateway.process.target_entry import TargetEntry
@@ -222,6 +223,16 @@
             ),
             relays=RelayMembers(clock=clock, rng=random.Random(1)),
         )
+        fencing_base = FencingBase(
+            own_id="vm",
+            key="own/fencing_base",
+            directory=self.directory,
+            other_members=lambda: [],
+            era_start=adapter.era_start,
+            key_value=key_value,
+            clock=clock,
+        )
+        fencing_base.base = 0
         self.controller = PlacementController(
             options=OPTIONS,
             key_value=key_value,
@@ -231,6 +242,7 @@
             loads=loads,
             health=TargetHealth(clock=clock),
             metrics=GatewayMetrics(),
+            fencing_base=fencing_base,
             clock=clock,
         )
         self.tasks = [
--- a/packages/gateway/tests/process/placement/test_leadership.py
+++ b/packages/gateway/tests/process/placement/test_leadership.py
@@ -36,6 +36,7 @@
             member_ids=lambda: ids,
             restored_at_s=lambda: -float("inf"),
             reaches_targets=lambda: self.reaches_targets,
+            fencing_base=lambda: 0,
         )
         self.task = asyncio.create_task(self.leadership.run())
 
