Serve no older route table than other members have after a start

A process that starts right after the store has returned from an older copy accepted keys that had been withdrawn since the copy, until the operator wrote the configuration again.

A starting process asks the registered members for the version that they have in force, over their relay addresses, which work before its own record is known. It is not ready and refuses requests (not_ready, 503, not run) until they reply, 0.3 s at most, and then while its own version is lower than the highest that it heard of, 30 s at most.

--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -126,6 +126,7 @@
         not subsystems.lifecycle.is_stopping
         and subsystems.directory.route_table is not None
         and subsystems.directory.age_s() < MAX_READY_AGE_S
+        and subsystems.version_check.is_confirmed()
     )
 
 
@@ -149,6 +150,7 @@
         "gossip": subsystems.member_messages.run,
         "placement": subsystems.placement.run,
         "fencing_base": subsystems.fencing_base.run,
+        "version_check": subsystems.version_check.run,
         "target_reach": subsystems.services.reach.run,
         "quarantine_records": subsystems.quarantine_records.run,
         "software_version_records": subsystems.software_version_records.run,
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -10,6 +10,7 @@
 from jaytray_core.keyvalue import KeyValueService
 from jaytray_core.logs import get_logger
 from jaytray_core.vm_list import VmEntry, VmState
+from jaytray_gateway.connection.table_version_call import ask_table_version
 from jaytray_gateway.connection.target_pool import TargetConnectionPool
 from jaytray_gateway.ports import PlatformAdapter
 from jaytray_gateway.process.brittle_targets import BrittleTargets
@@ -53,6 +54,7 @@
 )
 from jaytray_gateway.process.store_follower import StoreFollower
 from jaytray_gateway.process.stream_origins import StreamOrigins
+from jaytray_gateway.process.table_version_check import TableVersionCheck
 from jaytray_gateway.process.target_backoff import TargetBackoff
 from jaytray_gateway.process.target_choice import TargetChooser
 from jaytray_gateway.process.target_health import TargetHealth
@@ -95,6 +97,7 @@
     member_messages: MemberMessages
     placement: PlacementController
     fencing_base: FencingBase
+    version_check: TableVersionCheck
     quarantine_records: LeasedRecords
     software_version_records: LeasedRecords
     metrics: GatewayMetrics
@@ -218,12 +221,19 @@
         peers=peers, directory=directory, versions=versions, clock=clock
     )
     directory.on_change(origins.update)
+    version_check = TableVersionCheck(
+        directory=directory,
+        other_members=other_members,
+        ask=ask_table_version,
+        clock=clock,
+    )
     lifecycle = Lifecycle()
     admission = Admission(
         directory=directory,
         lifecycle=lifecycle,
         grants=grants,
         max_table_age_s=options.revocation_s * KEY_AGE_FRACTION,
+        is_table_confirmed=version_check.is_confirmed,
     )
     speeds = EngineSpeeds()
     chooser = TargetChooser(
@@ -302,6 +312,7 @@
         member_messages=member_messages,
         placement=placement,
         fencing_base=fencing_base,
+        version_check=version_check,
         quarantine_records=leased_records(
             QUARANTINE_PREFIX,
             {
--- /dev/null
+++ b/packages/gateway/src/jaytray_gateway/process/table_version_check.py
@@ -0,0 +1,121 @@
+"""Holds a starting process back while its route table is older than the other members'.
+
+After the store has returned from an older copy, it gives a starting process an older
+route table, with keys that have been withdrawn since, until the operator has written
+the newer one again. Members that were running keep theirs. The process asks them for
+their version, and serves nothing while its own is lower.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from jaytray_core.clock import MonotonicClock
+from jaytray_core.logs import get_logger
+from jaytray_gateway.process.directory import Directory
+from jaytray_gateway.process.membership import Member
+
+# Time for the first replies. Members answer within milliseconds; one that is switched
+# off does not at all.
+REPLY_TIMEOUT_S = 0.3
+# Members that lost their records with the store's return register again within about
+# 2 s, and only then can be asked, so the process goes on asking for longer than that.
+ASK_AGAIN_S = 0.5
+ASKING_S = 10.0
+# Enough to find one that was not started lately too.
+MAX_REPLIES = 16
+# Longest time that a process waits for a newer table. The operator writes what the
+# store has lost soon after its return; a member's version may also be in error.
+MAX_WAIT_S = 30.0
+
+# Returns the version that a member states, None without a reply in time.
+AskVersion = Callable[[Member, float], Awaitable[int | None]]
+
+
+class TableVersionCheck:
+    """Whether this process's route table is at least as new as the other members'."""
+
+    def __init__(
+        self,
+        *,
+        directory: Directory,
+        other_members: Callable[[], list[Member]],
+        ask: AskVersion,
+        clock: MonotonicClock,
+    ) -> None:
+        self._directory = directory
+        self._other_members = other_members
+        self._ask = ask
+        self._clock = clock
+        self._has_asked = False
+        self._heard_version = 0
+        self._replied_ids: set[str] = set()
+        self._begun_s: float | None = None
+        self._is_behind = False
+        self._is_over = False
+        self._has_table = asyncio.Event()
+        directory.on_change(self._on_change)
+
+    def is_confirmed(self) -> bool:
+        """Return whether requests may be served by the route table in force."""
+        if self._is_over:
+            return True
+        table = self._directory.route_table
+        if table is None or self._begun_s is None:
+            return False
+        if self._clock() - self._begun_s > MAX_WAIT_S:
+            self._end_wait(table.version)
+            return True
+        if not self._has_asked:
+            return False
+        heard = self._heard_version
+        is_behind = table.version < heard
+        if is_behind and not self._is_behind:
+            get_logger().warning(
+                "route_table_behind", version=table.version, heard_version=heard
+            )
+        elif self._is_behind and not is_behind:
+            get_logger().info(
+                "route_table_caught_up", version=table.version, heard_version=heard
+            )
+        self._is_behind = is_behind
+        return not is_behind
+
+    async def run(self) -> None:
+        """Ask the other members for their versions; then wait until cancelled."""
+        await self._has_table.wait()
+        begun_s = self._clock()
+        while self._clock() - begun_s < ASKING_S:
+            await self._ask_members()
+            self._has_asked = True
+            await asyncio.sleep(ASK_AGAIN_S)
+        await asyncio.Event().wait()
+
+    def _on_change(self) -> None:
+        if self._directory.route_table is not None and self._begun_s is None:
+            self._begun_s = self._clock()
+            self._has_table.set()
+
+    def _end_wait(self, version: int) -> None:
+        self._is_over = True
+        if self._is_behind or not self._has_asked:
+            get_logger().error(
+                "route_table_wait_ended",
+                version=version,
+                heard_version=self._heard_version,
+            )
+
+    async def _ask_members(self) -> None:
+        """Ask members that have not replied yet, all at the same time."""
+        members = [
+            member
+            for member in self._other_members()
+            if member.relay_address and member.vm_id not in self._replied_ids
+        ]
+        members = members[: MAX_REPLIES - len(self._replied_ids)]
+        versions = await asyncio.gather(
+            *(self._ask(member, REPLY_TIMEOUT_S) for member in members)
+        )
+        for member, version in zip(members, versions, strict=True):
+            if version is not None:
+                self._replied_ids.add(member.vm_id)
+                self._heard_version = max(self._heard_version, version)
--- a/packages/gateway/src/jaytray_gateway/request/admission.py
+++ b/packages/gateway/src/jaytray_gateway/request/admission.py
@@ -1,5 +1,6 @@
 """Admission: decides whether a request may run, for which account and until when."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from jaytray_core import message_registry as messages
@@ -50,11 +51,13 @@
         lifecycle: Lifecycle,
         grants: RateGrants,
         max_table_age_s: float,
+        is_table_confirmed: Callable[[], bool] = lambda: True,
     ) -> None:
         self._directory = directory
         self._lifecycle = lifecycle
         self._grants = grants
         self._max_table_age_s = max_table_age_s
+        self._is_table_confirmed = is_table_confirmed
 
     def route_table(self) -> RouteTable:
         """Return the route table in force; raises if it is missing or may be stale."""
@@ -81,9 +84,12 @@
         """Raise unless the route table was recently confirmed to be the newest.
 
         Otherwise a key that has been withdrawn in the meantime would still be accepted.
+        A process that has just started also needs a table as new as other members'.
         """
         if self._directory.age_s() > self._max_table_age_s:
             raise _temporary_refusal(messages.VM_ISOLATED)
+        if not self._is_table_confirmed():
+            raise _temporary_refusal(messages.NOT_READY)
 
     async def admit(self, request: RoutedRequest) -> AdmittedRequest:
         """Admit the request and charge its account; raises `JaytrayError`."""
--- a/packages/gateway/src/jaytray_gateway/request/relay.py
+++ b/packages/gateway/src/jaytray_gateway/request/relay.py
@@ -31,6 +31,8 @@
 from jaytray_gateway.version.route_table import ClientAccount, RequestKind, Route
 
 RELAY_PATH = b"/relay"
+# Where a member states the version of its route table.
+TABLE_VERSION_PATH = b"/route-table-version"
 RELAY_KEY_HEADER = b"x-jaytray-relay-key"
 # Present in a response whose body is a `RelayRefusal`.
 RELAY_REFUSED_HEADER = b"x-jaytray-relay-refused"
--- a/packages/gateway/src/jaytray_gateway/request/relayed_request.py
+++ b/packages/gateway/src/jaytray_gateway/request/relayed_request.py
@@ -1,7 +1,8 @@
 """Forwards requests of members that do not reach the targets themselves.
 
 Such a request has been authenticated and charged by the member that sent it. It is not
-passed on to a third member.
+passed on to a third member. The application also states the version of the route
+table in force to members that have just started.
 """
 
 import hmac
@@ -11,12 +12,14 @@
 from jaytray_core import message_registry as messages
 from jaytray_core.codec import decode_msgpack
 from jaytray_core.errors import JaytrayError, Step
+from jaytray_gateway.connection.table_version_call import encode_version
 from jaytray_gateway.process.lifecycle import Lifecycle
 from jaytray_gateway.request.admission import AdmittedRequest
 from jaytray_gateway.request.relay import (
     RELAY_KEY_HEADER,
     RELAY_PATH,
     RELAY_REFUSED_HEADER,
+    TABLE_VERSION_PATH,
     RelayedRequest,
     encode_refusal,
 )
@@ -37,6 +40,7 @@
     cancel_on_disconnect,
 )
 
+STATUS_OK = 200
 STATUS_FORBIDDEN = 403
 # The refusal's own status is in the body.
 STATUS_REFUSED = 503
@@ -53,6 +57,10 @@
         reply = CallerReply(send=send, closes_connection=lifecycle.is_stopping)
         key = dict(scope["headers"]).get(RELAY_KEY_HEADER, b"")
         is_member = hmac.compare_digest(key, services.relays.own_key.encode())
+        if scope["raw_path"] == TABLE_VERSION_PATH and is_member:
+            version = services.admission.table_version()
+            await reply.send_complete(STATUS_OK, [], encode_version(version))
+            return
         if scope["raw_path"] != RELAY_PATH or not is_member:
             reply.closes_connection = True
             await reply.send_complete(STATUS_FORBIDDEN, [], b"")
--- /dev/null
+++ b/packages/gateway/tests/process/test_table_version_check.py
@@ -0,0 +1,105 @@
+"""Tests that a starting process serves no older route table than other members."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from testtools import TestCase
+
+from jaytray_gateway.process.membership import Member
+from jaytray_gateway.process.table_version_check import (
+    MAX_WAIT_S,
+    REPLY_TIMEOUT_S,
+    TableVersionCheck,
+)
+from jaytray_standins.virtual_loop import run_virtual
+from packages.gateway.tests.process.test_directory import Harness
+
+# Time for the first read of the store.
+READ_S = 0.05
+
+
+def member(vm_id: str) -> Member:
+    return Member(vm_id, "127.0.0.1:1", "a", "key", "127.0.0.1:2", "relay")
+
+
+class Start:
+    """A process that starts while the store has version 3 of the route table."""
+
+    def __init__(self, version_by_id: dict[str, int | None]) -> None:
+        self.harness = Harness()
+        self.version_by_id = version_by_id
+        self.check = TableVersionCheck(
+            directory=self.harness.directory,
+            other_members=lambda: [member(vm_id) for vm_id in self.version_by_id],
+            ask=self._ask,
+            clock=asyncio.get_running_loop().time,
+        )
+        self.task = asyncio.create_task(self.check.run())
+
+    async def _ask(self, asked: Member, timeout_s: float) -> int | None:
+        version = self.version_by_id[asked.vm_id]
+        if version is None:
+            await asyncio.sleep(timeout_s)
+        return version
+
+
+def run_start(
+    versions: dict[str, int | None], check: Callable[[Start], Awaitable[None]]
+) -> None:
+    async def run() -> None:
+        start = Start(versions)
+        await start.harness.put("op/table", b"3")
+        await check(start)
+        start.task.cancel()
+        await start.harness.end()
+
+    run_virtual(run())
+
+
+class TableVersionCheckTests(TestCase):
+    def test_nothing_is_served_before_the_replies(self) -> None:
+        async def check(start: Start) -> None:
+            self.assertFalse(start.check.is_confirmed())
+            await asyncio.sleep(READ_S)
+            self.assertFalse(start.check.is_confirmed())
+            await asyncio.sleep(REPLY_TIMEOUT_S)
+            self.assertTrue(start.check.is_confirmed())
+
+        run_start({"a": 3, "silent": None}, check)
+
+    def test_single_process_serves_at_once(self) -> None:
+        async def check(start: Start) -> None:
+            await asyncio.sleep(READ_S)
+            self.assertTrue(start.check.is_confirmed())
+
+        run_start({}, check)
+
+    def test_older_table_than_a_members_is_not_served(self) -> None:
+        # The withdrawn key of version 4 was served after the drill.
+        async def check(start: Start) -> None:
+            await asyncio.sleep(5.0)
+            self.assertFalse(start.check.is_confirmed())
+            await start.harness.put("op/table", b"4")
+            await asyncio.sleep(1.0)
+            self.assertTrue(start.check.is_confirmed())
+
+        run_start({"a": 3, "b": 4}, check)
+
+    def test_member_that_registers_again_later_is_asked_too(self) -> None:
+        async def check(start: Start) -> None:
+            await asyncio.sleep(2.0)
+            self.assertTrue(start.check.is_confirmed())
+            start.version_by_id["a"] = 4
+            await asyncio.sleep(1.0)
+            self.assertFalse(start.check.is_confirmed())
+
+        run_start({}, check)
+
+    def test_wait_for_a_table_that_never_comes_ends(self) -> None:
+        async def check(start: Start) -> None:
+            await asyncio.sleep(MAX_WAIT_S - 1.0)
+            self.assertFalse(start.check.is_confirmed())
+            await asyncio.sleep(2.0)
+            self.assertTrue(start.check.is_confirmed())
+
+        run_start({"a": 4}, check)
