Believe a removed target's entry only with a later heartbeat

A target whose entry had been removed without a draining state was used again when a store that returned from an older copy showed its entry again: the directory remembered only starts that it had seen leaving.

The last start of each target that was removed, or that lapsed in an outage, is remembered with its heartbeat count (seq); an entry of it is ignored unless its count is higher. Both new tests fail when no entry counts as outdated.

--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -35,6 +35,7 @@
         "target service software_version incarnation is_leaving revision"
     ).split(),
     "target_unreadable": "target error".split(),
+    "target_entry_outdated": "target incarnation heartbeat_count".split(),
     "target_lapsed": ("target",),
     "target_gone": "target lapsed".split(),
     "target_says_it_leaves": ("target",),
--- a/packages/gateway/src/jaytray_gateway/process/directory.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-from collections import OrderedDict
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -21,13 +20,13 @@
 )
 from jaytray_core.logs import get_logger
 from jaytray_gateway.ports import PlatformAdapter
+from jaytray_gateway.process.ended_starts import EndedStarts
 from jaytray_gateway.process.store_outage import StoreOutage
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.version.route_table import ClientAccount, RouteTable
 
 # Wait of a watch that only fetches the changes so far.
 UPDATE_WAIT_S = 0.001
-MAX_LEAVING_TARGETS = 2_000
 
 OnChange = Callable[[], None]
 
@@ -85,9 +84,7 @@
         self._clock = clock
         self._state_by_key: dict[str, _KeyState] = {}
         self._outage = StoreOutage(clock=clock)
-        # Last start of a target that was seen leaving. It never takes requests again,
-        # whatever an outdated entry says.
-        self._leaving_incarnation_by_id: OrderedDict[str, str] = OrderedDict()
+        self._ended = EndedStarts()
         self._departures: list[TargetDeparture] = []
         self._listeners: list[OnChange] = []
         self._departure_listeners: list[OnDeparture] = []
@@ -165,7 +162,7 @@
                 key = self._adapter.targets_prefix + departure.target_id
                 removed.append(KeyValueRecord(key, b"", departure.removed_at))
             else:
-                self._note_leaving(target)
+                self._ended.note_leaving(target)
                 self.targets_by_id[target.target_id] = target._replace(is_leaving=True)
         self._apply(removed)
         self._departures.clear()
@@ -198,7 +195,7 @@
             if key not in found and state.value and state.revision <= revision
         ]
         self.revision = max(self.revision, revision)
-        self._expire_lapsed_targets(found)
+        self._expire_lapsed_targets(records)
         self._apply([*records, *removed], removed_keys={r.key for r in removed})
         self._announce_departures()
 
@@ -316,10 +313,18 @@
             get_logger().info("target_unreadable", target=target_id, error=str(err))
             self.targets_by_id.pop(target_id, None)
             return
-        if self._leaving_incarnation_by_id.get(target_id) == entry.incarnation:
+        if self._ended.is_outdated(entry):
+            get_logger().info(
+                "target_entry_outdated",
+                target=target_id,
+                incarnation=entry.incarnation,
+                heartbeat_count=entry.heartbeat_count,
+            )
+            return
+        if self._ended.is_leaving(entry):
             entry = entry._replace(is_leaving=True)
         elif entry.is_leaving:
-            self._note_leaving(entry)
+            self._ended.note_leaving(entry)
             self._departures.append(TargetDeparture(target_id, entry.incarnation))
         before = self.targets_by_id.get(target_id)
         self._outage.forget_lapsed(target_id)
@@ -338,15 +343,11 @@
                 revision=record.revision,
             )
 
-    def _note_leaving(self, target: TargetEntry) -> None:
-        self._leaving_incarnation_by_id[target.target_id] = target.incarnation
-        if len(self._leaving_incarnation_by_id) > MAX_LEAVING_TARGETS:
-            self._leaving_incarnation_by_id.popitem(last=False)
-
     def _remove_target(self, target_id: str, revision: int) -> None:
         target = self.targets_by_id.get(target_id)
         if target is None:
             return
+        self._ended.note_removed(target)
         if not target.is_leaving:
             if self._outage.try_lapse(target_id):
                 return
@@ -356,11 +357,24 @@
         del self.targets_by_id[target_id]
         get_logger().info("target_gone", target=target_id)
 
-    def _expire_lapsed_targets(self, found_keys: set[str]) -> None:
+    def _expire_lapsed_targets(self, records: list[KeyValueRecord]) -> None:
         prefix = self._adapter.targets_prefix
         registered = {
-            key.removeprefix(prefix) for key in found_keys if key.startswith(prefix)
+            record.key.removeprefix(prefix)
+            for record in records
+            if record.key.startswith(prefix) and not self._is_outdated(record)
         }
         for target_id in self._outage.expire_lapsed(registered):
             self.targets_by_id.pop(target_id, None)
             get_logger().info("target_gone", target=target_id, lapsed=True)
+
+    def _is_outdated(self, record: KeyValueRecord) -> bool:
+        """Return whether a target's record is older than its removal."""
+        target_id = record.key.removeprefix(self._adapter.targets_prefix)
+        if not self._ended.was_removed(target_id):
+            return False
+        try:
+            entry = self._adapter.decode_target(target_id, record.value)
+        except JaytrayError:
+            return False
+        return self._ended.is_outdated(entry)
--- a/packages/gateway/tests/process/test_directory.py
+++ b/packages/gateway/tests/process/test_directory.py
@@ -36,6 +36,7 @@
     if data == b"foreign":
         raise malformed_message(peer=target_id, detail="foreign")
     state, _, version = data.decode().partition(" ")
+    state, _, heartbeats = state.partition("/")
     return TargetEntry(
         target_id,
         "1",
@@ -48,6 +49,7 @@
         {},
         frozenset(),
         frozenset(),
+        int(heartbeats) if heartbeats else None,
     )
 
 
@@ -225,6 +227,46 @@
 
         run_virtual(run())
 
+    def test_entry_that_was_removed_is_believed_with_a_later_heartbeat_only(
+        self,
+    ) -> None:
+        # A store that returned from an older copy brought a target back that had ended.
+        async def run() -> None:
+            harness = Harness()
+            await harness.put("targets/t1", b"ready/7")
+            await wait_for_propagation()
+            await harness.put("targets/t1", None)
+            await wait_for_propagation()
+            known = []
+            for entry in (b"ready/6", b"ready/7", b"ready/8"):
+                await harness.put("targets/t1", entry)
+                await wait_for_propagation()
+                known.append(len(harness.directory.targets_of("svc")))
+            self.assertEqual([0, 0, 1], known)
+            await harness.end()
+
+        run_virtual(run())
+
+    def test_entry_of_before_does_not_renew_a_target_that_lapsed(self) -> None:
+        async def run() -> None:
+            harness = Harness()
+            await harness.put("targets/back", b"ready/7")
+            await harness.put("targets/gone", b"ready/7")
+            await wait_for_propagation()
+            harness.faults.set(Fault(FaultKind.DOWN))
+            await asyncio.sleep(6.0)
+            await harness.put("targets/back", None)
+            await harness.put("targets/gone", None)
+            harness.faults.clear()
+            await wait_for_propagation()
+            await harness.put("targets/back", b"ready/8")
+            await harness.put("targets/gone", b"ready/7")
+            await asyncio.sleep(REREGISTRATION_S + 2.0)
+            self.assertEqual({"back"}, set(harness.directory.targets_by_id))
+            await harness.end()
+
+        run_virtual(run())
+
     def test_age_grows_during_an_outage(self) -> None:
         async def run() -> None:
             harness = Harness()
