Answer 502 for a target's unproven promise that nothing has run

A target may run a request that must not be repeated and answer 503 of its own, without the header that states that it has not run. The gateway passed it on, the caller took it as the promise that these statuses carry, and the request ran twice.

Such a 408, 429 or 503 to a request that may not run again is now a 502 of the gateway (may have run), without the target's body and seal.

--- a/packages/gateway/src/jaytray_gateway/request/attempt.py
+++ b/packages/gateway/src/jaytray_gateway/request/attempt.py
@@ -1,5 +1,6 @@
 """One attempt: sends the request to a target and relays its response."""
 
+from jaytray_core import message_registry as messages
 from jaytray_core.exchange_errors import ExchangeError, ExchangeProgress
 from jaytray_gateway.ports import Dispatch, ResponseHead
 from jaytray_gateway.process.prompt_part_guard import RESPONSE_BEGUN_S
@@ -13,6 +14,7 @@
     AttemptNotRun,
     ErrorResponse,
     RequestState,
+    may_have_run_error,
 )
 from jaytray_gateway.request.services import RequestServices
 from jaytray_gateway.request.target_exchange import TargetExchange, exchange_with
@@ -29,6 +31,10 @@
 MIN_CONNECT_S = 0.1
 HTTP_SUCCESS = range(200, 300)
 HTTP_SERVER_ERROR = 500
+# Tell a caller that the request has not run and never will. Targets promise that only
+# by a header, and some send these statuses after a run. 421 comes from another target
+# or one without the model, which has not run the request.
+HTTP_NOT_RUN = (408, 429, 503)
 
 
 async def send_attempt(
@@ -40,7 +46,8 @@
     """Send the request to `target` and relay a response that is final.
 
     Raises `AttemptNotRun`, `AttemptFailed` or `ErrorResponse` if it is not, and
-    `JaytrayError` if the request must not be sent any more.
+    `JaytrayError` if the request must not be sent any more, or if the response falsely
+    tells that it has not run.
     """
     admitted, request = state.admitted, state.admitted.request
     begun_s = services.clock()
@@ -91,6 +98,9 @@
         _record_speed(state, services, is_queued=is_queued)
         if is_success:
             services.part_guard.record_begun_response(request.shared_part_ids)
+        if state.unproven_status is not None:
+            detail = f"status {state.unproven_status} without a promise"
+            raise may_have_run_error(messages.TARGET_FAILED, state, detail=detail)
     except AttemptNotRun as err:
         is_rejected = err.reached_target
         raise
@@ -154,6 +164,9 @@
     is_error = head.status >= HTTP_SERVER_ERROR
     if is_error:
         services.health.record_error_response(target.target_id)
+    if head.status in HTTP_NOT_RUN and not state.is_retryable:
+        state.unproven_status = head.status
+        return False
     if reply.is_started or (is_error and state.is_retryable):
         raise ErrorResponse(head, body)
     await reply.send_complete(head.status, head.headers, body)
--- a/packages/gateway/src/jaytray_gateway/request/run_state.py
+++ b/packages/gateway/src/jaytray_gateway/request/run_state.py
@@ -61,6 +61,9 @@
         self.attempts_not_run = 0
         self.tried: set[str] = set()
         self.last_error: ErrorResponse | None = None
+        # Status of a response that promises without proof that nothing has run, to a
+        # request that must not run again.
+        self.unproven_status: int | None = None
         self.target_id = ""
         # Members that were asked to forward the request, the last of them, and the one
         # that this member forwards it for.
--- a/packages/gateway/tests/request/test_request_path.py
+++ b/packages/gateway/tests/request/test_request_path.py
@@ -64,6 +64,19 @@
         ROUTE, NOT_RUN, DISCONNECT, 502, "may_have_run", (1, 1)
     ),
     "error_is_relayed": Case(ROUTE, ERROR, OK, 500, "", (1, 0)),
+    # A target ran a transfer and answered 503 of its own; the caller sent it again.
+    **{
+        f"{status}_after_a_run": Case(
+            ROUTE, ERROR._replace(status=status), OK, 502, "may_have_run", (1, 0)
+        )
+        for status in (408, 429, 503)
+    },
+    "stream_503_after_a_run": Case(
+        STREAM, ERROR._replace(status=503), OK, 502, "may_have_run", (1, 0)
+    ),
+    "503_to_a_repeatable_request": Case(
+        IDEMPOTENT, ERROR._replace(status=503), OK, 200, "", (1, 1)
+    ),
     "unreachable_first": Case(ROUTE, OK, OK, 200, "", (1, 0), unreachable=1),
     "slow": Case(ROUTE, SLOW, OK, 504, "may_have_run", (1, 0)),
     "retried_after_no_response": Case(IDEMPOTENT, DISCONNECT, OK, 200, "", (1, 1)),
@@ -96,6 +109,8 @@
             self.assertEqual(case.status, received.status)
             if case.execution:
                 self.assertEqual(case.execution.encode(), received.body)
+            if case.execution:
+                self.assertNotIn(b"x-seal", received.headers)
             if case.execution == "not_run":
                 self.assertIn(b"retry-after", received.headers)
             self.assertTrue(received.is_whole)
