--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -35,6 +35,7 @@
         "target service software_version incarnation is_leaving revision"
     ).split(),
     "target_unreadable": "target error".split(),
+    "target_entry_outdated": "target incarnation heartbeat_count".split(),
     "target_lapsed": ("target",),
     "target_gone": "target lapsed".split(),
     "target_says_it_leaves": ("target",),
@@ -61,6 +62,9 @@
     "route_table_fetched": "function versions bytes call_ms copy_age_ms".split(),
     "route_table_older": ("version",),
     "route_table_unreadable": ("error",),
+    "route_table_behind": "version heard_version".split(),
+    "route_table_caught_up": "version heard_version".split(),
+    "route_table_wait_ended": "version heard_version".split(),
     "store_lost": ("error",),
     "store_regained": ("away_s",),
     "store_restored": ("restores",),
@@ -75,6 +79,9 @@
     # Placement.
     "placement_taken": ("fencing_number",),
     "placement_lost": ("reason",),
+    "fencing_base_written": "base is_written".split(),
+    "fencing_base_not_written": ("error",),
+    "fencing_base_unreadable": ("error",),
     "placement_record_unreadable": ("error",),
     "placement_lease_call_failed": ("error",),
     "loads_forecast": ("ready_in_s",),
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -10,6 +10,7 @@
 from jaytray_core.keyvalue import KeyValueService
 from jaytray_core.logs import get_logger
 from jaytray_core.vm_list import VmEntry, VmState
+from jaytray_gateway.connection.table_version_call import ask_table_version
 from jaytray_gateway.connection.target_pool import TargetConnectionPool
 from jaytray_gateway.ports import PlatformAdapter
 from jaytray_gateway.process.brittle_targets import BrittleTargets
@@ -32,6 +33,10 @@
 from jaytray_gateway.process.metrics import GatewayMetrics
 from jaytray_gateway.process.options import GatewayOptions
 from jaytray_gateway.process.placement.controller import PlacementController
+from jaytray_gateway.process.placement.fencing_base import (
+    FENCING_BASE_KEY,
+    FencingBase,
+)
 from jaytray_gateway.process.prompt_part_guard import (
     PART_QUARANTINE_S,
     PromptPartGuard,
@@ -49,6 +54,7 @@
 )
 from jaytray_gateway.process.store_follower import StoreFollower
 from jaytray_gateway.process.stream_origins import StreamOrigins
+from jaytray_gateway.process.table_version_check import TableVersionCheck
 from jaytray_gateway.process.target_backoff import TargetBackoff
 from jaytray_gateway.process.target_choice import TargetChooser
 from jaytray_gateway.process.target_health import TargetHealth
@@ -90,6 +96,8 @@
     pools: TargetConnectionPool
     member_messages: MemberMessages
     placement: PlacementController
+    fencing_base: FencingBase
+    version_check: TableVersionCheck
     quarantine_records: LeasedRecords
     software_version_records: LeasedRecords
     metrics: GatewayMetrics
@@ -171,6 +179,21 @@
         notify_peers=member_messages.broadcast_part_evidence,
         on_explained=crash_guard.forget_crash,
     )
+
+    def other_members() -> list[Member]:
+        prefix = adapter.records_prefix + MEMBERS_PREFIX
+        members_by_id = decode_members(directory.records_by_key, prefix)
+        return [m for m in members_by_id.values() if m.vm_id != options.vm_id]
+
+    fencing_base = FencingBase(
+        own_id=options.vm_id,
+        key=adapter.records_prefix + FENCING_BASE_KEY,
+        directory=directory,
+        other_members=other_members,
+        era_start=adapter.era_start,
+        key_value=key_value,
+        clock=clock,
+    )
     placement = PlacementController(
         options=options,
         key_value=lease_key_value,
@@ -180,6 +203,7 @@
         loads=loads,
         health=health,
         metrics=metrics,
+        fencing_base=fencing_base,
         clock=clock,
     )
     member_messages.subscribe(crash_guard, part_guard, placement.add_replica_request)
@@ -197,12 +221,20 @@
         peers=peers, directory=directory, versions=versions, clock=clock
     )
     directory.on_change(origins.update)
+    version_check = TableVersionCheck(
+        directory=directory,
+        other_members=other_members,
+        may_be_outdated=lambda: adapter.era_start(directory.revision) > 0,
+        ask=ask_table_version,
+        clock=clock,
+    )
     lifecycle = Lifecycle()
     admission = Admission(
         directory=directory,
         lifecycle=lifecycle,
         grants=grants,
         max_table_age_s=options.revocation_s * KEY_AGE_FRACTION,
+        is_table_confirmed=version_check.is_confirmed,
     )
     speeds = EngineSpeeds()
     chooser = TargetChooser(
@@ -281,6 +313,8 @@
         pools=pools,
         member_messages=member_messages,
         placement=placement,
+        fencing_base=fencing_base,
+        version_check=version_check,
         quarantine_records=leased_records(
             QUARANTINE_PREFIX,
             {
