Heartbeats between VMs that neither end chose end

Two VMs that had been neighbours kept each other's link alive by their answers, also when neither chose the other any longer. A heartbeat now says whether it only answers, in a field that earlier builds ignore there. Heartbeat numbers go on when a link is opened again, as the peer ignores lower ones, and echoes are expected only from the first heartbeat on. The interface gets the open links and a way to send to all, both optional.

Three tests, of which the ones for the end of heartbeats and for echoes fail without the change.

--- a/packages/server/src/jaytray_server/connection/peer_link.py
+++ b/packages/server/src/jaytray_server/connection/peer_link.py
@@ -87,6 +87,12 @@
             return False
         return True
 
+    def set_neighbour(self, is_neighbour: bool, *, now_s: float) -> None:
+        """Start or stop heartbeats; echoes are expected from the start of them."""
+        if is_neighbour and not self.is_neighbour:
+            self.echoed_at_s = now_s
+        self.is_neighbour = is_neighbour
+
     def record_echo(self, echo: int, *, now_s: float) -> None:
         """Record the echo of a heartbeat; ignore old numbers and ones never sent."""
         if self.highest_echo < echo <= self.heartbeats_sent:
--- a/packages/server/src/jaytray_server/connection/peer_messages.py
+++ b/packages/server/src/jaytray_server/connection/peer_messages.py
@@ -18,7 +18,9 @@
 
     `origin`, `boot_epoch_ms` and `sequence` identify the message; `sender` is the VM
     that forwarded it, which differs from `origin` in a relayed broadcast.
-    `needs_relay` asks receivers to forward a broadcast to their neighbours.
+    `needs_relay` asks receivers to forward a broadcast to their neighbours. In a
+    heartbeat it says that the sender has not chosen the receiver as a neighbour and
+    only answers its heartbeats; earlier builds ignore it there.
     """
 
     origin: str
--- a/packages/server/src/jaytray_server/connection/peer_network.py
+++ b/packages/server/src/jaytray_server/connection/peer_network.py
@@ -79,6 +79,8 @@
         self._handlers_by_topic: dict[str, PeerHandler] = {}
         self._seen_broadcasts: OrderedDict[tuple[str, int, int], None] = OrderedDict()
         self._sequence = 0
+        # Highest heartbeat number on closed links: peers ignore numbers heard before.
+        self._closed_heartbeats = 0
         self._chosen: frozenset[str] = frozenset()
         self._context: zmq.asyncio.Context | None = None
 
@@ -91,6 +93,7 @@
             set_handler=self.set_handler,
             neighbours=self.neighbours,
             listed_vms=self.listed_vms,
+            linked_vms=lambda: frozenset(self._links_by_id),
         )
 
     def set_handler(self, topic: str, handler: PeerHandler) -> None:
@@ -222,11 +225,14 @@
         now_s = self.clock()
         contact_s = now_s - max(0, beat.key_value_age_ms) / 1000
         self.heard_by_id[envelope.origin] = LastHeartbeat(*number, now_s, contact_s)
-        link = self._link_to(envelope.origin)
+        # If the peer chose this VM as a neighbour, the link is one between neighbours
+        # in this direction too. If neither did, the heartbeats end.
+        is_chosen = not envelope.needs_relay or envelope.origin in self._chosen
+        link = self._links_by_id.get(envelope.origin)
+        if link is None and is_chosen:
+            link = self._link_to(envelope.origin)
         if link is not None:
-            # The peer chose this VM as a neighbour: treat the link as one between
-            # neighbours in this direction too.
-            link.is_neighbour = True
+            link.set_neighbour(is_chosen, now_s=now_s)
             link.record_echo(beat.echo, now_s=now_s)
 
     def _deliver(self, envelope: Envelope) -> None:
@@ -304,6 +310,7 @@
             clock=self.clock,
             curve_public_key=entry.curve_public_key,
         )
+        link.heartbeats_sent = link.highest_echo = self._closed_heartbeats
         self._links_by_id[vm_id] = link
         self._tasks_by_id[vm_id] = asyncio.create_task(self._run_link(link))
         return link
@@ -319,6 +326,7 @@
                 make_heartbeat=self._make_heartbeat,
             )
         finally:
+            self._closed_heartbeats = max(self._closed_heartbeats, link.heartbeats_sent)
             if self._links_by_id.get(link.vm_id) is link:
                 del self._links_by_id[link.vm_id]
                 self._tasks_by_id.pop(link.vm_id, None)
@@ -331,33 +339,36 @@
             echo=last.sequence if last else 0,
             key_value_age_ms=min(NEVER_AGE_MS, int(min(age_s, 1e6) * 1000)),
         )
-        frame = encode_msgpack(
-            self._make_envelope(
-                HEARTBEAT_TOPIC, encode_msgpack(beat), is_broadcast=False
-            )
+        envelope = self._make_envelope(
+            HEARTBEAT_TOPIC, encode_msgpack(beat), is_broadcast=False
         )
+        is_answer = link.vm_id not in self._chosen
+        frame = encode_msgpack(envelope._replace(needs_relay=is_answer))
         self.bytes_sent += len(frame)
         self.messages_sent += 1
         return frame
 
     def _drop_link(self, vm_id: str) -> None:
-        self._links_by_id.pop(vm_id)
+        link = self._links_by_id.pop(vm_id)
+        self._closed_heartbeats = max(self._closed_heartbeats, link.heartbeats_sent)
         task = self._tasks_by_id.pop(vm_id, None)
         if task is not None:
             task.cancel()
 
     def _refresh_neighbours(self) -> None:
+        now_s = self.clock()
         for vm_id in self._chosen:
             link = self._link_to(vm_id)
             if link is not None:
-                link.is_neighbour = True
-        oldest_s = self.clock() - 2 * HEARTBEAT_TIMEOUT_S
+                link.set_neighbour(True, now_s=now_s)
+        oldest_s = now_s - 2 * HEARTBEAT_TIMEOUT_S
         for vm_id, link in self._links_by_id.items():
             last = self.heard_by_id.get(vm_id)
             has_recent_heartbeat = last is not None and last.received_at_s >= oldest_s
-            link.is_neighbour = vm_id in self._chosen or (
+            is_neighbour = vm_id in self._chosen or (
                 link.is_neighbour and has_recent_heartbeat
             )
+            link.set_neighbour(is_neighbour, now_s=now_s)
 
 
 class _PeerKeyCheck:
--- a/packages/server/src/jaytray_server/ports.py
+++ b/packages/server/src/jaytray_server/ports.py
@@ -25,7 +25,9 @@
     dropped. `broadcast` reaches all VMs by way of the neighbours, each VM once unless
     it is cut off. `neighbours` returns the neighbours whose heartbeats arrived
     recently, a bounded set. `listed_vms` returns the VMs last listed, without those
-    leaving.
+    leaving. `linked_vms` returns those to which a link is open, and `send_to_all` sends
+    to all in a cheaper way than one by one, or returns False if it can't; both are
+    optional.
     """
 
     vm_id: str
@@ -34,6 +36,8 @@
     set_handler: Callable[[str, PeerHandler], None]
     neighbours: Callable[[], list[str]]
     listed_vms: Callable[[], list[str]]
+    linked_vms: Callable[[], frozenset[str]] | None = None
+    send_to_all: Callable[[str, bytes], bool] | None = None
 
 
 class Reservation(NamedTuple):
--- a/packages/server/tests/connection/test_peer_network.py
+++ b/packages/server/tests/connection/test_peer_network.py
@@ -219,6 +219,69 @@
 
 
 class PeerLinkTests(TestCase):
+    def test_heartbeats_end_when_neither_end_chooses_the_other(self) -> None:
+        """Guards against links that two VMs keep alive only to answer each other."""
+
+        async def scenario() -> None:
+            async with listening_hubs("a", "b") as hubs:
+                await wait_until(lambda: all(hub.neighbours() for hub in hubs))
+                entries = list(hubs[0].vms_by_id.values())
+
+                def exchange() -> list[bool]:
+                    """Pass a heartbeat each way; return who would send another one."""
+                    for hub, other in (hubs, hubs[::-1]):
+                        link = hub._links_by_id[other.vm_id]
+                        link.heartbeats_sent += 1
+                        other.receive(hub._make_heartbeat(link))
+                    return [
+                        link.is_neighbour
+                        for hub in hubs
+                        for link in hub._links_by_id.values()
+                    ]
+
+                # One end that chooses the other is enough.
+                hubs[0].update_vms(entries, chosen=frozenset())
+                self.assertEqual([True, True], exchange())
+                hubs[1].update_vms(entries, chosen=frozenset())
+                exchange()
+                self.assertEqual([False, False], exchange())
+                # A heartbeat that only answers opens no link.
+                frame = hubs[0]._make_heartbeat(
+                    PeerLink(
+                        vm_id="b", address="", is_neighbour=True, clock=monotonic_clock
+                    )
+                )
+                hubs[1]._drop_link("a")
+                hubs[1].receive(frame)
+                self.assertEqual({}, hubs[1]._links_by_id)
+
+        asyncio.run(scenario())
+
+    def test_link_that_is_opened_again_is_heard(self) -> None:
+        """Guards against numbers that start again, which the peer ignores."""
+
+        async def scenario() -> None:
+            async with listening_hubs("a", "b") as (hub, other):
+                await wait_until(lambda: bool(other.neighbours()))
+                link = hub._links_by_id["b"]
+                sent = link.heartbeats_sent = 100
+                other.receive(hub._make_heartbeat(link))
+                hub._drop_link("b")
+                hub.update_vms(list(hub.vms_by_id.values()), chosen=frozenset("b"))
+                await wait_until(lambda: other.heard_by_id["a"].sequence > sent)
+
+        asyncio.run(scenario())
+
+    def test_echoes_are_expected_from_the_first_heartbeat_on(self) -> None:
+        """Guards against a link that is dialled anew as soon as it has a neighbour."""
+        now_s = 100.0
+        link = PeerLink(vm_id="b", address="", is_neighbour=False, clock=lambda: now_s)
+        now_s += 2 * HEARTBEAT_TIMEOUT_S
+        link.set_neighbour(True, now_s=now_s)
+        self.assertEqual(now_s, link.echoed_at_s)
+        link.set_neighbour(True, now_s=now_s + 1)
+        self.assertEqual(now_s, link.echoed_at_s)
+
     def test_only_echoes_of_sent_heartbeats_count(self) -> None:
         link = PeerLink(
             vm_id="b", address="127.0.0.1:1", is_neighbour=True, clock=lambda: 0.0
