--- a/packages/gateway/src/jaytray_gateway/process/rate_grants.py
+++ b/packages/gateway/src/jaytray_gateway/process/rate_grants.py
@@ -170,24 +170,26 @@
         """Return the owners to ask and the tokens to ask of each.
 
         Owners that have enough are ranked at random, so that members do not all ask
-        the same one. Returns an empty list if the owners with the most tokens have too
-        few together.
+        the same one; those to which a link is open come first. Returns an empty list if
+        the owners with the most tokens have too few together.
         """
         owners = self._shares.owners_of(account) - {self._shares.own_id}
         remaining = missing
+        linked = self._peers.linked_vms() if self._peers.linked_vms else frozenset()
         candidates = [
             (
                 min(remaining, self._expected_level(account, owner)),
+                owner in linked,
                 self._rng.random(),
                 owner,
             )
             for owner in owners
         ]
         candidates = sorted(candidates, reverse=True)[:MAX_OWNERS_ASKED]
-        if sum(tokens for tokens, _, _ in candidates) < missing:
+        if sum(tokens for tokens, *_ in candidates) < missing:
             return []
         asks: list[tuple[str, float]] = []
-        for tokens, _, owner in candidates:
+        for tokens, *_, owner in candidates:
             if tokens <= 0 or remaining <= 0:
                 break
             asks.append((owner, min(tokens, remaining)))
