Load reports and notices go through hubs from 16 members on

At 59 members each sent and received some 90 messages per second: a report to every other member at 1.16 s intervals, heartbeats, and each notice. Members now report to a hub of their group, which answers with the sum for the fleet every 0.4 s; hubs exchange the sums of what they received themselves. Demand and used replicas go to the placement leader only, and notices to the hubs, which collect them for up to 0.1 s. Heartbeats are sent over the links between members and hubs. Members of earlier builds are told apart by a mark in the relay key of the member record (a further field would make the record unreadable for them) and are sent reports and notices directly.

--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -49,6 +49,8 @@
     "target_backs_off": "target retry_after_s".split(),
     "target_limit_changed": "target incarnation rate_per_s".split(),
     "limit_member_silent": "peer target".split(),
+    "hub_silent": ("peer",),
+    "notice_failed": "topic peer error".split(),
     "target_report_failed": "target error".split(),
     "software_versions_changed": "service present recent".split(),
     # Streams that a caller continues with another request.
--- a/packages/gateway/src/jaytray_gateway/process/fleet_topology.py
+++ b/packages/gateway/src/jaytray_gateway/process/fleet_topology.py
@@ -73,7 +73,7 @@
         return len(self._member_ids) >= MIN_HUB_MEMBERS
 
     def own_hubs(self) -> tuple[str, ...]:
-        """Return the hubs of this member's group, the one to be used first at the front.
+        """Return the hubs of this member's group in the order in which to use them.
 
         They include this member if it is a hub, and are empty in a small fleet. A group
         of one member has one hub.
@@ -90,6 +90,10 @@
         """Return whether the members of this member's group should report to it."""
         return self.own_hubs()[:1] == (self._own_id,)
 
+    def takes_part(self, member: str) -> bool:
+        """Return whether a member reports to hubs."""
+        return self.is_used() and member in self._member_ids
+
     def own_group(self) -> frozenset[str]:
         """Return the other members of this member's group."""
         if not self.is_used():
@@ -98,15 +102,20 @@
         return frozenset(ranked) - {self._own_id}
 
     def other_hubs(self) -> frozenset[str]:
-        """Return the first hub of each other group."""
+        """Return the first hub of each other group, and the second if that is silent.
+
+        The first one stays among them, so that both ends hear of each other again after
+        an interruption that lasted for both.
+        """
         if not self.is_used():
             return frozenset()
         own_group = self._group_by_member[self._own_id]
-        return frozenset(
-            self._hubs_of(group)[0]
-            for group in self._ranked_by_group
-            if group != own_group
-        )
+        hubs: set[str] = set()
+        for group, ranked in self._ranked_by_group.items():
+            if group != own_group:
+                is_silent = ranked[0] in self._silent
+                hubs.update(ranked[: HUBS_PER_GROUP if is_silent else 1])
+        return frozenset(hubs)
 
     def neighbours(self) -> frozenset[str]:
         """Return the members to which this one keeps links open."""
--- a/packages/gateway/src/jaytray_gateway/process/load_view.py
+++ b/packages/gateway/src/jaytray_gateway/process/load_view.py
@@ -77,7 +77,11 @@
         load_by_target: dict[str, TargetLoad],
         replicas_by_target: dict[str, list[str]],
     ) -> None:
-        """Store a peer's report of its requests in flight."""
+        """Store a peer's report of its requests in flight; drop expired ones."""
+        oldest_s = self._clock() - PEER_REPORT_TTL_S
+        for peer, report in list(self._report_by_peer.items()):
+            if report.received_at_s < oldest_s:
+                del self._report_by_peer[peer]
         self._report_by_peer[peer_id] = _PeerReport(
             self._clock(), load_by_target, replicas_by_target
         )
--- a/packages/gateway/src/jaytray_gateway/process/member_messages.py
+++ b/packages/gateway/src/jaytray_gateway/process/member_messages.py
@@ -1,6 +1,7 @@
 """Messages between members: load, demand, outcomes of runs, prompt parts, replicas.
 
-Messages are small, idempotent and may be lost; each is sent directly to every member.
+Messages are small, idempotent and may be lost. Load reports are sent directly to every
+member that does not report to hubs; `fleet_digests` exchanges those of the others.
 """
 
 import asyncio
@@ -10,6 +11,7 @@
 from jaytray_core.codec import decode_msgpack, encode_msgpack
 from jaytray_gateway.process.crash_guard import CrashGuard, RunEnd
 from jaytray_gateway.process.demand_average import DemandAverage
+from jaytray_gateway.process.fleet_topology import FleetTopology
 from jaytray_gateway.process.load_forecasts import LoadForecast, LoadForecasts
 from jaytray_gateway.process.load_view import LoadView, TargetLoad
 from jaytray_gateway.process.membership import RecentMembers
@@ -72,6 +74,8 @@
         forecasts: LoadForecasts,
         reach: TargetReach,
         relays: RelayMembers,
+        topology: FleetTopology,
+        hub_rates: Callable[[], dict[str, float]],
     ) -> None:
         self.replica_rates_by_member: dict[str, dict[str, float]] = {}
         self._peers = peers
@@ -82,6 +86,8 @@
         self._forecasts = forecasts
         self._reach = reach
         self._relays = relays
+        self._topology = topology
+        self._hub_rates = hub_rates
 
     def subscribe(
         self,
@@ -112,12 +118,18 @@
         return frozenset(self._peers.listed_vms())
 
     async def run(self) -> None:
-        """Send load reports to all members until cancelled."""
+        """Send load reports to members that do not use hubs until cancelled."""
         while True:
-            others = len(self.member_ids() - {self._peers.vm_id})
-            if others:
-                self._broadcast(_REPORT, encode_msgpack(self._report()))
-            scaled_s = REPORT_S_PER_MEMBER * others
+            receivers = [
+                member
+                for member in self.member_ids() - {self._peers.vm_id}
+                if not self._topology.takes_part(member)
+            ]
+            if receivers:
+                body = encode_msgpack(self._report())
+                for member in receivers:
+                    self._peers.send(member, _REPORT, body)
+            scaled_s = REPORT_S_PER_MEMBER * len(receivers)
             await asyncio.sleep(max(REPORT_INTERVAL_S, scaled_s))
 
     def broadcast_run_end(self, run_end: RunEnd) -> None:
@@ -151,10 +163,15 @@
     def replica_rates(self) -> dict[str, float]:
         """Return the demand by replica over all members, in engine ms per second."""
         total = self._replica_demand.rates()
-        for member, rates in self.replica_rates_by_member.items():
-            if member in self._recent_members.ids:
-                for replica, rate in rates.items():
-                    total[replica] = total.get(replica, 0.0) + rate
+        reported = [
+            rates
+            for member, rates in self.replica_rates_by_member.items()
+            if member in self._recent_members.ids
+            and not self._topology.takes_part(member)
+        ]
+        for rates in (*reported, self._hub_rates()):
+            for replica, rate in rates.items():
+                total[replica] = total.get(replica, 0.0) + rate
         return total
 
     def _report(self) -> Report:
--- a/packages/gateway/src/jaytray_gateway/process/membership.py
+++ b/packages/gateway/src/jaytray_gateway/process/membership.py
@@ -24,6 +24,9 @@
 # Time within which a running member whose record was removed is seen again: a renewal,
 # a retry, the pause between other members' watches in a large fleet, and some calls.
 DEPARTED_GRACE_S = 4.0
+# End of the relay key of members that report to hubs and read digests. Earlier builds
+# do not read records with further fields, and take this as a part of the key.
+DIGESTS_MARK = "-d"
 
 
 class Member(NamedTuple):
@@ -40,6 +43,10 @@
     relay_address: str = ""
     relay_key: str = ""
 
+    def takes_digests(self) -> bool:
+        """Return whether the member exchanges load reports by way of hubs."""
+        return self.relay_key.endswith(DIGESTS_MARK)
+
 
 def decode_members(values_by_key: dict[str, bytes], prefix: str) -> dict[str, Member]:
     """Return the members by VM id; unreadable records are logged and skipped."""
--- a/packages/gateway/src/jaytray_gateway/process/placement/controller.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/controller.py
@@ -135,6 +135,10 @@
         elif leader_id is not None:
             self._member_messages.send_replica_request(leader_id, request)
 
+    def leader_id(self) -> str | None:
+        """Return the VM id of the leader, this one included, None if not known."""
+        return self._leadership.leader_id()
+
     def add_replica_request(self, request: ReplicaRequest) -> None:
         """Record a replica request from this or another member and wake the planner."""
         self._requests.add(request)
--- a/packages/gateway/src/jaytray_gateway/process/relay_members.py
+++ b/packages/gateway/src/jaytray_gateway/process/relay_members.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from jaytray_core.clock import MonotonicClock
-from jaytray_gateway.process.membership import Member
+from jaytray_gateway.process.membership import DIGESTS_MARK, Member
 
 # Age up to which a member's report of its links is trusted: a few report intervals of a
 # large fleet.
@@ -26,7 +26,7 @@
     """
 
     def __init__(self, *, clock: MonotonicClock, rng: random.Random) -> None:
-        self.own_key = secrets.token_hex(16)
+        self.own_key = secrets.token_hex(16) + DIGESTS_MARK
         self._clock = clock
         self._rng = rng
         self._member_by_id: dict[str, Member] = {}
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -147,6 +147,7 @@
         "directory_watch": subsystems.follower.run_watch,
         "membership": subsystems.membership.run,
         "gossip": subsystems.member_messages.run,
+        "digests": subsystems.digests.run,
         "placement": subsystems.placement.run,
         "target_reach": subsystems.services.reach.run,
         "quarantine_records": subsystems.quarantine_records.run,
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -18,6 +18,9 @@
 from jaytray_gateway.process.departure_notices import DepartureNotices
 from jaytray_gateway.process.directory import Directory
 from jaytray_gateway.process.engine_speed import EngineSpeeds
+from jaytray_gateway.process.fleet_digests import FleetDigests
+from jaytray_gateway.process.fleet_topology import FleetTopology
+from jaytray_gateway.process.hub_notices import HubNotices
 from jaytray_gateway.process.leased_records import LeasedRecords, RecordKind
 from jaytray_gateway.process.lifecycle import Lifecycle
 from jaytray_gateway.process.load_forecasts import LoadForecasts
@@ -89,6 +92,8 @@
     health: TargetHealth
     pools: TargetConnectionPool
     member_messages: MemberMessages
+    topology: FleetTopology
+    digests: FleetDigests
     placement: PlacementController
     quarantine_records: LeasedRecords
     software_version_records: LeasedRecords
@@ -145,7 +150,24 @@
     reach = TargetReach(directory=directory, pools=pools, clock=clock, rng=rng)
     replica_demand = DemandAverage(clock=clock, window_s=REPLICA_DEMAND_WINDOW_S)
     forecasts = LoadForecasts(clock=clock)
-    peers = hub.peer_network()
+    topology = FleetTopology(own_id=options.vm_id)
+    notices = HubNotices(
+        peers=hub.peer_network(), clock=clock, takes_part=topology.takes_part
+    )
+    peers = notices.peer_network()
+    digests = FleetDigests(
+        peers=peers,
+        topology=topology,
+        loads=loads,
+        relays=relays,
+        replica_demand=replica_demand,
+        cut_off_services=reach.cut_off_services,
+        leader_id=lambda: placement.leader_id(),
+        boot_epoch_ms=hub.boot_epoch_ms,
+        clock=clock,
+        rng=rng,
+    )
+    notices.use_hubs(digests.active_hubs, digests.reporters)
     grants = RateGrants(
         shares=shares,
         peers=peers,
@@ -162,6 +184,8 @@
         forecasts=forecasts,
         reach=reach,
         relays=relays,
+        topology=topology,
+        hub_rates=digests.hub_rates,
     )
     crash_guard = CrashGuard(
         clock=clock, notify_peers=member_messages.broadcast_run_end
@@ -279,6 +303,8 @@
         health=health,
         pools=pools,
         member_messages=member_messages,
+        topology=topology,
+        digests=digests,
         placement=placement,
         quarantine_records=leased_records(
             QUARANTINE_PREFIX,
@@ -336,7 +362,10 @@
     subsystems.services.relays.update(
         [member for member in members_by_id.values() if member.vm_id != own.vm_id]
     )
-    subsystems.hub.update_vms(vms, chosen=others)
+    topology = subsystems.topology
+    topology.update(m.vm_id for m in members_by_id.values() if m.takes_digests())
+    chosen = {vm for vm in others if not topology.takes_part(vm)}
+    subsystems.hub.update_vms(vms, chosen=topology.neighbours() | chosen)
     subsystems.directory.member_count = len(members_by_id)
     update_counted_members(subsystems)
 
--- a/packages/gateway/tests/process/placement/test_controller.py
+++ b/packages/gateway/tests/process/placement/test_controller.py
@@ -14,6 +14,7 @@
 from jaytray_gateway.ports import OrderResult, TargetOrder, TargetReport
 from jaytray_gateway.process.demand_average import DemandAverage
 from jaytray_gateway.process.directory import Directory
+from jaytray_gateway.process.fleet_topology import FleetTopology
 from jaytray_gateway.process.load_forecasts import LoadForecasts
 from jaytray_gateway.process.load_view import LoadView
 from jaytray_gateway.process.member_messages import MemberMessages, ReplicaRequest
@@ -205,6 +206,8 @@
                 rng=random.Random(1),
             ),
             relays=RelayMembers(clock=clock, rng=random.Random(1)),
+            topology=FleetTopology(own_id="vm"),
+            hub_rates=dict,
         )
         self.controller = PlacementController(
             options=OPTIONS,
--- a/packages/gateway/tests/process/test_fleet_topology.py
+++ b/packages/gateway/tests/process/test_fleet_topology.py
@@ -95,6 +95,11 @@
         self.assertEqual(HUBS_PER_GROUP, len(view.own_hubs()))
         view.mark_heard(first)
         self.assertEqual((first, second), view.own_hubs())
+        other_hubs = view.other_hubs()
+        silent = min(other_hubs)
+        view.mark_silent(silent)
+        added = view.other_hubs() - other_hubs
+        self.assertEqual({by_id[silent].own_hubs()[1]}, added)
         # The marks of a member end with its record.
         view.mark_silent(first)
         view.update(by_id.keys() - {first})
