--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -148,6 +148,7 @@
         "directory_watch": subsystems.follower.run_watch,
         "membership": subsystems.membership.run,
         "gossip": subsystems.member_messages.run,
+        "digests": subsystems.digests.run,
         "placement": subsystems.placement.run,
         "fencing_base": subsystems.fencing_base.run,
         "version_check": subsystems.version_check.run,
