Evacuate failure domains on the operator's request

A member doesn't know the time of the acknowledgement, so it counts from the time as of which its copy was current without the key. The directory's copy counts as current only after a read has been applied, as that time would be lost otherwise. No request is sent by a copy older than 0.85 of the bound.

Until then, targets inside cost more in the choice, so the load moves without a surge. Placement ignores them from the first sight on. Requests for a service that is evacuated entirely are refused at once.

Tests: packages/gateway/tests/process, tests/request, test_logs and the decoders pass.

--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -56,6 +56,10 @@
         "request_id source service software_version replies copy_age_s"
     ).split(),
     "stream_replies_missing": ("replies",),
+    # Failure domains that the operator evacuates.
+    "evacuation_seen": "failure_domain is_known_domain in_force_in_s".split(),
+    "evacuation_in_force": ("failure_domain",),
+    "evacuation_ended": ("failure_domain",),
     # The route table and the key-value service.
     "route_table_in_force": "version revision routes accounts".split(),
     "route_table_fetched": "function versions bytes call_ms copy_age_ms".split(),
--- a/packages/gateway/src/jaytray_gateway/ports.py
+++ b/packages/gateway/src/jaytray_gateway/ports.py
@@ -113,7 +113,9 @@
     `render_refusal` takes the error and the request id. `decode_route_table` and
     `decode_target` raise `JaytrayError` for invalid data, and `parse_request` raises
     it for a request that cannot be forwarded. `send_order` and `read_report` raise
-    no other exception than `JaytrayError`.
+    no other exception than `JaytrayError`. A key of `evacuations_prefix` and the name
+    of a failure domain has the operator evacuate it; the prefix is empty if the
+    platform has no such keys.
     """
 
     route_table_key: str
@@ -127,3 +129,4 @@
     render_refusal: Callable[[JaytrayError, str], tuple[HeaderList, bytes]]
     send_order: Callable[[str, str, TargetOrder], Awaitable[OrderResult]]
     read_report: Callable[[str], Awaitable[TargetReport]]
+    evacuations_prefix: str = ""
--- a/packages/gateway/src/jaytray_gateway/process/directory.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -21,6 +21,7 @@
 )
 from jaytray_core.logs import get_logger
 from jaytray_gateway.ports import PlatformAdapter
+from jaytray_gateway.process.evacuations import Evacuations
 from jaytray_gateway.process.store_outage import StoreOutage
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.version.route_table import ClientAccount, RouteTable
@@ -69,7 +70,9 @@
         key_value: KeyValueService,
         adapter: PlatformAdapter,
         clock: MonotonicClock,
+        evacuations: Evacuations | None = None,
     ) -> None:
+        self.evacuations = evacuations or Evacuations(clock=clock)
         self.route_table: RouteTable | None = None
         self.targets_by_id: dict[str, TargetEntry] = {}
         self.records_by_key: dict[str, bytes] = {}
@@ -147,6 +150,7 @@
             if target.service == service
             and not target.is_leaving
             and target.target_id not in overdue
+            and not self.evacuations.is_in_force(target.failure_domain)
         ]
 
     def apply_departures(
@@ -181,6 +185,7 @@
             and known.incarnation == target.incarnation
             and not known.is_leaving
             and target.target_id not in self._outage.overdue_ids()
+            and not self.evacuations.is_in_force(target.failure_domain)
         )
 
     def apply_read(self, read: PrefixRead, begun_s: float) -> None:
@@ -188,7 +193,6 @@
         records, revision = read
         self._outage.record_success()
         self._notice_restore()
-        self.note_current(begun_s)
         found = {record.key for record in records}
         # Watch responses may have arrived during the read. What they say of a key that
         # is missing is outdated, unless it was written after the read.
@@ -200,6 +204,8 @@
         self.revision = max(self.revision, revision)
         self._expire_lapsed_targets(found)
         self._apply([*records, *removed], removed_keys={r.key for r in removed})
+        # Only now, as an evacuation is counted from the copy before this read.
+        self.note_current(begun_s)
         self._announce_departures()
 
     def _notice_restore(self) -> None:
@@ -286,6 +292,14 @@
                 self.records_by_key[record.key] = record.value
             else:
                 self.records_by_key.pop(record.key, None)
+        elif adapter.evacuations_prefix and record.key.startswith(
+            adapter.evacuations_prefix
+        ):
+            self.evacuations.apply(
+                record.key.removeprefix(adapter.evacuations_prefix),
+                is_requested=bool(record.value),
+                absent_as_of_s=self.current_as_of_s,
+            )
 
     def _apply_route_table(self, record: KeyValueRecord) -> None:
         try:
--- a/packages/gateway/src/jaytray_gateway/process/options.py
+++ b/packages/gateway/src/jaytray_gateway/process/options.py
@@ -12,6 +12,8 @@
     `repeat_ratio`, `repeat_extra` and `repeat_window_s` bound retries over the fleet.
     `lease_s` is the shortest time between two placement leaders' orders to one target.
     `relay_address` accepts requests that other members want forwarded; empty for none.
+    `evacuation_s` is the time within which a failure domain must be evacuated, None if
+    that does not occur; `failure_domains` are all that the platform states.
     Within `load_window_s`, loads may begin at `load_window_factor` times the stated
     rate.
     """
@@ -33,3 +35,5 @@
     lease_s: float
     load_window_s: float
     load_window_factor: float
+    evacuation_s: float | None = None
+    failure_domains: tuple[str, ...] = ()
--- a/packages/gateway/src/jaytray_gateway/process/placement/controller.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/controller.py
@@ -91,6 +91,9 @@
             own_id=options.vm_id,
             adapter=adapter,
             leadership=self._leadership,
+            takes_orders=lambda target: not directory.evacuations.is_requested(
+                target.failure_domain
+            ),
             health=health,
             metrics=metrics,
             clock=clock,
@@ -182,6 +185,7 @@
         entries_by_id = {
             target.target_id: target
             for target in self._directory.targets_of(service.name)
+            if not self._directory.evacuations.is_requested(target.failure_domain)
         }
         plans = self._plans.refresh(engine, entries_by_id)
         self._load_requested_adapters(service, engine, plans, entries_by_id)
--- a/packages/gateway/src/jaytray_gateway/process/placement/orders.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/orders.py
@@ -1,6 +1,7 @@
 """Sends orders to targets, one at a time for each, after checking memory and lease."""
 
 import asyncio
+from collections.abc import Callable
 
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.logs import get_logger
@@ -27,6 +28,7 @@
         own_id: str,
         adapter: PlatformAdapter,
         leadership: Leadership,
+        takes_orders: Callable[[TargetEntry], bool],
         health: TargetHealth,
         metrics: GatewayMetrics,
         clock: MonotonicClock,
@@ -34,6 +36,7 @@
         self._own_id = own_id
         self._adapter = adapter
         self._leadership = leadership
+        self._takes_orders = takes_orders
         self._health = health
         self._metrics = metrics
         self._clock = clock
@@ -60,6 +63,8 @@
         """
         if plan.incarnation != entry.incarnation or not self._leadership.is_leader():
             return False
+        if not self._takes_orders(entry):
+            return False
         is_after_unload = is_load and not adapter and plan.model_order is not None
         if is_after_unload and not plan.has_room_after_unload(engine, model):
             return False
--- a/packages/gateway/src/jaytray_gateway/process/replicas.py
+++ b/packages/gateway/src/jaytray_gateway/process/replicas.py
@@ -61,6 +61,17 @@
         """Return the targets of a service that accept new requests."""
         return self._directory.targets_of(service)
 
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether all targets of a service are in evacuated failure domains."""
+        domains = {
+            target.failure_domain
+            for target in self._directory.targets_by_id.values()
+            if target.service == service
+        }
+        return bool(domains) and all(
+            self._directory.evacuations.is_in_force(domain) for domain in domains
+        )
+
     def takes_requests(self, target: TargetEntry) -> bool:
         """Return whether a target that was found earlier still accepts new requests."""
         return self._directory.takes_requests(target)
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -183,6 +183,9 @@
         subsystems.metrics.set_gauge(
             "targets_brittle", subsystems.services.brittle.count()
         )
+        evacuations = subsystems.directory.evacuations
+        evacuations.log_in_force()
+        subsystems.metrics.set_gauge("domains_evacuated", evacuations.count())
         subsystems.metrics.set_gauge(
             "services_cut_off", len(subsystems.services.reach.cut_off_services())
         )
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -18,6 +18,7 @@
 from jaytray_gateway.process.departure_notices import DepartureNotices
 from jaytray_gateway.process.directory import Directory
 from jaytray_gateway.process.engine_speed import EngineSpeeds
+from jaytray_gateway.process.evacuations import Evacuations
 from jaytray_gateway.process.leased_records import LeasedRecords, RecordKind
 from jaytray_gateway.process.lifecycle import Lifecycle
 from jaytray_gateway.process.load_forecasts import LoadForecasts
@@ -60,8 +61,9 @@
 from jaytray_server.connection.peer_link import CurveKeys
 from jaytray_server.connection.peer_network import PeerHub
 
-# Maximum age of the local copy of the keys as a fraction of the revocation bound; the
-# rest covers the time from the check to the arrival at the target.
+# Maximum age of the local copy of the keys as a fraction of the bounds on a revocation
+# and an evacuation; the rest covers the time from the check to the arrival at the
+# target.
 KEY_AGE_FRACTION = 0.85
 # Time constant of the demand average: rare models are requested every few seconds.
 REPLICA_DEMAND_WINDOW_S = 6.0
@@ -107,7 +109,14 @@
     """Return the connected subsystems; none of them is started."""
     rng = random.Random()
     public_key, secret_key = zmq.curve_keypair()
-    directory = Directory(key_value=key_value, adapter=adapter, clock=clock)
+    evacuations = Evacuations(
+        clock=clock,
+        evacuation_s=options.evacuation_s,
+        known_domains=frozenset(options.failure_domains),
+    )
+    directory = Directory(
+        key_value=key_value, adapter=adapter, clock=clock, evacuations=evacuations
+    )
     follower = StoreFollower(
         directory=directory,
         key_value=key_value,
@@ -202,7 +211,7 @@
         directory=directory,
         lifecycle=lifecycle,
         grants=grants,
-        max_table_age_s=options.revocation_s * KEY_AGE_FRACTION,
+        max_table_age_s=_max_copy_age_s(options),
     )
     speeds = EngineSpeeds()
     chooser = TargetChooser(
@@ -211,6 +220,7 @@
         health=health,
         speeds=speeds,
         rng=rng,
+        extra_cost_ms=lambda target: evacuations.cost_ms(target.failure_domain),
     )
     services = RequestServices(
         vm_id=options.vm_id,
@@ -315,6 +325,13 @@
     return subsystems
 
 
+def _max_copy_age_s(options: GatewayOptions) -> float:
+    """Return the age of the directory's copy above which no request is sent."""
+    evacuation_s = options.evacuation_s
+    bounds_s = [options.revocation_s, *([] if evacuation_s is None else [evacuation_s])]
+    return min(bounds_s) * KEY_AGE_FRACTION
+
+
 def apply_members(subsystems: Subsystems) -> None:
     """Pass the registered members to the subsystems that use or count them."""
     prefix = subsystems.services.adapter.records_prefix + MEMBERS_PREFIX
--- a/packages/gateway/src/jaytray_gateway/process/target_choice.py
+++ b/packages/gateway/src/jaytray_gateway/process/target_choice.py
@@ -1,6 +1,7 @@
 """Chooses a target by expected wait, prompt prefix affinity and failure domain."""
 
 import random
+from collections.abc import Callable
 from typing import NamedTuple
 
 from jaytray_core.rendezvous import owner_of
@@ -43,12 +44,14 @@
         health: TargetHealth,
         speeds: EngineSpeeds,
         rng: random.Random,
+        extra_cost_ms: Callable[[TargetEntry], float] = lambda _target: 0.0,
     ) -> None:
         self._failure_domain = failure_domain
         self._loads = loads
         self._health = health
         self._speeds = speeds
         self._rng = rng
+        self._extra_cost_ms = extra_cost_ms
 
     def choose(
         self,
@@ -90,6 +93,7 @@
     ) -> Candidate:
         load = self._loads.load_of(target.target_id)
         cost_ms = MS_PER_FAILURE * self._health.failure_rate(target.target_id)
+        cost_ms += self._extra_cost_ms(target)
         if target.failure_domain != self._failure_domain:
             cost_ms += CROSS_DOMAIN_COST_MS
         if service.engine is None:
--- a/packages/gateway/src/jaytray_gateway/request/target_search.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_search.py
@@ -150,7 +150,7 @@
                 service.name, software_version
             ):
                 raise _version_gone_error(service, software_version)
-            if wait is None:
+            if wait is None or self._replicas.is_evacuated(service.name):
                 raise _no_replica_error(request, service, NO_TARGET_RETRY_S)
             if self._lifecycle.is_refusing:
                 raise JaytrayError(
--- a/packages/gateway/tests/process/test_directory.py
+++ b/packages/gateway/tests/process/test_directory.py
@@ -67,6 +67,7 @@
     render_refusal=unused,  # type: ignore[arg-type]
     send_order=unused,  # type: ignore[arg-type]
     read_report=unused,  # type: ignore[arg-type]
+    evacuations_prefix="evacuate/",
 )
 
 
