Send cold targets no more requests than they take

A target that has started during traffic falls over if all members together send it more than cold_per_s x cold_over + cold_slack requests in a second. A cold target is now one with a rate limit: one member grants permits for it, as for limited targets, and members without a permit send nothing. Two members may grant at a time, so each grants at most half of the bound, and only once it has been in rank for longer than an outdated view of the members is believed.

A target counts as cold by its entry, its responses, a start during traffic, the end of an evacuation, or a failed connection; the first member to know notifies the others. Cold targets cost more in the choice, so requests go to warm holders first.

Services without cold_per_s are served as before. The permits of a request are asked for in one place now (target_permits), and the parts are built in send_control.

Tests: packages/gateway/tests/process, tests/request, test_logs and the decoders pass. With the rule on the time in rank removed, the test of changing members fails with 16 requests in a second (15.2 allowed).

--- a/packages/gateway/src/jaytray_gateway/ports.py
+++ b/packages/gateway/src/jaytray_gateway/ports.py
@@ -52,7 +52,8 @@
     takes no more requests. `retry_after_s` is how long the target wants no requests
     from this VM, None if it states no such time. `max_rejections_per_s` is how many
     requests per second the target may have to turn away for want of room before it
-    falls over, None if it does not state that it would.
+    falls over, None if it does not state that it would. `cold_left_s` is the time for
+    which the target stays cold, None if not stated.
     """
 
     status: int
@@ -67,6 +68,7 @@
     is_leaving: bool = False
     retry_after_s: float | None = None
     max_rejections_per_s: float | None = None
+    cold_left_s: float | None = None
 
 
 class OrderResult(NamedTuple):
--- a/packages/gateway/src/jaytray_gateway/process/directory.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -24,7 +24,7 @@
 from jaytray_gateway.process.evacuations import Evacuations
 from jaytray_gateway.process.store_outage import StoreOutage
 from jaytray_gateway.process.target_entry import TargetEntry
-from jaytray_gateway.version.route_table import ClientAccount, RouteTable
+from jaytray_gateway.version.route_table import ClientAccount, RouteTable, Service
 
 # Wait of a watch that only fetches the changes so far.
 UPDATE_WAIT_S = 0.001
@@ -140,6 +140,11 @@
         table = self.route_table
         return table.accounts_by_name.get(name) if table is not None else None
 
+    def find_service(self, name: str) -> Service | None:
+        """Return a service of the route table in force."""
+        table = self.route_table
+        return table.services_by_name.get(name) if table is not None else None
+
     def targets_of(self, service: str) -> list[TargetEntry]:
         """Return the targets of a service that accept new requests."""
         # The read that removes a lapsed target may come later than its time is over.
--- a/packages/gateway/src/jaytray_gateway/process/options.py
+++ b/packages/gateway/src/jaytray_gateway/process/options.py
@@ -14,6 +14,8 @@
     `relay_address` accepts requests that other members want forwarded; empty for none.
     `evacuation_s` is the time within which a failure domain must be evacuated, None if
     that does not occur; `failure_domains` are all that the platform states.
+    In any second, a cold target takes the rate that its service states times
+    `cold_rate_factor`, and `cold_slack` requests more.
     Within `load_window_s`, loads may begin at `load_window_factor` times the stated
     rate.
     """
@@ -37,3 +39,5 @@
     load_window_factor: float
     evacuation_s: float | None = None
     failure_domains: tuple[str, ...] = ()
+    cold_rate_factor: float = 1.0
+    cold_slack: float = 0.0
--- a/packages/gateway/src/jaytray_gateway/process/permit_exchange.py
+++ b/packages/gateway/src/jaytray_gateway/process/permit_exchange.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from jaytray_core.clock import MonotonicClock
@@ -59,8 +59,9 @@
     permit: SendPermit
 
 
-# (member that asks, question) -> permit, at the member that grants it.
-Grant = Callable[[str, PermitAsk], SendPermit]
+# (member that asks, question) -> permit, at the member that grants it; None if this
+# member must not reply at present, so that the next one is asked.
+Grant = Callable[[str, PermitAsk], SendPermit | None]
 
 
 class PermitExchange:
@@ -68,7 +69,8 @@
 
     With `asks_next`, a reply that is missed is made up for by the next member in rank.
     Otherwise that one is asked only while the first counts as silent, as permits of two
-    members at a time add up.
+    members at a time add up. `list_members` returns those that may be asked, by default
+    all that are registered.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
         topic: str,
         grant: Grant,
         asks_next: bool,
+        list_members: Callable[[], Iterable[str]] | None = None,
     ) -> None:
         self._peers = peers
         self._clock = clock
@@ -86,6 +89,7 @@
         self._permit_topic = f"{topic}_permit"
         self._grant = grant
         self._asks_next = asks_next
+        self._list_members = list_members or peers.listed_vms
         self._missed_replies_by_member: dict[str, int] = {}
         self._silent_until_s_by_member: dict[str, float] = {}
         self._numbers = itertools.count(1)
@@ -115,8 +119,9 @@
         )
         for member in self._members_to_ask(target.target_id):
             if member == self._peers.vm_id:
-                return self._grant(member, ask), member, ask.number
-            permit = await self._ask(member, ask)
+                permit = self._grant(member, ask)
+            else:
+                permit = await self._ask(member, ask)
             if permit is not None:
                 return permit, member, ask.number
         return None
@@ -124,7 +129,7 @@
     def _members_to_ask(self, target_id: str) -> list[str]:
         """Return the members that may permit a send, without those that are silent."""
         now_s = self._clock()
-        members = {self._peers.vm_id, *self._peers.listed_vms()}
+        members = {self._peers.vm_id, *self._list_members()}
         ranked = rank_members(target_id, members)[:MAX_MEMBERS_ASKED]
         heard = [
             member
@@ -157,8 +162,10 @@
 
     def _handle_ask(self, sender: str, body: bytes) -> None:
         ask = decode_msgpack(body, PermitAsk, peer=sender)
-        reply = _Reply(ask.number, self._grant(sender, ask))
-        self._peers.send(sender, self._permit_topic, encode_msgpack(reply))
+        permit = self._grant(sender, ask)
+        if permit is not None:
+            reply = _Reply(ask.number, permit)
+            self._peers.send(sender, self._permit_topic, encode_msgpack(reply))
 
     def _handle_permit(self, sender: str, body: bytes) -> None:
         reply = decode_msgpack(body, _Reply, peer=sender)
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -12,7 +12,6 @@
 from jaytray_core.vm_list import VmEntry, VmState
 from jaytray_gateway.connection.target_pool import TargetConnectionPool
 from jaytray_gateway.ports import PlatformAdapter
-from jaytray_gateway.process.brittle_targets import BrittleTargets
 from jaytray_gateway.process.crash_guard import QUARANTINE_S, CrashGuard
 from jaytray_gateway.process.demand_average import DemandAverage
 from jaytray_gateway.process.departure_notices import DepartureNotices
@@ -44,6 +43,7 @@
 from jaytray_gateway.process.request_log import RequestLog
 from jaytray_gateway.process.retry_budget import RetryBudget
 from jaytray_gateway.process.route_table_notices import RouteTableNotices
+from jaytray_gateway.process.send_control import build_send_control, max_copy_age_s
 from jaytray_gateway.process.software_versions import (
     VERSION_MEMORY_S,
     SoftwareVersions,
@@ -53,7 +53,6 @@
 from jaytray_gateway.process.target_backoff import TargetBackoff
 from jaytray_gateway.process.target_choice import TargetChooser
 from jaytray_gateway.process.target_health import TargetHealth
-from jaytray_gateway.process.target_limits import TargetLimits
 from jaytray_gateway.process.target_reach import TargetReach
 from jaytray_gateway.request.admission import Admission
 from jaytray_gateway.request.services import RequestServices
@@ -61,10 +60,6 @@
 from jaytray_server.connection.peer_link import CurveKeys
 from jaytray_server.connection.peer_network import PeerHub
 
-# Maximum age of the local copy of the keys as a fraction of the bounds on a revocation
-# and an evacuation; the rest covers the time from the check to the arrival at the
-# target.
-KEY_AGE_FRACTION = 0.85
 # Time constant of the demand average: rare models are requested every few seconds.
 REPLICA_DEMAND_WINDOW_S = 6.0
 # Prefix of the members' leased records, relative to the platform adapter's own prefix.
@@ -192,13 +187,10 @@
         clock=clock,
     )
     member_messages.subscribe(crash_guard, part_guard, placement.add_replica_request)
-    limits = TargetLimits(peers=peers, clock=clock)
-    backoff = TargetBackoff(clock=clock)
-    brittle = BrittleTargets(
-        peers=peers,
-        clock=clock,
-        running_at=lambda target_id: loads.load_of(target_id).running,
+    control = build_send_control(
+        options, directory=directory, peers=peers, loads=loads, clock=clock
     )
+    backoff = TargetBackoff(clock=clock)
     departures = DepartureNotices(peers=peers, directory=directory)
     RouteTableNotices(peers=peers, directory=directory, follower=follower)
     versions = SoftwareVersions(directory=directory, clock=clock)
@@ -211,7 +203,7 @@
         directory=directory,
         lifecycle=lifecycle,
         grants=grants,
-        max_table_age_s=_max_copy_age_s(options),
+        max_table_age_s=max_copy_age_s(options),
     )
     speeds = EngineSpeeds()
     chooser = TargetChooser(
@@ -220,7 +212,7 @@
         health=health,
         speeds=speeds,
         rng=rng,
-        extra_cost_ms=lambda target: evacuations.cost_ms(target.failure_domain),
+        extra_cost_ms=control.extra_cost_ms,
     )
     services = RequestServices(
         vm_id=options.vm_id,
@@ -230,9 +222,8 @@
             replicas=replicas,
             chooser=chooser,
             request_replica=placement.request_replica,
-            limits=limits,
+            permits=control.permits,
             backoff=backoff,
-            brittle=brittle,
             speeds=speeds,
             forecasts=forecasts,
             member_count=lambda: len(member_messages.member_ids()),
@@ -246,9 +237,11 @@
         pools=pools,
         crash_guard=crash_guard,
         part_guard=part_guard,
-        limits=limits,
+        limits=control.limits,
         backoff=backoff,
-        brittle=brittle,
+        brittle=control.brittle,
+        cold=control.cold,
+        permits=control.permits,
         departures=departures,
         reach=reach,
         relays=relays,
@@ -322,16 +315,10 @@
         services=services,
     )
     directory.on_change(lambda: apply_members(subsystems))
+    directory.on_change(control.update)
     return subsystems
 
 
-def _max_copy_age_s(options: GatewayOptions) -> float:
-    """Return the age of the directory's copy above which no request is sent."""
-    evacuation_s = options.evacuation_s
-    bounds_s = [options.revocation_s, *([] if evacuation_s is None else [evacuation_s])]
-    return min(bounds_s) * KEY_AGE_FRACTION
-
-
 def apply_members(subsystems: Subsystems) -> None:
     """Pass the registered members to the subsystems that use or count them."""
     prefix = subsystems.services.adapter.records_prefix + MEMBERS_PREFIX
--- a/packages/gateway/src/jaytray_gateway/process/target_entry.py
+++ b/packages/gateway/src/jaytray_gateway/process/target_entry.py
@@ -11,7 +11,8 @@
     target of one version began cannot be continued by one of another version.
     `adapters_by_model` holds the loaded models and their adapters. `models_in_memory`
     and `models_on_disk` are models whose weights the target has cached: loading them is
-    faster and does not count towards the weight store's limit.
+    faster and does not count towards the weight store's limit. `cold_left_s` is how
+    long the target stays cold, None if it does not state one.
     """
 
     target_id: str
@@ -25,3 +26,4 @@
     adapters_by_model: dict[str, frozenset[str]]
     models_in_memory: frozenset[str]
     models_on_disk: frozenset[str]
+    cold_left_s: float | None = None
--- a/packages/gateway/src/jaytray_gateway/request/attempt.py
+++ b/packages/gateway/src/jaytray_gateway/request/attempt.py
@@ -59,6 +59,9 @@
         # The request may have been quarantined while it waited for a replica.
         services.crash_guard.check(state.digest)
         services.part_guard.check(request.shared_part_ids)
+        # Last, as the permit is used up.
+        if not services.permits.try_use(target):
+            raise AttemptNotRun("no permit for a cold target", reached_target=False)
         state.note_sent(services.clock(), copy_age_s=services.admission.table_age_s())
         state.clear_response()
         return Dispatch(
@@ -96,6 +99,8 @@
         raise
     except ExchangeError as err:
         is_late = err.progress is ExchangeProgress.TIMED_OUT
+        if not is_late:
+            services.cold.suspect_restart(target)
         if err.progress is ExchangeProgress.NOT_SENT:
             now_s = services.clock()
             if now_s < admitted.expires_at_s or now_s - begun_s > MIN_CONNECT_S:
@@ -132,6 +137,7 @@
         services.brittle.record_response(
             target, head.max_rejections_per_s, sent_at_s=state.sent_at_s
         )
+    services.cold.record_response(target, head.cold_left_s)
     if head.is_leaving:
         services.departures.record_leaving(target)
     if head.retry_after_s is not None:
--- a/packages/gateway/src/jaytray_gateway/request/services.py
+++ b/packages/gateway/src/jaytray_gateway/request/services.py
@@ -7,6 +7,7 @@
 from jaytray_gateway.connection.target_pool import TargetConnectionPool
 from jaytray_gateway.ports import PlatformAdapter
 from jaytray_gateway.process.brittle_targets import BrittleTargets
+from jaytray_gateway.process.cold_targets import ColdTargets
 from jaytray_gateway.process.crash_guard import CrashGuard
 from jaytray_gateway.process.demand_average import DemandAverage
 from jaytray_gateway.process.departure_notices import DepartureNotices
@@ -21,6 +22,7 @@
 from jaytray_gateway.process.target_backoff import TargetBackoff
 from jaytray_gateway.process.target_health import TargetHealth
 from jaytray_gateway.process.target_limits import TargetLimits
+from jaytray_gateway.process.target_permits import TargetPermits
 from jaytray_gateway.process.target_reach import TargetReach
 from jaytray_gateway.request.admission import Admission
 from jaytray_gateway.request.target_search import TargetSearch
@@ -43,6 +45,8 @@
     limits: TargetLimits
     backoff: TargetBackoff
     brittle: BrittleTargets
+    cold: ColdTargets
+    permits: TargetPermits
     departures: DepartureNotices
     reach: TargetReach
     relays: RelayMembers
--- a/packages/gateway/src/jaytray_gateway/request/target_search.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_search.py
@@ -3,14 +3,12 @@
 Targets that limit their rate are used as far as they permit.
 """
 
-import asyncio
 from collections.abc import Callable
 from typing import NamedTuple
 
 from jaytray_core import message_registry as messages
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.errors import JaytrayError, Step
-from jaytray_gateway.process.brittle_targets import BrittleTargets
 from jaytray_gateway.process.engine_speed import EngineSpeeds
 from jaytray_gateway.process.lifecycle import Lifecycle
 from jaytray_gateway.process.load_forecasts import LoadForecasts
@@ -18,7 +16,7 @@
 from jaytray_gateway.process.target_backoff import TargetBackoff
 from jaytray_gateway.process.target_choice import Candidate, TargetChooser
 from jaytray_gateway.process.target_entry import TargetEntry
-from jaytray_gateway.process.target_limits import TargetLimits
+from jaytray_gateway.process.target_permits import TargetPermits
 from jaytray_gateway.request.admission import AdmittedRequest
 from jaytray_gateway.request.caller_timeout import longest_wait_s
 from jaytray_gateway.request.overload import may_queue, retry_delay_s
@@ -69,9 +67,8 @@
         replicas: Replicas,
         chooser: TargetChooser,
         request_replica: RequestReplica,
-        limits: TargetLimits,
+        permits: TargetPermits,
         backoff: TargetBackoff,
-        brittle: BrittleTargets,
         speeds: EngineSpeeds,
         forecasts: LoadForecasts,
         member_count: Callable[[], int],
@@ -81,9 +78,8 @@
         self._replicas = replicas
         self._chooser = chooser
         self._request_replica = request_replica
-        self._limits = limits
+        self._permits = permits
         self._backoff = backoff
-        self._brittle = brittle
         self._speeds = speeds
         self._forecasts = forecasts
         self._member_count = member_count
@@ -131,15 +127,11 @@
                     first_piece_s=chosen.wait_s + own_s,
                 ):
                     raise self._queue_full_error(chosen, own_s)
-                permit = await self._limits.acquire(
-                    chosen.target, max_wait_s=_limit_wait_s(admitted.route)
+                permit = await self._permits.acquire(
+                    chosen.target,
+                    max_wait_s=_limit_wait_s(admitted.route),
+                    expires_at_s=admitted.expires_at_s,
                 )
-                if permit.is_granted:
-                    if permit.wait_s:
-                        await asyncio.sleep(permit.wait_s)
-                    permit = await self._brittle.acquire(
-                        chosen.target, hold_s=admitted.expires_at_s - self._clock()
-                    )
                 if permit.is_granted:
                     return chosen.target
                 limited_wait_s_by_id[chosen.target.target_id] = permit.wait_s
--- a/packages/gateway/src/jaytray_gateway/version/route_table.py
+++ b/packages/gateway/src/jaytray_gateway/version/route_table.py
@@ -84,10 +84,16 @@
 
 
 class Service(NamedTuple):
-    """A group of interchangeable targets; `engine` is None if they run no models."""
+    """A group of interchangeable targets; `engine` is None if they run no models.
+
+    A target that starts during traffic is cold for `cold_start_s`, and should then get
+    `cold_per_s` requests per second at most; with 0, targets are never cold.
+    """
 
     name: str
     engine: Engine | None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class ClientAccount(NamedTuple):
--- a/packages/gateway/tests/request/harness.py
+++ b/packages/gateway/tests/request/harness.py
@@ -17,6 +17,8 @@
     HeaderList,
 )
 from jaytray_gateway.process.brittle_targets import BrittleTargets
+from jaytray_gateway.process.cold_permits import ColdBound, ColdPermits
+from jaytray_gateway.process.cold_targets import ColdTargets
 from jaytray_gateway.process.crash_guard import CrashGuard
 from jaytray_gateway.process.demand_average import DemandAverage
 from jaytray_gateway.process.departure_notices import DepartureNotices
@@ -40,6 +42,7 @@
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.process.target_health import TargetHealth
 from jaytray_gateway.process.target_limits import TargetLimits
+from jaytray_gateway.process.target_permits import TargetPermits
 from jaytray_gateway.process.target_reach import TargetReach
 from jaytray_gateway.request.admission import Admission
 from jaytray_gateway.request.services import RequestServices
@@ -296,6 +299,22 @@
             clock=clock,
             running_at=lambda target_id: 0,
         )
+        self.cold = ColdTargets(
+            peers=self._peers,
+            clock=clock,
+            find_service=self.directory.find_service,
+        )
+        self.cold_permits = ColdPermits(
+            cold=self.cold,
+            bound=ColdBound(1.5, 5.0),
+            peers=self._peers,
+            clock=clock,
+            copy_age_s=self.directory.age_s,
+            max_copy_age_s=4.0,
+        )
+        permits = TargetPermits(
+            limits=limits, brittle=brittle, cold=self.cold_permits, clock=clock
+        )
         self.speeds = EngineSpeeds()
         self.forecasts = LoadForecasts(clock=clock)
         self.relays = RelayMembers(clock=clock, rng=rng)
@@ -321,9 +340,8 @@
                     rng=rng,
                 ),
                 request_replica=lambda *_replica: None,
-                limits=limits,
+                permits=permits,
                 backoff=backoff,
-                brittle=brittle,
                 speeds=self.speeds,
                 forecasts=self.forecasts,
                 member_count=lambda: 1,
@@ -344,6 +362,8 @@
             limits=limits,
             backoff=backoff,
             brittle=brittle,
+            cold=self.cold,
+            permits=permits,
             departures=DepartureNotices(peers=self._peers, directory=self.directory),
             reach=self.reach,
             relays=self.relays,
