Load a recovering target at the pace at which it answers well

A target that has just started is the least busy one for all members at once, so it was flooded; or left idle while members avoid it one by one. In fleets of 32 members or more, one member now keeps a window of requests in flight for each target that has started during traffic or failed three times in a row. The window begins with an eighth of the slots, doubles once it was answered well, and is halved on an error or an answer that is several times slower than those of the target's peers. Pacing ends once the window has reached the slots. Requests without a permit go to another holder, or ask again for as long as they may wait for a limited target.

Plain services are covered. Smaller fleets are served as before.

--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -45,6 +45,8 @@
     "targets_unreachable": "service tried silent_s".split(),
     "targets_reachable": "service away_s".split(),
     "check_not_connected": "target error".split(),
+    "target_recovering": "target incarnation cause".split(),
+    "target_recovered": "target incarnation".split(),
     "target_cold": "target incarnation left_s source".split(),
     "target_brittle_changed": "target incarnation max_rejections_per_s".split(),
     "target_backs_off": "target retry_after_s".split(),
--- a/packages/gateway/src/jaytray_gateway/process/metrics.py
+++ b/packages/gateway/src/jaytray_gateway/process/metrics.py
@@ -59,6 +59,7 @@
                 ("targets", "Targets in the directory."),
                 ("targets_limited", "Targets that state a limit of their rate."),
                 ("targets_brittle", "Targets that fall over when they reject."),
+                ("targets_recovering", "Targets whose load is paced."),
                 ("targets_cold", "Targets that are cold."),
                 ("domains_evacuated", "Failure domains evacuated now or soon."),
                 ("services_cut_off", "Services that this VM does not reach."),
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -168,6 +168,7 @@
         subsystems.services.backoff.retain_targets(target_ids)
         subsystems.services.brittle.retain_targets(target_ids)
         subsystems.services.cold.retain_targets(target_ids)
+        subsystems.services.pace.retain_targets(target_ids)
         subsystems.services.permits.retain_targets(target_ids)
         table = subsystems.directory.route_table
         if table is not None:
@@ -185,6 +186,9 @@
         subsystems.metrics.set_gauge(
             "targets_brittle", subsystems.services.brittle.count()
         )
+        subsystems.metrics.set_gauge(
+            "targets_recovering", subsystems.services.pace.count()
+        )
         subsystems.metrics.set_gauge("targets_cold", subsystems.services.cold.count())
         evacuations = subsystems.directory.evacuations
         evacuations.log_in_force()
--- a/packages/gateway/src/jaytray_gateway/process/send_control.py
+++ b/packages/gateway/src/jaytray_gateway/process/send_control.py
@@ -10,6 +10,7 @@
 from jaytray_gateway.process.directory import Directory
 from jaytray_gateway.process.load_view import LoadView
 from jaytray_gateway.process.options import GatewayOptions
+from jaytray_gateway.process.paced_targets import PacedTargets
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.process.target_limits import TargetLimits
 from jaytray_gateway.process.target_permits import TargetPermits
@@ -31,6 +32,7 @@
     limits: TargetLimits
     brittle: BrittleTargets
     cold: ColdTargets
+    pace: PacedTargets
     permits: TargetPermits
     extra_cost_ms: Callable[[TargetEntry], float]
     update: Callable[[], None]
@@ -60,7 +62,14 @@
         copy_age_s=directory.age_s,
         max_copy_age_s=max_copy_age_s(options),
     )
+    pace = PacedTargets(
+        peers=peers,
+        clock=clock,
+        running_at=lambda target_id: loads.load_of(target_id).running,
+        member_count=lambda: directory.member_count,
+    )
     starts = TargetStarts()
+    starts.on_start(pace.record_start)
     starts.on_start(cold.record_start)
     directory.evacuations.on_ended(cold.record_evacuation_ended)
 
@@ -78,8 +87,9 @@
         limits=limits,
         brittle=brittle,
         cold=cold,
+        pace=pace,
         permits=TargetPermits(
-            limits=limits, brittle=brittle, cold=cold_permits, clock=clock
+            limits=limits, brittle=brittle, pace=pace, cold=cold_permits, clock=clock
         ),
         extra_cost_ms=extra_cost_ms,
         update=update,
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -241,6 +241,7 @@
         backoff=backoff,
         brittle=control.brittle,
         cold=control.cold,
+        pace=control.pace,
         permits=control.permits,
         departures=departures,
         reach=reach,
--- a/packages/gateway/src/jaytray_gateway/process/target_health.py
+++ b/packages/gateway/src/jaytray_gateway/process/target_health.py
@@ -12,6 +12,9 @@
 MAX_AVOID_S = 4.0
 # Weight of one exchange in the moving average of failures.
 FAILURE_WEIGHT = 0.25
+# Failures in a row after which a target counts as failing; fewer are also seen when a
+# single connection breaks.
+FAILING_STREAK = 3
 
 
 class TargetHealth:
@@ -61,6 +64,10 @@
                 detail=detail,
             )
 
+    def is_failing(self, target_id: str) -> bool:
+        """Return whether several exchanges in a row failed."""
+        return self._streak_by_id.get(target_id, 0) >= FAILING_STREAK
+
     def is_avoided(self, target_id: str) -> bool:
         """Return whether the target should be used only if there is no alternative."""
         return self._clock() < self._avoid_until_s_by_id.get(target_id, 0.0)
--- a/packages/gateway/src/jaytray_gateway/request/attempt.py
+++ b/packages/gateway/src/jaytray_gateway/request/attempt.py
@@ -27,6 +27,10 @@
 # A target that accepts no connection for this long counts as unreachable although the
 # request's time limit ended the wait.
 MIN_CONNECT_S = 0.1
+# Expected times of an answer, compared among the targets of one service only: of a
+# plain request, and of a stream with an empty prompt.
+PLAIN_ANSWER_MS = 20.0
+ENGINE_ANSWER_MS = 20.0
 HTTP_SUCCESS = range(200, 300)
 HTTP_SERVER_ERROR = 500
 
@@ -51,6 +55,9 @@
         request.replica_name,
         priority=admitted.priority,
     )
+    state.paced = paced = services.pace.begin(
+        target, service=state.service.name, expected_ms=_expected_ms(state, services)
+    )
 
     def make_dispatch() -> Dispatch:
         services.admission.check_freshness()
@@ -99,6 +106,7 @@
         raise
     except ExchangeError as err:
         is_late = err.progress is ExchangeProgress.TIMED_OUT
+        paced.record_trouble()
         if not is_late:
             services.cold.suspect_restart(target)
         if err.progress is ExchangeProgress.NOT_SENT:
@@ -106,14 +114,17 @@
             if now_s < admitted.expires_at_s or now_s - begun_s > MIN_CONNECT_S:
                 services.health.record_unreachable(target.target_id, err.detail)
                 services.pools.drop_target(target.target_id)
+                _pace_if_failing(target, services)
             raise AttemptNotRun(err.detail, reached_target=False) from err
         if is_late:
             services.health.record_error_response(target.target_id)
         else:
             services.health.record_failure(target.target_id, err.detail)
+        _pace_if_failing(target, services)
         state.runs += 1
         raise AttemptFailed(err.detail, is_timeout=is_late) from err
     finally:
+        paced.end()
         services.loads.finish(target.target_id, in_flight)
         services.brittle.release(target, is_rejected=is_rejected)
 
@@ -142,6 +153,8 @@
         services.departures.record_leaving(target)
     if head.retry_after_s is not None:
         services.backoff.record(target, head.retry_after_s)
+    if head.is_not_run and not head.is_other_instance and state.paced is not None:
+        state.paced.record_trouble()
     if head.is_not_run or head.is_other_instance:
         await exchange.discard_body()
         services.search.note_not_run(state.admitted.request, target, head.status)
@@ -158,6 +171,11 @@
     body = await exchange.read_body(until_s)
     state.runs += 1
     is_error = head.status >= HTTP_SERVER_ERROR
+    if state.paced is not None and state.sent_at_s is not None:
+        if is_error:
+            state.paced.record_trouble()
+        else:
+            state.paced.record_answer(services.clock() - state.sent_at_s)
     if is_error:
         services.health.record_error_response(target.target_id)
     if reply.is_started or (is_error and state.is_retryable):
@@ -232,6 +250,20 @@
     return load.running >= engine.slots or any(load.waiting_tokens_by_priority.values())
 
 
+def _expected_ms(state: RequestState, services: RequestServices) -> float:
+    """Return the time to an answer by the size of the request."""
+    if state.service.engine is None:
+        return PLAIN_ANSWER_MS
+    speed = services.speeds.of(state.service.name)
+    tokens = state.admitted.request.prompt_tokens
+    return ENGINE_ANSWER_MS + speed.prefill_ms(tokens)
+
+
+def _pace_if_failing(target: TargetEntry, services: RequestServices) -> None:
+    if services.health.is_failing(target.target_id):
+        services.pace.record_failing(target)
+
+
 def _record_speed(
     state: RequestState, services: RequestServices, *, is_queued: bool
 ) -> None:
@@ -275,6 +307,8 @@
     first_s, sent_s = state.attempt_first_piece_s, state.sent_at_s
     if first_s is None or sent_s is None:
         return
+    if state.paced is not None:
+        state.paced.record_answer(first_s - sent_s)
     services.part_guard.record_chunk(target, sent_at_s=sent_s)
     if not state.is_begun and services.clock() - first_s > RESPONSE_BEGUN_S:
         state.is_begun = True
--- a/packages/gateway/src/jaytray_gateway/request/run_state.py
+++ b/packages/gateway/src/jaytray_gateway/request/run_state.py
@@ -6,6 +6,7 @@
 from jaytray_core.errors import Execution, JaytrayError, Step
 from jaytray_core.logs import get_logger
 from jaytray_gateway.ports import ResponseHead
+from jaytray_gateway.process.paced_targets import PacedRequest
 from jaytray_gateway.request.admission import AdmittedRequest
 from jaytray_gateway.request.event_buffer import EventBuffer
 from jaytray_gateway.version.route_table import RequestKind, Service
@@ -79,6 +80,8 @@
         # Start of the current attempt's response body, and the chunks of it so far.
         self.attempt_first_piece_s: float | None = None
         self.attempt_chunks = 0
+        # The current attempt at its target, None before the first one.
+        self.paced: PacedRequest | None = None
         # Whether the current attempt's response got beyond its beginning.
         self.is_begun = False
 
--- a/packages/gateway/src/jaytray_gateway/request/services.py
+++ b/packages/gateway/src/jaytray_gateway/request/services.py
@@ -13,6 +13,7 @@
 from jaytray_gateway.process.departure_notices import DepartureNotices
 from jaytray_gateway.process.engine_speed import EngineSpeeds
 from jaytray_gateway.process.load_view import LoadView
+from jaytray_gateway.process.paced_targets import PacedTargets
 from jaytray_gateway.process.prompt_part_guard import PromptPartGuard
 from jaytray_gateway.process.rate_shares import RateShares
 from jaytray_gateway.process.relay_members import RelayMembers
@@ -46,6 +47,7 @@
     backoff: TargetBackoff
     brittle: BrittleTargets
     cold: ColdTargets
+    pace: PacedTargets
     permits: TargetPermits
     departures: DepartureNotices
     reach: TargetReach
--- a/packages/gateway/src/jaytray_gateway/request/target_search.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_search.py
@@ -136,6 +136,11 @@
                     return chosen.target
                 limited_wait_s_by_id[chosen.target.target_id] = permit.wait_s
                 continue
+            if limited_wait_s_by_id and await self._permits.wait_for_pace(
+                limited_wait_s_by_id,
+                until_s=begun_s + _limit_wait_s(admitted.route),
+            ):
+                continue
             if limited_wait_s_by_id:
                 raise _limited_error(service, limited_wait_s_by_id)
             if software_version is not None and not self._targets_of(
--- a/packages/gateway/tests/request/harness.py
+++ b/packages/gateway/tests/request/harness.py
@@ -28,6 +28,7 @@
 from jaytray_gateway.process.load_forecasts import LoadForecasts
 from jaytray_gateway.process.load_view import LoadView
 from jaytray_gateway.process.metrics import GatewayMetrics
+from jaytray_gateway.process.paced_targets import PacedTargets
 from jaytray_gateway.process.prompt_part_guard import PromptPartGuard
 from jaytray_gateway.process.rate_grants import RateGrants
 from jaytray_gateway.process.rate_shares import RateShares
@@ -312,8 +313,18 @@
             copy_age_s=self.directory.age_s,
             max_copy_age_s=4.0,
         )
+        self.pace = PacedTargets(
+            peers=self._peers,
+            clock=clock,
+            running_at=lambda target_id: 0,
+            member_count=lambda: self.directory.member_count,
+        )
         permits = TargetPermits(
-            limits=limits, brittle=brittle, cold=self.cold_permits, clock=clock
+            limits=limits,
+            brittle=brittle,
+            pace=self.pace,
+            cold=self.cold_permits,
+            clock=clock,
         )
         self.speeds = EngineSpeeds()
         self.forecasts = LoadForecasts(clock=clock)
@@ -363,6 +374,7 @@
             backoff=backoff,
             brittle=brittle,
             cold=self.cold,
+            pace=self.pace,
             permits=permits,
             departures=DepartureNotices(peers=self._peers, directory=self.directory),
             reach=self.reach,
