--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -46,6 +46,9 @@
     "targets_unreachable": "service tried silent_s".split(),
     "targets_reachable": "service away_s".split(),
     "check_not_connected": "target error".split(),
+    "target_recovering": "target incarnation cause".split(),
+    "target_recovered": "target incarnation".split(),
+    "target_cold": "target incarnation left_s source".split(),
     "target_brittle_changed": "target incarnation max_rejections_per_s".split(),
     "target_backs_off": "target retry_after_s".split(),
     "target_limit_changed": "target incarnation rate_per_s".split(),
@@ -59,6 +62,10 @@
         "request_id source service software_version replies copy_age_s"
     ).split(),
     "stream_replies_missing": ("replies",),
+    # Failure domains that the operator evacuates.
+    "evacuation_seen": "failure_domain is_known_domain in_force_in_s".split(),
+    "evacuation_in_force": ("failure_domain",),
+    "evacuation_ended": ("failure_domain",),
     # The route table and the key-value service.
     "route_table_in_force": "version revision routes accounts".split(),
     "route_table_fetched": "function versions bytes call_ms copy_age_ms".split(),
--- a/packages/gateway/src/jaytray_gateway/ports.py
+++ b/packages/gateway/src/jaytray_gateway/ports.py
@@ -52,7 +52,8 @@
     takes no more requests. `retry_after_s` is how long the target wants no requests
     from this VM, None if it states no such time. `max_rejections_per_s` is how many
     requests per second the target may have to turn away for want of room before it
-    falls over, None if it does not state that it would.
+    falls over, None if it does not state that it would. `cold_left_s` is the time for
+    which the target stays cold, None if not stated.
     """
 
     status: int
@@ -67,6 +68,7 @@
     is_leaving: bool = False
     retry_after_s: float | None = None
     max_rejections_per_s: float | None = None
+    cold_left_s: float | None = None
 
 
 class OrderResult(NamedTuple):
@@ -119,7 +121,9 @@
     it for a request that cannot be forwarded. `send_order` and `read_report` raise
     no other exception than `JaytrayError`. `era_start` takes a revision of the
     key-value service and returns what to subtract from it for the one that the service
-    itself gave out; 0 if the service never returned from an older copy.
+    itself gave out; 0 if the service never returned from an older copy. A key of `evacuations_prefix` and the name
+    of a failure domain has the operator evacuate it; the prefix is empty if the
+    platform has no such keys.
     """
 
     route_table_key: str
@@ -134,3 +138,4 @@
     send_order: Callable[[str, str, TargetOrder], Awaitable[OrderResult]]
     read_report: Callable[[str], Awaitable[TargetReport]]
     era_start: Callable[[int], int] = _only_era
+    evacuations_prefix: str = ""
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -171,6 +171,9 @@
         subsystems.services.limits.retain_targets(target_ids)
         subsystems.services.backoff.retain_targets(target_ids)
         subsystems.services.brittle.retain_targets(target_ids)
+        subsystems.services.cold.retain_targets(target_ids)
+        subsystems.services.pace.retain_targets(target_ids)
+        subsystems.services.permits.retain_targets(target_ids)
         table = subsystems.directory.route_table
         if table is not None:
             subsystems.shares.sync_accounts(table)
@@ -187,6 +190,13 @@
         subsystems.metrics.set_gauge(
             "targets_brittle", subsystems.services.brittle.count()
         )
+        subsystems.metrics.set_gauge(
+            "targets_recovering", subsystems.services.pace.count()
+        )
+        subsystems.metrics.set_gauge("targets_cold", subsystems.services.cold.count())
+        evacuations = subsystems.directory.evacuations
+        evacuations.log_in_force()
+        subsystems.metrics.set_gauge("domains_evacuated", evacuations.count())
         subsystems.metrics.set_gauge(
             "services_cut_off", len(subsystems.services.reach.cut_off_services())
         )
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -13,12 +13,12 @@
 from jaytray_gateway.connection.table_version_call import ask_table_version
 from jaytray_gateway.connection.target_pool import TargetConnectionPool
 from jaytray_gateway.ports import PlatformAdapter
-from jaytray_gateway.process.brittle_targets import BrittleTargets
 from jaytray_gateway.process.crash_guard import QUARANTINE_S, CrashGuard
 from jaytray_gateway.process.demand_average import DemandAverage
 from jaytray_gateway.process.departure_notices import DepartureNotices
 from jaytray_gateway.process.directory import Directory
 from jaytray_gateway.process.engine_speed import EngineSpeeds
+from jaytray_gateway.process.evacuations import Evacuations
 from jaytray_gateway.process.fleet_digests import FleetDigests
 from jaytray_gateway.process.fleet_topology import FleetTopology
 from jaytray_gateway.process.hub_notices import HubNotices
@@ -51,6 +51,7 @@
 from jaytray_gateway.process.request_log import RequestLog
 from jaytray_gateway.process.retry_budget import RetryBudget
 from jaytray_gateway.process.route_table_notices import RouteTableNotices
+from jaytray_gateway.process.send_control import build_send_control, max_copy_age_s
 from jaytray_gateway.process.software_versions import (
     VERSION_MEMORY_S,
     SoftwareVersions,
@@ -61,7 +62,6 @@
 from jaytray_gateway.process.target_backoff import TargetBackoff
 from jaytray_gateway.process.target_choice import TargetChooser
 from jaytray_gateway.process.target_health import TargetHealth
-from jaytray_gateway.process.target_limits import TargetLimits
 from jaytray_gateway.process.target_reach import TargetReach
 from jaytray_gateway.request.admission import Admission
 from jaytray_gateway.request.services import RequestServices
@@ -69,9 +69,6 @@
 from jaytray_server.connection.peer_link import CurveKeys
 from jaytray_server.connection.peer_network import PeerHub
 
-# Maximum age of the local copy of the keys as a fraction of the revocation bound; the
-# rest covers the time from the check to the arrival at the target.
-KEY_AGE_FRACTION = 0.85
 # Time constant of the demand average: rare models are requested every few seconds.
 REPLICA_DEMAND_WINDOW_S = 6.0
 # Prefix of the members' leased records, relative to the platform adapter's own prefix.
@@ -120,7 +117,14 @@
     """Return the connected subsystems; none of them is started."""
     rng = random.Random()
     public_key, secret_key = zmq.curve_keypair()
-    directory = Directory(key_value=key_value, adapter=adapter, clock=clock)
+    evacuations = Evacuations(
+        clock=clock,
+        evacuation_s=options.evacuation_s,
+        known_domains=frozenset(options.failure_domains),
+    )
+    directory = Directory(
+        key_value=key_value, adapter=adapter, clock=clock, evacuations=evacuations
+    )
     follower = StoreFollower(
         directory=directory,
         key_value=key_value,
@@ -231,13 +235,10 @@
         clock=clock,
     )
     member_messages.subscribe(crash_guard, part_guard, placement.add_replica_request)
-    limits = TargetLimits(peers=peers, clock=clock)
-    backoff = TargetBackoff(clock=clock)
-    brittle = BrittleTargets(
-        peers=peers,
-        clock=clock,
-        running_at=lambda target_id: loads.load_of(target_id).running,
+    control = build_send_control(
+        options, directory=directory, peers=peers, loads=loads, clock=clock
     )
+    backoff = TargetBackoff(clock=clock)
     departures = DepartureNotices(peers=peers, directory=directory)
     RouteTableNotices(peers=peers, directory=directory, follower=follower)
     versions = SoftwareVersions(directory=directory, clock=clock)
@@ -257,7 +258,7 @@
         directory=directory,
         lifecycle=lifecycle,
         grants=grants,
-        max_table_age_s=options.revocation_s * KEY_AGE_FRACTION,
+        max_table_age_s=max_copy_age_s(options),
         is_table_confirmed=version_check.is_confirmed,
     )
     speeds = EngineSpeeds()
@@ -268,6 +269,7 @@
         speeds=speeds,
         has_connection=lambda target: pools.has_idle(target.target_id, target.address),
         rng=rng,
+        extra_cost_ms=control.extra_cost_ms,
     )
     services = RequestServices(
         vm_id=options.vm_id,
@@ -277,9 +279,8 @@
             replicas=replicas,
             chooser=chooser,
             request_replica=placement.request_replica,
-            limits=limits,
+            permits=control.permits,
             backoff=backoff,
-            brittle=brittle,
             speeds=speeds,
             forecasts=forecasts,
             member_count=lambda: len(member_messages.member_ids()),
@@ -293,9 +294,12 @@
         pools=pools,
         crash_guard=crash_guard,
         part_guard=part_guard,
-        limits=limits,
+        limits=control.limits,
         backoff=backoff,
-        brittle=brittle,
+        brittle=control.brittle,
+        cold=control.cold,
+        pace=control.pace,
+        permits=control.permits,
         departures=departures,
         reach=reach,
         relays=relays,
@@ -373,6 +377,7 @@
         services=services,
     )
     directory.on_change(lambda: apply_members(subsystems))
+    directory.on_change(control.update)
     return subsystems
 
 
--- a/packages/gateway/src/jaytray_gateway/process/target_choice.py
+++ b/packages/gateway/src/jaytray_gateway/process/target_choice.py
@@ -53,6 +53,7 @@
         speeds: EngineSpeeds,
         has_connection: Callable[[TargetEntry], bool],
         rng: random.Random,
+        extra_cost_ms: Callable[[TargetEntry], float] = lambda _target: 0.0,
     ) -> None:
         self._failure_domain = failure_domain
         self._loads = loads
@@ -60,6 +61,7 @@
         self._speeds = speeds
         self._has_connection = has_connection
         self._rng = rng
+        self._extra_cost_ms = extra_cost_ms
 
     def choose(
         self,
@@ -101,6 +103,7 @@
     ) -> Candidate:
         load = self._loads.load_of(target.target_id)
         cost_ms = MS_PER_FAILURE * self._health.failure_rate(target.target_id)
+        cost_ms += self._extra_cost_ms(target)
         if target.failure_domain != self._failure_domain:
             cost_ms += CROSS_DOMAIN_COST_MS
         if not self._has_connection(target):
--- a/packages/gateway/src/jaytray_gateway/process/target_entry.py
+++ b/packages/gateway/src/jaytray_gateway/process/target_entry.py
@@ -12,7 +12,8 @@
     `adapters_by_model` holds the loaded models and their adapters. `models_in_memory`
     and `models_on_disk` are models whose weights the target has cached: loading them is
     faster and does not count towards the weight store's limit. `heartbeat_count` rises
-    with each write of the entry within a start, None if it is not stated.
+    with each write of the entry within a start, None if it is not stated. `cold_left_s`
+    is how long the target stays cold, None if it does not state one.
     """
 
     target_id: str
@@ -27,3 +28,4 @@
     models_in_memory: frozenset[str]
     models_on_disk: frozenset[str]
     heartbeat_count: int | None = None
+    cold_left_s: float | None = None
