The last heartbeat of a link tells the peer that neither end needs it

One end stopped after the other's answer and sent none of its own, so the other end waited for echoes for 7 s and dialled anew.

--- a/packages/server/src/jaytray_server/connection/peer_network.py
+++ b/packages/server/src/jaytray_server/connection/peer_network.py
@@ -226,12 +226,14 @@
         contact_s = now_s - max(0, beat.key_value_age_ms) / 1000
         self.heard_by_id[envelope.origin] = LastHeartbeat(*number, now_s, contact_s)
         # If the peer chose this VM as a neighbour, the link is one between neighbours
-        # in this direction too. If neither did, the heartbeats end.
+        # in this direction too. If neither did, a last heartbeat tells the peer so.
         is_chosen = not envelope.needs_relay or envelope.origin in self._chosen
-        link = self._links_by_id.get(envelope.origin)
-        if link is None and is_chosen:
-            link = self._link_to(envelope.origin)
+        find_link = self._link_to if is_chosen else self._links_by_id.get
+        link = find_link(envelope.origin)
         if link is not None:
+            if link.is_neighbour and not is_chosen:
+                link.heartbeats_sent += 1
+                link.enqueue(self._make_heartbeat(link), now_s=now_s)
             link.set_neighbour(is_chosen, now_s=now_s)
             link.record_echo(beat.echo, now_s=now_s)
 
--- a/packages/server/tests/connection/test_peer_network.py
+++ b/packages/server/tests/connection/test_peer_network.py
@@ -243,8 +243,15 @@
                 hubs[0].update_vms(entries, chosen=frozenset())
                 self.assertEqual([True, True], exchange())
                 hubs[1].update_vms(entries, chosen=frozenset())
-                exchange()
                 self.assertEqual([False, False], exchange())
+                # Each end hears of it, also if it was not to send another one.
+                for hub, other in (hubs, hubs[::-1]):
+                    link = hub._links_by_id[other.vm_id]
+                    link.set_neighbour(True, now_s=monotonic_clock())
+                link = hubs[0]._links_by_id["b"]
+                link.heartbeats_sent += 1
+                hubs[1].receive(hubs[0]._make_heartbeat(link))
+                await wait_until(lambda: not link.is_neighbour)
                 # A heartbeat that only answers opens no link.
                 frame = hubs[0]._make_heartbeat(
                     PeerLink(
