--- a/packages/gateway/src/jaytray_gateway/process/fleet_digests.py
+++ b/packages/gateway/src/jaytray_gateway/process/fleet_digests.py
@@ -377,7 +377,7 @@
 
     def _send_demand(self) -> None:
         leader = self._leader_id()
-        if not leader:
+        if leader is None or not self._topology.takes_part(leader):
             return
         demand = self._sums.demand(self._next_number(), leader=leader)
         if leader == self._own_id:
