--- a/packages/gateway/src/jaytray_gateway/ports.py
+++ b/packages/gateway/src/jaytray_gateway/ports.py
@@ -121,9 +121,9 @@
     it for a request that cannot be forwarded. `send_order` and `read_report` raise
     no other exception than `JaytrayError`. `era_start` takes a revision of the
     key-value service and returns what to subtract from it for the one that the service
-    itself gave out; 0 if the service never returned from an older copy. A key of `evacuations_prefix` and the name
-    of a failure domain has the operator evacuate it; the prefix is empty if the
-    platform has no such keys.
+    itself gave out; 0 if the service never returned from an older copy. A key of
+    `evacuations_prefix` and the name of a failure domain has the operator evacuate it;
+    the prefix is empty if the platform has no such keys.
     """
 
     route_table_key: str
