Keep the history from which another copy can be updated

A member of a large fleet is to follow the copy of another one instead of the store. A read shows no removal of a key that was created since the last watch, and one of several calls shows later removals than its revision says.

ChangeHistory keeps the last change of each key, the steps by reads, and the changes that watches missed. A key that a read does not find gets a revision above its last write, so that no removal has to be applied against the order of revisions.

--- a/packages/gateway/src/jaytray_gateway/process/directory.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -21,6 +21,7 @@
 )
 from jaytray_core.logs import get_logger
 from jaytray_gateway.ports import PlatformAdapter
+from jaytray_gateway.process.change_history import ChangeHistory, KeyState
 from jaytray_gateway.process.store_outage import StoreOutage
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.version.route_table import ClientAccount, RouteTable
@@ -48,19 +49,13 @@
 OnRouteTable = Callable[[int], None]
 
 
-class _KeyState(NamedTuple):
-    """Last known state of a key; `value` is empty once the key was removed."""
-
-    value: bytes
-    revision: int
-
-
 class Directory:
     """Local copy of the key-value service.
 
     `current_as_of_s` is the start of the last successful read or watch, by a clock that
     also runs while the VM is suspended. All earlier changes are known. A watch goes on
-    after `revision`, which is 0 before the first read.
+    after `revision`, which is 0 before the first read. `restores` is the number of the
+    service's restores at the last read, None before the first.
     """
 
     def __init__(
@@ -79,12 +74,12 @@
         self.current_as_of_s = -float("inf")
         # When the service was last found to have returned from an older copy.
         self.restored_at_s = -float("inf")
-        self._restores: int | None = None
+        self.restores: int | None = None
+        self.history = ChangeHistory()
+        self.outage = StoreOutage(clock=clock)
         self._key_value = key_value
         self._adapter = adapter
         self._clock = clock
-        self._state_by_key: dict[str, _KeyState] = {}
-        self._outage = StoreOutage(clock=clock)
         # Last start of a target that was seen leaving. It never takes requests again,
         # whatever an outdated entry says.
         self._leaving_incarnation_by_id: OrderedDict[str, str] = OrderedDict()
@@ -108,7 +103,7 @@
 
     def route_table_revision(self) -> int:
         """Return the revision of the newest known route table, 0 before the first."""
-        state = self._state_by_key.get(self._adapter.route_table_key)
+        state = self.history.state_by_key.get(self._adapter.route_table_key)
         return state.revision if state is not None else ABSENT_REVISION
 
     def age_s(self) -> float:
@@ -140,7 +135,7 @@
     def targets_of(self, service: str) -> list[TargetEntry]:
         """Return the targets of a service that accept new requests."""
         # The read that removes a lapsed target may come later than its time is over.
-        overdue = self._outage.overdue_ids()
+        overdue = self.outage.overdue_ids()
         return [
             target
             for target in self.targets_by_id.values()
@@ -180,26 +175,18 @@
             known is not None
             and known.incarnation == target.incarnation
             and not known.is_leaving
-            and target.target_id not in self._outage.overdue_ids()
+            and target.target_id not in self.outage.overdue_ids()
         )
 
     def apply_read(self, read: PrefixRead, begun_s: float) -> None:
         """Apply a read of all keys that began at `begun_s`."""
-        records, revision = read
-        self._outage.record_success()
+        self.outage.record_success()
         self._notice_restore()
         self.note_current(begun_s)
-        found = {record.key for record in records}
-        # Watch responses may have arrived during the read. What they say of a key that
-        # is missing is outdated, unless it was written after the read.
-        removed = [
-            KeyValueRecord(key, b"", revision)
-            for key, state in self._state_by_key.items()
-            if key not in found and state.value and state.revision <= revision
-        ]
-        self.revision = max(self.revision, revision)
-        self._expire_lapsed_targets(found)
-        self._apply([*records, *removed], removed_keys={r.key for r in removed})
+        removed = self.history.record_read(read, self.revision)
+        self.revision = max(self.revision, read.revision)
+        self._expire_lapsed_targets({record.key for record in read.records})
+        self._apply([*read.records, *removed])
         self._announce_departures()
 
     def _notice_restore(self) -> None:
@@ -208,12 +195,12 @@
         Targets and members that it lost need time to register again.
         """
         restores = self._key_value.count_restores()
-        is_restored = self._restores is not None and restores != self._restores
-        self._restores = restores
+        is_restored = self.restores is not None and restores != self.restores
+        self.restores = restores
         if is_restored:
             get_logger().warning("store_restored", restores=restores)
             self.restored_at_s = self._clock()
-            self._outage.record_restore()
+            self.outage.record_restore()
 
     def apply_batch(self, batch: WatchBatch, begun_s: float) -> None:
         """Apply the response to a watch that began at `begun_s`."""
@@ -234,28 +221,19 @@
 
     def record_failed_read(self, begun_s: float, error: str) -> None:
         """Record that a read that began at `begun_s` failed."""
-        self._outage.record_failure(begun_s, error)
+        self.outage.record_failure(begun_s, error)
 
     def has_lapsed_targets(self) -> bool:
         """Return whether a target without an entry may still register again."""
-        return self._outage.has_lapsed_targets()
+        return self.outage.has_lapsed_targets()
 
-    def _apply(
-        self,
-        records: list[KeyValueRecord],
-        removed_keys: frozenset[str] | set[str] = frozenset(),
-    ) -> None:
+    def _apply(self, records: list[KeyValueRecord]) -> None:
         is_changed = False
         for record in records:
-            state = self._state_by_key.get(record.key)
-            is_removed = record.key in removed_keys
-            if (
-                state is not None
-                and record.revision <= state.revision
-                and not is_removed
-            ):
+            if not self.history.is_newer(record.key, record.revision):
                 continue
-            self._state_by_key[record.key] = _KeyState(record.value, record.revision)
+            state = KeyState(record.value, record.revision)
+            self.history.state_by_key[record.key] = state
             self._apply_record(record)
             is_changed = True
         if is_changed:
@@ -322,7 +300,7 @@
             self._note_leaving(entry)
             self._departures.append(TargetDeparture(target_id, entry.incarnation))
         before = self.targets_by_id.get(target_id)
-        self._outage.forget_lapsed(target_id)
+        self.outage.forget_lapsed(target_id)
         self.targets_by_id[target_id] = entry
         if before is None or (before.incarnation, before.is_leaving) != (
             entry.incarnation,
@@ -348,7 +326,7 @@
         if target is None:
             return
         if not target.is_leaving:
-            if self._outage.try_lapse(target_id):
+            if self.outage.try_lapse(target_id):
                 return
             self._departures.append(
                 TargetDeparture(target_id, target.incarnation, revision)
@@ -361,6 +339,6 @@
         registered = {
             key.removeprefix(prefix) for key in found_keys if key.startswith(prefix)
         }
-        for target_id in self._outage.expire_lapsed(registered):
+        for target_id in self.outage.expire_lapsed(registered):
             self.targets_by_id.pop(target_id, None)
             get_logger().info("target_gone", target=target_id, lapsed=True)
