Let members update their copy of the store from a hub

Each member watches the store by itself: 0.6 calls per second each, which all have a price.

DirectoryExchange asks a hub for the changes after the member's revision. The copy is then current as of the time of asking, less the age that the hub states. Without a young copy at a hub, the member watches the store itself. Large values are not sent; the member reads them. A hub states its count of restores and its last outage. Without hubs, nothing changes.

--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -66,6 +66,7 @@
     "store_restored": ("restores",),
     "store_watch_ended": ("error",),
     "directory_not_updated": ("error",),
+    "directory_hub_skipped": "peer reason".split(),
     # Members.
     "member_recorded": "is_written lease".split(),
     "member_unreadable": "member error".split(),
--- a/packages/gateway/src/jaytray_gateway/process/store_follower.py
+++ b/packages/gateway/src/jaytray_gateway/process/store_follower.py
@@ -4,6 +4,9 @@
 known. Another task reads all keys: rarely while watches succeed, and at once when they
 fail.
 
+In a large fleet only hubs and the placement leader watch. The other members ask a hub
+for changes, and watch themselves while no hub has a young copy.
+
 On a slow link, the response with a large route table takes much of the bound on a
 change. Hence a table that another member has read is read without a pause, in its
 newest version only. No read begins beside a watch that may still respond in time, and
@@ -12,6 +15,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from math import isfinite
 
 from jaytray_core.clock import MonotonicClock
@@ -20,6 +24,10 @@
 from jaytray_core.logs import get_logger
 from jaytray_core.tasks import wait_until_set
 from jaytray_gateway.process.directory import Directory
+from jaytray_gateway.process.directory_exchange import (
+    DirectoryExchange,
+    UpdateResult,
+)
 
 # Age of the copy, as a fraction of the bound on a change, at which all keys are read if
 # no watch has succeeded, so that a change that no watch reports is in force in time.
@@ -47,12 +55,36 @@
 # Pauses vary between this fraction and the whole, as members that started at the same
 # time would also watch at the same time, and all notice a change as late as any.
 MIN_PAUSE_FRACTION = 0.8
+# Interval of a hub's watches and of the other members' questions. A copy is then at
+# most 1.2 s old, plus the time of the calls.
+HUB_INTERVAL_S = 0.6
+# Wait of watches in a fleet with hubs. A longer one would show no change earlier, and
+# as the age counts from its start, the copies of a group would be older.
+HUB_WATCH_WAIT_S = 0.05
+# The same as a fraction of the bound.
+HUB_INTERVAL_FRACTION = 0.2
+# Shortest pause between questions.
+MIN_ASK_PAUSE_S = 0.1
+# Ages of the copy, as fractions of the bound, at which a member asks its hubs again and
+# at which it watches itself if none has answered. At random, as the copies of a group
+# come from one hub and would all be as old.
+ASK_AGE_FRACTIONS = (0.38, 0.42)
+OWN_WATCH_AGE_FRACTIONS = (0.5, 0.55)
+# In a fleet with hubs: the fractions that replace `MAX_COPY_AGE_FRACTION`, the time for
+# which a late watch may respond, and the interval of reading all keys.
+READ_AGE_FRACTIONS = (0.68, 0.75)
+MAX_LATE_WATCH_FRACTION = 0.2
+FOLLOWER_READ_INTERVAL_S = 30.0
+
+# Called with the source of each update: hub, watch or read.
+CountUpdate = Callable[[str], None]
 
 
 class StoreFollower:
     """Reads and watches the key-value service for the directory.
 
-    `bound_s` is the shortest time within which a change must be in force.
+    `bound_s` is the shortest time within which a change must be in force. Without an
+    `exchange`, the fleet has no hubs.
     """
 
     def __init__(
@@ -63,17 +95,24 @@
         clock: MonotonicClock,
         rng: random.Random,
         bound_s: float,
+        exchange: DirectoryExchange | None = None,
+        count_update: CountUpdate = lambda _source: None,
     ) -> None:
         self._directory = directory
         self._key_value = key_value
         self._clock = clock
         self._rng = rng
         self._bound_s = bound_s
+        self._exchange = exchange
+        self._count_update = count_update
+        self._hub_interval_s = min(HUB_INTERVAL_S, HUB_INTERVAL_FRACTION * bound_s)
+        self._max_age_s = MAX_COPY_AGE_FRACTION * bound_s
         # Start and duration of the last successful read.
         self._read_at_s = -float("inf")
         self._read_s = 0.0
         self._read_requested = asyncio.Event()
         self._read_ended = asyncio.Event()
+        self._is_reading = False
         # Start of the watch that is in progress.
         self._watch_begun_s: float | None = None
         # Highest revision of the route table that another member has announced.
@@ -92,15 +131,23 @@
         while True:
             begun_s = self._clock()
             self._read_requested.clear()
+            self._is_reading = True
             try:
                 read = await self._key_value.read_prefix("")
             except JaytrayError as err:
                 self._directory.record_failed_read(begun_s, str(err))
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
+            finally:
+                self._is_reading = False
             self._read_at_s, self._read_s = begun_s, self._clock() - begun_s
             self._log_fetch("read", read.records, begun_s)
             self._directory.apply_read(read, begun_s)
+            self._count_update("read")
+            fraction = MAX_COPY_AGE_FRACTION
+            if self._follows_hubs():
+                fraction = self._rng.uniform(*READ_AGE_FRACTIONS)
+            self._max_age_s = self._bound_s * fraction
             self._read_ended.set()
             await self._wait_until_read_is_due()
 
@@ -112,10 +159,14 @@
             if directory.revision == 0:
                 await asyncio.sleep(LEADER_WATCH_PAUSE_S)
                 continue
+            if self._follows_hubs() and await self._update_from_hub():
+                await self._pause(self._ask_pause_s, min_pause_fraction)
+                min_pause_fraction = MIN_PAUSE_FRACTION
+                continue
             self._watch_begun_s = begun_s = self._clock()
             try:
                 batch = await self._key_value.watch(
-                    "", directory.revision, WATCH_WAIT_S
+                    "", directory.revision, self._watch_wait_s()
                 )
             except JaytrayError as err:
                 get_logger().info("store_watch_ended", error=str(err))
@@ -126,17 +177,48 @@
                 self._watch_begun_s = None
             self._log_fetch("watch", batch.records, begun_s)
             directory.apply_batch(batch, begun_s)
-            await self._pause(min_pause_fraction)
+            self._count_update("watch")
+            await self._pause(self._watch_pause_s, min_pause_fraction)
             min_pause_fraction = MIN_PAUSE_FRACTION
 
-    async def _pause(self, min_fraction: float) -> None:
-        """Pause between watches, and read route tables that are announced."""
-        pause_s = self._watch_pause_s() * self._rng.uniform(min_fraction, 1.0)
+    def _follows_hubs(self) -> bool:
+        """Return whether hubs are asked before the service."""
+        exchange, directory = self._exchange, self._directory
+        return (
+            exchange is not None
+            and exchange.is_used()
+            and not exchange.is_source()
+            and not directory.is_placement_leader
+            # Otherwise the next watch finds that the service has been restored.
+            and directory.restores == self._key_value.count_restores()
+        )
+
+    async def _update_from_hub(self) -> bool:
+        """Return whether a hub has updated the copy, or a read has that it led to."""
+        assert self._exchange is not None
+        max_age_s = self._bound_s * self._rng.uniform(*OWN_WATCH_AGE_FRACTIONS)
+        ends_s = self._directory.current_as_of_s + max_age_s
+        result = await self._exchange.update(ends_s)
+        if result is UpdateResult.RESTORED:
+            self._read_requested.set()
+        if result is UpdateResult.LARGE:
+            self._read_ended.clear()
+            if not self._is_reading:
+                self._read_requested.set()
+            return await wait_until_set(self._read_ended, self._bound_s)
+        if result is not UpdateResult.FRESH:
+            return False
+        self._count_update("hub")
+        return True
+
+    async def _pause(self, longest_s: Callable[[], float], min_fraction: float) -> None:
+        """Pause between updates, and read route tables that are announced."""
+        pause_s = longest_s() * self._rng.uniform(min_fraction, 1.0)
         while await wait_until_set(self._announced, pause_s):
             self._announced.clear()
             await self._read_announced_table()
             # All members have read at the same time.
-            pause_s = self._watch_pause_s() * self._rng.random()
+            pause_s = longest_s() * self._rng.random()
 
     def _is_behind(self) -> bool:
         """Return whether another member knows a newer route table."""
@@ -170,22 +252,43 @@
 
     def _read_due_s(self) -> float:
         directory = self._directory
-        max_age_s = self._bound_s * MAX_COPY_AGE_FRACTION
-        stale_s = directory.current_as_of_s + max_age_s
+        stale_s = directory.current_as_of_s + self._max_age_s
+        follows_hubs = self._follows_hubs()
         if self._watch_begun_s is not None:
-            late_s = self._watch_begun_s + self._bound_s * MAX_WATCH_FRACTION
+            fraction = MAX_LATE_WATCH_FRACTION if follows_hubs else MAX_WATCH_FRACTION
+            late_s = self._watch_begun_s + self._bound_s * fraction
             stale_s = max(stale_s, late_s)
-        interval_s = max(FULL_READ_INTERVAL_S, FULL_READ_DURATIONS * self._read_s)
+        interval_s = FOLLOWER_READ_INTERVAL_S if follows_hubs else FULL_READ_INTERVAL_S
+        interval_s = max(interval_s, FULL_READ_DURATIONS * self._read_s)
         if directory.has_lapsed_targets():
-            interval_s = max_age_s
+            interval_s = self._max_age_s
         return min(stale_s, self._read_at_s + interval_s)
 
+    def _watch_wait_s(self) -> float:
+        has_hubs = self._exchange is not None and self._exchange.is_used()
+        return HUB_WATCH_WAIT_S if has_hubs else WATCH_WAIT_S
+
     def _watch_pause_s(self) -> float:
+        """Return the longest pause after a watch."""
         if self._directory.is_placement_leader:
             return LEADER_WATCH_PAUSE_S
         members = self._directory.member_count
         pause_s = WATCH_PAUSE_S + WATCH_PAUSE_S_PER_MEMBER * members
-        return min(pause_s, WATCH_PAUSE_FRACTION * self._bound_s)
+        pause_s = min(pause_s, WATCH_PAUSE_FRACTION * self._bound_s)
+        if self._exchange is None or not self._exchange.is_used():
+            return pause_s
+        if self._exchange.is_source():
+            next_s = self._directory.current_as_of_s + self._hub_interval_s
+            return max(0.0, next_s - self._clock())
+        return min(pause_s, self._time_to_ask_s())
+
+    def _ask_pause_s(self) -> float:
+        """Return the longest pause after an update from a hub."""
+        return min(self._hub_interval_s, self._time_to_ask_s())
+
+    def _time_to_ask_s(self) -> float:
+        max_age_s = self._bound_s * self._rng.uniform(*ASK_AGE_FRACTIONS)
+        return max(MIN_ASK_PAUSE_S, max_age_s - self._directory.age_s())
 
     def _log_fetch(
         self, function: str, records: list[KeyValueRecord], begun_s: float
--- a/packages/gateway/src/jaytray_gateway/process/store_outage.py
+++ b/packages/gateway/src/jaytray_gateway/process/store_outage.py
@@ -44,9 +44,22 @@
         self._failing_since_s = None
         get_logger().info("store_regained", away_s=round(away_s, 2))
         if away_s > MIN_OUTAGE_S:
-            self._ended_s = now_s
-            for target_id in self._lapsed_until_s_by_id:
-                self._lapsed_until_s_by_id[target_id] = now_s + REREGISTRATION_S
+            self.record_end(now_s)
+
+    def record_end(self, ended_s: float) -> None:
+        """Record that an outage lasted until `ended_s`, here or at another member."""
+        if ended_s <= self._ended_s:
+            return
+        self._ended_s = ended_s
+        for target_id, until_s in self._lapsed_until_s_by_id.items():
+            self._lapsed_until_s_by_id[target_id] = max(
+                until_s, ended_s + REREGISTRATION_S
+            )
+
+    def end_age_s(self) -> float:
+        """Return the time since the last outage, 0 in one, infinite without any."""
+        now_s = self._clock()
+        return 0.0 if self._is_in_outage(now_s) else now_s - self._ended_s
 
     def record_restore(self) -> None:
         """Record that the service has just returned from an older copy."""
@@ -55,9 +68,8 @@
     def try_lapse(self, target_id: str) -> bool:
         """Return whether a target still counts as registered without an entry."""
         now_s = self._clock()
-        since_s = self._failing_since_s
-        is_in_outage = since_s is not None and now_s - since_s > MIN_OUTAGE_S
-        until_s = (now_s if is_in_outage else self._ended_s) + REREGISTRATION_S
+        ended_s = now_s if self._is_in_outage(now_s) else self._ended_s
+        until_s = ended_s + REREGISTRATION_S
         if now_s >= until_s:
             return False
         self._lapsed_until_s_by_id[target_id] = until_s
@@ -83,3 +95,7 @@
         for target_id in (*overdue, *registered_ids):
             self._lapsed_until_s_by_id.pop(target_id, None)
         return overdue
+
+    def _is_in_outage(self, now_s: float) -> bool:
+        since_s = self._failing_since_s
+        return since_s is not None and now_s - since_s > MIN_OUTAGE_S
