--- a/packages/gateway/src/jaytray_gateway/process/metrics.py
+++ b/packages/gateway/src/jaytray_gateway/process/metrics.py
@@ -50,6 +50,12 @@
             ["function", "outcome"],
             registry=self.registry,
         )
+        self._directory_updates = Counter(
+            "jaytray_directory_updates",
+            "Updates of the directory's local copy by source.",
+            ["source"],
+            registry=self.registry,
+        )
         self._gauge_by_name = {
             name: Gauge(f"jaytray_{name}", text, registry=self.registry)
             for name, text in (
@@ -74,6 +80,10 @@
         if first_piece_s is not None:
             self._first_piece_s.observe(first_piece_s)
 
+    def count_directory_update(self, source: str) -> None:
+        """Count an update from a hub, or by a watch or read of the service."""
+        self._directory_updates.labels(source).inc()
+
     def set_gauge(self, name: str, value: float) -> None:
         """Set a gauge by its name without the `jaytray_` prefix."""
         self._gauge_by_name[name].set(value)
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -17,7 +17,9 @@
 from jaytray_gateway.process.demand_average import DemandAverage
 from jaytray_gateway.process.departure_notices import DepartureNotices
 from jaytray_gateway.process.directory import Directory
+from jaytray_gateway.process.directory_exchange import DirectoryExchange
 from jaytray_gateway.process.engine_speed import EngineSpeeds
+from jaytray_gateway.process.fleet_topology import FleetTopology
 from jaytray_gateway.process.leased_records import LeasedRecords, RecordKind
 from jaytray_gateway.process.lifecycle import Lifecycle
 from jaytray_gateway.process.load_forecasts import LoadForecasts
@@ -81,6 +83,7 @@
     follower: StoreFollower
     membership: Membership
     recent_members: RecentMembers
+    topology: FleetTopology
     hub: PeerHub
     shares: RateShares
     grants: RateGrants
@@ -108,13 +111,7 @@
     rng = random.Random()
     public_key, secret_key = zmq.curve_keypair()
     directory = Directory(key_value=key_value, adapter=adapter, clock=clock)
-    follower = StoreFollower(
-        directory=directory,
-        key_value=key_value,
-        clock=clock,
-        rng=rng,
-        bound_s=options.change_s,
-    )
+    topology = FleetTopology(own_id=options.vm_id)
     hub = PeerHub(
         vm_id=options.vm_id,
         boot_epoch_ms=time.time_ns() // 1_000_000,
@@ -146,6 +143,22 @@
     replica_demand = DemandAverage(clock=clock, window_s=REPLICA_DEMAND_WINDOW_S)
     forecasts = LoadForecasts(clock=clock)
     peers = hub.peer_network()
+    follower = StoreFollower(
+        directory=directory,
+        key_value=key_value,
+        clock=clock,
+        rng=rng,
+        bound_s=options.change_s,
+        exchange=DirectoryExchange(
+            peers=peers,
+            directory=directory,
+            own_hubs=topology.own_hubs,
+            clock=clock,
+            rng=rng,
+            bound_s=options.change_s,
+        ),
+        count_update=metrics.count_directory_update,
+    )
     grants = RateGrants(
         shares=shares,
         peers=peers,
@@ -271,6 +284,7 @@
             key_value=key_value,
         ),
         recent_members=recent_members,
+        topology=topology,
         hub=hub,
         shares=shares,
         grants=grants,
@@ -336,6 +350,7 @@
     subsystems.services.relays.update(
         [member for member in members_by_id.values() if member.vm_id != own.vm_id]
     )
+    subsystems.topology.update(members_by_id)
     subsystems.hub.update_vms(vms, chosen=others)
     subsystems.directory.member_count = len(members_by_id)
     update_counted_members(subsystems)
