--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -19,7 +19,9 @@
 from jaytray_gateway.process.directory import Directory
 from jaytray_gateway.process.directory_exchange import DirectoryExchange
 from jaytray_gateway.process.engine_speed import EngineSpeeds
+from jaytray_gateway.process.fleet_digests import FleetDigests
 from jaytray_gateway.process.fleet_topology import FleetTopology
+from jaytray_gateway.process.hub_notices import HubNotices
 from jaytray_gateway.process.leased_records import LeasedRecords, RecordKind
 from jaytray_gateway.process.lifecycle import Lifecycle
 from jaytray_gateway.process.load_forecasts import LoadForecasts
@@ -92,6 +94,7 @@
     health: TargetHealth
     pools: TargetConnectionPool
     member_messages: MemberMessages
+    digests: FleetDigests
     placement: PlacementController
     quarantine_records: LeasedRecords
     software_version_records: LeasedRecords
@@ -142,7 +145,23 @@
     reach = TargetReach(directory=directory, pools=pools, clock=clock, rng=rng)
     replica_demand = DemandAverage(clock=clock, window_s=REPLICA_DEMAND_WINDOW_S)
     forecasts = LoadForecasts(clock=clock)
-    peers = hub.peer_network()
+    notices = HubNotices(
+        peers=hub.peer_network(), clock=clock, takes_part=topology.takes_part
+    )
+    peers = notices.peer_network()
+    digests = FleetDigests(
+        peers=peers,
+        topology=topology,
+        loads=loads,
+        relays=relays,
+        replica_demand=replica_demand,
+        cut_off_services=reach.cut_off_services,
+        leader_id=lambda: placement.leader_id(),
+        boot_epoch_ms=hub.boot_epoch_ms,
+        clock=clock,
+        rng=rng,
+    )
+    notices.use_hubs(digests.active_hubs, digests.reporters)
     follower = StoreFollower(
         directory=directory,
         key_value=key_value,
@@ -175,6 +194,8 @@
         forecasts=forecasts,
         reach=reach,
         relays=relays,
+        topology=topology,
+        hub_rates=digests.hub_rates,
     )
     crash_guard = CrashGuard(
         clock=clock, notify_peers=member_messages.broadcast_run_end
@@ -293,6 +314,7 @@
         health=health,
         pools=pools,
         member_messages=member_messages,
+        digests=digests,
         placement=placement,
         quarantine_records=leased_records(
             QUARANTINE_PREFIX,
@@ -350,8 +372,10 @@
     subsystems.services.relays.update(
         [member for member in members_by_id.values() if member.vm_id != own.vm_id]
     )
-    subsystems.topology.update(members_by_id)
-    subsystems.hub.update_vms(vms, chosen=others)
+    topology = subsystems.topology
+    topology.update(m.vm_id for m in members_by_id.values() if m.takes_digests())
+    chosen = {vm for vm in others if not topology.takes_part(vm)}
+    subsystems.hub.update_vms(vms, chosen=topology.neighbours() | chosen)
     subsystems.directory.member_count = len(members_by_id)
     update_counted_members(subsystems)
 
--- a/packages/gateway/tests/process/test_directory_exchange.py
+++ b/packages/gateway/tests/process/test_directory_exchange.py
@@ -18,7 +18,7 @@
 )
 from jaytray_standins.faults import Fault, FaultKind
 from jaytray_standins.virtual_loop import run_virtual
-from packages.gateway.tests.process.hub_fleet import (
+from packages.gateway.tests.process.directory_fleet import (
     CALL_S,
     MAX_AGE_S,
     HubFleet,
