--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -17,6 +17,7 @@
 from jaytray_gateway.process.demand_average import DemandAverage
 from jaytray_gateway.process.departure_notices import DepartureNotices
 from jaytray_gateway.process.directory import Directory
+from jaytray_gateway.process.directory_exchange import DirectoryExchange
 from jaytray_gateway.process.engine_speed import EngineSpeeds
 from jaytray_gateway.process.evacuations import Evacuations
 from jaytray_gateway.process.fleet_digests import FleetDigests
@@ -87,6 +88,7 @@
     follower: StoreFollower
     membership: Membership
     recent_members: RecentMembers
+    topology: FleetTopology
     hub: PeerHub
     shares: RateShares
     grants: RateGrants
@@ -95,7 +97,6 @@
     health: TargetHealth
     pools: TargetConnectionPool
     member_messages: MemberMessages
-    topology: FleetTopology
     digests: FleetDigests
     placement: PlacementController
     fencing_base: FencingBase
@@ -125,13 +126,7 @@
     directory = Directory(
         key_value=key_value, adapter=adapter, clock=clock, evacuations=evacuations
     )
-    follower = StoreFollower(
-        directory=directory,
-        key_value=key_value,
-        clock=clock,
-        rng=rng,
-        bound_s=options.change_s,
-    )
+    topology = FleetTopology(own_id=options.vm_id)
     hub = PeerHub(
         vm_id=options.vm_id,
         boot_epoch_ms=time.time_ns() // 1_000_000,
@@ -162,7 +157,6 @@
     reach = TargetReach(directory=directory, pools=pools, clock=clock, rng=rng)
     replica_demand = DemandAverage(clock=clock, window_s=REPLICA_DEMAND_WINDOW_S)
     forecasts = LoadForecasts(clock=clock)
-    topology = FleetTopology(own_id=options.vm_id)
     notices = HubNotices(
         peers=hub.peer_network(), clock=clock, takes_part=topology.takes_part
     )
@@ -180,6 +174,22 @@
         rng=rng,
     )
     notices.use_hubs(digests.active_hubs, digests.reporters)
+    follower = StoreFollower(
+        directory=directory,
+        key_value=key_value,
+        clock=clock,
+        rng=rng,
+        bound_s=options.change_s,
+        exchange=DirectoryExchange(
+            peers=peers,
+            directory=directory,
+            own_hubs=topology.own_hubs,
+            clock=clock,
+            rng=rng,
+            bound_s=options.change_s,
+        ),
+        count_update=metrics.count_directory_update,
+    )
     grants = RateGrants(
         shares=shares,
         peers=peers,
@@ -332,6 +342,7 @@
             key_value=key_value,
         ),
         recent_members=recent_members,
+        topology=topology,
         hub=hub,
         shares=shares,
         grants=grants,
@@ -340,7 +351,6 @@
         health=health,
         pools=pools,
         member_messages=member_messages,
-        topology=topology,
         digests=digests,
         placement=placement,
         fencing_base=fencing_base,
