--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -15,11 +15,7 @@
 from jaytray_gateway.ports import PlatformAdapter
 from jaytray_gateway.process.metrics import GatewayMetrics, serve_metrics
 from jaytray_gateway.process.options import GatewayOptions
-from jaytray_gateway.process.subsystems import (
-    Subsystems,
-    build_subsystems,
-    update_counted_members,
-)
+from jaytray_gateway.process.subsystems import Subsystems, build_subsystems
 from jaytray_gateway.request.relayed_request import make_relay_app
 from jaytray_gateway.version.route_table import DEFAULT_CALLER_LIMITS, CallerLimits
 from jaytray_server.connection.caller_protocol import CallerTimeouts
@@ -163,7 +159,7 @@
     """Drop stale state and update the gauges once per second."""
     while True:
         await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
-        update_counted_members(subsystems)
+        subsystems.member_updates.update_counted()
         subsystems.pools.close_stale()
         subsystems.replicas.drop_expired_notices()
         target_ids = frozenset(subsystems.directory.targets_by_id)
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -8,8 +8,6 @@
 
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.keyvalue import KeyValueService
-from jaytray_core.logs import get_logger
-from jaytray_core.vm_list import VmEntry, VmState
 from jaytray_gateway.connection.table_version_call import ask_table_version
 from jaytray_gateway.connection.target_pool import TargetConnectionPool
 from jaytray_gateway.ports import PlatformAdapter
@@ -28,6 +26,7 @@
 from jaytray_gateway.process.load_forecasts import LoadForecasts
 from jaytray_gateway.process.load_view import LoadView
 from jaytray_gateway.process.member_messages import MemberMessages
+from jaytray_gateway.process.member_updates import MemberUpdates, make_member_updates
 from jaytray_gateway.process.membership import (
     Member,
     Membership,
@@ -87,12 +86,10 @@
     directory: Directory
     follower: StoreFollower
     membership: Membership
-    recent_members: RecentMembers
-    topology: FleetTopology
+    member_updates: MemberUpdates
     hub: PeerHub
     shares: RateShares
     grants: RateGrants
-    budget: RetryBudget
     replicas: Replicas
     health: TargetHealth
     pools: TargetConnectionPool
@@ -332,6 +329,17 @@
             clock=clock,
         )
 
+    member_updates = make_member_updates(
+        own=own,
+        prefix=adapter.records_prefix + MEMBERS_PREFIX,
+        directory=directory,
+        hub=hub,
+        topology=topology,
+        relays=relays,
+        recent_members=recent_members,
+        shares=shares,
+        budget=budget,
+    )
     subsystems = Subsystems(
         lifecycle=lifecycle,
         directory=directory,
@@ -341,12 +349,10 @@
             prefix=adapter.records_prefix + MEMBERS_PREFIX,
             key_value=key_value,
         ),
-        recent_members=recent_members,
-        topology=topology,
+        member_updates=member_updates,
         hub=hub,
         shares=shares,
         grants=grants,
-        budget=budget,
         replicas=replicas,
         health=health,
         pools=pools,
@@ -386,54 +392,6 @@
         metrics=metrics,
         services=services,
     )
-    directory.on_change(lambda: apply_members(subsystems))
+    directory.on_change(member_updates.apply)
     directory.on_change(control.update)
     return subsystems
-
-
-def apply_members(subsystems: Subsystems) -> None:
-    """Pass the registered members to the subsystems that use or count them."""
-    prefix = subsystems.services.adapter.records_prefix + MEMBERS_PREFIX
-    members_by_id = decode_members(subsystems.directory.records_by_key, prefix)
-    own = subsystems.membership.own
-    members_by_id[own.vm_id] = own
-    vms = [
-        VmEntry(
-            vm_id=member.vm_id,
-            peer_address=member.peer_address,
-            http_address="",
-            failure_domain=member.failure_domain,
-            state=VmState.LIVE,
-            curve_public_key=member.curve_public_key,
-        )
-        for member in members_by_id.values()
-    ]
-    others = frozenset(members_by_id) - {own.vm_id}
-    subsystems.services.relays.update(
-        [member for member in members_by_id.values() if member.vm_id != own.vm_id]
-    )
-    topology = subsystems.topology
-    topology.update(m.vm_id for m in members_by_id.values() if m.takes_digests())
-    chosen = {vm for vm in others if not topology.takes_part(vm)}
-    subsystems.hub.update_vms(vms, chosen=topology.neighbours() | chosen)
-    subsystems.directory.member_count = len(members_by_id)
-    update_counted_members(subsystems)
-
-
-def update_counted_members(subsystems: Subsystems) -> None:
-    """Update the members among which rates and budgets are divided.
-
-    Called periodically too, as members count for a while after their records are
-    removed.
-    """
-    present = frozenset((subsystems.membership.own.vm_id, *subsystems.hub.listed_vms()))
-    subsystems.recent_members.update(present)
-    counted = subsystems.recent_members.ids
-    if counted != subsystems.shares.member_ids:
-        get_logger().info(
-            "members_changed",
-            members=",".join(sorted(present)),
-            departed=",".join(sorted(counted - present)) or "-",
-        )
-    subsystems.shares.set_members(counted)
-    subsystems.budget.member_count = len(counted)
