Wait for members whose records are older than their start

Such a member now says that its key is another one, and the process waits up to 2.5 s for it to register again.

--- a/packages/gateway/src/jaytray_gateway/connection/table_version_call.py
+++ b/packages/gateway/src/jaytray_gateway/connection/table_version_call.py
@@ -13,9 +13,12 @@
 from jaytray_core.errors import JaytrayError
 from jaytray_core.exchange_errors import ExchangeError
 from jaytray_gateway.process.membership import Member
+from jaytray_gateway.process.table_version_check import VersionReply
 from jaytray_gateway.request.relay import RELAY_KEY_HEADER, TABLE_VERSION_PATH
 
 MAX_REPLY_BYTES = 1_024
+# The member runs with another key than the caller knows.
+STATUS_OTHER_KEY = 401
 _OK = 200
 
 
@@ -29,8 +32,8 @@
     return encode_msgpack(_Reply(version=version))
 
 
-async def ask_table_version(member: Member, timeout_s: float) -> int | None:
-    """Return the version that the member states, None without a reply in time."""
+async def ask_table_version(member: Member, timeout_s: float) -> VersionReply | None:
+    """Return the member's reply, None without one in time."""
     pool = HttpPool(address=member.relay_address, connect_timeout_s=timeout_s)
     headers = [(RELAY_KEY_HEADER.decode(), member.relay_key)]
     path = TABLE_VERSION_PATH.decode()
@@ -41,10 +44,13 @@
                 HttpRequest("GET", path, headers, b"", timeout_s),
                 limit_bytes=MAX_REPLY_BYTES,
             )
-        # Earlier builds refuse the call.
+        if response.status == STATUS_OTHER_KEY:
+            return VersionReply(None)
+        # Earlier builds refuse the call with another status.
         if response.status != _OK:
             return None
-        return decode_msgpack(response.body, _Reply, peer=member.vm_id)["version"]
+        reply = decode_msgpack(response.body, _Reply, peer=member.vm_id)
+        return VersionReply(reply["version"])
     except (TimeoutError, ExchangeError, JaytrayError):
         return None
     finally:
--- a/packages/gateway/src/jaytray_gateway/process/table_version_check.py
+++ b/packages/gateway/src/jaytray_gateway/process/table_version_check.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import NamedTuple
 
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.logs import get_logger
@@ -21,14 +22,26 @@
 # 2 s, and only then can be asked, so the process goes on asking for longer than that.
 ASK_AGAIN_S = 0.5
 ASKING_S = 10.0
+# Time for which a process waits for its first reply if a member has another key than
+# its record states: then the copy's records are older than the members, which register
+# again within about 2 s.
+OUTDATED_RECORDS_S = 2.5
+OUTDATED_AGAIN_S = 0.1
 # Enough to find one that was not started lately too.
 MAX_REPLIES = 16
 # Longest time that a process waits for a newer table. The operator writes what the
 # store has lost soon after its return; a member's version may also be in error.
 MAX_WAIT_S = 30.0
 
-# Returns the version that a member states, None without a reply in time.
-AskVersion = Callable[[Member, float], Awaitable[int | None]]
+
+class VersionReply(NamedTuple):
+    """Version of a member's route table, None if its record's key is outdated."""
+
+    version: int | None
+
+
+# Returns the reply of a member, None without one in time.
+AskVersion = Callable[[Member, float], Awaitable[VersionReply | None]]
 
 
 class TableVersionCheck:
@@ -85,9 +98,12 @@
         await self._has_table.wait()
         begun_s = self._clock()
         while self._clock() - begun_s < ASKING_S:
-            await self._ask_members()
-            self._has_asked = True
-            await asyncio.sleep(ASK_AGAIN_S)
+            has_outdated = await self._ask_members()
+            is_over = self._clock() - begun_s >= OUTDATED_RECORDS_S
+            if self._replied_ids or not has_outdated or is_over:
+                self._has_asked = True
+            pause_s = ASK_AGAIN_S if self._has_asked else OUTDATED_AGAIN_S
+            await asyncio.sleep(pause_s)
         await asyncio.Event().wait()
 
     def _on_change(self) -> None:
@@ -104,18 +120,27 @@
                 heard_version=self._heard_version,
             )
 
-    async def _ask_members(self) -> None:
-        """Ask members that have not replied yet, all at the same time."""
+    async def _ask_members(self) -> bool:
+        """Ask members that have not replied yet, all at the same time.
+
+        Returns whether the record of one of them is outdated.
+        """
         members = [
             member
             for member in self._other_members()
             if member.relay_address and member.vm_id not in self._replied_ids
         ]
         members = members[: MAX_REPLIES - len(self._replied_ids)]
-        versions = await asyncio.gather(
+        replies = await asyncio.gather(
             *(self._ask(member, REPLY_TIMEOUT_S) for member in members)
         )
-        for member, version in zip(members, versions, strict=True):
-            if version is not None:
-                self._replied_ids.add(member.vm_id)
-                self._heard_version = max(self._heard_version, version)
+        has_outdated = False
+        for member, reply in zip(members, replies, strict=True):
+            if reply is None:
+                continue
+            if reply.version is None:
+                has_outdated = True
+                continue
+            self._replied_ids.add(member.vm_id)
+            self._heard_version = max(self._heard_version, reply.version)
+        return has_outdated
--- a/packages/gateway/src/jaytray_gateway/request/relayed_request.py
+++ b/packages/gateway/src/jaytray_gateway/request/relayed_request.py
@@ -12,7 +12,10 @@
 from jaytray_core import message_registry as messages
 from jaytray_core.codec import decode_msgpack
 from jaytray_core.errors import JaytrayError, Step
-from jaytray_gateway.connection.table_version_call import encode_version
+from jaytray_gateway.connection.table_version_call import (
+    STATUS_OTHER_KEY,
+    encode_version,
+)
 from jaytray_gateway.process.lifecycle import Lifecycle
 from jaytray_gateway.request.admission import AdmittedRequest
 from jaytray_gateway.request.relay import (
@@ -57,9 +60,10 @@
         reply = CallerReply(send=send, closes_connection=lifecycle.is_stopping)
         key = dict(scope["headers"]).get(RELAY_KEY_HEADER, b"")
         is_member = hmac.compare_digest(key, services.relays.own_key.encode())
-        if scope["raw_path"] == TABLE_VERSION_PATH and is_member:
-            version = services.admission.table_version()
-            await reply.send_complete(STATUS_OK, [], encode_version(version))
+        if scope["raw_path"] == TABLE_VERSION_PATH:
+            version = encode_version(services.admission.table_version())
+            status = STATUS_OK if is_member else STATUS_OTHER_KEY
+            await reply.send_complete(status, [], version if is_member else b"")
             return
         if scope["raw_path"] != RELAY_PATH or not is_member:
             reply.closes_connection = True
--- a/packages/gateway/tests/connection/test_table_version_call.py
+++ b/packages/gateway/tests/connection/test_table_version_call.py
@@ -5,6 +5,7 @@
 from testtools import TestCase
 
 from jaytray_gateway.connection.table_version_call import ask_table_version
+from jaytray_gateway.process.table_version_check import VersionReply
 from packages.gateway.tests.request.cases import OK
 from packages.gateway.tests.request.support import open_fleet
 
@@ -20,9 +21,11 @@
                 await asyncio.sleep(REPORTED_S)
                 member = fleet.vms[0].relays.choose("svc", frozenset())
                 assert member is not None
-                self.assertEqual(1, await ask_table_version(member, TIMEOUT_S))
-                stranger = member._replace(relay_key="guessed")
-                self.assertIsNone(await ask_table_version(stranger, TIMEOUT_S))
+                reply = await ask_table_version(member, TIMEOUT_S)
+                self.assertEqual(VersionReply(1), reply)
+                outdated = member._replace(relay_key="of an earlier start")
+                reply = await ask_table_version(outdated, TIMEOUT_S)
+                self.assertEqual(VersionReply(None), reply)
 
         asyncio.run(run())
 
--- a/packages/gateway/tests/process/test_table_version_check.py
+++ b/packages/gateway/tests/process/test_table_version_check.py
@@ -8,8 +8,10 @@
 from jaytray_gateway.process.membership import Member
 from jaytray_gateway.process.table_version_check import (
     MAX_WAIT_S,
+    OUTDATED_RECORDS_S,
     REPLY_TIMEOUT_S,
     TableVersionCheck,
+    VersionReply,
 )
 from jaytray_standins.virtual_loop import run_virtual
 from packages.gateway.tests.process.test_directory import Harness
@@ -28,6 +30,8 @@
     def __init__(self, version_by_id: dict[str, int | None]) -> None:
         self.harness = Harness()
         self.version_by_id = version_by_id
+        # Members that have started again since their records were written.
+        self.restarted: set[str] = set()
         self.check = TableVersionCheck(
             directory=self.harness.directory,
             other_members=lambda: [member(vm_id) for vm_id in self.version_by_id],
@@ -36,11 +40,14 @@
         )
         self.task = asyncio.create_task(self.check.run())
 
-    async def _ask(self, asked: Member, timeout_s: float) -> int | None:
+    async def _ask(self, asked: Member, timeout_s: float) -> VersionReply | None:
+        if asked.vm_id in self.restarted:
+            return VersionReply(None)
         version = self.version_by_id[asked.vm_id]
         if version is None:
             await asyncio.sleep(timeout_s)
-        return version
+            return None
+        return VersionReply(version)
 
 
 def run_start(
@@ -95,6 +102,27 @@
 
         run_start({}, check)
 
+    def test_members_with_outdated_records_have_time_to_register_again(self) -> None:
+        # Soak seed 900203 of 14 s: the copy's record of the only other member that ran
+        # was that of its earlier start.
+        async def check(start: Start) -> None:
+            start.restarted = {"a"}
+            await asyncio.sleep(1.0)
+            self.assertFalse(start.check.is_confirmed())
+            start.restarted = set()
+            await asyncio.sleep(1.0)
+            self.assertFalse(start.check.is_confirmed())
+
+        run_start({"a": 4, "dead": None}, check)
+
+    def test_outdated_records_hold_a_start_back_for_a_short_time_only(self) -> None:
+        async def check(start: Start) -> None:
+            start.restarted = {"a"}
+            await asyncio.sleep(OUTDATED_RECORDS_S + 1.0)
+            self.assertTrue(start.check.is_confirmed())
+
+        run_start({"a": 4}, check)
+
     def test_wait_for_a_table_that_never_comes_ends(self) -> None:
         async def check(start: Start) -> None:
             await asyncio.sleep(MAX_WAIT_S - 1.0)
