Targets that register together with their service's first are no new starts

When a deployment starts with the gateways running already, all targets but the first would count as started during traffic, and be cold and paced. Within 3 s of the first target of a service, only a changed start of a known target counts. What an entry states of itself counts as before.

--- a/packages/gateway/src/jaytray_gateway/process/send_control.py
+++ b/packages/gateway/src/jaytray_gateway/process/send_control.py
@@ -68,7 +68,7 @@
         running_at=lambda target_id: loads.load_of(target_id).running,
         member_count=lambda: directory.member_count,
     )
-    starts = TargetStarts()
+    starts = TargetStarts(clock=clock)
     starts.on_start(pace.record_start)
     starts.on_start(cold.record_start)
     directory.evacuations.on_ended(cold.record_evacuation_ended)
