An evacuation lost by a restore of the store holds for 10 s

A store that returns from an older copy may have lost the operator's acknowledged request. Members would have sent requests to the failure domain again at once. The request now holds for 10 s, in which the operator writes it again.

Test: tests/process/test_evacuations.py.

--- a/packages/gateway/src/jaytray_gateway/process/directory.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -22,7 +22,7 @@
 from jaytray_core.logs import get_logger
 from jaytray_gateway.ports import PlatformAdapter
 from jaytray_gateway.process.evacuations import Evacuations
-from jaytray_gateway.process.store_outage import StoreOutage
+from jaytray_gateway.process.store_outage import REREGISTRATION_S, StoreOutage
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.version.route_table import ClientAccount, RouteTable, Service
 
@@ -304,6 +304,7 @@
                 record.key.removeprefix(adapter.evacuations_prefix),
                 is_requested=bool(record.value),
                 absent_as_of_s=self.current_as_of_s,
+                is_lost=self._clock() - self.restored_at_s < REREGISTRATION_S,
             )
 
     def _apply_route_table(self, record: KeyValueRecord) -> None:
--- a/packages/gateway/src/jaytray_gateway/process/evacuations.py
+++ b/packages/gateway/src/jaytray_gateway/process/evacuations.py
@@ -20,6 +20,10 @@
 # the delay of some four queued requests elsewhere.
 EVACUATION_COST_MS = 250.0
 
+# Time for which a request that the key-value service has lost holds, as the operator
+# writes it again.
+LOST_REQUEST_S = 10.0
+
 # Called with the failure domain.
 OnEvacuationEnded = Callable[[str], None]
 
@@ -27,6 +31,8 @@
 class _Evacuation(NamedTuple):
     in_force_at_s: float
     is_logged: bool = False
+    # When it ends because its request was lost, None if it was not.
+    ends_at_s: float | None = None
 
 
 class Evacuations:
@@ -54,16 +60,22 @@
         self._listeners.append(listener)
 
     def apply(
-        self, failure_domain: str, *, is_requested: bool, absent_as_of_s: float
+        self,
+        failure_domain: str,
+        *,
+        is_requested: bool,
+        absent_as_of_s: float,
+        is_lost: bool = False,
     ) -> None:
         """Apply the presence of the operator's request.
 
-        Up to `absent_as_of_s`, a request that is new was not in the store.
+        Up to `absent_as_of_s`, a request that is new was not in the store. With
+        `is_lost`, it is absent because the service has returned from an older copy.
         """
         if self._evacuation_s is None:
             return
-        is_known = failure_domain in self._evacuation_by_domain
-        if is_requested and not is_known:
+        known = self._evacuation_by_domain.get(failure_domain)
+        if is_requested and known is None:
             now_s = self._clock()
             left_s = self._evacuation_s * EVACUATION_FRACTION
             in_force_at_s = min(now_s + left_s, absent_as_of_s + left_s)
@@ -76,12 +88,14 @@
                 ),
                 in_force_in_s=round(max(0.0, in_force_at_s - now_s), 2),
             )
-            self.log_in_force()
-        elif is_known and not is_requested:
-            del self._evacuation_by_domain[failure_domain]
-            get_logger().warning("evacuation_ended", failure_domain=failure_domain)
-            for listener in self._listeners:
-                listener(failure_domain)
+            self.update()
+        elif known is not None and (is_requested or is_lost):
+            ends_at_s = None if is_requested else self._clock() + LOST_REQUEST_S
+            self._evacuation_by_domain[failure_domain] = known._replace(
+                ends_at_s=ends_at_s
+            )
+        elif known is not None:
+            self._end(failure_domain)
 
     def is_requested(self, failure_domain: str) -> bool:
         """Return whether the failure domain is evacuated now or soon."""
@@ -100,13 +114,22 @@
         """Return the number of failure domains that are evacuated now or soon."""
         return len(self._evacuation_by_domain)
 
-    def log_in_force(self) -> None:
-        """Log, once each, the evacuations that have come into force."""
-        for failure_domain, evacuation in self._evacuation_by_domain.items():
-            if not evacuation.is_logged and self.is_in_force(failure_domain):
+    def update(self) -> None:
+        """End evacuations whose request was lost; log those in force, once each."""
+        for failure_domain, evacuation in list(self._evacuation_by_domain.items()):
+            ends_at_s = evacuation.ends_at_s
+            if ends_at_s is not None and self._clock() >= ends_at_s:
+                self._end(failure_domain)
+            elif not evacuation.is_logged and self.is_in_force(failure_domain):
                 self._evacuation_by_domain[failure_domain] = evacuation._replace(
                     is_logged=True
                 )
                 get_logger().warning(
                     "evacuation_in_force", failure_domain=failure_domain
                 )
+
+    def _end(self, failure_domain: str) -> None:
+        del self._evacuation_by_domain[failure_domain]
+        get_logger().warning("evacuation_ended", failure_domain=failure_domain)
+        for listener in self._listeners:
+            listener(failure_domain)
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -191,7 +191,7 @@
         )
         subsystems.metrics.set_gauge("targets_cold", subsystems.services.cold.count())
         evacuations = subsystems.directory.evacuations
-        evacuations.log_in_force()
+        evacuations.update()
         subsystems.metrics.set_gauge("domains_evacuated", evacuations.count())
         subsystems.metrics.set_gauge(
             "services_cut_off", len(subsystems.services.reach.cut_off_services())
--- a/packages/gateway/tests/process/test_evacuations.py
+++ b/packages/gateway/tests/process/test_evacuations.py
@@ -9,13 +9,20 @@
 from hypothesis import given, settings, strategies
 from testtools import TestCase
 
+from jaytray_core.keyvalue import KeyValueRecord, PrefixRead
 from jaytray_gateway.process.directory import Directory
-from jaytray_gateway.process.evacuations import EVACUATION_FRACTION, Evacuations
+from jaytray_gateway.process.evacuations import (
+    EVACUATION_FRACTION,
+    LOST_REQUEST_S,
+    Evacuations,
+)
 from jaytray_gateway.process.target_entry import TargetEntry
-from jaytray_standins.faults import Fault, FaultKind
+from jaytray_standins.faults import Fault, FaultKind, FaultSwitches
+from jaytray_standins.in_process import in_process_key_value
+from jaytray_standins.key_value.store import KeyValueStore
 from jaytray_standins.virtual_loop import run_virtual
 from packages.gateway.tests.process.placement import test_controller as placement
-from packages.gateway.tests.process.test_directory import Harness
+from packages.gateway.tests.process.test_directory import ADAPTER, Harness
 from packages.gateway.tests.process.test_small_parts import Clock
 from packages.gateway.tests.request.cases import OK
 from packages.gateway.tests.request.harness import GatewayHarness, default_headers
@@ -73,6 +80,19 @@
         self.assertTrue(self.evacuations.is_in_force("b"))
         self.assertEqual(["a"], ended)
 
+    def test_request_that_the_store_has_lost_holds_for_a_while(self) -> None:
+        for domain in "ab":
+            request(self.evacuations, domain, -float("inf"))
+            self.evacuations.apply(
+                domain, is_requested=False, absent_as_of_s=0.0, is_lost=True
+            )
+            self.assertTrue(self.evacuations.is_in_force(domain))
+        request(self.evacuations, "b", self.clock.now_s)
+        self.clock.now_s += LOST_REQUEST_S
+        self.evacuations.update()
+        self.assertFalse(self.evacuations.is_requested("a"))
+        self.assertTrue(self.evacuations.is_in_force("b"))
+
     def test_deployment_without_the_bound_ignores_the_keys(self) -> None:
         evacuations = Evacuations(clock=self.clock)
         request(evacuations, "a", -float("inf"))
@@ -132,6 +152,24 @@
 
         run_with_directory(check)
 
+    def test_request_lost_by_a_restore_of_the_store_holds_for_a_while(self) -> None:
+        clock, restores = Clock(), [0]
+        key_value = in_process_key_value(KeyValueStore(clock=clock), FaultSwitches())
+        directory = Directory(
+            key_value=key_value._replace(count_restores=lambda: restores[0]),
+            adapter=ADAPTER,
+            clock=clock,
+            evacuations=Evacuations(clock=clock, evacuation_s=BOUND_S),
+        )
+        key = KeyValueRecord("evacuate/a", b"{}", 2)
+        directory.apply_read(PrefixRead([key], 2), clock.now_s)
+        restores[0] += 1
+        directory.apply_read(PrefixRead([], 5), clock.now_s)
+        self.assertTrue(directory.evacuations.is_in_force("a"))
+        clock.now_s += LOST_REQUEST_S
+        directory.evacuations.update()
+        self.assertFalse(directory.evacuations.is_in_force("a"))
+
     def test_domain_is_evacuated_in_time_and_taken_back(self) -> None:
         async def check(harness: Harness) -> None:
             await harness.put("evacuate/a", b"not a value")
