Callers' connections keep within the memory of the VM

Bodies that stopped just short of their end, very many short header fields, pipelined requests and responses that nobody read were held without a bound on their sum, so that a process could outgrow its VM.

Where the settings state limits.memory_mb and max_fds, the ports for callers, the probe and the metrics use a protocol that accounts for the bytes held for each connection. Large bodies are refused by the head before they are read. The kernel's buffers of callers and targets are limited as well. Without these settings, and in jaytrayd, the protocol is the one before.

--- a/packages/core/src/jaytray_core/message_registry.py
+++ b/packages/core/src/jaytray_core/message_registry.py
@@ -98,6 +98,12 @@
     "the queue for {name} is full",
     "Send the request again after Retry-After.",
 )
+MEMORY_FULL = MessageTemplate(
+    "memory_full",
+    503,
+    "this VM holds too much of other requests",
+    "Send the request again after Retry-After, without pauses.",
+)
 SERVICE_CUT_OFF = MessageTemplate(
     "service_cut_off",
     503,
--- a/packages/gateway/src/jaytray_gateway/connection/caller_app.py
+++ b/packages/gateway/src/jaytray_gateway/connection/caller_app.py
@@ -8,9 +8,16 @@
 from contextlib import suppress
 from typing import Any
 
+from prometheus_client import CollectorRegistry
+from prometheus_client.exposition import choose_encoder
+
 from jaytray_core import message_registry as messages
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.errors import JaytrayError, Step
+from jaytray_gateway.connection.bounded_protocol import (
+    CONNECTION_STATE,
+    RETRY_AFTER_S,
+)
 from jaytray_gateway.ports import RequestHead
 from jaytray_gateway.process.lifecycle import Lifecycle
 from jaytray_gateway.request.reply import CallerReply
@@ -55,7 +62,16 @@
         try:
             limits = current_limits()
             _check_head(head, limits)
-            body = await read_body(receive, limits.body_bytes)
+            connection = scope.get("state", {}).get(CONNECTION_STATE)
+            body = await read_body(
+                receive,
+                limits.body_bytes,
+                check_large=lambda: _check_route(head, services),
+            )
+            if connection is not None and not connection.may_run():
+                raise JaytrayError(
+                    messages.MEMORY_FULL, step=Step.ADMIT, retry_after_s=RETRY_AFTER_S
+                )
             request = services.adapter.parse_request(head, body)
         except CallerDisconnected:
             return
@@ -75,12 +91,29 @@
 
     async def probe(scope: Any, _receive: Receive, send: Send) -> None:
         if scope["type"] == "http":
-            reply = CallerReply(send=send, closes_connection=False)
+            # A body is not read: the connection ends after the response.
+            names = {name for name, _ in scope["headers"]}
+            has_body = not names.isdisjoint((b"content-length", b"transfer-encoding"))
+            reply = CallerReply(send=send, closes_connection=has_body)
             await reply.send_complete(200 if is_ready() else 503, [], b"")
 
     return probe
 
 
+def make_metrics_app(registry: CollectorRegistry) -> App:
+    """Return the ASGI application that serves the metrics under any path."""
+
+    async def serve(scope: Any, _receive: Receive, send: Send) -> None:
+        if scope["type"] == "http":
+            accepted = dict(scope["headers"]).get(b"accept", b"").decode("latin-1")
+            encode, content_type = choose_encoder(accepted)
+            headers = [(b"content-type", content_type.encode())]
+            reply = CallerReply(send=send, closes_connection=True)
+            await reply.send_complete(200, headers, encode(registry))
+
+    return serve
+
+
 def _read_head(scope: Any, now_s: float) -> RequestHead:
     target = scope["raw_path"]
     if scope["query_string"]:
@@ -102,3 +135,13 @@
             part="header section",
             limit=limits.header_bytes,
         )
+    declared = dict(head.headers).get(b"content-length", b"0")
+    if declared.isdigit() and int(declared) > limits.body_bytes:
+        raise JaytrayError(
+            messages.REQUEST_TOO_LARGE, step=Step.DECODE, limit=limits.body_bytes
+        )
+
+
+def _check_route(head: RequestHead, services: RequestServices) -> None:
+    """Raise if the head alone shows that a request with a large body is refused."""
+    services.admission.check_route(services.adapter.parse_request(head, b""))
--- a/packages/gateway/src/jaytray_gateway/connection/target_connection.py
+++ b/packages/gateway/src/jaytray_gateway/connection/target_connection.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import socket
 
 import h11
 
@@ -20,21 +21,27 @@
 KEEP_ALIVE = KeepAlive(idle_s=1, interval_s=1, probes=2)
 # Received bytes that are buffered for a slow caller before reading pauses.
 MAX_BUFFERED_BYTES = 262_144
+# The same, and the size of the kernel's buffer, on VMs with a stated memory. The kernel
+# would let it grow to several megabytes while reading is paused.
+SMALL_BUFFER_BYTES = 65_536
 # Received bytes that are parsed before other tasks run: some 60 chunks of a stream of
 # small ones, which take a few milliseconds.
 PIECE_BYTES = 4_096
 MAX_INFORMATIONAL_RESPONSES = 10
+# Larger bodies are not copied to be sent in one piece with the head.
+MAX_JOINED_BYTES = 65_536
 _PLACEHOLDER_HOST = [(b"host", b"-")]
 
 
 class TargetConnection(asyncio.Protocol):
     """An open connection, created by `open_connection`."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, max_buffered_bytes: int = MAX_BUFFERED_BYTES) -> None:
         # Whether a response to another request may arrive, as one has before.
         self.has_other_responses = False
         self.idle_since_s = 0.0
         self.idle_timeout_s: float | None = None
+        self._max_buffered_bytes = max_buffered_bytes
         self._http = h11.Connection(h11.CLIENT)
         self.transport: asyncio.Transport | None = None
         self._request: h11.Request | None = None
@@ -54,7 +61,12 @@
         """Enable TCP keep-alive on the socket."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        set_keep_alive(transport.get_extra_info("socket"), KEEP_ALIVE)
+        connection = transport.get_extra_info("socket")
+        set_keep_alive(connection, KEEP_ALIVE)
+        if self._max_buffered_bytes < MAX_BUFFERED_BYTES:
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, self._max_buffered_bytes
+            )
 
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes; bytes between requests close the connection."""
@@ -63,7 +75,7 @@
             self.close()
             return
         self._unparsed += data
-        if len(self._unparsed) > MAX_BUFFERED_BYTES and self.transport:
+        if len(self._unparsed) > self._max_buffered_bytes and self.transport:
             self.transport.pause_reading()
         self._wake()
 
@@ -99,11 +111,16 @@
                 detail="connection closed while idle",
             )
         self._request = h11.Request(method=method, target=target, headers=headers)
-        parts = [self._http.send(self._request)]
+        parts = [self._http.send(self._request) or b""]
         if body:
-            parts.append(self._http.send(h11.Data(data=body)))
-        parts.append(self._http.send(h11.EndOfMessage()))
-        self.transport.write(b"".join(part for part in parts if part))
+            sent = self._http.send_with_data_passthrough(h11.Data(data=body))
+            parts.extend(sent or ())
+        parts.append(self._http.send(h11.EndOfMessage()) or b"")
+        if len(body) > MAX_JOINED_BYTES:
+            for part in parts:
+                self.transport.write(part)
+        else:
+            self.transport.write(b"".join(parts))
 
     async def next_event(self) -> h11.Response | h11.Data | h11.EndOfMessage:
         """Return the next event of the response; raises `ExchangeError`."""
@@ -212,13 +229,19 @@
             self._data_waiter.set_result(None)
 
 
-async def open_connection(address: str, *, timeout_s: float) -> TargetConnection:
+async def open_connection(
+    address: str, *, timeout_s: float, max_buffered_bytes: int = MAX_BUFFERED_BYTES
+) -> TargetConnection:
     """Connect to `IP:port`; raises `ExchangeError` with `Progress.NOT_SENT`."""
     host, port = parse_address(address)
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_s):
-            _, connection = await loop.create_connection(TargetConnection, host, port)
+            _, connection = await loop.create_connection(
+                lambda: TargetConnection(max_buffered_bytes=max_buffered_bytes),
+                host,
+                port,
+            )
     except (OSError, TimeoutError) as err:
         detail = str(err) or "connection timed out"
         raise ExchangeError(progress=ExchangeProgress.NOT_SENT, detail=detail) from err
--- a/packages/gateway/src/jaytray_gateway/connection/target_pool.py
+++ b/packages/gateway/src/jaytray_gateway/connection/target_pool.py
@@ -10,6 +10,7 @@
 from jaytray_core.exchange_errors import ExchangeError
 from jaytray_core.logs import get_logger
 from jaytray_gateway.connection.target_connection import (
+    SMALL_BUFFER_BYTES,
     TargetConnection,
     open_connection,
 )
@@ -22,6 +23,10 @@
 # Fraction of a stated idle timeout after which a connection is no longer reused.
 IDLE_TIMEOUT_FRACTION = 0.7
 
+# Largest sum of bodies of responses that are not streams, in case many targets send
+# bodies without end.
+MAX_BUFFERED_BODY_BYTES = 33_554_432
+
 # (address, timeout in seconds) -> a new connection; raises `ExchangeError`.
 OpenConnection = Callable[[str, float], Awaitable[TargetConnection]]
 
@@ -30,12 +35,24 @@
     return await open_connection(address, timeout_s=timeout_s)
 
 
+async def open_small_connection(address: str, timeout_s: float) -> TargetConnection:
+    """Open a connection that buffers little, for VMs with a stated memory."""
+    return await open_connection(
+        address, timeout_s=timeout_s, max_buffered_bytes=SMALL_BUFFER_BYTES
+    )
+
+
 class TargetConnectionPool:
     """The idle connections of this process to all targets."""
 
     def __init__(
-        self, *, clock: MonotonicClock, open_connection: OpenConnection = _open
+        self,
+        *,
+        clock: MonotonicClock,
+        open_connection: OpenConnection = _open,
+        max_buffered_body_bytes: int = MAX_BUFFERED_BODY_BYTES,
     ) -> None:
+        self.max_buffered_body_bytes = max_buffered_body_bytes
         self.opened_connections = 0
         # Bytes of responses that are buffered until they are complete.
         self.buffered_body_bytes = 0
--- a/packages/gateway/src/jaytray_gateway/process/metrics.py
+++ b/packages/gateway/src/jaytray_gateway/process/metrics.py
@@ -1,14 +1,10 @@
-"""Prometheus counters, gauges and histograms, served on the metrics address."""
-
-from collections.abc import Iterator
-from contextlib import contextmanager
+"""Prometheus counters, gauges and histograms of the process."""
 
 from prometheus_client import (
     CollectorRegistry,
     Counter,
     Gauge,
     Histogram,
-    start_http_server,
 )
 
 # Bucket bounds: the latency objectives of the deployment files are 0.1 to 2.5 s.
@@ -61,6 +57,9 @@
                 ("targets_brittle", "Targets that fall over when they reject."),
                 ("services_cut_off", "Services that this VM does not reach."),
                 ("connections_opened", "Connections opened to targets."),
+                ("caller_connections", "Open connections of callers."),
+                ("caller_bytes", "Bytes held for callers' connections."),
+                ("caller_connections_ended", "Connections closed to keep bounds."),
                 ("log_lines_dropped", "Log lines dropped because the queue was full."),
             )
         }
@@ -77,14 +76,3 @@
     def set_gauge(self, name: str, value: float) -> None:
         """Set a gauge by its name without the `jaytray_` prefix."""
         self._gauge_by_name[name].set(value)
-
-
-@contextmanager
-def serve_metrics(metrics: GatewayMetrics, *, host: str, port: int) -> Iterator[None]:
-    """Serve the metrics over HTTP until the context exits."""
-    server, _ = start_http_server(port, addr=host, registry=metrics.registry)
-    try:
-        yield
-    finally:
-        server.shutdown()
-        server.server_close()
--- a/packages/gateway/src/jaytray_gateway/process/options.py
+++ b/packages/gateway/src/jaytray_gateway/process/options.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from jaytray_gateway.process.memory_budget import MemoryBounds
+
 
 class GatewayOptions(NamedTuple):
     """Options from the settings; durations in seconds, addresses as `IP:port`.
@@ -13,7 +15,8 @@
     `lease_s` is the shortest time between two placement leaders' orders to one target.
     `relay_address` accepts requests that other members want forwarded; empty for none.
     Within `load_window_s`, loads may begin at `load_window_factor` times the stated
-    rate.
+    rate. `memory` bounds what is held for callers and targets, None if the VM's memory
+    is not stated.
     """
 
     vm_id: str
@@ -33,3 +36,4 @@
     lease_s: float
     load_window_s: float
     load_window_factor: float
+    memory: MemoryBounds | None = None
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -5,15 +5,19 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 
-from jaytray_core.addresses import parse_address
 from jaytray_core.clock import MonotonicClock, monotonic_clock
 from jaytray_core.errors import JaytrayError
 from jaytray_core.keyvalue import KeyValueService
 from jaytray_core.logs import get_logger
 from jaytray_core.tasks import cancel_all
-from jaytray_gateway.connection.caller_app import make_caller_app, make_probe_app
+from jaytray_gateway.connection.caller_app import (
+    make_caller_app,
+    make_metrics_app,
+    make_probe_app,
+)
+from jaytray_gateway.connection.caller_servers import CallerServers, limit_buffers
 from jaytray_gateway.ports import PlatformAdapter
-from jaytray_gateway.process.metrics import GatewayMetrics, serve_metrics
+from jaytray_gateway.process.metrics import GatewayMetrics
 from jaytray_gateway.process.options import GatewayOptions
 from jaytray_gateway.process.subsystems import (
     Subsystems,
@@ -22,7 +26,6 @@
 )
 from jaytray_gateway.request.relayed_request import make_relay_app
 from jaytray_gateway.version.route_table import DEFAULT_CALLER_LIMITS, CallerLimits
-from jaytray_server.connection.caller_protocol import CallerTimeouts
 from jaytray_server.connection.callers import (
     CallerServer,
     make_caller_server,
@@ -68,9 +71,6 @@
         options, adapter, key_value, lease_key_value, metrics, clock
     )
     async with AsyncExitStack() as stack:
-        if options.metrics_address:
-            host, port = parse_address(options.metrics_address)
-            stack.enter_context(serve_metrics(metrics, host=host, port=port))
         await stack.enter_async_context(subsystems.hub.listen(options.peers_address))
         stack.callback(subsystems.pools.close)
         probe_app = make_probe_app(lambda: _is_ready(subsystems))
@@ -80,12 +80,25 @@
             current_limits=lambda: _caller_limits(subsystems),
             clock=clock,
         )
-        probe_server = make_caller_server(probe_app)
-        caller_server = make_caller_server(
-            caller_app, current_timeouts=lambda: _caller_timeouts(subsystems)
+        servers = CallerServers(
+            memory=options.memory,
+            current_limits=lambda: _caller_limits(subsystems),
+            metrics=metrics,
+            clock=clock,
         )
+        probe_server = servers.make_small(probe_app)
+        caller_server = servers.make(caller_app)
         await stack.enter_async_context(_serving(probe_server, options.probe_address))
-        await stack.enter_async_context(_supervised(_background_tasks(subsystems)))
+        if options.metrics_address:
+            metrics_server = servers.make_small(make_metrics_app(metrics.registry))
+            await stack.enter_async_context(
+                _serving(metrics_server, options.metrics_address)
+            )
+        await stack.enter_async_context(
+            _supervised(
+                {**_background_tasks(subsystems), "caller_sweeps": servers.run_sweeps}
+            )
+        )
         if options.relay_address:
             relay_app = make_relay_app(
                 subsystems.services, lifecycle=subsystems.lifecycle
@@ -94,7 +107,9 @@
             await stack.enter_async_context(
                 _serving(relay_server, options.relay_address)
             )
-        async with _serving(caller_server, options.callers_address) as stop_accepting:
+        async with _serving(
+            caller_server, options.callers_address, limits_buffers=bool(options.memory)
+        ) as stop_accepting:
             get_logger().info(
                 "gateway_started", members=len(subsystems.shares.member_ids)
             )
@@ -134,11 +149,6 @@
     return DEFAULT_CALLER_LIMITS if table is None else table.limits
 
 
-def _caller_timeouts(subsystems: Subsystems) -> CallerTimeouts:
-    limits = _caller_limits(subsystems)
-    return CallerTimeouts(limits.header_timeout_s, limits.idle_timeout_s)
-
-
 def _background_tasks(
     subsystems: Subsystems,
 ) -> dict[str, Callable[[], Awaitable[None]]]:
@@ -228,7 +238,7 @@
 
 @asynccontextmanager
 async def _serving(
-    server: CallerServer, address: str
+    server: CallerServer, address: str, *, limits_buffers: bool = False
 ) -> AsyncIterator[Callable[[], None]]:
     """Serve HTTP on `address`; yields a function that starts the server's shutdown.
 
@@ -236,6 +246,8 @@
     the others is closed after its response.
     """
     with open_caller_socket(address) as listener:
+        if limits_buffers:
+            limit_buffers(listener)
         serving = asyncio.create_task(server.serve(sockets=[listener]))
 
         def end() -> None:
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -10,7 +10,10 @@
 from jaytray_core.keyvalue import KeyValueService
 from jaytray_core.logs import get_logger
 from jaytray_core.vm_list import VmEntry, VmState
-from jaytray_gateway.connection.target_pool import TargetConnectionPool
+from jaytray_gateway.connection.target_pool import (
+    TargetConnectionPool,
+    open_small_connection,
+)
 from jaytray_gateway.ports import PlatformAdapter
 from jaytray_gateway.process.brittle_targets import BrittleTargets
 from jaytray_gateway.process.crash_guard import QUARANTINE_S, CrashGuard
@@ -140,7 +143,7 @@
     )
     loads = LoadView(clock=clock)
     health = TargetHealth(clock=clock)
-    pools = TargetConnectionPool(clock=clock)
+    pools = _make_pools(options, clock)
     replicas = Replicas(directory=directory, clock=clock)
     reach = TargetReach(directory=directory, pools=pools, clock=clock, rng=rng)
     replica_demand = DemandAverage(clock=clock, window_s=REPLICA_DEMAND_WINDOW_S)
@@ -316,6 +319,17 @@
     return subsystems
 
 
+def _make_pools(options: GatewayOptions, clock: MonotonicClock) -> TargetConnectionPool:
+    """Return the pools, which hold less on VMs that state their memory."""
+    if options.memory is None:
+        return TargetConnectionPool(clock=clock)
+    return TargetConnectionPool(
+        clock=clock,
+        open_connection=open_small_connection,
+        max_buffered_body_bytes=options.memory.response_bytes,
+    )
+
+
 def apply_members(subsystems: Subsystems) -> None:
     """Pass the registered members to the subsystems that use or count them."""
     prefix = subsystems.services.adapter.records_prefix + MEMBERS_PREFIX
--- a/packages/gateway/src/jaytray_gateway/request/admission.py
+++ b/packages/gateway/src/jaytray_gateway/request/admission.py
@@ -85,8 +85,10 @@
         if self._directory.age_s() > self._max_table_age_s:
             raise _temporary_refusal(messages.VM_ISOLATED)
 
-    async def admit(self, request: RoutedRequest) -> AdmittedRequest:
-        """Admit the request and charge its account; raises `JaytrayError`."""
+    def check_route(
+        self, request: RoutedRequest
+    ) -> tuple[RouteTable, Route, ClientAccount | None]:
+        """Return what the request's head selects; raises `JaytrayError`."""
         if self._lifecycle.is_refusing:
             raise _temporary_refusal(messages.SHUTTING_DOWN)
         table = self.route_table()
@@ -98,7 +100,11 @@
                 method=request.method.decode("ascii", "replace"),
                 path=request.path,
             )
-        account = _authenticate(table, route, request)
+        return table, route, _authenticate(table, route, request)
+
+    async def admit(self, request: RoutedRequest) -> AdmittedRequest:
+        """Admit the request and charge its account; raises `JaytrayError`."""
+        table, route, account = self.check_route(request)
         charge = None
         if account is not None:
             charge = await self._grants.charge(
--- a/packages/gateway/src/jaytray_gateway/request/request_body.py
+++ b/packages/gateway/src/jaytray_gateway/request/request_body.py
@@ -12,12 +12,23 @@
 
 # Longest wait for the next chunk of a request body.
 BODY_READ_TIMEOUT_S = 5.0
+# Bodies up to this size are read before the head is checked against the routes.
+SMALL_BODY_BYTES = 65_536
 
 
-async def read_body(receive: Receive, limit_bytes: int) -> bytes:
-    """Return the whole body; raises `JaytrayError` or `CallerDisconnected`."""
-    chunks: list[bytes] = []
-    size = 0
+async def read_body(
+    receive: Receive,
+    limit_bytes: int,
+    *,
+    check_large: Callable[[], None] = lambda: None,
+) -> bytes:
+    """Return the whole body; raises `JaytrayError` or `CallerDisconnected`.
+
+    `check_large` is called once if the body is not small; it may raise `JaytrayError`.
+    """
+    # Pieces are joined as they arrive: as objects, small ones take a multiple.
+    body = bytearray()
+    is_checked = False
     while True:
         try:
             async with asyncio.timeout(BODY_READ_TIMEOUT_S):
@@ -28,12 +39,13 @@
             ) from err
         if message["type"] == "http.disconnect":
             raise CallerDisconnected
-        chunk = message.get("body", b"")
-        size += len(chunk)
-        if size > limit_bytes:
+        body += message.get("body", b"")
+        if len(body) > limit_bytes:
             raise JaytrayError(
                 messages.REQUEST_TOO_LARGE, step=Step.DECODE, limit=limit_bytes
             )
-        chunks.append(chunk)
         if not message.get("more_body", False):
-            return chunks[0] if len(chunks) == 1 else b"".join(chunks)
+            return bytes(body)
+        if not is_checked and len(body) > SMALL_BODY_BYTES:
+            is_checked = True
+            check_large()
--- a/packages/gateway/src/jaytray_gateway/request/target_exchange.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_exchange.py
@@ -25,8 +25,6 @@
 # Largest body of a response that is not a stream; it is buffered completely before it
 # is passed on.
 MAX_WHOLE_BODY_BYTES = 8_388_608
-# Largest sum of such bodies, in case many targets send bodies without end.
-MAX_BUFFERED_BODY_BYTES = 33_554_432
 # A response that is not used is read to its end, to keep the connection, only if it is
 # small and comes at once.
 MAX_UNUSED_BODY_BYTES = 65_536
@@ -116,7 +114,8 @@
                 self._pools.buffered_body_bytes += len(chunk)
                 if (
                     len(body) > MAX_WHOLE_BODY_BYTES
-                    or self._pools.buffered_body_bytes > MAX_BUFFERED_BODY_BYTES
+                    or self._pools.buffered_body_bytes
+                    > self._pools.max_buffered_body_bytes
                 ):
                     raise _too_large()
         finally:
--- a/packages/server/src/jaytray_server/connection/callers.py
+++ b/packages/server/src/jaytray_server/connection/callers.py
@@ -56,12 +56,13 @@
     app: Any,
     *,
     current_timeouts: Callable[[], CallerTimeouts] = lambda: DEFAULT_TIMEOUTS,
+    make_protocol: Callable[..., CallerProtocol] = CallerProtocol,
 ) -> CallerServer:
     """Return the HTTP server for `app`; run it with `serve(sockets=[...])`.
 
     `current_timeouts` is called once for each connection.
     """
-    protocol: Any = partial(CallerProtocol, current_timeouts=current_timeouts)
+    protocol: Any = partial(make_protocol, current_timeouts=current_timeouts)
     return CallerServer(
         uvicorn.Config(
             refuse_conflicting_framing(app),
