--- a/packages/gateway/src/jaytray_gateway/process/memory_budget.py
+++ b/packages/gateway/src/jaytray_gateway/process/memory_budget.py
@@ -22,7 +22,7 @@
 RESPONSES_FRACTION = 0.2
 # Descriptors for files, for the store and for other members.
 RESERVED_DESCRIPTORS = 200
-# Fraction of the other descriptors for callers; most requests need one for a target too.
+# Fraction of the other descriptors for callers; most requests need one for targets too.
 CALLERS_DESCRIPTOR_FRACTION = 0.5
 # Fraction of the bound that requests may hold while they wait for or run at targets.
 RUNNING_FRACTION = 0.75
