--- a/packages/gateway/src/jaytray_gateway/process/options.py
+++ b/packages/gateway/src/jaytray_gateway/process/options.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from jaytray_gateway.process.memory_budget import MemoryBounds
+
 
 class GatewayOptions(NamedTuple):
     """Options from the settings; durations in seconds, addresses as `IP:port`.
@@ -17,7 +19,8 @@
     In any second, a cold target takes the rate that its service states times
     `cold_rate_factor`, and `cold_slack` requests more.
     Within `load_window_s`, loads may begin at `load_window_factor` times the stated
-    rate.
+    rate. `memory` bounds what is held for callers and targets, None if the VM's memory
+    is not stated.
     """
 
     vm_id: str
@@ -41,3 +44,4 @@
     failure_domains: tuple[str, ...] = ()
     cold_rate_factor: float = 1.0
     cold_slack: float = 0.0
+    memory: MemoryBounds | None = None
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -9,7 +9,10 @@
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.keyvalue import KeyValueService
 from jaytray_gateway.connection.table_version_call import ask_table_version
-from jaytray_gateway.connection.target_pool import TargetConnectionPool
+from jaytray_gateway.connection.target_pool import (
+    TargetConnectionPool,
+    open_small_connection,
+)
 from jaytray_gateway.ports import PlatformAdapter
 from jaytray_gateway.process.crash_guard import QUARANTINE_S, CrashGuard
 from jaytray_gateway.process.demand_average import DemandAverage
@@ -149,7 +152,7 @@
     )
     loads = LoadView(clock=clock)
     health = TargetHealth(clock=clock)
-    pools = TargetConnectionPool(clock=clock)
+    pools = _make_pools(options, clock)
     replicas = Replicas(directory=directory, clock=clock)
     reach = TargetReach(directory=directory, pools=pools, clock=clock, rng=rng)
     replica_demand = DemandAverage(clock=clock, window_s=REPLICA_DEMAND_WINDOW_S)
@@ -395,3 +398,14 @@
     directory.on_change(member_updates.apply)
     directory.on_change(control.update)
     return subsystems
+
+
+def _make_pools(options: GatewayOptions, clock: MonotonicClock) -> TargetConnectionPool:
+    """Return the pools, which hold less on VMs that state their memory."""
+    if options.memory is None:
+        return TargetConnectionPool(clock=clock)
+    return TargetConnectionPool(
+        clock=clock,
+        open_connection=open_small_connection,
+        max_buffered_body_bytes=options.memory.response_bytes,
+    )
