A silent peer that neither end chooses as a neighbour is not dialled again

A peer that chose this VM and is silent is dialled by its own end, and its next heartbeat begins the answers again.

--- a/packages/server/src/jaytray_server/connection/peer_link.py
+++ b/packages/server/src/jaytray_server/connection/peer_link.py
@@ -71,6 +71,9 @@
         self.address = address
         self.curve_public_key = curve_public_key
         self.is_neighbour = is_neighbour
+        # Whether this VM chose the peer; otherwise it only answers heartbeats.
+        self.is_chosen = is_neighbour
+        self.heard_at_s = -float("inf")
         self.queue: asyncio.Queue[bytes] = asyncio.Queue(QUEUE_LENGTH)
         self.heartbeats_sent = 0
         self.highest_echo = 0
@@ -95,6 +98,7 @@
 
     def record_echo(self, echo: int, *, now_s: float) -> None:
         """Record the echo of a heartbeat; ignore old numbers and ones never sent."""
+        self.heard_at_s = now_s
         if self.highest_echo < echo <= self.heartbeats_sent:
             self.highest_echo = echo
             self.echoed_at_s = now_s
@@ -168,7 +172,11 @@
     while True:
         now_s = clock()
         if link.is_neighbour and now_s - link.echoed_at_s > HEARTBEAT_TIMEOUT_S:
-            return CloseReason.SILENT
+            is_heard = now_s - link.heard_at_s <= HEARTBEAT_TIMEOUT_S
+            if link.is_chosen or is_heard:
+                return CloseReason.SILENT
+            # The peer does not choose this VM any longer, or begins again if it does.
+            link.set_neighbour(False, now_s=now_s)
         if not link.is_neighbour and now_s - link.used_at_s > IDLE_TIMEOUT_S:
             return CloseReason.IDLE
         if now_s >= next_heartbeat_s:
--- a/packages/server/src/jaytray_server/connection/peer_network.py
+++ b/packages/server/src/jaytray_server/connection/peer_network.py
@@ -370,6 +370,7 @@
             is_neighbour = vm_id in self._chosen or (
                 link.is_neighbour and has_recent_heartbeat
             )
+            link.is_chosen = vm_id in self._chosen
             link.set_neighbour(is_neighbour, now_s=now_s)
 
 
--- a/packages/server/tests/connection/test_peer_network.py
+++ b/packages/server/tests/connection/test_peer_network.py
@@ -314,3 +314,22 @@
                 await wait_until(lambda: link.dial_count == 2)
 
         asyncio.run(scenario())
+
+    def test_silent_peer_that_neither_end_chooses_is_not_dialled(self) -> None:
+        """Guards against a link that is dialled every 7 s without any use."""
+
+        async def scenario() -> None:
+            now = [0.0]
+            hub = PeerHub(vm_id="a", boot_epoch_ms=1, keys=KEYS, clock=lambda: now[0])
+            async with hub.listen("127.0.0.1:0") as address:
+                entries = [entry("a", address), entry("b")]
+                hub.update_vms(entries, chosen=frozenset({"b"}))
+                link = hub._links_by_id["b"]
+                await wait_until(lambda: link.heartbeats_sent >= 1)
+                link.is_chosen = False
+                now[0] = HEARTBEAT_TIMEOUT_S + 1.0
+                hub.send("b", "news", b"wakes the link")
+                await wait_until(lambda: not link.is_neighbour)
+                self.assertEqual(1, link.dial_count)
+
+        asyncio.run(scenario())
