Departures that a hub tells of are not announced again

A member that got a removal in a hub's answer before the hub's notice sent a notice to all members itself. The hub has announced it when it learned of it. In the simulated group, only the hub announces departures now.

--- a/packages/gateway/src/jaytray_gateway/process/directory.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -210,10 +210,17 @@
             self.restored_at_s = self._clock()
             self.outage.record_restore()
 
-    def apply_batch(self, batch: WatchBatch, begun_s: float) -> None:
-        """Apply the response to a watch that began at `begun_s`."""
+    def apply_batch(
+        self, batch: WatchBatch, begun_s: float, *, is_from_hub: bool = False
+    ) -> None:
+        """Apply the response to a watch that began at `begun_s`.
+
+        A hub has already told the others of the departures among its changes.
+        """
         if batch.records:
             self._apply(batch.records)
+            if is_from_hub:
+                self._departures.clear()
             self._announce_departures()
         self.revision = max(self.revision, batch.revision)
         self.note_current(begun_s)
--- a/packages/gateway/src/jaytray_gateway/process/directory_exchange.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory_exchange.py
@@ -259,7 +259,9 @@
             directory.outage.record_end(asked_s - answer.outage_age_s)
         if any(directory.history.is_newer(*value) for value in answer.large):
             # The copy stays as old as it is, as it lacks a change.
-            directory.apply_batch(WatchBatch(answer.records, 0), -inf)
+            partial = WatchBatch(answer.records, 0)
+            directory.apply_batch(partial, -inf, is_from_hub=True)
             return UpdateResult.LARGE
-        directory.apply_batch(WatchBatch(answer.records, answer.revision), as_of_s)
+        batch = WatchBatch(answer.records, answer.revision)
+        directory.apply_batch(batch, as_of_s, is_from_hub=True)
         return UpdateResult.FRESH if is_fresh else UpdateResult.OLD
--- a/packages/gateway/tests/process/test_directory_exchange.py
+++ b/packages/gateway/tests/process/test_directory_exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from functools import partial
 from math import inf
 
 from parameterized import parameterized
@@ -10,7 +11,7 @@
 
 from jaytray_core.keyvalue import WatchBatch
 from jaytray_gateway.process import directory_exchange, store_follower
-from jaytray_gateway.process.directory import Directory
+from jaytray_gateway.process.directory import Directory, TargetDeparture
 from jaytray_gateway.process.directory_exchange import (
     DirectoryExchange,
     UpdateResult,
@@ -38,9 +39,11 @@
 class EndOfCallDirectory(Directory):
     """Broken: counts the age from the end of a call."""
 
-    def apply_batch(self, batch: WatchBatch, begun_s: float) -> None:
-        is_own_call = self._clock() - begun_s < 2.5 * CALL_S
-        super().apply_batch(batch, self._clock() if is_own_call else begun_s)
+    def apply_batch(
+        self, batch: WatchBatch, begun_s: float, *, is_from_hub: bool = False
+    ) -> None:
+        as_of_s = begun_s if is_from_hub else self._clock()
+        super().apply_batch(batch, as_of_s, is_from_hub=is_from_hub)
 
 
 class PatientExchange(DirectoryExchange):
@@ -207,6 +210,12 @@
     return sum("expired" in m.directory.targets_by_id for m in fleet.members[2:])
 
 
+def count_departures(
+    count_by_member: Counter[str], own_id: str, departures: list[TargetDeparture]
+) -> None:
+    count_by_member[own_id] += len(departures)
+
+
 class DirectoryExchangeTests(TestCase):
     def test_members_follow_a_hub_instead_of_the_store(self) -> None:
         # Guards against members that watch the store as well: each call has a price.
@@ -225,6 +234,22 @@
 
         run_virtual(check())
 
+    def test_only_the_hub_announces_a_departure(self) -> None:
+        # Guards against a whole group that announces what its hub has announced.
+        async def check() -> None:
+            fleet = HubFleet()
+            await asyncio.sleep(SETTLE_S)
+            announcing: Counter[str] = Counter()
+            for member in fleet.members:
+                member.directory.on_departure(
+                    partial(count_departures, announcing, member.own_id)
+                )
+            await asyncio.sleep(5.0)
+            await fleet.end()
+            self.assertEqual({"vm0"}, set(announcing))
+
+        run_virtual(check())
+
     @parameterized.expand(TROUBLES)
     def test_copies_stay_young_and_true(self, trouble: Trouble) -> None:
         # Guards against a bound that is missed, or an age that is understated, while a
