A crowd of connections costs little when it is turned away

Each new connection above the bound sorted all others, which took more than half of the process's time when 1,000 connections arrived, and connections whose first request was not read yet were closed with them.

Connections without a request are kept in the order of their age, a few further connections without progress are closed with one that has to be, and those with waiting bytes are kept.

--- a/packages/gateway/src/jaytray_gateway/connection/bounded_protocol.py
+++ b/packages/gateway/src/jaytray_gateway/connection/bounded_protocol.py
@@ -107,7 +107,11 @@
         self.flow = _PacedFlow(wrapped, self._parse_soon)
         self._bounds.connections.add(self)
         address = self.client[0] if self.client else ""
-        self._holding = self._bounds.budget.open(address, close=self._close_for_others)
+        self._holding = self._bounds.budget.open(
+            address,
+            close=self._close_for_others,
+            has_waiting_bytes=wrapped.has_waiting_bytes,
+        )
         self._update(has_progressed=True)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/packages/gateway/src/jaytray_gateway/connection/caller_transport.py
+++ b/packages/gateway/src/jaytray_gateway/connection/caller_transport.py
@@ -6,6 +6,9 @@
 """
 
 import asyncio
+import fcntl
+import struct
+import termios
 from collections.abc import Callable
 from typing import Any
 
@@ -80,6 +83,17 @@
         """Return how many written bytes have not left this process."""
         return self._transport.get_write_buffer_size()
 
+    def has_waiting_bytes(self) -> bool:
+        """Return whether bytes have arrived that were not read."""
+        waiting = bytearray(struct.calcsize("i"))
+        try:
+            fcntl.ioctl(
+                self.get_extra_info("socket").fileno(), termios.FIONREAD, waiting
+            )
+        except OSError:
+            return False
+        return any(waiting)
+
     def get_extra_info(self, name: str, default: Any = None) -> Any:
         """Return information on the socket."""
         return self._transport.get_extra_info(name, default)
--- a/packages/gateway/src/jaytray_gateway/process/memory_budget.py
+++ b/packages/gateway/src/jaytray_gateway/process/memory_budget.py
@@ -5,7 +5,9 @@
 that may be running at a target are never chosen. There are no sockets here.
 """
 
+import collections
 import enum
+import itertools
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -34,6 +36,10 @@
 MIN_UNREAD_S = 2.0
 # Connections that hold less are closed only if closing larger ones is not enough.
 SMALL_BYTES = 98_304
+# Connections without a request that are examined to close one, and further connections
+# without progress that are closed with one that has to be.
+MAX_UNUSED_EXAMINED = 64
+EXTRA_CLOSED = 16
 # Closing goes on below the bound, so that not every received piece closes one more.
 RELIEVED_FRACTION = 0.9
 
@@ -75,6 +81,7 @@
         "address",
         "close",
         "has_run",
+        "has_waiting_bytes",
         "opened_at_s",
         "progress_at_s",
         "size",
@@ -82,10 +89,16 @@
     )
 
     def __init__(
-        self, *, address: str, close: Callable[[], None], opened_at_s: float
+        self,
+        *,
+        address: str,
+        close: Callable[[], None],
+        has_waiting_bytes: Callable[[], bool],
+        opened_at_s: float,
     ) -> None:
         self.address = address
         self.close = close
+        self.has_waiting_bytes = has_waiting_bytes
         self.opened_at_s = opened_at_s
         self.progress_at_s = opened_at_s
         self.size = 0
@@ -107,20 +120,39 @@
         self._clock = clock
         self._running_bytes = 0
         self._bytes_by_address: dict[str, int] = {}
+        self._connections_by_address: collections.Counter[str] = collections.Counter()
         self._holdings: set[Holding] = set()
         self._newest: Holding | None = None
+        # Connections of which no byte was read, the oldest first.
+        self._unused: collections.OrderedDict[Holding, None] = collections.OrderedDict()
 
     @property
     def connections(self) -> int:
         """Return the number of open connections."""
         return len(self._holdings)
 
-    def open(self, address: str, *, close: Callable[[], None]) -> Holding:
-        """Add a connection; `close` ends it."""
-        holding = Holding(address=address, close=close, opened_at_s=self._clock())
+    def open(
+        self,
+        address: str,
+        *,
+        close: Callable[[], None],
+        has_waiting_bytes: Callable[[], bool] = lambda: False,
+    ) -> Holding:
+        """Add a connection; `close` ends it.
+
+        `has_waiting_bytes` tells whether bytes have arrived that were not read.
+        """
+        holding = Holding(
+            address=address,
+            close=close,
+            has_waiting_bytes=has_waiting_bytes,
+            opened_at_s=self._clock(),
+        )
+        self._unused[holding] = None
         self._holdings.add(holding)
         self._newest = holding
         self._bytes_by_address.setdefault(address, 0)
+        self._connections_by_address[address] += 1
         return holding
 
     def release(self, holding: Holding) -> None:
@@ -131,9 +163,10 @@
         self._holdings.remove(holding)
         if self._newest is holding:
             self._newest = None
-        if not self._bytes_by_address[holding.address] and not any(
-            other.address == holding.address for other in self._holdings
-        ):
+        self._unused.pop(holding, None)
+        self._connections_by_address[holding.address] -= 1
+        if not self._connections_by_address[holding.address]:
+            del self._connections_by_address[holding.address]
             del self._bytes_by_address[holding.address]
 
     def update(
@@ -168,15 +201,44 @@
     def relieve(self) -> None:
         """Close connections until the bounds are kept, if that is possible."""
         if self.connections > self._max_connections:
-            surplus = self.connections - self._max_connections
-            for holding in self._by_idleness()[:surplus]:
-                self._close(holding)
+            self._close_for_number()
         if self.total_bytes > self._bound:
             for holding in self._by_harm():
                 if self.total_bytes <= self._bound * RELIEVED_FRACTION:
                     break
                 self._close(holding)
 
+    def _close_for_number(self) -> None:
+        """Close idle connections, those without a request first, and then others."""
+        # In a crowd these are the most: no order of all connections is needed.
+        for holding in list(itertools.islice(self._unused, MAX_UNUSED_EXAMINED)):
+            if self.connections <= self._max_connections:
+                return
+            self._close_if_unread(holding, is_last=False)
+        if self.connections <= self._max_connections:
+            return
+        stalled_before_s = self._clock() - STALL_STEP_S
+        extra = EXTRA_CLOSED
+        for holding in self._by_idleness():
+            if self.connections > self._max_connections:
+                self._close_if_unread(holding, is_last=holding is self._newest)
+            elif (
+                not extra or holding.has_run or holding.progress_at_s > stalled_before_s
+            ):
+                break
+            else:
+                extra -= 1
+                self._close(holding)
+
+    def _close_if_unread(self, holding: Holding, *, is_last: bool) -> None:
+        """Close unless it is the newest, or bytes of a request wait to be read.
+
+        Of many connections that are accepted at once, none has been read yet.
+        """
+        is_kept = holding is self._newest or holding.has_waiting_bytes()
+        if is_last or not is_kept:
+            self._close(holding)
+
     def _close(self, holding: Holding) -> None:
         self.closed_connections += 1
         self.release(holding)
@@ -244,4 +306,6 @@
         self._bytes_by_address[holding.address] += change
         holding.size = size
         holding.stage = stage
+        if stage is not Stage.IDLE:
+            self._unused.pop(holding, None)
         holding.has_run = holding.has_run or stage is Stage.RUNNING
--- a/packages/gateway/tests/process/test_memory_budget.py
+++ b/packages/gateway/tests/process/test_memory_budget.py
@@ -25,8 +25,14 @@
             bound_bytes=BOUND, max_connections=5, clock=lambda: self.now_s
         )
 
-    def open(self, name: str, *, address: str = "a") -> Holding:
-        return self.budget.open(address, close=lambda: self.closed.append(name))
+    def open(
+        self, name: str, *, address: str = "a", has_waiting_bytes: bool = False
+    ) -> Holding:
+        return self.budget.open(
+            address,
+            close=lambda: self.closed.append(name),
+            has_waiting_bytes=lambda: has_waiting_bytes,
+        )
 
     def hold(
         self,
@@ -128,6 +134,14 @@
             self.hold(self.open(f"crowd{number}"), 0.0, stage=Stage.IDLE)
         self.assertEqual([f"crowd{number}" for number in range(4)], self.closed)
 
+    def test_a_connection_whose_request_was_not_read_yet_is_kept(self) -> None:
+        # A thousand connections are accepted at once before any of them is read.
+        self.open("request", has_waiting_bytes=True)
+        for number in range(5):
+            self.now_s += 0.01
+            self.hold(self.open(f"crowd{number}"), 0.0, stage=Stage.IDLE)
+        self.assertEqual(["crowd0"], self.closed)
+
     def test_a_new_connection_is_refused_if_all_others_run(self) -> None:
         for number in range(5):
             self.hold(self.open(f"running{number}"), 0.01, stage=Stage.RUNNING)
