--- a/packages/gateway/src/jaytray_gateway/process/placement/replica_demand.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/replica_demand.py
@@ -13,6 +13,9 @@
 
 # Fraction of an engine's time that one model's requests may take per replica.
 MAX_ENGINE_UTILIZATION = 0.65
+# The same fraction below which an existing replica is surplus. Bursts at a busy model
+# are over before another replica is loaded.
+RETAINED_UTILIZATION = 0.45
 # Adapters with less demand count as idle. It is the demand of one short request some
 # seconds ago.
 MIN_ADAPTER_DEMAND_MS = 3.0
@@ -61,6 +64,7 @@
     target_count: int,
     *,
     min_adapter_demand_ms: float = MIN_ADAPTER_DEMAND_MS,
+    max_utilization: float = MAX_ENGINE_UTILIZATION,
 ) -> dict[str, int]:
     """Return the desired replicas by model; models without demand are omitted.
 
@@ -70,7 +74,7 @@
     adapters: dict[str, int] = {}
     counts: dict[str, int] = dict.fromkeys(demand.awaited, 1)
     utilization = max(
-        MAX_ENGINE_UTILIZATION, total_demand(demand) / 1000 / max(target_count, 1)
+        max_utilization, total_demand(demand) / 1000 / max(target_count, 1)
     )
     for name, rate in demand.rates.items():
         model, adapter = split_replica(name)
@@ -96,6 +100,7 @@
             engine,
             len(plans),
             min_adapter_demand_ms=RETAINED_ADAPTER_DEMAND_MS,
+            max_utilization=RETAINED_UTILIZATION,
         ),
     )
 
