--- a/packages/gateway/src/jaytray_gateway/connection/bounded_protocol.py
+++ b/packages/gateway/src/jaytray_gateway/connection/bounded_protocol.py
@@ -167,8 +167,10 @@
             self._head_cost = self._body_bytes = 0
             self._unparsed.clear()
             self._update()
-        else:
+        elif self._unparsed:
             self._parse_soon()
+        else:
+            self._after_parsing()
 
     def check_progress(self) -> None:
         """Close the connection if a body or the reading of a response stands still."""
