Idle models yield to rare ones only for a clear gain in large fleets

Cause: rare models took the places of models without demand, to which demand moved some seconds later; they take 9 s to load. Change: with more than ten targets, the demand that may return to an idle model counts as loss. Smaller fleets are planned as before.

--- a/packages/gateway/src/jaytray_gateway/process/placement/planner.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/planner.py
@@ -20,7 +20,9 @@
 from jaytray_gateway.replica_names import models_with_adapters
 from jaytray_gateway.version.route_table import Engine
 
-# A model is unloaded for another only if the gain exceeds this multiple of the loss.
+# A model is unloaded for another only if the gain exceeds this multiple of the loss. In
+# a large fleet that includes the demand that may return to an idle model: there are
+# surplus replicas that can yield instead.
 MIN_GAIN_RATIO = 1.4
 # Demand added for a model without replicas that requests wait for: its measured demand
 # is still that of the time when it could not be served.
@@ -117,7 +119,15 @@
             and version in (None, p.software_version)
             and p.has_cached_weights(model)
         ]
-        found = _best_step(engine, wanted, candidates, counts, demand, now_s)
+        found = _best_step(
+            engine,
+            wanted,
+            candidates,
+            counts,
+            demand,
+            now_s,
+            counts_risk=len(plans) > FREE_TARGETS,
+        )
         if found is None:
             continue
         plan, step = found
@@ -216,11 +226,14 @@
     counts: ReplicaCounts,
     demand: Demand,
     now_s: float,
+    *,
+    counts_risk: bool,
 ) -> tuple[TargetPlan, ModelStep] | None:
     """Return the target where one more replica gains most, and the step to order there.
 
-    Gain and loss are demand served or lost within the horizon. Returns None if no
-    target gains, or if it is best to wait for one that executes another order.
+    Gain and loss are demand served or lost within the horizon; with `counts_risk`, the
+    loss includes demand that may return. Returns None if no target gains, or if it is
+    best to wait for one that executes another order.
     """
     model = wanted.model
     best: tuple[float, TargetPlan, ModelStep] | None = None
@@ -244,7 +257,10 @@
         )
         gain = wanted.gain * max(horizon_s(engine) - ready_s, 1.0)
         loss = sum(victim.loss for victim in victims)
-        if loss and loss * MIN_GAIN_RATIO >= gain:
+        least_gain = loss * MIN_GAIN_RATIO
+        if counts_risk:
+            least_gain += sum(victim.risk for victim in victims) * MIN_GAIN_RATIO
+        if least_gain and least_gain >= gain:
             continue
         cost = loss + sum(victim.risk + UNLOAD_COST_MS for victim in victims)
         cost += LOAD_SECOND_COST_MS * load_s
