--- a/packages/gateway/src/jaytray_gateway/connection/target_pool.py
+++ b/packages/gateway/src/jaytray_gateway/connection/target_pool.py
@@ -14,6 +14,7 @@
     TargetConnection,
     open_connection,
 )
+from jaytray_gateway.process.memory_budget import MemoryBounds
 
 # A target accepts a connection within milliseconds; the timeout allows for one
 # retransmitted SYN, which the kernel sends after one second.
@@ -130,3 +131,16 @@
         """Close all idle connections."""
         for target_id in {key[0] for key in self._idle_by_target}:
             self.drop_target(target_id)
+
+
+def make_target_pools(
+    *, memory: MemoryBounds | None, clock: MonotonicClock
+) -> TargetConnectionPool:
+    """Return the pools, which hold less on VMs that state their memory."""
+    if memory is None:
+        return TargetConnectionPool(clock=clock)
+    return TargetConnectionPool(
+        clock=clock,
+        open_connection=open_small_connection,
+        max_buffered_body_bytes=memory.response_bytes,
+    )
--- a/packages/gateway/src/jaytray_gateway/process/placement/controller.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/controller.py
@@ -20,6 +20,7 @@
     choose_target,
     choose_victim,
 )
+from jaytray_gateway.process.placement.engine_reach import reaches_engines
 from jaytray_gateway.process.placement.fencing_base import FencingBase
 from jaytray_gateway.process.placement.forecast_sender import ForecastSender
 from jaytray_gateway.process.placement.forecasts import forecast_ready_s
@@ -82,7 +83,7 @@
             read_record=lambda: directory.records_by_key.get(key),
             restored_at_s=lambda: directory.restored_at_s,
             member_ids=member_messages.member_ids,
-            reaches_targets=self._reaches_targets,
+            reaches_targets=lambda: reaches_engines(directory, member_messages),
             fencing_base=lambda: fencing_base.base,
         )
         self._load_limiter = LoadRateLimiter(
@@ -120,16 +121,6 @@
         )
         self._has_requests = asyncio.Event()
 
-    def _reaches_targets(self) -> bool:
-        """Return False if only other members reach the engines of a service."""
-        table = self._directory.route_table
-        services = table.services_by_name.values() if table is not None else ()
-        return not any(
-            self._member_messages.is_reached_by_others_only(service.name)
-            for service in services
-            if service.engine is not None
-        )
-
     def request_replica(
         self, service: str, model: str, adapter: str, software_version: str | None
     ) -> None:
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -11,7 +11,7 @@
 from jaytray_gateway.connection.table_version_call import ask_table_version
 from jaytray_gateway.connection.target_pool import (
     TargetConnectionPool,
-    open_small_connection,
+    make_target_pools,
 )
 from jaytray_gateway.ports import PlatformAdapter
 from jaytray_gateway.process.crash_guard import QUARANTINE_S, CrashGuard
@@ -152,7 +152,7 @@
     )
     loads = LoadView(clock=clock)
     health = TargetHealth(clock=clock)
-    pools = _make_pools(options, clock)
+    pools = make_target_pools(memory=options.memory, clock=clock)
     replicas = Replicas(directory=directory, clock=clock)
     reach = TargetReach(directory=directory, pools=pools, clock=clock, rng=rng)
     replica_demand = DemandAverage(clock=clock, window_s=REPLICA_DEMAND_WINDOW_S)
@@ -398,14 +398,3 @@
     directory.on_change(member_updates.apply)
     directory.on_change(control.update)
     return subsystems
-
-
-def _make_pools(options: GatewayOptions, clock: MonotonicClock) -> TargetConnectionPool:
-    """Return the pools, which hold less on VMs that state their memory."""
-    if options.memory is None:
-        return TargetConnectionPool(clock=clock)
-    return TargetConnectionPool(
-        clock=clock,
-        open_connection=open_small_connection,
-        max_buffered_body_bytes=options.memory.response_bytes,
-    )
--- a/packages/server/src/jaytray_server/connection/peer_link.py
+++ b/packages/server/src/jaytray_server/connection/peer_link.py
@@ -221,3 +221,17 @@
         socket.disable_monitor()
         monitor.close()
         socket.close()
+
+
+def bind_socket(
+    context: zmq.asyncio.Context, address: str, keys: CurveKeys
+) -> zmq.asyncio.Socket:
+    """Return the listening socket for the links of other VMs."""
+    socket = context.socket(zmq.ROUTER)
+    socket.linger = 0
+    socket.setsockopt(zmq.MAXMSGSIZE, MAX_ENVELOPE_BYTES)
+    socket.curve_server = True
+    socket.curve_publickey = keys.public_key
+    socket.curve_secretkey = keys.secret_key
+    socket.bind(f"tcp://{address}")
+    return socket
--- a/packages/server/src/jaytray_server/connection/peer_network.py
+++ b/packages/server/src/jaytray_server/connection/peer_network.py
@@ -27,6 +27,7 @@
     HEARTBEAT_TIMEOUT_S,
     CurveKeys,
     PeerLink,
+    bind_socket,
     run_link,
 )
 from jaytray_server.connection.peer_messages import (
@@ -191,7 +192,7 @@
         authenticator.configure_curve_callback(
             domain="*", credentials_provider=_PeerKeyCheck(hub=self)
         )
-        socket = _bind_socket(context, address, self.keys)
+        socket = bind_socket(context, address, self.keys)
         bound = socket.getsockopt_string(zmq.LAST_ENDPOINT).removeprefix("tcp://")
         self._context = context
         self._refresh_neighbours()
@@ -391,16 +392,3 @@
         """Return whether the client's public key (Z85) may connect."""
         own_keys = {vm.curve_public_key for vm in self._hub.vms_by_id.values()}
         return key == self._hub.keys.public_key or key.decode("ascii") in own_keys
-
-
-def _bind_socket(
-    context: zmq.asyncio.Context, address: str, keys: CurveKeys
-) -> zmq.asyncio.Socket:
-    socket = context.socket(zmq.ROUTER)
-    socket.linger = 0
-    socket.setsockopt(zmq.MAXMSGSIZE, MAX_ENVELOPE_BYTES)
-    socket.curve_server = True
-    socket.curve_publickey = keys.public_key
-    socket.curve_secretkey = keys.secret_key
-    socket.bind(f"tcp://{address}")
-    return socket
