--- a/packages/gateway/src/jaytray_gateway/process/options.py
+++ b/packages/gateway/src/jaytray_gateway/process/options.py
@@ -20,7 +20,8 @@
     `cold_rate_factor`, and `cold_slack` requests more.
     Within `load_window_s`, loads may begin at `load_window_factor` times the stated
     rate. `memory` bounds what is held for callers and targets, None if the VM's memory
-    is not stated.
+    is not stated. `paces_targets` adapts the load of recovering targets to their
+    answers.
     """
 
     vm_id: str
@@ -45,3 +46,4 @@
     cold_rate_factor: float = 1.0
     cold_slack: float = 0.0
     memory: MemoryBounds | None = None
+    paces_targets: bool = False
--- a/packages/gateway/src/jaytray_gateway/process/paced_targets.py
+++ b/packages/gateway/src/jaytray_gateway/process/paced_targets.py
@@ -146,11 +146,13 @@
         clock: MonotonicClock,
         running_at: Callable[[str], int],
         member_count: Callable[[], int],
+        is_enabled: bool = True,
     ) -> None:
         self._peers = peers
         self._clock = clock
         self._running_at = running_at
         self._member_count = member_count
+        self._is_enabled = is_enabled
         self._times = AnswerTimes()
         self._exchange = PermitExchange(
             peers=peers, clock=clock, topic=_TOPIC, grant=self._grant, asks_next=False
@@ -177,12 +179,12 @@
 
     def is_paced(self, target_id: str) -> bool:
         """Return whether the target is recovering, as far as is known."""
-        return target_id in self._recovery_by_target and self._is_large_fleet()
+        return target_id in self._recovery_by_target and self._applies()
 
     async def acquire(self, target: TargetEntry) -> SendPermit:
         """Return a permit for one request; always granted if not recovering."""
         recovery = self._recovery_by_target.get(target.target_id)
-        if recovery is None or not self._is_large_fleet():
+        if recovery is None or not self._applies():
             return SendPermit(True, 0.0)
         target_id = target.target_id
         age_s = self._clock() - recovery.since_s
@@ -255,11 +257,11 @@
         for start in [s for s in self._ledger_by_start if s[0] not in target_ids]:
             del self._ledger_by_start[start]
 
-    def _is_large_fleet(self) -> bool:
-        return self._member_count() >= MIN_PACED_MEMBERS
+    def _applies(self) -> bool:
+        return self._is_enabled and self._member_count() >= MIN_PACED_MEMBERS
 
     def _begin(self, target_id: str, incarnation: str, change: _Change) -> None:
-        if self._note(target_id, incarnation, change) and self._is_large_fleet():
+        if self._note(target_id, incarnation, change) and self._applies():
             self._notify_peers(target_id, incarnation, change)
 
     def _notify_peers(self, target_id: str, incarnation: str, change: _Change) -> None:
@@ -277,7 +279,7 @@
             return is_known
         is_start = change is _Change.STARTED
         has_ended = self._ended_incarnation_by_target.get(target_id) == incarnation
-        if is_known or (is_start and has_ended) or not self._is_large_fleet():
+        if is_known or (is_start and has_ended) or not self._applies():
             return False
         self._recovery_by_target[target_id] = _Recovery(
             incarnation, self._clock(), is_start
--- a/packages/gateway/src/jaytray_gateway/process/send_control.py
+++ b/packages/gateway/src/jaytray_gateway/process/send_control.py
@@ -67,6 +67,7 @@
         clock=clock,
         running_at=lambda target_id: loads.load_of(target_id).running,
         member_count=lambda: directory.member_count,
+        is_enabled=options.paces_targets,
     )
     starts = TargetStarts(clock=clock)
     starts.on_start(pace.record_start)
--- a/packages/gateway/tests/process/test_paced_targets.py
+++ b/packages/gateway/tests/process/test_paced_targets.py
@@ -83,7 +83,13 @@
 class Fleet:
     """Members that send whatever the targets may get."""
 
-    def __init__(self, targets: list[Target], *, members: int = MEMBERS) -> None:
+    def __init__(
+        self,
+        targets: list[Target],
+        *,
+        members: int = MEMBERS,
+        is_enabled: bool = True,
+    ) -> None:
         self.rng = random.Random(1)
         ids = [f"vm{number}" for number in range(members)]
         self.network = MemberNetwork(ids, self.rng)
@@ -96,6 +102,7 @@
                 clock=self.clock,
                 running_at=lambda target_id: running_by_id[target_id].running,
                 member_count=lambda: len(ids),
+                is_enabled=is_enabled,
             )
             for own in ids
         }
@@ -243,16 +250,17 @@
 
         run_virtual(check())
 
-    def test_small_fleets_are_not_paced(self) -> None:
-        async def check() -> None:
+    def test_nothing_is_paced_in_small_fleets_or_unless_enabled(self) -> None:
+        async def check(members: int, is_enabled: bool) -> None:
             target = Target("t", lambda _running: ANSWER_S)
-            fleet = Fleet([target], members=MIN_PACED_MEMBERS - 1)
+            fleet = Fleet([target], members=members, is_enabled=is_enabled)
             fleet.start(target)
             await fleet.play(ANSWER_S)
             self.assertEqual({0}, fleet.known())
             self.assertEqual(SLOTS, target.most_running(0.0, 1.0))
 
-        run_virtual(check())
+        run_virtual(check(MIN_PACED_MEMBERS - 1, True))
+        run_virtual(check(MIN_PACED_MEMBERS, False))
 
 
 class RequestTests(TestCase):
