Share the bookkeeping of held permits, of numbered messages and of summed rates

The ledgers of brittle and of recovering targets forgot lost ends by the same code, and hubs kept three stores of the latest message by sender. Behaviour is unchanged.

--- a/packages/gateway/src/jaytray_gateway/process/brittle_targets.py
+++ b/packages/gateway/src/jaytray_gateway/process/brittle_targets.py
@@ -13,6 +13,7 @@
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.codec import decode_msgpack, encode_msgpack
 from jaytray_core.logs import get_logger
+from jaytray_gateway.process.held_permits import HeldPermits, PermitId
 from jaytray_gateway.process.permit_exchange import (
     PermitAsk,
     PermitExchange,
@@ -51,12 +52,12 @@
         self.incarnation = incarnation
         self._slots = slots
         self._limit = slots
-        self._expires_s_by_permit: dict[tuple[str, int], float] = {}
+        self._held = HeldPermits()
         self._closed_until_s = -float("inf")
 
     def reserve(
         self,
-        permit: tuple[str, int],
+        permit: PermitId,
         *,
         now_s: float,
         hold_s: float,
@@ -69,29 +70,17 @@
         this one included; of any more, the release was lost. `running` is the number
         under way by the members' reports, also of those that another member permitted.
         """
-        member, number = permit
-        earlier = [
-            held
-            for held in self._expires_s_by_permit
-            if held[0] == member and held[1] < number
-        ]
-        for held in earlier[: max(0, len(earlier) - open_requests + 1)]:
-            del self._expires_s_by_permit[held]
-        for held, expires_s in list(self._expires_s_by_permit.items()):
-            if expires_s <= now_s:
-                del self._expires_s_by_permit[held]
-        under_way = max(len(self._expires_s_by_permit), running)
+        self._held.drop_lost(permit, now_s=now_s, open_requests=open_requests)
+        under_way = max(len(self._held), running)
         if now_s < self._closed_until_s or under_way + 1 > max(1.0, self._limit):
             return False
-        self._expires_s_by_permit[permit] = now_s + hold_s + LOST_RELEASE_S
+        self._held.add(permit, expires_s=now_s + hold_s + LOST_RELEASE_S)
         return True
 
-    def release(
-        self, permit: tuple[str, int], *, now_s: float, is_rejected: bool
-    ) -> None:
+    def release(self, permit: PermitId, *, now_s: float, is_rejected: bool) -> None:
         """End a permitted request."""
-        under_way = len(self._expires_s_by_permit)
-        if self._expires_s_by_permit.pop(permit, None) is None:
+        under_way = len(self._held)
+        if not self._held.remove(permit):
             return
         if is_rejected:
             self._closed_until_s = now_s + REJECTION_PAUSE_S
--- a/packages/gateway/src/jaytray_gateway/process/demand_average.py
+++ b/packages/gateway/src/jaytray_gateway/process/demand_average.py
@@ -50,3 +50,9 @@
             for name, rate in self._rate_by_name.items()
             if rate * factor > _NEGLIGIBLE
         }
+
+
+def add_rates(total: dict[str, float], rates: dict[str, float]) -> None:
+    """Add rates by name to a sum."""
+    for name, rate in rates.items():
+        total[name] = total.get(name, 0.0) + rate
--- a/packages/gateway/src/jaytray_gateway/process/hub_demand.py
+++ b/packages/gateway/src/jaytray_gateway/process/hub_demand.py
@@ -1,10 +1,10 @@
 """Demand by replica and used replicas, which hubs send to the placement leader."""
 
-from typing import NamedTuple
-
 from jaytray_core.clock import MonotonicClock
 from jaytray_core.codec import decode_msgpack, encode_msgpack
+from jaytray_gateway.process.demand_average import add_rates
 from jaytray_gateway.process.hub_sums import HubDemand
+from jaytray_gateway.process.latest_messages import LatestMessages
 from jaytray_gateway.process.load_view import LoadView
 from jaytray_server.ports import PeerNetwork
 
@@ -15,11 +15,6 @@
 _DEMAND = "gateway.hub_demand"
 
 
-class _Rates(NamedTuple):
-    received_at_s: float
-    demand: HubDemand
-
-
 class HubDemands:
     """The demand that hubs have sent to this member while it is the leader."""
 
@@ -28,8 +23,7 @@
     ) -> None:
         self._peers = peers
         self._loads = loads
-        self._clock = clock
-        self._rates_by_hub: dict[str, _Rates] = {}
+        self._demands = LatestMessages[HubDemand](clock=clock, ttl_s=RATES_TTL_S)
         peers.set_handler(_DEMAND, self._handle_demand)
 
     def send(self, leader: str, demand: HubDemand) -> None:
@@ -41,26 +35,17 @@
 
     def rates(self) -> dict[str, float]:
         """Return the demand by replica, in engine ms per second."""
-        self._drop_expired()
+        self._demands.drop_expired()
         total: dict[str, float] = {}
-        for received in self._rates_by_hub.values():
-            for name, rate in received.demand["rate_by_replica"].items():
-                total[name] = total.get(name, 0.0) + rate
+        for demand in self._demands.messages():
+            add_rates(total, demand["rate_by_replica"])
         return total
 
     def _handle_demand(self, sender: str, body: bytes) -> None:
         self._record(sender, decode_msgpack(body, HubDemand, peer=sender))
 
     def _record(self, hub: str, demand: HubDemand) -> None:
-        self._drop_expired()
-        known = self._rates_by_hub.get(hub)
-        if known is not None and demand["number"] <= known.demand["number"]:
-            return
-        self._rates_by_hub[hub] = _Rates(self._clock(), demand)
-        self._loads.set_peer_report(f"group {hub}", {}, demand["replicas_by_target"])
-
-    def _drop_expired(self) -> None:
-        oldest_s = self._clock() - RATES_TTL_S
-        for hub, received in list(self._rates_by_hub.items()):
-            if received.received_at_s < oldest_s:
-                del self._rates_by_hub[hub]
+        if self._demands.record(hub, demand["number"], demand):
+            self._loads.set_peer_report(
+                f"group {hub}", {}, demand["replicas_by_target"]
+            )
--- a/packages/gateway/src/jaytray_gateway/process/hub_sums.py
+++ b/packages/gateway/src/jaytray_gateway/process/hub_sums.py
@@ -10,6 +10,8 @@
 from typing import NamedTuple, TypedDict
 
 from jaytray_core.clock import MonotonicClock
+from jaytray_gateway.process.demand_average import add_rates
+from jaytray_gateway.process.latest_messages import LatestMessages
 from jaytray_gateway.process.load_view import PEER_REPORT_TTL_S, TargetLoad
 
 # Hubs that were not heard for this long are left out when notices are sent.
@@ -56,88 +58,69 @@
     rate_by_replica: dict[str, float]
 
 
-class _Report(NamedTuple):
-    received_at_s: float
-    report: HubReport
-
-
-class _Part(NamedTuple):
-    received_at_s: float
-    part: HubPart
-
-
 class HubSums:
     """The reports and sums that this member received, for as long as they are fresh."""
 
     def __init__(self, *, clock: MonotonicClock, rng: random.Random) -> None:
         self._clock = clock
         self._rng = rng
-        self._report_by_member: dict[str, _Report] = {}
-        self._part_by_hub: dict[str, _Part] = {}
+        self._reports = LatestMessages[HubReport](clock=clock, ttl_s=PEER_REPORT_TTL_S)
+        self._parts = LatestMessages[HubPart](clock=clock, ttl_s=PEER_REPORT_TTL_S)
 
     def record_report(self, member: str, report: HubReport) -> bool:
         """Store a member's report; returns False for one that is late or doubled."""
-        self._drop_expired()
-        known = self._report_by_member.get(member)
-        if known is not None and report["number"] <= known.report["number"]:
-            return False
-        self._report_by_member[member] = _Report(self._clock(), report)
-        return True
+        return self._reports.record(member, report["number"], report)
 
     def record_part(self, hub: str, part: HubPart) -> bool:
         """Store another hub's sum; returns False for one that is late or doubled."""
-        self._drop_expired()
-        known = self._part_by_hub.get(hub)
-        if known is not None and part["number"] <= known.part["number"]:
-            return False
-        self._part_by_hub[hub] = _Part(self._clock(), part)
-        return True
+        return self._parts.record(hub, part["number"], part)
 
     def forget_report(self, member: str) -> None:
         """Drop the report of a member that reports elsewhere."""
-        self._report_by_member.pop(member, None)
+        self._reports.by_sender.pop(member, None)
 
     def number_by_member(self) -> dict[str, int]:
         """Return the members whose reports are in the sum, and the reports' numbers."""
         self._drop_expired()
         return {
-            member: held.report["number"]
-            for member, held in self._report_by_member.items()
-            if not held.report["is_last"]
+            member: received.number
+            for member, received in self._reports.by_sender.items()
+            if not received.message["is_last"]
         }
 
     def loads_of(self, member: str) -> dict[str, TargetLoad]:
         """Return a member's part of the sum."""
-        held = self._report_by_member.get(member)
-        return held.report["load_by_target"] if held is not None else {}
+        received = self._reports.by_sender.get(member)
+        return received.message["load_by_target"] if received is not None else {}
 
     def hubs(self) -> list[str]:
         """Return the hubs whose sums arrived recently."""
         oldest_s = self._clock() - HUB_TTL_S
         return [
             hub
-            for hub, held in self._part_by_hub.items()
-            if held.received_at_s >= oldest_s
+            for hub, received in self._parts.by_sender.items()
+            if received.received_at_s >= oldest_s
         ]
 
     def own_part(self, number: int) -> HubPart:
         """Return the sum of the reports that this hub received."""
         self._drop_expired()
-        reports = [held.report for held in self._report_by_member.values()]
         return HubPart(
             number=number,
-            load_by_target=add_loads(report["load_by_target"] for report in reports),
+            load_by_target=add_loads(
+                report["load_by_target"] for report in self._reports.messages()
+            ),
             links=self._sample_links(),
         )
 
     def fleet_loads(self, own_part: HubPart) -> dict[str, TargetLoad]:
         """Return the load of all targets by the members of all groups."""
-        others = (held.part["load_by_target"] for held in self._part_by_hub.values())
+        others = (part["load_by_target"] for part in self._parts.messages())
         return add_loads([own_part["load_by_target"], *others])
 
     def fleet_links(self, own_part: HubPart) -> list[LinkSample]:
         """Return the members in all hubs' samples."""
-        others = [held.part["links"] for held in self._part_by_hub.values()]
+        others = [part["links"] for part in self._parts.messages()]
         return [sample for links in [own_part["links"], *others] for sample in links]
 
     def demand(self, number: int, *, leader: str) -> HubDemand:
@@ -145,12 +128,11 @@
         self._drop_expired()
         rates: dict[str, float] = {}
         replicas_by_target: dict[str, set[str]] = {}
-        for member, held in self._report_by_member.items():
+        for member, received in self._reports.by_sender.items():
             if member == leader:
                 continue
-            for name, rate in held.report["rate_by_replica"].items():
-                rates[name] = rates.get(name, 0.0) + rate
-            for target, replicas in held.report["replicas_by_target"].items():
+            add_rates(rates, received.message["rate_by_replica"])
+            for target, replicas in received.message["replicas_by_target"].items():
                 replicas_by_target.setdefault(target, set()).update(replicas)
         return HubDemand(
             number=number,
@@ -164,9 +146,9 @@
     def _sample_links(self) -> list[LinkSample]:
         """Return one member that reaches the most, and some that are cut off."""
         samples = [
-            LinkSample(member, held.report["cut_off_services"])
-            for member, held in self._report_by_member.items()
-            if not held.report["is_last"]
+            LinkSample(member, received.message["cut_off_services"])
+            for member, received in self._reports.by_sender.items()
+            if not received.message["is_last"]
         ]
         self._rng.shuffle(samples)
         samples.sort(key=lambda sample: len(sample.cut_off_services))
@@ -174,13 +156,8 @@
         return samples[:1] + cut_off[: MAX_LINK_SAMPLES - 1]
 
     def _drop_expired(self) -> None:
-        oldest_s = self._clock() - PEER_REPORT_TTL_S
-        for member, report in list(self._report_by_member.items()):
-            if report.received_at_s < oldest_s:
-                del self._report_by_member[member]
-        for hub, part in list(self._part_by_hub.items()):
-            if part.received_at_s < oldest_s:
-                del self._part_by_hub[hub]
+        self._reports.drop_expired()
+        self._parts.drop_expired()
 
 
 def add_loads(parts: Iterable[dict[str, TargetLoad]]) -> dict[str, TargetLoad]:
--- a/packages/gateway/src/jaytray_gateway/process/member_messages.py
+++ b/packages/gateway/src/jaytray_gateway/process/member_messages.py
@@ -10,7 +10,7 @@
 
 from jaytray_core.codec import decode_msgpack, encode_msgpack
 from jaytray_gateway.process.crash_guard import CrashGuard, RunEnd
-from jaytray_gateway.process.demand_average import DemandAverage
+from jaytray_gateway.process.demand_average import DemandAverage, add_rates
 from jaytray_gateway.process.fleet_topology import FleetTopology
 from jaytray_gateway.process.load_forecasts import LoadForecast, LoadForecasts
 from jaytray_gateway.process.load_view import LoadView, TargetLoad
@@ -170,8 +170,7 @@
             and not self._topology.takes_part(member)
         ]
         for rates in (*reported, self._hub_rates()):
-            for replica, rate in rates.items():
-                total[replica] = total.get(replica, 0.0) + rate
+            add_rates(total, rates)
         return total
 
     def _report(self) -> Report:
--- a/packages/gateway/src/jaytray_gateway/process/pace_ledger.py
+++ b/packages/gateway/src/jaytray_gateway/process/pace_ledger.py
@@ -1,21 +1,12 @@
 """The permitted requests at a recovering target, at the member that grants permits."""
 
-from typing import NamedTuple
-
+from jaytray_gateway.process.held_permits import HeldPermits, PermitId
 from jaytray_gateway.process.recovery_pace import RecoveryPace
 
 # A permit whose end was lost is forgotten after this time. Ends of a member that goes
 # on asking are noticed earlier.
 MAX_HOLD_S = 30.0
 
-# The member that asked, and the number of its question.
-PermitId = tuple[str, int]
-
-
-class _HeldPermit(NamedTuple):
-    number: int
-    expires_s: float
-
 
 class PaceLedger:
     """The window of one start of a target, and what is in flight within it.
@@ -29,7 +20,7 @@
         # Reports are seconds old. They count only if requests are under way that this
         # member has not permitted.
         self._counts_reports = running >= self.pace.window
-        self._held_by_permit: dict[PermitId, _HeldPermit] = {}
+        self._held = HeldPermits()
 
     def reserve(
         self, permit: PermitId, *, now_s: float, open_requests: int, running: int
@@ -40,31 +31,23 @@
         included; of any more, the end was lost. `running` is the number under way by
         the members' reports.
         """
-        member, question = permit
-        earlier = [
-            held
-            for held in self._held_by_permit
-            if held[0] == member and held[1] < question
-        ]
-        for lost in earlier[: max(0, len(earlier) - open_requests + 1)]:
-            del self._held_by_permit[lost]
-        for held, state in list(self._held_by_permit.items()):
-            if state.expires_s <= now_s:
-                del self._held_by_permit[held]
-        in_flight = len(self._held_by_permit)
+        self._held.drop_lost(permit, now_s=now_s, open_requests=open_requests)
+        in_flight = len(self._held)
         if self._counts_reports:
             in_flight = max(in_flight, running)
         if not self.pace.allows(in_flight):
             return False
-        self._held_by_permit[permit] = _HeldPermit(self.pace.send(), now_s + MAX_HOLD_S)
+        self._held.add(
+            permit, expires_s=now_s + MAX_HOLD_S, send_number=self.pace.send()
+        )
         return True
 
     def record_answer(self, permit: PermitId, *, is_good: bool) -> None:
         """Record the first answer to a permitted request."""
-        held = self._held_by_permit.get(permit)
-        if held is not None:
-            self.pace.record_answer(held.number, is_good=is_good)
+        number = self._held.send_number(permit)
+        if number is not None:
+            self.pace.record_answer(number, is_good=is_good)
 
     def end(self, permit: PermitId) -> None:
         """Record that a permitted request is over."""
-        self._held_by_permit.pop(permit, None)
+        self._held.remove(permit)
