--- a/packages/gateway/src/jaytray_gateway/connection/bounded_protocol.py
+++ b/packages/gateway/src/jaytray_gateway/connection/bounded_protocol.py
@@ -157,11 +157,7 @@
             self._head_cost = self._body_bytes = 0
         if self.conn.our_state is h11.DONE and self.conn.their_state is h11.DONE:
             # h11 would parse the next head as it is: it has to be checked before.
-            following, _ = self.conn.trailing_data
-            if following:
-                self._unparsed[:0] = following
-                self._searched = 0
-                self.conn = self._new_parser()
+            self._take_back_next_head()
         super().on_response_complete()
         if self.transport.is_closing():
             self._head_cost = self._body_bytes = 0
@@ -195,8 +191,13 @@
             )
             self._refuse(error)
 
-    def _new_parser(self) -> h11.Connection:
-        return h11.Connection(h11.SERVER, MAX_UNPARSED_BYTES)
+    def _take_back_next_head(self) -> None:
+        """Take bytes of the next request back from the parser, with a new parser."""
+        following, _ = self.conn.trailing_data
+        if following:
+            self._unparsed[:0] = following
+            self._searched = 0
+            self.conn = h11.Connection(h11.SERVER, MAX_UNPARSED_BYTES)
 
     def _still_receives(self) -> bool:
         is_received = self.conn.their_state in (h11.SEND_BODY, h11.ERROR)
@@ -234,11 +235,7 @@
 
     def _parse_head(self) -> bool:
         """Parse the next head if it is complete; refuse it if it is too large."""
-        following, _ = self.conn.trailing_data
-        if following:
-            self._unparsed[:0] = following
-            self._searched = 0
-            self.conn = self._new_parser()
+        self._take_back_next_head()
         end = _HEAD_END.search(self._unparsed, self._searched)
         size = end.end() if end else len(self._unparsed)
         fields = self._unparsed.count(b"\n", 0, size) - (2 if end else 1)
--- a/packages/gateway/src/jaytray_gateway/process/directory_exchange.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory_exchange.py
@@ -202,11 +202,11 @@
     def _handle_question(self, sender: str, body: bytes) -> None:
         question = decode_msgpack(body, _Question, peer=sender)
         self._asked_at_s = self._clock()
-        answer = encode_msgpack(self._answer(question))
-        if len(answer) > MAX_ANSWER_BYTES:
-            short = self._answer(question)._replace(records=None, large=[])
-            answer = encode_msgpack(short)
-        self._peers.send(sender, _ANSWER, answer)
+        answer = self._answer(question)
+        encoded = encode_msgpack(answer)
+        if len(encoded) > MAX_ANSWER_BYTES:
+            encoded = encode_msgpack(answer._replace(records=None, large=[]))
+        self._peers.send(sender, _ANSWER, encoded)
 
     def _answer(self, question: _Question) -> _Answer:
         directory = self._directory
--- a/packages/gateway/src/jaytray_gateway/process/ended_starts.py
+++ b/packages/gateway/src/jaytray_gateway/process/ended_starts.py
@@ -58,14 +58,10 @@
         A newer one ends the memory of the removal.
         """
         removed = self._removed_by_id.get(entry.target_id)
-        if removed is None:
+        if removed is None or removed.incarnation != entry.incarnation:
             return False
-        if (
-            removed.incarnation == entry.incarnation
-            and entry.heartbeat_count is not None
-            and entry.heartbeat_count <= removed.heartbeat_count
-        ):
+        count = entry.heartbeat_count
+        if count is not None and count <= removed.heartbeat_count:
             return True
-        if removed.incarnation == entry.incarnation:
-            del self._removed_by_id[entry.target_id]
+        del self._removed_by_id[entry.target_id]
         return False
--- a/packages/gateway/src/jaytray_gateway/process/member_updates.py
+++ b/packages/gateway/src/jaytray_gateway/process/member_updates.py
@@ -7,7 +7,7 @@
 from jaytray_core.vm_list import VmEntry, VmState
 from jaytray_gateway.process.directory import Directory
 from jaytray_gateway.process.fleet_topology import FleetTopology
-from jaytray_gateway.process.membership import Member, RecentMembers, decode_members
+from jaytray_gateway.process.membership import Member, RecentMembers
 from jaytray_gateway.process.rate_shares import RateShares
 from jaytray_gateway.process.relay_members import RelayMembers
 from jaytray_gateway.process.retry_budget import RetryBudget
@@ -29,7 +29,7 @@
 def make_member_updates(
     *,
     own: Member,
-    prefix: str,
+    other_members: Callable[[], list[Member]],
     directory: Directory,
     hub: PeerHub,
     topology: FleetTopology,
@@ -38,20 +38,19 @@
     shares: RateShares,
     budget: RetryBudget,
 ) -> MemberUpdates:
-    """Return the functions; `prefix` is that of the members' records."""
+    """Return the functions; `other_members` returns those that are registered."""
 
     def apply() -> None:
-        members_by_id = decode_members(directory.records_by_key, prefix)
-        members_by_id[own.vm_id] = own
-        others = [m for m in members_by_id.values() if m.vm_id != own.vm_id]
+        others = other_members()
+        members = [own, *others]
         relays.update(others)
-        topology.update(m.vm_id for m in members_by_id.values() if m.takes_digests())
+        topology.update(m.vm_id for m in members if m.takes_digests())
         outside = {m.vm_id for m in others if not topology.takes_part(m.vm_id)}
         hub.update_vms(
-            [_vm_entry(member) for member in members_by_id.values()],
+            [_vm_entry(member) for member in members],
             chosen=topology.neighbours() | outside,
         )
-        directory.member_count = len(members_by_id)
+        directory.member_count = len(members)
         update_counted()
 
     def update_counted() -> None:
--- a/packages/gateway/src/jaytray_gateway/process/paced_targets.py
+++ b/packages/gateway/src/jaytray_gateway/process/paced_targets.py
@@ -261,7 +261,7 @@
         return self._is_enabled and self._member_count() >= MIN_PACED_MEMBERS
 
     def _begin(self, target_id: str, incarnation: str, change: _Change) -> None:
-        if self._note(target_id, incarnation, change) and self._applies():
+        if self._note(target_id, incarnation, change):
             self._notify_peers(target_id, incarnation, change)
 
     def _notify_peers(self, target_id: str, incarnation: str, change: _Change) -> None:
--- a/packages/gateway/src/jaytray_gateway/process/placement/planner.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/planner.py
@@ -16,7 +16,10 @@
     total_demand,
 )
 from jaytray_gateway.process.placement.target_plan import RUNS_FINISH_S, TargetPlan
-from jaytray_gateway.process.placement.victims import cheapest_unloads, horizon_s
+from jaytray_gateway.process.placement.victims import (
+    cheapest_unloads,
+    planning_horizon_s,
+)
 from jaytray_gateway.replica_names import models_with_adapters
 from jaytray_gateway.version.route_table import Engine
 
@@ -78,6 +81,7 @@
 ) -> list[ModelStep]:
     """Return at most one step for each target that has no pending step."""
     counts = count_replicas(engine, plans, demand)
+    horizon_s = planning_horizon_s(engine)
     steps: list[ModelStep] = []
     usable: list[TargetPlan] = []
     for plan in plans:
@@ -87,7 +91,7 @@
             if not _is_last_for_adapters(plan, plans, demand.rates):
                 usable.append(plan)
             continue
-        step = _reserved_step(engine, plan, counts, demand, now_s)
+        step = _reserved_step(engine, plan, counts, demand, now_s, horizon_s=horizon_s)
         is_from_store = not plan.has_cached_weights(plan.reserved_model)
         if step is None or (step.is_load and is_from_store and loads_allowed <= 0):
             continue
@@ -126,6 +130,7 @@
             counts,
             demand,
             now_s,
+            horizon_s=horizon_s,
             counts_risk=len(plans) > FREE_TARGETS,
         )
         if found is None:
@@ -159,6 +164,8 @@
     counts: ReplicaCounts,
     demand: Demand,
     now_s: float,
+    *,
+    horizon_s: float,
 ) -> ModelStep | None:
     """Return the next step for the model that the target's memory is reserved for."""
     model = plan.reserved_model
@@ -166,7 +173,9 @@
         return ModelStep(plan.target_id, True, model, "")
     if model not in engine.models_by_name:
         return None
-    victims = cheapest_unloads(engine, plan, model, counts, demand, now_s)
+    victims = cheapest_unloads(
+        engine, plan, model, counts, demand, now_s, horizon_s=horizon_s
+    )
     if not victims:
         return None
     return ModelStep(plan.target_id, False, victims[0].model, model)
@@ -227,6 +236,7 @@
     demand: Demand,
     now_s: float,
     *,
+    horizon_s: float,
     counts_risk: bool,
 ) -> tuple[TargetPlan, ModelStep] | None:
     """Return the target where one more replica gains most, and the step to order there.
@@ -241,7 +251,9 @@
         if model in plan.possibly_resident_models() or model in plan.expected_models():
             continue
         load_s = plan.load_time_s(engine, model)
-        victims = cheapest_unloads(engine, plan, model, counts, demand, now_s)
+        victims = cheapest_unloads(
+            engine, plan, model, counts, demand, now_s, horizon_s=horizon_s
+        )
         if victims is None:
             continue
         busy_s = 0.0
@@ -255,7 +267,7 @@
             + load_s
             + sum(RUNS_FINISH_S for victim in victims if victim.is_in_use)
         )
-        gain = wanted.gain * max(horizon_s(engine) - ready_s, 1.0)
+        gain = wanted.gain * max(horizon_s - ready_s, 1.0)
         loss = sum(victim.loss for victim in victims)
         least_gain = loss * MIN_GAIN_RATIO
         if counts_risk:
--- a/packages/gateway/src/jaytray_gateway/process/placement/victims.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/victims.py
@@ -43,7 +43,7 @@
     is_in_use: bool
 
 
-def horizon_s(engine: Engine) -> float:
+def planning_horizon_s(engine: Engine) -> float:
     """Return the time over which the gain and the loss of a step are compared."""
     longest_s = max((m.load_s for m in engine.models_by_name.values()), default=0.0)
     return max(MIN_HORIZON_S, HORIZON_LOADS * longest_s)
@@ -56,6 +56,8 @@
     counts: ReplicaCounts,
     demand: Demand,
     now_s: float,
+    *,
+    horizon_s: float,
 ) -> list[Victim] | None:
     """Return the models to unload from this target so that `model` fits.
 
@@ -67,7 +69,7 @@
     )
     if lacking_mb <= 0:
         return []
-    victims = _victims(engine, plan, counts, demand, now_s)
+    victims = _victims(engine, plan, counts, demand, now_s, horizon_s=horizon_s)
     for victim in victims:
         if victim.weights_mb >= lacking_mb:
             return [victim]
@@ -86,6 +88,8 @@
     counts: ReplicaCounts,
     demand: Demand,
     now_s: float,
+    *,
+    horizon_s: float,
 ) -> list[Victim]:
     """Return the models that may be unloaded from this target, cheapest first."""
     in_use = {
@@ -93,7 +97,15 @@
         for name in demand.in_use_by_target.get(plan.target_id, ())
     }
     victims = [
-        _victim(engine, plan, name, counts, demand, is_in_use=name in in_use)
+        _victim(
+            engine,
+            plan,
+            name,
+            counts,
+            demand,
+            is_in_use=name in in_use,
+            horizon_s=horizon_s,
+        )
         for name in plan.models
         if name in engine.models_by_name
         and now_s - plan.loaded_at_s_by_model.get(name, -math.inf) >= MIN_RESIDENCE_S
@@ -110,13 +122,14 @@
     demand: Demand,
     *,
     is_in_use: bool,
+    horizon_s: float,
 ) -> Victim:
     """Return the model with what its unload costs.
 
     An unloaded model whose weights the target keeps a copy of is back soon.
     """
     count = counts.current.get(model, 1)
-    loss = demand.rates.get(model, 0.0) / max(count, 1) * horizon_s(engine)
+    loss = demand.rates.get(model, 0.0) / max(count, 1) * horizon_s
     risk = 0.0
     if count > max(1, counts.retained.get(model, 0)):
         loss *= SURPLUS_LOSS_FRACTION
--- a/packages/gateway/src/jaytray_gateway/process/send_control.py
+++ b/packages/gateway/src/jaytray_gateway/process/send_control.py
@@ -47,11 +47,15 @@
     clock: MonotonicClock,
 ) -> SendControl:
     """Return the connected parts."""
+
+    def running_at(target_id: str) -> int:
+        return loads.load_of(target_id).running
+
     limits = TargetLimits(peers=peers, clock=clock)
     brittle = BrittleTargets(
         peers=peers,
         clock=clock,
-        running_at=lambda target_id: loads.load_of(target_id).running,
+        running_at=running_at,
     )
     cold = ColdTargets(peers=peers, clock=clock, find_service=directory.find_service)
     cold_permits = ColdPermits(
@@ -65,7 +69,7 @@
     pace = PacedTargets(
         peers=peers,
         clock=clock,
-        running_at=lambda target_id: loads.load_of(target_id).running,
+        running_at=running_at,
         member_count=lambda: directory.member_count,
         is_enabled=options.paces_targets,
     )
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -218,9 +218,10 @@
         on_explained=crash_guard.forget_crash,
     )
 
+    members_prefix = adapter.records_prefix + MEMBERS_PREFIX
+
     def other_members() -> list[Member]:
-        prefix = adapter.records_prefix + MEMBERS_PREFIX
-        members_by_id = decode_members(directory.records_by_key, prefix)
+        members_by_id = decode_members(directory.records_by_key, members_prefix)
         return [m for m in members_by_id.values() if m.vm_id != options.vm_id]
 
     fencing_base = FencingBase(
@@ -334,7 +335,7 @@
 
     member_updates = make_member_updates(
         own=own,
-        prefix=adapter.records_prefix + MEMBERS_PREFIX,
+        other_members=other_members,
         directory=directory,
         hub=hub,
         topology=topology,
@@ -349,7 +350,7 @@
         follower=follower,
         membership=Membership(
             own=own,
-            prefix=adapter.records_prefix + MEMBERS_PREFIX,
+            prefix=members_prefix,
             key_value=key_value,
         ),
         member_updates=member_updates,
