--- a/packages/gateway/src/jaytray_gateway/connection/bounded_protocol.py
+++ b/packages/gateway/src/jaytray_gateway/connection/bounded_protocol.py
@@ -12,6 +12,7 @@
 
 import h11
 from uvicorn.protocols.http.flow_control import FlowControl
+from uvicorn.protocols.http.h11_impl import RequestResponseCycle
 
 from jaytray_core import message_registry as messages
 from jaytray_core.errors import JaytrayError, Step
@@ -364,11 +365,11 @@
             ):
                 self.transport.write(self.conn.send(event) or b"")
         # uvicorn does not declare that there is none before the first request.
-        for cycle in filter(None, (self.cycle,)):
-            if not cycle.response_complete:
-                cycle.disconnected = True
-                cycle.body = bytearray()
-                cycle.message_event.set()
+        cycle: RequestResponseCycle | None = self.cycle
+        if cycle is not None and not cycle.response_complete:
+            cycle.disconnected = True
+            cycle.body = bytearray()
+            cycle.message_event.set()
         self.flow.resume_writing()
         self.transport.close()
         self._unparsed.clear()
--- a/packages/gateway/tests/process/test_directory.py
+++ b/packages/gateway/tests/process/test_directory.py
@@ -112,6 +112,17 @@
         revision = found.revision if found else ABSENT_REVISION
         await self.reliable.compare_and_swap(key, revision, value, "")
 
+    async def lapse(self, value: bytes, *keys: str, outage_s: float = 6.0) -> None:
+        """Register targets, and remove their entries at the end of an outage."""
+        for key in keys:
+            await self.put(key, value)
+        await wait_for_propagation()
+        self.faults.set(Fault(FaultKind.DOWN))
+        await asyncio.sleep(outage_s)
+        for key in keys:
+            await self.put(key, None)
+        self.faults.clear()
+
     async def end(self) -> None:
         for task in self.tasks:
             task.cancel()
@@ -251,14 +262,7 @@
     def test_entry_of_before_does_not_renew_a_target_that_lapsed(self) -> None:
         async def run() -> None:
             harness = Harness()
-            await harness.put("targets/back", b"ready/7")
-            await harness.put("targets/gone", b"ready/7")
-            await wait_for_propagation()
-            harness.faults.set(Fault(FaultKind.DOWN))
-            await asyncio.sleep(6.0)
-            await harness.put("targets/back", None)
-            await harness.put("targets/gone", None)
-            harness.faults.clear()
+            await harness.lapse(b"ready/7", "targets/back", "targets/gone")
             await wait_for_propagation()
             await harness.put("targets/back", b"ready/8")
             await harness.put("targets/gone", b"ready/7")
@@ -287,14 +291,7 @@
     ) -> None:
         async def run() -> None:
             harness = Harness()
-            await harness.put("targets/back", b"ready")
-            await harness.put("targets/gone", b"ready")
-            await wait_for_propagation()
-            harness.faults.set(Fault(FaultKind.DOWN))
-            await asyncio.sleep(6.0)
-            await harness.put("targets/back", None)
-            await harness.put("targets/gone", None)
-            harness.faults.clear()
+            await harness.lapse(b"ready", "targets/back", "targets/gone")
             await wait_for_propagation()
             both = {"back", "gone"}
             self.assertEqual(both, set(harness.directory.targets_by_id))
@@ -311,12 +308,7 @@
         async def run() -> None:
             for outage_s in (3.0, 3.3, 3.6, 3.9):
                 harness = Harness()
-                await harness.put("targets/gone", b"ready")
-                await wait_for_propagation()
-                harness.faults.set(Fault(FaultKind.DOWN))
-                await asyncio.sleep(outage_s)
-                await harness.put("targets/gone", None)
-                harness.faults.clear()
+                await harness.lapse(b"ready", "targets/gone", outage_s=outage_s)
                 await asyncio.sleep(RETRY_PAUSE_S + REREGISTRATION_S + 0.2)
                 self.assertEqual([], harness.directory.targets_of("svc"))
                 await harness.end()
