Log requests of other members that a member does not take

When a member refuses to forward a request because of its key, nothing told so, and the sender's log line showed the refusal as a target's response.

Now the refusing member writes relay_refused with the path and whether the key was known. 14 tests of the log table and of partitioned VMs pass; no behaviour changes.

--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -45,6 +45,8 @@
     # Whether this VM reaches the targets of a service by itself.
     "targets_unreachable": "service tried silent_s".split(),
     "targets_reachable": "service away_s".split(),
+    # A request of another member that was not taken, mostly as its key is outdated.
+    "relay_refused": "path is_key_known".split(),
     "check_not_connected": "target error".split(),
     "target_recovering": "target incarnation cause".split(),
     "target_recovered": "target incarnation".split(),
--- a/packages/gateway/src/jaytray_gateway/request/relayed_request.py
+++ b/packages/gateway/src/jaytray_gateway/request/relayed_request.py
@@ -12,6 +12,7 @@
 from jaytray_core import message_registry as messages
 from jaytray_core.codec import decode_msgpack
 from jaytray_core.errors import JaytrayError, Step
+from jaytray_core.logs import get_logger
 from jaytray_gateway.connection.table_version_call import (
     STATUS_OTHER_KEY,
     encode_version,
@@ -66,6 +67,8 @@
             await reply.send_complete(status, [], version if is_member else b"")
             return
         if scope["raw_path"] != RELAY_PATH or not is_member:
+            path = scope["raw_path"].decode("latin-1")
+            get_logger().info("relay_refused", path=path, is_key_known=is_member)
             reply.closes_connection = True
             await reply.send_complete(STATUS_FORBIDDEN, [], b"")
             return
