Failing tests: a refusal between members reaches callers

A VM that reaches no target has another member forward its requests. If that member has started again since, it refuses the key of its last start with 403, and callers get this 403 as if a target had sent it. The same holds for any other response that names no request, such as those of the member's own HTTP server.

--- a/packages/gateway/tests/request/test_partitioned_vm.py
+++ b/packages/gateway/tests/request/test_partitioned_vm.py
@@ -10,9 +10,16 @@
 
 from jaytray_core.clock import monotonic_clock
 from jaytray_core.tasks import cancel_all
+from jaytray_gateway.process.membership import Member
 from jaytray_gateway.process.target_health import INITIAL_AVOID_S
 from jaytray_gateway.version.route_table import Route
-from packages.gateway.tests.request.cases import EVENTS, IDEMPOTENT, REST, RESUMABLE
+from packages.gateway.tests.request.cases import (
+    EVENTS,
+    IDEMPOTENT,
+    REST,
+    RESUMABLE,
+    STREAM,
+)
 from packages.gateway.tests.request.harness import (
     ROUTE,
     GatewayHarness,
@@ -20,7 +27,7 @@
     default_headers,
 )
 from packages.gateway.tests.request.scripted_target import ScriptedResponse
-from packages.gateway.tests.request.support import open_fleet
+from packages.gateway.tests.request.support import Fleet, open_fleet
 
 # Stated time within which the VM must serve its callers all the same.
 CONTACT_S = 3.0
@@ -144,3 +151,94 @@
                 self.assertEqual(sends, len(other.targets[0].heads))
 
         asyncio.run(check())
+
+
+@asynccontextmanager
+async def responding(head: bytes) -> AsyncIterator[str]:
+    """Yield the address of a server that sends `head` in response to any request."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.read(65_536)
+        writer.write(head)
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    async with server:
+        host, port = server.sockets[0].getsockname()
+        yield f"{host}:{port}"
+
+
+async def cut_off_first(fleet: Fleet) -> GatewayHarness:
+    """Return the first VM once it knows that it reaches no target."""
+    vm = fleet.vms[0]
+    vm.set_link(TargetLink.RESET)
+    await vm.send_request()
+    return vm
+
+
+class RestartedMemberTests(TestCase):
+    """Callers got the 403 with which a member refuses the key of its last start."""
+
+    @parameterized.expand(
+        [("plain", ROUTE), ("repeatable", IDEMPOTENT), ("stream", STREAM)]
+    )
+    def test_refusal_by_a_restarted_member_does_not_reach_the_caller(
+        self, _name: str, route: Route
+    ) -> None:
+        async def check() -> None:
+            async with open_fleet([ScriptedResponse()], route=route, vms=2) as fleet:
+                cut_off = await cut_off_first(fleet)
+                fleet.vms[1].relays.own_key = "of a later start"
+                received = await cut_off.send_request()
+                self.assertEqual((503, b"not_run"), (received.status, received.body))
+
+        asyncio.run(check())
+
+    def test_another_member_forwards_what_a_restarted_one_refused(self) -> None:
+        async def check() -> None:
+            async with open_fleet([ScriptedResponse()], vms=3) as fleet:
+                cut_off = await cut_off_first(fleet)
+                fleet.vms[1].relays.own_key = "of a later start"
+                statuses = await send_steadily(cut_off, 1.0)
+                self.assertEqual({200}, set(statuses))
+
+        asyncio.run(check())
+
+    def test_restarted_member_forwards_again_once_its_key_is_known(self) -> None:
+        async def check() -> None:
+            async with open_fleet([ScriptedResponse()], vms=2) as fleet:
+                cut_off = await cut_off_first(fleet)
+                other = fleet.vms[1]
+                member = cut_off.relays.choose("svc", set())
+                assert member is not None
+                other.relays.own_key = "of a later start"
+                await cut_off.send_request()
+                cut_off.relays.update([member._replace(relay_key=other.relays.own_key)])
+                received = await cut_off.send_request()
+                self.assertEqual(200, received.status)
+
+        asyncio.run(check())
+
+    @parameterized.expand(
+        [
+            (f"{status}_{name}", status, route)
+            for status in (400, 404, 500)
+            for name, route in (("plain", ROUTE), ("stream", STREAM))
+        ]
+    )
+    def test_response_that_names_no_request_is_not_passed_on(
+        self, _name: str, status: int, route: Route
+    ) -> None:
+        # Such as those of the member's HTTP server, or of another program.
+        async def check() -> None:
+            head = b"HTTP/1.1 %d Other\r\ncontent-length: 0\r\n\r\n" % status
+            async with (
+                open_fleet([ScriptedResponse()], route=route, vms=2) as fleet,
+                responding(head) as address,
+            ):
+                cut_off = await cut_off_first(fleet)
+                cut_off.relays.update([Member("vm1", "", "a", "", address, "key")])
+                received = await cut_off.send_request()
+                self.assertEqual(502, received.status)
+
+        asyncio.run(check())
