Pass on no response that a member itself sent

A VM that reaches no target has another member forward its requests, with the key in that member's record. A process draws its key at its start, so for a moment after a member has started again the record is that of the start before; the member refused with 403, and the sender took any response without a refusal header for a target's.

Now only a response that names the request counts as a target's. A 403 without that means that the request has not run: another member is asked, and the refusing one not again until its record has another key. Anything else (the member's HTTP server, another program at the address) may have run, as with a broken connection. Nothing changes on the wire, so builds of both ages work side by side.

--- a/packages/gateway/src/jaytray_gateway/request/relay.py
+++ b/packages/gateway/src/jaytray_gateway/request/relay.py
@@ -34,6 +34,8 @@
 # Where a member states the version of its route table.
 TABLE_VERSION_PATH = b"/route-table-version"
 RELAY_KEY_HEADER = b"x-jaytray-relay-key"
+# Status for a request whose key is not that of this start; it has not run.
+STATUS_OTHER_RELAY_KEY = 403
 # Present in a response whose body is a `RelayRefusal`.
 RELAY_REFUSED_HEADER = b"x-jaytray-relay-refused"
 # Members accept connections within milliseconds.
@@ -125,7 +127,7 @@
                 clock=services.clock,
                 peer_kind="member",
             )
-            await _pass_on(state, exchange, reply, services)
+            await _pass_on(state, member, exchange, reply, services)
     except ExchangeError as err:
         if err.progress is ExchangeProgress.NOT_SENT:
             raise AttemptNotRun(err.detail, reached_target=False) from err
@@ -176,6 +178,7 @@
 
 async def _pass_on(
     state: RequestState,
+    member: Member,
     exchange: TargetExchange,
     reply: CallerReply,
     services: RequestServices,
@@ -189,6 +192,15 @@
         if refusal.code in _CODES_OF_MEMBER:
             raise AttemptNotRun(refusal.text, reached_target=False)
         raise _to_error(refusal)
+    answer = services.adapter.read_response_head(head.status_code, list(head.headers))
+    # Targets name the request; other responses are those of the member itself, or of
+    # another program at its address.
+    if answer.request_id != state.admitted.request.request_id:
+        detail = f"status {head.status_code} by member {member.vm_id}"
+        if head.status_code == STATUS_OTHER_RELAY_KEY:
+            services.relays.record_other_key(member)
+            raise AttemptNotRun(detail, reached_target=False)
+        raise ExchangeError(progress=ExchangeProgress.BROKEN, detail=detail)
     headers = [pair for pair in head.headers if pair[0] not in _OWN_HEADERS]
     if (
         state.admitted.route.kind is not RequestKind.STREAM
--- a/packages/gateway/src/jaytray_gateway/request/relayed_request.py
+++ b/packages/gateway/src/jaytray_gateway/request/relayed_request.py
@@ -23,6 +23,7 @@
     RELAY_KEY_HEADER,
     RELAY_PATH,
     RELAY_REFUSED_HEADER,
+    STATUS_OTHER_RELAY_KEY,
     TABLE_VERSION_PATH,
     RelayedRequest,
     encode_refusal,
@@ -45,7 +46,6 @@
 )
 
 STATUS_OK = 200
-STATUS_FORBIDDEN = 403
 # The refusal's own status is in the body.
 STATUS_REFUSED = 503
 # A caller's body, which its own member has limited, and the rest of the message.
@@ -70,7 +70,7 @@
             path = scope["raw_path"].decode("latin-1")
             get_logger().info("relay_refused", path=path, is_key_known=is_member)
             reply.closes_connection = True
-            await reply.send_complete(STATUS_FORBIDDEN, [], b"")
+            await reply.send_complete(STATUS_OTHER_RELAY_KEY, [], b"")
             return
         lifecycle.running_requests += 1
         try:
