Take no request late in the grace time that may outlast it

Idle connections close 2.6 s after the signal, but a request whose body was still arriving then was passed on whenever it was complete; and a stopping member went on forwarding other members' requests until 0.7 s before the end. Callers got the HTTP server's 500 with a text of its own, or a stream that was cut.

The class is a deadline of the process that the steps of a request do not know. Now the lifecycle has the time at which running requests are ended. Once the balancer sends no more callers, a request whose own time limit is later than that is refused at once, with when to come back; shorter ones are served. A member refuses such requests as soon as it is stopping, and is not asked again until it has started again. What still runs at the end gets a final response: 503 if it was not sent, stopped_before_response (502) if it may have run.

--- a/packages/core/src/jaytray_core/message_registry.py
+++ b/packages/core/src/jaytray_core/message_registry.py
@@ -128,6 +128,12 @@
     "this VM is shutting down",
     "Send the request again; the balancer chooses another VM.",
 )
+STOPPED_BEFORE_RESPONSE = MessageTemplate(
+    "stopped_before_response",
+    502,
+    "this VM stopped before the target had answered",
+    "The request may have run. Send it again only if it may run twice.",
+)
 VM_ISOLATED = MessageTemplate(
     "vm_isolated",
     503,
--- a/packages/gateway/src/jaytray_gateway/process/relay_members.py
+++ b/packages/gateway/src/jaytray_gateway/process/relay_members.py
@@ -31,17 +31,17 @@
         self._rng = rng
         self._member_by_id: dict[str, Member] = {}
         self._report_by_id: dict[str, _LinkReport] = {}
-        # Keys that members refused, until their records have others.
-        self._refused_key_by_id: dict[str, str] = {}
+        # Keys of starts of members that forward nothing more.
+        self._ended_key_by_id: dict[str, str] = {}
 
     def update(self, members: list[Member]) -> None:
         """Set the other members that are registered now."""
         self._member_by_id = {member.vm_id: member for member in members}
         for gone in self._report_by_id.keys() - self._member_by_id.keys():
             del self._report_by_id[gone]
-        self._refused_key_by_id = {
+        self._ended_key_by_id = {
             vm_id: key
-            for vm_id, key in self._refused_key_by_id.items()
+            for vm_id, key in self._ended_key_by_id.items()
             if vm_id in self._member_by_id
             and self._member_by_id[vm_id].relay_key == key
         }
@@ -52,12 +52,12 @@
             self._clock(), frozenset(cut_off_services)
         )
 
-    def record_other_key(self, member: Member) -> None:
-        """Record that a member runs with another key than its record states.
+    def avoid_until_restart(self, member: Member) -> None:
+        """Choose a member no more until its record is that of another start.
 
-        It has started again, and its new record is not known yet.
+        The start that it names is stopping, or over.
         """
-        self._refused_key_by_id[member.vm_id] = member.relay_key
+        self._ended_key_by_id[member.vm_id] = member.relay_key
 
     def choose(self, service: str, tried: Set[str]) -> Member | None:
         """Return a member that reaches the service and is not in `tried`."""
@@ -67,7 +67,7 @@
             for vm_id, member in self._member_by_id.items()
             if member.relay_address
             and vm_id not in tried
-            and self._refused_key_by_id.get(vm_id) != member.relay_key
+            and self._ended_key_by_id.get(vm_id) != member.relay_key
             and (report := self._report_by_id.get(vm_id)) is not None
             and report.received_at_s >= oldest_s
             and service not in report.cut_off_services
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -35,8 +35,12 @@
 # Time after the stop signal for which new requests are still served: the load balancer
 # needs two failed probes, one second apart, and its clients' connections stay open.
 BALANCER_DRAIN_S = 2.6
-# Fraction of the grace time after which running responses are cut off.
+# Fraction of the grace time after which requests that still run are ended: those whose
+# response has begun are cut off.
 GRACE_FRACTION = 0.95
+# Longest time for the final responses of the others.
+FINAL_RESPONSES_S = 0.1
+DRAIN_CHECK_INTERVAL_S = 0.05
 # Time before that deadline at which requests that wait for a model are refused; they
 # check for it four times per second.
 FINAL_REFUSALS_S = 0.7
@@ -218,19 +222,23 @@
     stop_accepting: Callable[[], None],
 ) -> None:
     """Fail the readiness probe, then close connections as their responses finish."""
-    signalled_s = clock()
-    subsystems.lifecycle.is_stopping = True
+    lifecycle = subsystems.lifecycle
+    ends_s = clock() + options.grace_s * GRACE_FRACTION
+    lifecycle.begin_stop(ends_at_s=ends_s)
     subsystems.placement.stop()
-    get_logger().info("drain_started", running=subsystems.lifecycle.running_requests)
+    get_logger().info("drain_started", running=lifecycle.running_requests)
     await asyncio.sleep(BALANCER_DRAIN_S)
+    lifecycle.refuses_late = True
     stop_accepting()
-    ends_s = signalled_s + options.grace_s * GRACE_FRACTION
-    while subsystems.lifecycle.running_requests and clock() < ends_s:
-        subsystems.lifecycle.is_refusing = clock() > ends_s - FINAL_REFUSALS_S
-        await asyncio.sleep(0.05)
-    subsystems.lifecycle.is_refusing = True
+    while lifecycle.running_requests and clock() < ends_s:
+        lifecycle.is_refusing = clock() > ends_s - FINAL_REFUSALS_S
+        await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
+    running = lifecycle.running_requests
+    lifecycle.end_requests()
+    while lifecycle.running_requests and clock() < ends_s + FINAL_RESPONSES_S:
+        await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
     await subsystems.membership.leave()
-    get_logger().info("drain_finished", running=subsystems.lifecycle.running_requests)
+    get_logger().info("drain_finished", running=running)
 
 
 @asynccontextmanager
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -285,6 +285,7 @@
     services = RequestServices(
         vm_id=options.vm_id,
         adapter=adapter,
+        lifecycle=lifecycle,
         admission=admission,
         search=TargetSearch(
             replicas=replicas,
--- a/packages/gateway/src/jaytray_gateway/request/admission.py
+++ b/packages/gateway/src/jaytray_gateway/request/admission.py
@@ -106,7 +106,11 @@
                 method=request.method.decode("ascii", "replace"),
                 path=request.path,
             )
-        return table, route, _authenticate(table, route, request)
+        account = _authenticate(table, route, request)
+        lifecycle = self._lifecycle
+        if lifecycle.refuses_late and _due_s(route, request) > lifecycle.ends_at_s:
+            raise _temporary_refusal(messages.SHUTTING_DOWN)
+        return table, route, account
 
     async def admit(self, request: RoutedRequest) -> AdmittedRequest:
         """Admit the request and charge its account; raises `JaytrayError`."""
@@ -116,9 +120,6 @@
             charge = await self._grants.charge(
                 account, _charged_tokens(request, account)
             )
-        limit_s = route.timeout_s
-        if request.deadline_s is not None:
-            limit_s = min(limit_s, request.deadline_s)
         return AdmittedRequest(
             request=request,
             table_version=table.version,
@@ -126,7 +127,7 @@
             account=account,
             charge=charge,
             priority=_priority(route, account),
-            expires_at_s=request.received_at_s + limit_s - RESPONSE_MARGIN_S,
+            expires_at_s=_due_s(route, request),
         )
 
     def refund(self, admitted: AdmittedRequest) -> None:
@@ -135,6 +136,14 @@
             self._grants.refund(admitted.charge)
 
 
+def _due_s(route: Route, request: RoutedRequest) -> float:
+    """Return when the final response is due."""
+    limit_s = route.timeout_s
+    if request.deadline_s is not None:
+        limit_s = min(limit_s, request.deadline_s)
+    return request.received_at_s + limit_s - RESPONSE_MARGIN_S
+
+
 def _authenticate(
     table: RouteTable, route: Route, request: RoutedRequest
 ) -> ClientAccount | None:
--- a/packages/gateway/src/jaytray_gateway/request/relay.py
+++ b/packages/gateway/src/jaytray_gateway/request/relay.py
@@ -189,8 +189,12 @@
     if RELAY_REFUSED_HEADER in names:
         body = await exchange.read_body(until_s)
         refusal = decode_msgpack(body, RelayRefusal, peer=state.relayed_by)
+        if refusal.code == messages.SHUTTING_DOWN.code:
+            services.relays.avoid_until_restart(member)
         if refusal.code in _CODES_OF_MEMBER:
             raise AttemptNotRun(refusal.text, reached_target=False)
+        if refusal.code == messages.STOPPED_BEFORE_RESPONSE.code:
+            raise ExchangeError(progress=ExchangeProgress.BROKEN, detail=refusal.text)
         raise _to_error(refusal)
     answer = services.adapter.read_response_head(head.status_code, list(head.headers))
     # Targets name the request; other responses are those of the member itself, or of
@@ -198,7 +202,7 @@
     if answer.request_id != state.admitted.request.request_id:
         detail = f"status {head.status_code} by member {member.vm_id}"
         if head.status_code == STATUS_OTHER_RELAY_KEY:
-            services.relays.record_other_key(member)
+            services.relays.avoid_until_restart(member)
             raise AttemptNotRun(detail, reached_target=False)
         raise ExchangeError(progress=ExchangeProgress.BROKEN, detail=detail)
     headers = [pair for pair in head.headers if pair[0] not in _OWN_HEADERS]
--- a/packages/gateway/src/jaytray_gateway/request/relayed_request.py
+++ b/packages/gateway/src/jaytray_gateway/request/relayed_request.py
@@ -108,7 +108,7 @@
     error: JaytrayError | None = None
     try:
         state = _prepare(relayed, admitted, services, lifecycle)
-        async with time_limit(admitted, reply, services.clock, lambda: state):
+        async with time_limit(admitted, reply, services, lambda: state):
             await forward(state, reply, services)
     except JaytrayError as err:
         error = with_earlier_runs(err, state)
@@ -126,7 +126,8 @@
     services: RequestServices,
     lifecycle: Lifecycle,
 ) -> RequestState:
-    if lifecycle.is_refusing:
+    # The sender has other members to choose from.
+    if lifecycle.is_refusing or admitted.expires_at_s > lifecycle.ends_at_s:
         raise JaytrayError(messages.SHUTTING_DOWN, step=Step.ADMIT)
     if services.reach.is_cut_off(relayed.service):
         raise JaytrayError(
--- a/packages/gateway/src/jaytray_gateway/request/request_path.py
+++ b/packages/gateway/src/jaytray_gateway/request/request_path.py
@@ -38,7 +38,7 @@
     error: JaytrayError | None = None
     try:
         admitted = await services.admission.admit(request)
-        async with time_limit(admitted, reply, services.clock, lambda: state):
+        async with time_limit(admitted, reply, services, lambda: state):
             state = await _prepare(admitted, services)
             await forward(state, reply, services)
     except JaytrayError as err:
--- a/packages/gateway/src/jaytray_gateway/request/run_state.py
+++ b/packages/gateway/src/jaytray_gateway/request/run_state.py
@@ -174,6 +174,13 @@
     )
 
 
+def stopping_error(state: RequestState | None) -> JaytrayError:
+    """Return the error for a request that still runs at the end of a planned stop."""
+    if state is None or not (state.runs or state.is_under_way):
+        return not_run_error(messages.SHUTTING_DOWN, Step.DISPATCH)
+    return may_have_run_error(messages.STOPPED_BEFORE_RESPONSE, state)
+
+
 def may_have_run_error(
     template: messages.MessageTemplate, state: RequestState, **details: Any
 ) -> JaytrayError:
--- a/packages/gateway/src/jaytray_gateway/request/services.py
+++ b/packages/gateway/src/jaytray_gateway/request/services.py
@@ -12,6 +12,7 @@
 from jaytray_gateway.process.demand_average import DemandAverage
 from jaytray_gateway.process.departure_notices import DepartureNotices
 from jaytray_gateway.process.engine_speed import EngineSpeeds
+from jaytray_gateway.process.lifecycle import Lifecycle
 from jaytray_gateway.process.load_view import LoadView
 from jaytray_gateway.process.paced_targets import PacedTargets
 from jaytray_gateway.process.prompt_part_guard import PromptPartGuard
@@ -34,6 +35,7 @@
 
     vm_id: str
     adapter: PlatformAdapter
+    lifecycle: Lifecycle
     admission: Admission
     search: TargetSearch
     shares: RateShares
--- a/packages/gateway/tests/request/harness.py
+++ b/packages/gateway/tests/request/harness.py
@@ -335,6 +335,7 @@
         return RequestServices(
             vm_id=self.vm_id,
             adapter=ADAPTER,
+            lifecycle=self.lifecycle,
             admission=Admission(
                 directory=self.directory,
                 lifecycle=self.lifecycle,
--- a/packages/gateway/tests/request/test_partitioned_vm.py
+++ b/packages/gateway/tests/request/test_partitioned_vm.py
@@ -242,3 +242,46 @@
                 self.assertEqual(502, received.status)
 
         asyncio.run(check())
+
+
+def soon_s() -> float:
+    """Return a time before which no response is due."""
+    return monotonic_clock() + ROUTE.timeout_s / 2
+
+
+class StoppingMemberTests(TestCase):
+    """Requests were forwarded late in the grace time, and ended with it."""
+
+    def test_member_that_is_stopping_forwards_no_further_requests(self) -> None:
+        async def check() -> None:
+            async with open_fleet([ScriptedResponse()], vms=2) as fleet:
+                cut_off = await cut_off_first(fleet)
+                fleet.vms[1].lifecycle.begin_stop(ends_at_s=soon_s())
+                sends = len(cut_off.targets[0].heads)
+                received = await cut_off.send_request()
+                self.assertEqual((503, b"not_run"), (received.status, received.body))
+                self.assertEqual(sends, len(cut_off.targets[0].heads))
+
+        asyncio.run(check())
+
+    def test_stopping_member_forwards_what_is_due_before_its_end(self) -> None:
+        async def check() -> None:
+            async with open_fleet([ScriptedResponse()], vms=2) as fleet:
+                cut_off = await cut_off_first(fleet)
+                ends_s = monotonic_clock() + 2 * ROUTE.timeout_s
+                fleet.vms[1].lifecycle.begin_stop(ends_at_s=ends_s)
+                received = await cut_off.send_request()
+                self.assertEqual(200, received.status)
+
+        asyncio.run(check())
+
+    def test_members_that_go_on_forward_what_stopping_ones_refuse(self) -> None:
+        async def check() -> None:
+            async with open_fleet([ScriptedResponse()], vms=6) as fleet:
+                cut_off = await cut_off_first(fleet)
+                for vm in fleet.vms[1:-1]:
+                    vm.lifecycle.begin_stop(ends_at_s=soon_s())
+                statuses = [await cut_off.send_request() for _ in range(8)]
+                self.assertEqual({200}, {answer.status for answer in statuses[4:]})
+
+        asyncio.run(check())
