jaytrayd refuses a request whose body arrives after the drain

The same fault as in the gateway, in the other program: a request was checked against the process's phase before its body was read, so one whose body arrived while the VM drained ran after it had handed off its leases and shares, or was cut off as the process exited. One whose body arrived while the VM lost the key-value service ran by an outdated document.

Now the check is repeated once the body has arrived. Both cases of test_request_whose_body_arrives_late_is_refused failed before with status 200.

--- a/packages/server/src/jaytray_server/request/endpoint.py
+++ b/packages/server/src/jaytray_server/request/endpoint.py
@@ -54,6 +54,8 @@
     check_accepting(services)
     check_sizes(services, request)
     body = await _read_body(services, request)
+    # The VM may have begun to hand off while the body arrived.
+    check_accepting(services)
 
     async def respond(scope: Scope, receive: Receive, send: Send) -> None:
         exchange = Exchange(
--- a/packages/server/tests/request/test_http_api.py
+++ b/packages/server/tests/request/test_http_api.py
@@ -193,3 +193,23 @@
         self.assertEqual(models, response.status_code)
         if models == 503:
             self.assertEqual("1", response.headers["retry-after"])
+
+    @parameterized.expand([("closed", False), ("isolated", True)])
+    def test_request_whose_body_arrives_late_is_refused(
+        self, _name: str, is_isolated: bool
+    ) -> None:
+        # It was checked only before its body, and ran while the VM handed off.
+        site = make_site(connection_to=_connection)
+        lifecycle = site.services.lifecycle
+
+        async def body() -> AsyncIterator[bytes]:
+            yield json.dumps(CHAT).encode()
+            lifecycle.is_isolated = is_isolated
+            lifecycle.phase = Phase.READY if is_isolated else Phase.CLOSED
+
+        async def send() -> httpx.Response:
+            async with site.client() as client:
+                return await client.post("/v1/chat/completions", content=body())
+
+        response = asyncio.run(send())
+        self.assertEqual(503, response.status_code)
