--- a/packages/core/src/jaytray_core/addresses.py
+++ b/packages/core/src/jaytray_core/addresses.py
@@ -1,4 +1,4 @@
-"""Parsing of `IP:port` addresses, by which all processes refer to each other."""
+"""Parses and formats `IP:port` addresses, by which processes refer to each other."""
 
 import ipaddress
 
@@ -19,3 +19,8 @@
     if not port_text.isdecimal() or int(port_text) > 65535:
         raise ValueError(f"{port_text!r} is not a port number")
     return host, int(port_text)
+
+
+def format_address(host: str, port: int) -> str:
+    """Return `IP:port`, with an IPv6 number in brackets."""
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
--- a/packages/server/src/jaytray_server/connection/callers.py
+++ b/packages/server/src/jaytray_server/connection/callers.py
@@ -12,7 +12,7 @@
 
 import uvicorn
 
-from jaytray_core.addresses import parse_address
+from jaytray_core.addresses import format_address, parse_address
 from jaytray_core.tcp_options import KeepAlive, set_keep_alive
 from jaytray_server.connection.caller_protocol import (
     CallerProtocol,
@@ -81,4 +81,4 @@
 def bound_address(listener: socket.socket) -> str:
     """Return the `IP:port` that a listening socket is bound to."""
     host, port = listener.getsockname()[:2]
-    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+    return format_address(host, port)
