An error in applying one record stops no other change

The class of fault behind odd entries that stop a VM: any error that a decoder or a listener does not expect ended the task that follows the key-value service before the copy had advanced. The task was restarted a second later and met the same record again, so the copy grew old, and the VM refused everything.

Now each record is applied by itself, and each listener called by itself. An error is logged with its traceback (record_not_applied, change_not_handled) and a target whose entry caused it is dropped.

test_entry_that_fails_its_decoder_keeps_nothing_else_back and test_listener_that_fails_keeps_nothing_else_back failed before.

--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -76,6 +76,10 @@
     "route_table_behind": "version heard_version".split(),
     "route_table_caught_up": "version heard_version".split(),
     "route_table_wait_ended": "version heard_version".split(),
+    # Errors in the code that applies one change; the others are applied. `exc_info` is
+    # written as the traceback.
+    "record_not_applied": "record error exc_info".split(),
+    "change_not_handled": "error exc_info".split(),
     "store_lost": ("error",),
     "store_regained": ("away_s",),
     "store_restored": ("restores",),
--- a/packages/gateway/src/jaytray_gateway/process/directory.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory.py
@@ -249,14 +249,28 @@
                 continue
             state = KeyState(record.value, record.revision)
             self.history.state_by_key[record.key] = state
-            self._apply_record(record)
             is_changed = True
+            # One record must not keep the others from being applied.
+            try:
+                self._apply_record(record)
+            except Exception as err:
+                get_logger().error(
+                    "record_not_applied",
+                    record=record.key,
+                    error=repr(err),
+                    exc_info=err,
+                )
+                target_id = record.key.removeprefix(self._adapter.targets_prefix)
+                self.targets_by_id.pop(target_id, None)
         if is_changed:
             self._notify_listeners()
 
     def _notify_listeners(self) -> None:
         for listener in self._listeners:
-            listener()
+            try:
+                listener()
+            except Exception as err:
+                get_logger().error("change_not_handled", error=repr(err), exc_info=err)
 
     def _announce_departures(self) -> None:
         departures, self._departures = self._departures, []
