--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -84,6 +84,8 @@
     "store_regained": ("away_s",),
     "store_restored": ("restores",),
     "store_watch_ended": ("error",),
+    # Calls to the key-value service in the last ten seconds, and at the end.
+    "store_calls": "calls by_purpose".split(),
     "directory_not_updated": ("error",),
     "directory_hub_skipped": "peer reason".split(),
     # Members.
--- a/packages/gateway/src/jaytray_gateway/process/metrics.py
+++ b/packages/gateway/src/jaytray_gateway/process/metrics.py
@@ -42,8 +42,8 @@
         )
         self.store_calls = Counter(
             "jaytray_store_calls",
-            "Calls to the key-value service by function and outcome.",
-            ["function", "outcome"],
+            "Calls to the key-value service by purpose, function and outcome.",
+            ["purpose", "function", "outcome"],
             registry=self.registry,
         )
         self._directory_updates = Counter(
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -1,6 +1,7 @@
 """Runs a gateway process from startup to a planned stop."""
 
 import asyncio
+import itertools
 import signal
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -19,6 +20,7 @@
 from jaytray_gateway.ports import PlatformAdapter
 from jaytray_gateway.process.metrics import GatewayMetrics
 from jaytray_gateway.process.options import GatewayOptions
+from jaytray_gateway.process.store_calls import StoreCalls
 from jaytray_gateway.process.subsystems import Subsystems, build_subsystems
 from jaytray_gateway.request.relayed_request import make_relay_app
 from jaytray_gateway.version.route_table import DEFAULT_CALLER_LIMITS, CallerLimits
@@ -45,6 +47,8 @@
 # check for it four times per second.
 FINAL_REFUSALS_S = 0.7
 HOUSEKEEPING_INTERVAL_S = 1.0
+# Interval of the log line on calls to the key-value service, in housekeeping rounds.
+ROUNDS_PER_STORE_CALLS_LINE = 10
 
 
 async def run_gateway(
@@ -54,6 +58,7 @@
     key_value: KeyValueService,
     lease_key_value: KeyValueService,
     metrics: GatewayMetrics,
+    store_calls: StoreCalls,
     read_options: Callable[[], GatewayOptions],
     clock: MonotonicClock = monotonic_clock,
 ) -> None:
@@ -68,7 +73,7 @@
         signal.SIGHUP, lambda: _log_reload(options, read_options)
     )
     subsystems = build_subsystems(
-        options, adapter, key_value, lease_key_value, metrics, clock
+        options, adapter, key_value, lease_key_value, metrics, store_calls, clock
     )
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(subsystems.hub.listen(options.peers_address))
@@ -115,6 +120,7 @@
             )
             await stop.wait()
             await _drain(subsystems, options, clock, stop_accepting)
+    store_calls.log()
     get_logger().info("gateway_stopped")
 
 
@@ -171,8 +177,10 @@
 
 async def _run_housekeeping(subsystems: Subsystems) -> None:
     """Drop stale state and update the gauges once per second."""
-    while True:
+    for housekeeping_round in itertools.count(1):
         await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
+        if housekeeping_round % ROUNDS_PER_STORE_CALLS_LINE == 0:
+            subsystems.store_calls.log()
         subsystems.member_updates.update_counted()
         subsystems.pools.close_stale()
         subsystems.replicas.drop_expired_notices()
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -59,6 +59,7 @@
     VERSION_MEMORY_S,
     SoftwareVersions,
 )
+from jaytray_gateway.process.store_calls import StoreCalls, for_purpose
 from jaytray_gateway.process.store_follower import StoreFollower
 from jaytray_gateway.process.stream_origins import StreamOrigins
 from jaytray_gateway.process.table_version_check import TableVersionCheck
@@ -104,6 +105,7 @@
     quarantine_records: LeasedRecords
     software_version_records: LeasedRecords
     metrics: GatewayMetrics
+    store_calls: StoreCalls
     services: RequestServices
 
 
@@ -113,6 +115,7 @@
     key_value: KeyValueService,
     lease_key_value: KeyValueService,
     metrics: GatewayMetrics,
+    store_calls: StoreCalls,
     clock: MonotonicClock,
 ) -> Subsystems:
     """Return the connected subsystems; none of them is started."""
@@ -124,7 +127,10 @@
         known_domains=frozenset(options.failure_domains),
     )
     directory = Directory(
-        key_value=key_value, adapter=adapter, clock=clock, evacuations=evacuations
+        key_value=for_purpose(key_value, "origins"),
+        adapter=adapter,
+        clock=clock,
+        evacuations=evacuations,
     )
     topology = FleetTopology(own_id=options.vm_id)
     hub = PeerHub(
@@ -176,7 +182,7 @@
     notices.use_hubs(digests.active_hubs, digests.reporters)
     follower = StoreFollower(
         directory=directory,
-        key_value=key_value,
+        key_value=for_purpose(key_value, "directory"),
         clock=clock,
         rng=rng,
         bound_s=options.change_s,
@@ -230,12 +236,12 @@
         directory=directory,
         other_members=other_members,
         era_start=adapter.era_start,
-        key_value=key_value,
+        key_value=for_purpose(key_value, "fencing_base"),
         clock=clock,
     )
     placement = PlacementController(
         options=options,
-        key_value=lease_key_value,
+        key_value=for_purpose(lease_key_value, "placement"),
         adapter=adapter,
         directory=directory,
         member_messages=member_messages,
@@ -330,7 +336,7 @@
             prefix=adapter.records_prefix + prefix,
             own_id=options.vm_id,
             member_ids=lambda: recent_members.ids,
-            key_value=key_value,
+            key_value=for_purpose(key_value, prefix.rstrip("/")),
             clock=clock,
         )
 
@@ -352,7 +358,7 @@
         membership=Membership(
             own=own,
             prefix=members_prefix,
-            key_value=key_value,
+            key_value=for_purpose(key_value, "member"),
         ),
         member_updates=member_updates,
         hub=hub,
@@ -395,6 +401,7 @@
             },
         ),
         metrics=metrics,
+        store_calls=store_calls,
         services=services,
     )
     directory.on_change(member_updates.apply)
