Fewer calls to the store: one source for all hubs, one prober in an outage

Change: while calls fail, only the lease's renewal is repeated often, and the first call that succeeds wakes the reads; a failed watch is not repeated beside reads. The first hubs of the groups ask one of two of them for changes instead of the store. Ages of copies add up over the hops as before, so the proof of freshness is unchanged.

--- a/packages/gateway/src/jaytray_gateway/process/directory_exchange.py
+++ b/packages/gateway/src/jaytray_gateway/process/directory_exchange.py
@@ -1,9 +1,9 @@
 """Updates of the directory's copy from the hubs of this member's group.
 
-In a large fleet only hubs watch the key-value service. The other members ask a hub for
-the changes after their own revision. Any member may be asked, as an answer states how
-old the copy is that it comes from; a hub is just asked often enough to keep its copy
-young.
+In a large fleet only a few hubs watch the key-value service. The other hubs ask one of
+them, and the members of a group ask its hub, for the changes after their own revision.
+Any member may be asked, as an answer states how old the copy is that it comes from;
+members that are asked keep their copies younger than others.
 
 The age is counted from before the call to the service that the copy rests on. The
 updated copy is current as of the time at which the question was sent, less that age, so
@@ -51,9 +51,9 @@
 _ASK = "gateway.directory_ask"
 _ANSWER = "gateway.directory_answer"
 
-# () -> the hubs of this member's group in the order in which they are asked, this
-# member included if it is one, and empty in a small fleet.
-OwnHubs = Callable[[], tuple[str, ...]]
+# () -> the members to ask in order, this one included where it watches if those before
+# it are silent, and empty in a small fleet.
+HubsToAsk = Callable[[], tuple[str, ...]]
 
 
 class UpdateResult(Enum):
@@ -118,14 +118,14 @@
         *,
         peers: PeerNetwork,
         directory: Directory,
-        own_hubs: OwnHubs,
+        hubs: HubsToAsk,
         clock: MonotonicClock,
         rng: random.Random,
         bound_s: float,
     ) -> None:
         self._peers = peers
         self._directory = directory
-        self._own_hubs = own_hubs
+        self._hubs = hubs
         self._clock = clock
         self._rng = rng
         self._timeout_s = min(ANSWER_TIMEOUT_S, bound_s * ANSWER_TIMEOUT_FRACTION)
@@ -140,12 +140,20 @@
 
     def is_used(self) -> bool:
         """Return whether the fleet has hubs."""
-        return bool(self._own_hubs())
+        return bool(self._hubs())
 
-    def is_source(self) -> bool:
+    def is_asked(self) -> bool:
         """Return whether other members' copies depend on this one."""
-        is_first = self._own_hubs()[:1] == (self._peers.vm_id,)
-        return is_first or self._clock() - self._asked_at_s < SERVING_S
+        return self._clock() - self._asked_at_s < SERVING_S
+
+    def is_source(self) -> bool:
+        """Return whether this member watches for others.
+
+        That is the first one to ask, and any that is asked while those that it should
+        ask itself are of no use.
+        """
+        is_first = self._hubs()[:1] == (self._peers.vm_id,)
+        return is_first or (self.is_asked() and not self._hubs_to_ask())
 
     async def update(self, ends_s: float) -> UpdateResult:
         """Ask hubs until the copy is fresh or `ends_s` is reached.
@@ -168,7 +176,7 @@
 
     def _hubs_to_ask(self) -> list[str]:
         now_s = self._clock()
-        hubs = [hub for hub in self._own_hubs() if hub != self._peers.vm_id]
+        hubs = [hub for hub in self._hubs() if hub != self._peers.vm_id]
         self._skipped_until_s_by_hub = {
             hub: until_s
             for hub, until_s in self._skipped_until_s_by_hub.items()
--- a/packages/gateway/src/jaytray_gateway/process/fleet_topology.py
+++ b/packages/gateway/src/jaytray_gateway/process/fleet_topology.py
@@ -16,6 +16,8 @@
 MIN_HUB_MEMBERS = 16
 # The second hub takes over while the first one is silent.
 HUBS_PER_GROUP = 2
+# Hubs that the other hubs ask for changes of the directory.
+DIRECTORY_SOURCES = 2
 
 
 def group_count(member_count: int) -> int:
@@ -86,6 +88,18 @@
             return ()
         return self._hubs_of(self._group_by_member[self._own_id])
 
+    def directory_hubs(self) -> tuple[str, ...]:
+        """Return the members to ask for changes of the directory, in order.
+
+        Members of a group ask its hubs, and first hubs ask the fleet's sources. They
+        include this member if it is one of those.
+        """
+        if not self.is_first_hub():
+            return self.own_hubs()
+        first_hubs = {self._hubs_of(group)[0] for group in self._ranked_by_group}
+        ranked = rank_members("directory source", first_hubs)
+        return tuple(ranked[:DIRECTORY_SOURCES])
+
     def is_hub(self) -> bool:
         """Return whether this member is a hub of its group."""
         return self._own_id in self.own_hubs()
--- a/packages/gateway/src/jaytray_gateway/process/membership.py
+++ b/packages/gateway/src/jaytray_gateway/process/membership.py
@@ -15,6 +15,8 @@
 from jaytray_core.errors import JaytrayError
 from jaytray_core.keyvalue import ABSENT_REVISION, KeyValueService
 from jaytray_core.logs import get_logger
+from jaytray_core.tasks import wait_until_set
+from jaytray_gateway.process.store_reach import StoreReach
 
 # Longer than the age of the copy at which a member stops serving, so that every member
 # that may still serve is counted.
@@ -92,14 +94,20 @@
         own: Member,
         prefix: str,
         key_value: KeyValueService,
+        reach: StoreReach,
     ) -> None:
         self.own = own
         self._key = prefix + own.vm_id
         self._key_value = key_value
+        self._reach = reach
         self._lease_id = ""
 
     async def run(self) -> None:
-        """Write the record and renew its lease until cancelled."""
+        """Write the record and renew its lease until cancelled.
+
+        Renews at once when a call of another task has failed, and often until one
+        succeeds.
+        """
         while True:
             try:
                 is_kept = await self._renew()
@@ -107,7 +115,10 @@
                 get_logger().info("member_lease_not_renewed", error=str(err))
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
-            await asyncio.sleep(RENEW_INTERVAL_S if is_kept else RETRY_PAUSE_S)
+            if is_kept:
+                await wait_until_set(self._reach.lost, RENEW_INTERVAL_S)
+            else:
+                await asyncio.sleep(RETRY_PAUSE_S)
 
     async def leave(self) -> None:
         """Revoke the lease, which removes the record."""
--- a/packages/gateway/src/jaytray_gateway/process/store_calls.py
+++ b/packages/gateway/src/jaytray_gateway/process/store_calls.py
@@ -5,7 +5,8 @@
 """
 
 import collections
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import AbstractContextManager, contextmanager
 from contextvars import ContextVar
 from typing import NamedTuple, ParamSpec, TypeVar
 
@@ -59,23 +60,36 @@
 def for_purpose(key_value: KeyValueService, purpose: str) -> KeyValueService:
     """Return the service with calls that count for `purpose`."""
 
-    def labelled(function: Callable[P, Awaitable[T]]) -> Callable[P, Awaitable[T]]:
+    @contextmanager
+    def labelled() -> Iterator[None]:
+        token = _purpose.set(purpose)
+        try:
+            yield
+        finally:
+            _purpose.reset(token)
+
+    return call_within(key_value, labelled)
+
+
+def call_within(
+    key_value: KeyValueService, context: Callable[[], AbstractContextManager[None]]
+) -> KeyValueService:
+    """Return the service with each call made within a new `context`."""
+
+    def wrapped(function: Callable[P, Awaitable[T]]) -> Callable[P, Awaitable[T]]:
         async def call(*args: P.args, **kwargs: P.kwargs) -> T:
-            token = _purpose.set(purpose)
-            try:
+            with context():
                 return await function(*args, **kwargs)
-            finally:
-                _purpose.reset(token)
 
         return call
 
     return key_value._replace(
-        get=labelled(key_value.get),
-        get_prefix=labelled(key_value.get_prefix),
-        read_prefix=labelled(key_value.read_prefix),
-        compare_and_swap=labelled(key_value.compare_and_swap),
-        grant_lease=labelled(key_value.grant_lease),
-        keep_lease=labelled(key_value.keep_lease),
-        revoke_lease=labelled(key_value.revoke_lease),
-        watch=labelled(key_value.watch),
+        get=wrapped(key_value.get),
+        get_prefix=wrapped(key_value.get_prefix),
+        read_prefix=wrapped(key_value.read_prefix),
+        compare_and_swap=wrapped(key_value.compare_and_swap),
+        grant_lease=wrapped(key_value.grant_lease),
+        keep_lease=wrapped(key_value.keep_lease),
+        revoke_lease=wrapped(key_value.revoke_lease),
+        watch=wrapped(key_value.watch),
     )
--- a/packages/gateway/src/jaytray_gateway/process/store_follower.py
+++ b/packages/gateway/src/jaytray_gateway/process/store_follower.py
@@ -4,8 +4,9 @@
 known. Another task reads all keys: rarely while watches succeed, and at once when they
 fail.
 
-In a large fleet only hubs and the placement leader watch. The other members ask a hub
-for changes, and watch themselves while no hub has a young copy.
+In a large fleet only one or two hubs and the placement leader watch. The other hubs
+ask them, and the other members ask a hub of their group for changes; they watch
+themselves while nobody has a young copy.
 
 On a slow link, the response with a large route table takes much of the bound on a
 change. Hence a table that another member has read is read without a pause, in its
@@ -28,6 +29,7 @@
     DirectoryExchange,
     UpdateResult,
 )
+from jaytray_gateway.process.store_reach import RETRY_PAUSE_S, StoreReach
 
 # Age of the copy, as a fraction of the bound on a change, at which all keys are read if
 # no watch has succeeded, so that a change that no watch reports is in force in time.
@@ -40,9 +42,6 @@
 FULL_READ_INTERVAL_S = 8.0
 # The same interval as a multiple of the time that a read takes.
 FULL_READ_DURATIONS = 20.0
-# Pause after a failed call. Short, because the process stops serving when its copy is
-# too old.
-RETRY_PAUSE_S = 0.25
 WATCH_WAIT_S = 10.0
 # Changes within the pause after a watch are fetched by one call. The calls of all
 # members have a cost, so the pause grows with the number of members, up to a fraction
@@ -55,14 +54,16 @@
 # Pauses vary between this fraction and the whole, as members that started at the same
 # time would also watch at the same time, and all notice a change as late as any.
 MIN_PAUSE_FRACTION = 0.8
-# Interval of a hub's watches and of the other members' questions. A copy is then at
-# most 1.2 s old, plus the time of the calls.
-HUB_INTERVAL_S = 0.6
+# Interval of the members' questions, and of hubs' questions and watches. A copy is then
+# at most 1.4 s old, plus the time of the calls.
+MEMBER_INTERVAL_S = 0.6
+HUB_INTERVAL_S = 0.4
 # Wait of watches in a fleet with hubs. A longer one would show no change earlier, and
 # as the age counts from its start, the copies of a group would be older.
 HUB_WATCH_WAIT_S = 0.05
-# The same as a fraction of the bound.
-HUB_INTERVAL_FRACTION = 0.2
+# The same as fractions of the bound.
+MEMBER_INTERVAL_FRACTION = 0.2
+HUB_INTERVAL_FRACTION = 0.13
 # Shortest pause between questions.
 MIN_ASK_PAUSE_S = 0.1
 # Ages of the copy, as fractions of the bound, at which a member asks its hubs again and
@@ -83,8 +84,9 @@
 class StoreFollower:
     """Reads and watches the key-value service for the directory.
 
-    `bound_s` is the shortest time within which a change must be in force. Without an
-    `exchange`, the fleet has no hubs.
+    `bound_s` is the shortest time within which a change must be in force. `reach` knows
+    the outcome of all calls to the service. Without an `exchange`, the fleet has no
+    hubs.
     """
 
     def __init__(
@@ -95,6 +97,7 @@
         clock: MonotonicClock,
         rng: random.Random,
         bound_s: float,
+        reach: StoreReach,
         exchange: DirectoryExchange | None = None,
         count_update: CountUpdate = lambda _source: None,
     ) -> None:
@@ -103,9 +106,13 @@
         self._clock = clock
         self._rng = rng
         self._bound_s = bound_s
+        self._reach = reach
         self._exchange = exchange
         self._count_update = count_update
         self._hub_interval_s = min(HUB_INTERVAL_S, HUB_INTERVAL_FRACTION * bound_s)
+        self._member_interval_s = min(
+            MEMBER_INTERVAL_S, MEMBER_INTERVAL_FRACTION * bound_s
+        )
         self._max_age_s = MAX_COPY_AGE_FRACTION * bound_s
         # Start and duration of the last successful read.
         self._read_at_s = -float("inf")
@@ -136,7 +143,7 @@
                 read = await self._key_value.read_prefix("")
             except JaytrayError as err:
                 self._directory.record_failed_read(begun_s, str(err))
-                await asyncio.sleep(RETRY_PAUSE_S)
+                await self._reach.wait_to_retry()
                 continue
             finally:
                 self._is_reading = False
@@ -170,8 +177,7 @@
                 )
             except JaytrayError as err:
                 get_logger().info("store_watch_ended", error=str(err))
-                self._read_requested.set()
-                await asyncio.sleep(RETRY_PAUSE_S)
+                await self._wait_for_read_or_hub()
                 continue
             finally:
                 self._watch_begun_s = None
@@ -181,6 +187,20 @@
             await self._pause(self._watch_pause_s, min_pause_fraction)
             min_pause_fraction = MIN_PAUSE_FRACTION
 
+    async def _wait_for_read_or_hub(self) -> None:
+        """Wait after a failed watch until a read or a hub has updated the copy.
+
+        Only reads are repeated, as two tasks would find the service away no sooner.
+        """
+        ends_s = self._clock() + WATCH_WAIT_S
+        self._read_ended.clear()
+        self._read_requested.set()
+        while self._clock() < ends_s:
+            if await wait_until_set(self._read_ended, RETRY_PAUSE_S):
+                return
+            if self._follows_hubs() and await self._update_from_hub():
+                return
+
     def _follows_hubs(self) -> bool:
         """Return whether hubs are asked before the service."""
         exchange, directory = self._exchange, self._directory
@@ -288,7 +308,9 @@
 
     def _ask_pause_s(self) -> float:
         """Return the longest pause after an update from a hub."""
-        return min(self._hub_interval_s, self._time_to_ask_s())
+        is_asked = self._exchange is not None and self._exchange.is_asked()
+        interval_s = self._hub_interval_s if is_asked else self._member_interval_s
+        return min(interval_s, self._time_to_ask_s())
 
     def _time_to_ask_s(self) -> float:
         max_age_s = self._bound_s * self._rng.uniform(*ASK_AGE_FRACTIONS)
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -61,6 +61,7 @@
 )
 from jaytray_gateway.process.store_calls import StoreCalls, for_purpose
 from jaytray_gateway.process.store_follower import StoreFollower
+from jaytray_gateway.process.store_reach import StoreReach
 from jaytray_gateway.process.stream_origins import StreamOrigins
 from jaytray_gateway.process.table_version_check import TableVersionCheck
 from jaytray_gateway.process.target_backoff import TargetBackoff
@@ -120,6 +121,9 @@
 ) -> Subsystems:
     """Return the connected subsystems; none of them is started."""
     rng = random.Random()
+    store_reach = StoreReach()
+    key_value = store_reach.observe(key_value)
+    lease_key_value = store_reach.observe(lease_key_value)
     public_key, secret_key = zmq.curve_keypair()
     evacuations = Evacuations(
         clock=clock,
@@ -186,10 +190,11 @@
         clock=clock,
         rng=rng,
         bound_s=options.change_s,
+        reach=store_reach,
         exchange=DirectoryExchange(
             peers=peers,
             directory=directory,
-            own_hubs=topology.own_hubs,
+            hubs=topology.directory_hubs,
             clock=clock,
             rng=rng,
             bound_s=options.change_s,
@@ -359,6 +364,7 @@
             own=own,
             prefix=members_prefix,
             key_value=for_purpose(key_value, "member"),
+            reach=store_reach,
         ),
         member_updates=member_updates,
         hub=hub,
--- a/packages/gateway/tests/process/directory_fleet.py
+++ b/packages/gateway/tests/process/directory_fleet.py
@@ -5,10 +5,15 @@
 from collections import Counter
 from typing import NamedTuple
 
+from jaytray_core.errors import JaytrayError
 from jaytray_core.keyvalue import KeyValueService, PrefixRead, WatchBatch
+from jaytray_core.tasks import wait_until_set
 from jaytray_gateway.process.directory import Directory
-from jaytray_gateway.process.directory_exchange import DirectoryExchange
+from jaytray_gateway.process.directory_exchange import DirectoryExchange, HubsToAsk
+from jaytray_gateway.process.fleet_topology import FleetTopology
+from jaytray_gateway.process.membership import RENEW_INTERVAL_S, RETRY_PAUSE_S
 from jaytray_gateway.process.store_follower import StoreFollower
+from jaytray_gateway.process.store_reach import StoreReach
 from jaytray_server.ports import PeerHandler
 from jaytray_standins.faults import FaultSwitches
 from jaytray_standins.in_process import in_process_key_value
@@ -52,7 +57,8 @@
         """Start with an empty copy."""
         fleet, own_id = self.fleet, self.own_id
         clock = asyncio.get_running_loop().time
-        key_value = self._key_value()
+        self.reach = fleet.reach_class()
+        self.key_value = key_value = self.reach.observe(self._key_value())
         self.directory = fleet.directory_class(
             key_value=key_value, adapter=ADAPTER, clock=clock
         )
@@ -65,7 +71,7 @@
         exchange = fleet.exchange_class(
             peers=peers,
             directory=self.directory,
-            own_hubs=lambda: fleet.hubs,
+            hubs=self._hubs(),
             clock=clock,
             rng=fleet.rng,
             bound_s=BOUND_S,
@@ -76,15 +82,27 @@
             clock=clock,
             rng=fleet.rng,
             bound_s=BOUND_S,
+            reach=self.reach,
             exchange=exchange,
             count_update=lambda source: self.updates.update([source]),
         )
         self.run()
 
+    def _hubs(self) -> HubsToAsk:
+        if not self.fleet.has_groups:
+            return lambda: self.fleet.hubs
+        topology = FleetTopology(own_id=self.own_id)
+        topology.update(self.fleet.member_ids)
+        return topology.directory_hubs
+
     def run(self) -> None:
         self.tasks = [
             asyncio.create_task(run())
-            for run in (self.follower.run_reads, self.follower.run_watch)
+            for run in (
+                self.follower.run_reads,
+                self.follower.run_watch,
+                self._renew_lease,
+            )
         ]
 
     async def stop(self) -> None:
@@ -103,6 +121,18 @@
         self.held.clear()
         self.run()
 
+    async def _renew_lease(self) -> None:
+        """Renew a lease as members do."""
+        lease = self.fleet.store.grant_lease(3600.0)
+        while True:
+            try:
+                self.fleet.renewals += 1
+                await self.key_value.keep_lease(lease)
+            except JaytrayError:
+                await asyncio.sleep(RETRY_PAUSE_S)
+            else:
+                await wait_until_set(self.reach.lost, RENEW_INTERVAL_S)
+
     def _receiver(self, topic: str) -> PeerHandler:
         def receive(sender: str, body: bytes) -> None:
             self.fleet.messages[topic] += 1
@@ -118,12 +148,8 @@
         fleet = self.fleet
         service = in_process_key_value(fleet.store, self.faults, timeout_s=0.6)
 
-        def note(function: str) -> None:
-            now_s = asyncio.get_running_loop().time()
-            fleet.calls.append(StoreCall(self.own_id, function, now_s))
-
         async def watch(prefix: str, after: int, wait_s: float) -> WatchBatch:
-            note("watch")
+            fleet.note_call(self.own_id, "watch")
             await asyncio.sleep(fleet.rng.uniform(0.0, CALL_S))
             batch = await service.watch(prefix, after, wait_s)
             self.restores = fleet.store.restores
@@ -131,7 +157,7 @@
             return batch
 
         async def read_prefix(prefix: str) -> PrefixRead:
-            note("read")
+            fleet.note_call(self.own_id, "read")
             read = await service.read_prefix(prefix)
             self.restores = fleet.store.restores
             await asyncio.sleep(fleet.rng.uniform(0.0, CALL_S))
@@ -145,6 +171,8 @@
 class HubFleet:
     """Members of one group; the first two are its hubs unless there are none.
 
+    With `has_groups`, the members are a whole fleet, in the groups that they compute.
+
     Checks all the time that each copy contains the changes before the time as of which
     it claims to be current, and records the highest age of each copy.
     """
@@ -155,18 +183,24 @@
         members: int = 8,
         seed: int = 1,
         has_hubs: bool = True,
+        has_groups: bool = False,
+        reach_class: type[StoreReach] = StoreReach,
         exchange_class: type[DirectoryExchange] = DirectoryExchange,
         directory_class: type[Directory] = Directory,
     ) -> None:
         self.rng = random.Random(seed)
         self.exchange_class = exchange_class
+        self.reach_class = reach_class
+        self.has_groups = has_groups
         self.directory_class = directory_class
         self.clock = asyncio.get_running_loop().time
         self.store = KeyValueStore(clock=self.clock)
         self.member_ids = [f"vm{number}" for number in range(members)]
         self.hubs = tuple(self.member_ids[:2]) if has_hubs else ()
         self.network = MemberNetwork(self.member_ids, self.rng)
+        # Reads and watches, without the renewals of leases.
         self.calls: list[StoreCall] = []
+        self.renewals = 0
         self.messages: Counter[str] = Counter()
         self.message_bytes = 0
         self.false_ages: list[str] = []
@@ -187,9 +221,14 @@
         self.store.compare_and_swap(key, revision, value, "")
         self._written_at_s.append(self.clock())
 
+    def note_call(self, member: str, function: str) -> None:
+        """Record a call to the store."""
+        self.calls.append(StoreCall(member, function, self.clock()))
+
     def reset(self) -> None:
         """Forget calls, messages and ages so far."""
         self.calls.clear()
+        self.renewals = 0
         self.messages.clear()
         self.message_bytes = 0
         self.max_age_s_by_id.clear()
--- a/packages/gateway/tests/process/test_directory.py
+++ b/packages/gateway/tests/process/test_directory.py
@@ -12,10 +12,10 @@
 from jaytray_gateway.process.directory import Directory
 from jaytray_gateway.process.store_follower import (
     FULL_READ_INTERVAL_S,
-    RETRY_PAUSE_S,
     StoreFollower,
 )
 from jaytray_gateway.process.store_outage import REREGISTRATION_S
+from jaytray_gateway.process.store_reach import RETRY_PAUSE_S, StoreReach
 from jaytray_gateway.process.target_entry import TargetEntry
 from jaytray_gateway.version.route_table import CallerLimits, RouteTable
 from jaytray_standins.faults import Fault, FaultKind, FaultSwitches
@@ -101,6 +101,7 @@
             clock=loop.time,
             rng=random.Random(1),
             bound_s=BOUND_S,
+            reach=StoreReach(),
         )
         self.tasks = [
             asyncio.create_task(follower.run_reads()),
--- a/packages/gateway/tests/process/test_large_route_tables.py
+++ b/packages/gateway/tests/process/test_large_route_tables.py
@@ -10,6 +10,7 @@
 from jaytray_gateway.process.directory import Directory
 from jaytray_gateway.process.route_table_notices import RouteTableNotices
 from jaytray_gateway.process.store_follower import StoreFollower
+from jaytray_gateway.process.store_reach import StoreReach
 from jaytray_standins.faults import FaultSwitches
 from jaytray_standins.in_process import in_process_key_value
 from jaytray_standins.key_value.store import KeyValueStore
@@ -96,6 +97,7 @@
             clock=clock,
             rng=self._rng,
             bound_s=BOUND_S,
+            reach=StoreReach(),
         )
         RouteTableNotices(
             peers=self.network.peers_of(own_id),
