Responses without end: a bound for all together, and limits on heads and slow bodies

Change: all bodies of a process count together; above the bound the largest is given up. The head of a response has a time limit as a whole, and so has a body.

--- a/packages/core/src/jaytray_core/adapters/http_pool.py
+++ b/packages/core/src/jaytray_core/adapters/http_pool.py
@@ -16,6 +16,7 @@
 
 import httpx
 
+from jaytray_core.adapters.held_bodies import PROCESS_BODIES, HeldBodies
 from jaytray_core.exchange_errors import ExchangeError, ExchangeProgress
 
 Headers = list[tuple[str, str]]
@@ -87,9 +88,7 @@
         users = self._users_by_transport.get(transport, 0)
         self._users_by_transport[transport] = users + 1
         try:
-            response = await transport.handle_async_request(
-                self._build_request(request)
-            )
+            response = await self._read_head(transport, request)
             try:
                 yield response
             finally:
@@ -104,6 +103,23 @@
         finally:
             await self._release(transport)
 
+    async def _read_head(
+        self, transport: httpx.AsyncHTTPTransport, request: HttpRequest
+    ) -> httpx.Response:
+        """Send a request and read the head of its response.
+
+        The time limits of httpx are those of single steps, which a server that sends
+        interim responses without end never exceeds.
+        """
+        steps_s = self._connect_timeout_s + 2 * request.read_timeout_s
+        try:
+            async with asyncio.timeout(steps_s):
+                return await transport.handle_async_request(
+                    self._build_request(request)
+                )
+        except TimeoutError as err:
+            raise httpx.ReadTimeout("no response head in time") from err
+
     def drop_idle_connections(self) -> None:
         """Use new connections from now on; exchanges in progress continue."""
         self._replace_if_current(self._transport)
@@ -163,12 +179,16 @@
 
 
 async def read_body(
-    response: httpx.Response, *, limit_bytes: int, needs_length: bool = True
+    response: httpx.Response,
+    *,
+    limit_bytes: int,
+    needs_length: bool = True,
+    held: HeldBodies = PROCESS_BODIES,
 ) -> bytes:
     """Read the whole body; raises `ExchangeError` if it is not complete or too large.
 
     Truncation of a body that is ended by closing the connection cannot be detected. It
-    is refused unless `needs_length` is False.
+    is refused unless `needs_length` is False. What has arrived counts as `held`.
     """
     headers = response.headers
     has_length = "content-length" in headers or "transfer-encoding" in headers
@@ -180,18 +200,19 @@
         raise ExchangeError(
             progress=ExchangeProgress.BROKEN, detail="body of unknown length"
         )
-    body = bytearray()
-    parts = 0
-    async for part in response.aiter_raw():
-        body += part
-        parts += 1
-        if parts % _PARTS_PER_TURN == 0:
-            await asyncio.sleep(0)
-        if len(body) > limit_bytes:
-            raise ExchangeError(
-                progress=ExchangeProgress.BROKEN, detail="body exceeds the size limit"
-            )
-    return bytes(body)
+    with held.open() as body:
+        parts = 0
+        async for part in response.aiter_raw():
+            body.extend(part)
+            parts += 1
+            if parts % _PARTS_PER_TURN == 0:
+                await asyncio.sleep(0)
+            if len(body) > limit_bytes:
+                raise ExchangeError(
+                    progress=ExchangeProgress.BROKEN,
+                    detail="body exceeds the size limit",
+                )
+        return body.whole()
 
 
 def _exchange_error(progress: ExchangeProgress, err: Exception) -> ExchangeError:
--- a/packages/core/src/jaytray_core/adapters/remote_call.py
+++ b/packages/core/src/jaytray_core/adapters/remote_call.py
@@ -5,6 +5,7 @@
 guarantees that the call had no effect.
 """
 
+import asyncio
 from collections.abc import Mapping, Sequence
 from typing import Any, NamedTuple
 
@@ -16,6 +17,8 @@
 NOT_RUN = "not_run"
 JSON_TYPE = ("content-type", "application/json")
 _MAX_RESPONSE_BYTES = 64_000_000
+# Longest time for the body of a response. A megabyte takes 2 s on a link of 5 Mbit/s.
+MAX_BODY_S = 20.0
 
 
 class RemoteResponse(NamedTuple):
@@ -55,15 +58,22 @@
     *,
     limit_bytes: int = _MAX_RESPONSE_BYTES,
     needs_length: bool = True,
+    body_s: float = MAX_BODY_S,
 ) -> RemoteResponse:
-    """Send a request and read the complete response.
+    """Send a request and read the complete response, its body within `body_s`.
 
     `needs_length` False also accepts a body that ends with its connection, for callers
     that notice if it is truncated.
     """
     async with pool.exchange(request) as response:
-        body = await read_body(
-            response, limit_bytes=limit_bytes, needs_length=needs_length
-        )
+        try:
+            async with asyncio.timeout(body_s):
+                body = await read_body(
+                    response, limit_bytes=limit_bytes, needs_length=needs_length
+                )
+        except TimeoutError as err:
+            raise ExchangeError(
+                progress=ExchangeProgress.TIMED_OUT, detail="body takes too long"
+            ) from err
         is_not_run = response.headers.get(EXECUTION_HEADER) == NOT_RUN
         return RemoteResponse(response.status_code, is_not_run, body, response.headers)
