Bound what the relay port holds for other members

Cause: the port at which members send requests of cut-off members had no bounds on memory or connections: twelve unfinished requests held more than 72 MB of a VM of 200 MB. Change: it is served within bounds of its own, with the protocol that bounds callers; a request for which there is no memory is refused as not run, and goes to another member.

--- a/packages/gateway/src/jaytray_gateway/connection/bounded_protocol.py
+++ b/packages/gateway/src/jaytray_gateway/connection/bounded_protocol.py
@@ -58,6 +58,18 @@
 _FIRST_PRINTABLE = 0x21
 
 
+def check_memory(scope: Any) -> None:
+    """Raise if there is no memory to hold a complete request until its response.
+
+    `scope` is that of an ASGI application; its connection may be without bounds.
+    """
+    connection = scope.get("state", {}).get(CONNECTION_STATE)
+    if connection is not None and not connection.may_run():
+        raise JaytrayError(
+            messages.MEMORY_FULL, step=Step.ADMIT, retry_after_s=RETRY_AFTER_S
+        )
+
+
 class _PacedFlow(FlowControl):
     """Flow control that calls back when the application wants more of a body."""
 
--- a/packages/gateway/src/jaytray_gateway/connection/caller_servers.py
+++ b/packages/gateway/src/jaytray_gateway/connection/caller_servers.py
@@ -1,7 +1,7 @@
-"""HTTP servers for callers and probes within the bounds of the VM, if it states any.
+"""HTTP servers for callers, probes and relays within the bounds of the VM, if stated.
 
-Probes and metrics have bounds of their own, so that a crowd at one port cannot take the
-memory or the connections of another.
+Each port has bounds of its own, so that a crowd at one cannot take the memory or the
+connections of another.
 """
 
 import asyncio
@@ -16,12 +16,18 @@
 from jaytray_gateway.process.memory_budget import MemoryBounds, MemoryBudget
 from jaytray_gateway.process.metrics import GatewayMetrics
 from jaytray_gateway.version.route_table import CallerLimits
-from jaytray_server.connection.caller_protocol import CallerProtocol, CallerTimeouts
-from jaytray_server.connection.callers import CallerServer, make_caller_server
+from jaytray_server.connection.caller_protocol import CallerTimeouts
+from jaytray_server.connection.callers import (
+    DEFAULT_TIMEOUTS,
+    CallerServer,
+    make_caller_server,
+)
 
 # Bounds of a port for probes or metrics, whose requests and responses are small.
 SMALL_PORT_BYTES = 4_000_000
 SMALL_PORT_CONNECTIONS = 128
+# Members send a few short headers; those of the caller's request are in the body.
+RELAY_HEADER_BYTES = 8_192
 # The kernel would let the buffers of a connection grow to several megabytes.
 RECEIVE_BUFFER_BYTES = 65_536
 SEND_BUFFER_BYTES = 131_072
@@ -54,16 +60,39 @@
     def make(self, app: Any) -> CallerServer:
         """Return the server for callers."""
         if self._memory is None:
-            return self._make(app, CallerProtocol)
+            return make_caller_server(app, current_timeouts=self._timeouts)
         return self._make_bounded(
-            app, self._memory.caller_bytes, self._memory.max_connections
+            app,
+            self._memory.caller_bytes,
+            self._memory.max_connections,
+            timeouts=self._timeouts,
+            header_bytes=lambda: self._current_limits().header_bytes,
+        )
+
+    def make_relay(self, app: Any) -> CallerServer:
+        """Return the server for requests that other members want forwarded."""
+        if self._memory is None:
+            return make_caller_server(app)
+        return self._make_bounded(
+            app,
+            self._memory.relay_bytes,
+            self._memory.max_relay_connections,
+            # Idle connections are kept, as members reuse them.
+            timeouts=lambda: DEFAULT_TIMEOUTS,
+            header_bytes=lambda: RELAY_HEADER_BYTES,
         )
 
     def make_small(self, app: Any) -> CallerServer:
         """Return a server for probes or metrics."""
         if self._memory is None:
             return make_caller_server(app)
-        return self._make_bounded(app, SMALL_PORT_BYTES, SMALL_PORT_CONNECTIONS)
+        return self._make_bounded(
+            app,
+            SMALL_PORT_BYTES,
+            SMALL_PORT_CONNECTIONS,
+            timeouts=self._timeouts,
+            header_bytes=lambda: self._current_limits().header_bytes,
+        )
 
     async def run_sweeps(self) -> None:
         """Check all connections for progress, until cancelled."""
@@ -74,24 +103,25 @@
             self._report()
 
     def _make_bounded(
-        self, app: Any, bound_bytes: int, max_connections: int
+        self,
+        app: Any,
+        bound_bytes: int,
+        max_connections: int,
+        *,
+        timeouts: Callable[[], CallerTimeouts],
+        header_bytes: Callable[[], int],
     ) -> CallerServer:
         budget = MemoryBudget(
             bound_bytes=bound_bytes, max_connections=max_connections, clock=self._clock
         )
         bounds = CallerBounds(
-            budget=budget,
-            header_bytes=lambda: self._current_limits().header_bytes,
-            clock=self._clock,
+            budget=budget, header_bytes=header_bytes, clock=self._clock
         )
         self._bounds.append(bounds)
-        return self._make(app, partial(BoundedCallerProtocol, bounds=bounds))
-
-    def _make(
-        self, app: Any, make_protocol: Callable[..., CallerProtocol]
-    ) -> CallerServer:
         return make_caller_server(
-            app, current_timeouts=self._timeouts, make_protocol=make_protocol
+            app,
+            current_timeouts=timeouts,
+            make_protocol=partial(BoundedCallerProtocol, bounds=bounds),
         )
 
     def _timeouts(self) -> CallerTimeouts:
--- a/packages/gateway/src/jaytray_gateway/process/memory_budget.py
+++ b/packages/gateway/src/jaytray_gateway/process/memory_budget.py
@@ -22,10 +22,15 @@
 # rest is for copies made on the way and for fragmentation.
 CALLERS_FRACTION = 0.5
 RESPONSES_FRACTION = 0.2
+# The same for requests that other members want forwarded, which are rare: at least one
+# of the largest size with its copy.
+RELAYS_FRACTION = 0.15
+MIN_RELAYS_BYTES = 36_000_000
 # Descriptors for files, for the store and for other members.
 RESERVED_DESCRIPTORS = 200
 # Fraction of the other descriptors for callers; most requests need one for targets too.
 CALLERS_DESCRIPTOR_FRACTION = 0.5
+RELAYS_DESCRIPTOR_FRACTION = 0.2
 # Fraction of the bound that requests may hold while they wait for or run at targets.
 RUNNING_FRACTION = 0.75
 # Bytes of a request that have to arrive for its connection to count as in progress.
@@ -50,6 +55,8 @@
     caller_bytes: int
     response_bytes: int
     max_connections: int
+    relay_bytes: int
+    max_relay_connections: int
 
 
 def memory_bounds(*, memory_bytes: int, max_descriptors: int) -> MemoryBounds:
@@ -60,6 +67,8 @@
         caller_bytes=int(spare * CALLERS_FRACTION),
         response_bytes=int(spare * RESPONSES_FRACTION),
         max_connections=max(16, int(descriptors * CALLERS_DESCRIPTOR_FRACTION)),
+        relay_bytes=max(MIN_RELAYS_BYTES, int(spare * RELAYS_FRACTION)),
+        max_relay_connections=max(16, int(descriptors * RELAYS_DESCRIPTOR_FRACTION)),
     )
 
 
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -26,7 +26,6 @@
 from jaytray_gateway.version.route_table import DEFAULT_CALLER_LIMITS, CallerLimits
 from jaytray_server.connection.callers import (
     CallerServer,
-    make_caller_server,
     open_caller_socket,
 )
 from jaytray_server.process.stop_signals import install_stop_signals
@@ -108,9 +107,13 @@
             relay_app = make_relay_app(
                 subsystems.services, lifecycle=subsystems.lifecycle
             )
-            relay_server = make_caller_server(relay_app)
+            relay_server = servers.make_relay(relay_app)
             await stack.enter_async_context(
-                _serving(relay_server, options.relay_address)
+                _serving(
+                    relay_server,
+                    options.relay_address,
+                    limits_buffers=bool(options.memory),
+                )
             )
         async with _serving(
             caller_server, options.callers_address, limits_buffers=bool(options.memory)
--- a/packages/gateway/src/jaytray_gateway/request/relay.py
+++ b/packages/gateway/src/jaytray_gateway/request/relay.py
@@ -42,7 +42,11 @@
 CONNECT_TIMEOUT_S = 0.3
 # Refusals that depend on the forwarding member only; another one may accept.
 _CODES_OF_MEMBER = frozenset(
-    (messages.SERVICE_CUT_OFF.code, messages.SHUTTING_DOWN.code)
+    (
+        messages.MEMORY_FULL.code,
+        messages.SERVICE_CUT_OFF.code,
+        messages.SHUTTING_DOWN.code,
+    )
 )
 # Headers of the response between members that the caller's server sets by itself.
 _OWN_HEADERS = frozenset(
--- a/packages/gateway/src/jaytray_gateway/request/relayed_request.py
+++ b/packages/gateway/src/jaytray_gateway/request/relayed_request.py
@@ -13,6 +13,7 @@
 from jaytray_core.codec import decode_msgpack
 from jaytray_core.errors import JaytrayError, Step
 from jaytray_core.logs import get_logger
+from jaytray_gateway.connection.bounded_protocol import check_memory
 from jaytray_gateway.connection.table_version_call import (
     STATUS_OTHER_KEY,
     encode_version,
@@ -76,6 +77,7 @@
         try:
             with suppress(CallerDisconnected):
                 body = await read_body(receive, MAX_MESSAGE_BYTES)
+                check_memory(scope)
                 relayed = decode_msgpack(body, RelayedRequest, peer="member")
                 work = _serve_one(relayed, reply, services, lifecycle)
                 await cancel_on_disconnect(receive, work)
