An unexpected error in handling a request is answered with its id

Cause: such an error gave the HTTP server's plain 500, without id or log line of ours. Change: it is logged with the id and answered as internal_error, which promises nothing on whether the request has run.

--- a/packages/gateway/src/jaytray_gateway/connection/caller_app.py
+++ b/packages/gateway/src/jaytray_gateway/connection/caller_app.py
@@ -13,11 +13,9 @@
 
 from jaytray_core import message_registry as messages
 from jaytray_core.clock import MonotonicClock
-from jaytray_core.errors import JaytrayError, Step
-from jaytray_gateway.connection.bounded_protocol import (
-    CONNECTION_STATE,
-    RETRY_AFTER_S,
-)
+from jaytray_core.errors import Execution, JaytrayError, Step
+from jaytray_core.logs import get_logger
+from jaytray_gateway.connection.bounded_protocol import check_memory
 from jaytray_gateway.ports import RequestHead
 from jaytray_gateway.process.lifecycle import Lifecycle
 from jaytray_gateway.request.reply import CallerReply
@@ -62,16 +60,12 @@
         try:
             limits = current_limits()
             _check_head(head, limits)
-            connection = scope.get("state", {}).get(CONNECTION_STATE)
             body = await read_body(
                 receive,
                 limits.body_bytes,
                 check_large=lambda: _check_route(head, services),
             )
-            if connection is not None and not connection.may_run():
-                raise JaytrayError(
-                    messages.MEMORY_FULL, step=Step.ADMIT, retry_after_s=RETRY_AFTER_S
-                )
+            check_memory(scope)
             request = services.adapter.parse_request(head, body)
         except CallerDisconnected:
             return
@@ -80,8 +74,25 @@
             reply.closes_connection = True
             await send_refusal(err, "", reply, services.adapter)
             return
-        with suppress(CallerDisconnected):
-            await cancel_on_disconnect(receive, serve_request(request, reply, services))
+        try:
+            with suppress(CallerDisconnected):
+                await cancel_on_disconnect(
+                    receive, serve_request(request, reply, services)
+                )
+        except Exception as err:
+            request_id = request.request_id
+            get_logger().error(
+                "request_error", request_id=request_id, error=repr(err), exc_info=err
+            )
+            if reply.is_started:
+                raise
+            # It may have been sent to a target before the error.
+            failure = JaytrayError(
+                messages.INTERNAL_ERROR,
+                step=Step.DISPATCH,
+                execution=Execution.MAY_HAVE_RUN,
+            )
+            await send_refusal(failure, request_id, reply, services.adapter)
 
     return serve
 
--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -19,6 +19,8 @@
         "last_event_id sends runs first_piece_ms chunks digest prompt_parts detail"
     ).split(),
     "unused_body_not_read": ("detail",),
+    # An error in the code that handles a request; `exc_info` becomes the traceback.
+    "request_error": "request_id error exc_info".split(),
     # A response that was cut off, as a sign that its request crashes targets.
     "request_break": "digest target incarnation breaks is_counted".split(),
     "request_quarantined": ("digest",),
