Returns of rejected callers in order over the whole fleet

Change: the forecast of a load states the demand of all members, from which every member computes the same turn for a caller from the time of its rejection; without a forecast a caller gets a random one of the places that the members' next callers share. The decision has a module of its own, with the load that it answers.

Forecasts of builds before this one state no demand and are followed as before.

--- a/packages/gateway/src/jaytray_gateway/process/load_forecasts.py
+++ b/packages/gateway/src/jaytray_gateway/process/load_forecasts.py
@@ -1,8 +1,9 @@
 """The placement leader's forecasts of when models will be loaded, as last received."""
 
-from typing import NamedTuple, TypedDict
+from typing import NamedTuple, NotRequired, TypedDict
 
 from jaytray_core.clock import MonotonicClock
+from jaytray_gateway.request.returns import ForecastLoad
 
 # Forecasts that are not repeated within this time are dropped: the leader changed.
 FORECAST_TTL_S = 4.0
@@ -11,17 +12,22 @@
 class LoadForecast(TypedDict):
     """Seconds until a model of a service is expected to be loaded somewhere.
 
-    A message between members; unknown fields are ignored.
+    `demand` is that of all members in seconds of a target's time per second. A message
+    between members; unknown fields are ignored, and builds before this one state no
+    demand.
     """
 
     service: str
     model: str
     ready_in_s: float
+    demand: NotRequired[float]
 
 
 class _Received(NamedTuple):
     ready_at_s: float
     received_at_s: float
+    first_received_at_s: float
+    demand: float | None
 
 
 class LoadForecasts:
@@ -34,17 +40,39 @@
     def apply(self, forecasts: list[LoadForecast]) -> None:
         """Replace the forecasts by those that the leader states now."""
         now_s = self._clock()
-        self._received_by_key = {
-            (forecast["service"], forecast["model"]): _Received(
-                now_s + forecast["ready_in_s"], now_s
+        earlier = self._received_by_key
+        self._received_by_key = {}
+        for forecast in forecasts:
+            key = forecast["service"], forecast["model"]
+            first_at_s = earlier[key].first_received_at_s if key in earlier else now_s
+            self._received_by_key[key] = _Received(
+                now_s + forecast["ready_in_s"],
+                now_s,
+                first_at_s,
+                forecast.get("demand"),
             )
-            for forecast in forecasts
-        }
 
     def ready_in_s(self, service: str, model: str) -> float | None:
         """Return the seconds until the model should be loaded, None if not known."""
-        received = self._received_by_key.get((service, model))
+        received = self._fresh(service, model)
+        if received is None:
+            return None
+        return max(received.ready_at_s - self._clock(), 0.0)
+
+    def load_of(self, service: str, model: str) -> ForecastLoad | None:
+        """Return the forecast with its demand, None if one of them is not known."""
+        received = self._fresh(service, model)
+        if received is None or received.demand is None:
+            return None
         now_s = self._clock()
-        if received is None or now_s - received.received_at_s > FORECAST_TTL_S:
+        return ForecastLoad(
+            ready_in_s=max(received.ready_at_s - now_s, 0.0),
+            awaited_s=now_s - received.first_received_at_s,
+            demand=received.demand,
+        )
+
+    def _fresh(self, service: str, model: str) -> _Received | None:
+        received = self._received_by_key.get((service, model))
+        if received and self._clock() - received.received_at_s > FORECAST_TTL_S:
             return None
-        return max(received.ready_at_s - now_s, 0.0)
+        return received
--- a/packages/gateway/src/jaytray_gateway/process/placement/controller.py
+++ b/packages/gateway/src/jaytray_gateway/process/placement/controller.py
@@ -206,7 +206,12 @@
         )
         ready_s = forecast_ready_s(engine, plans, awaited, self._clock())
         return [
-            LoadForecast(service=service.name, model=model, ready_in_s=seconds)
+            LoadForecast(
+                service=service.name,
+                model=model,
+                ready_in_s=seconds,
+                demand=round(demand.rates.get(model, 0.0) / 1000, 3),
+            )
             for model, seconds in ready_s.items()
         ]
 
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -308,6 +308,7 @@
             forecasts=forecasts,
             member_count=lambda: len(member_messages.member_ids()),
             lifecycle=lifecycle,
+            rng=rng,
             clock=clock,
         ),
         shares=shares,
--- a/packages/gateway/src/jaytray_gateway/request/target_search.py
+++ b/packages/gateway/src/jaytray_gateway/request/target_search.py
@@ -3,6 +3,7 @@
 Targets that limit their rate are used as far as they permit.
 """
 
+import random
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -20,11 +21,8 @@
 from jaytray_gateway.request.admission import AdmittedRequest
 from jaytray_gateway.request.caller_timeout import longest_wait_s
 from jaytray_gateway.request.overload import may_queue, retry_delay_s
-from jaytray_gateway.request.replica_wait import (
-    ReturnSchedule,
-    WaitDecision,
-    decide_wait,
-)
+from jaytray_gateway.request.replica_wait import WaitDecision, decide_wait
+from jaytray_gateway.request.returns import ReturnSchedule, return_after_load_s
 from jaytray_gateway.request.routed_request import RoutedRequest
 from jaytray_gateway.version.route_table import Route, Service
 
@@ -73,6 +71,7 @@
         forecasts: LoadForecasts,
         member_count: Callable[[], int],
         lifecycle: Lifecycle,
+        rng: random.Random,
         clock: MonotonicClock,
     ) -> None:
         self._replicas = replicas
@@ -83,7 +82,7 @@
         self._speeds = speeds
         self._forecasts = forecasts
         self._member_count = member_count
-        self._returns = ReturnSchedule()
+        self._returns = ReturnSchedule(rng=rng)
         self._lifecycle = lifecycle
         self._clock = clock
 
@@ -159,7 +158,7 @@
                 service.name, request.model, request.adapter, software_version
             )
             waited_s = self._clock() - begun_s
-            decision = self._decide_wait(request, service, wait, waited_s)
+            decision = self._decide_wait(admitted, service, wait, waited_s)
             if not decision.is_waiting:
                 raise _no_replica_error(request, service, decision.retry_after_s)
             await self._replicas.wait_for_change(
@@ -237,12 +236,13 @@
 
     def _decide_wait(
         self,
-        request: RoutedRequest,
+        admitted: AdmittedRequest,
         service: Service,
         wait: _ReplicaWait,
         waited_s: float,
     ) -> WaitDecision:
         """Return whether to wait on for the replica, and when to return if not."""
+        request = admitted.request
         if wait.is_for_adapter:
             return WaitDecision(waited_s < wait.longest_s, ADAPTER_WAIT_S)
         decision = decide_wait(
@@ -253,6 +253,11 @@
         )
         if decision.is_waiting:
             return decision
+        load = self._forecasts.load_of(service.name, request.model)
+        if load is not None:
+            left_s = admitted.expires_at_s - self._clock()
+            load = load._replace(ready_in_s=decision.retry_after_s)
+            return WaitDecision(False, return_after_load_s(load, left_s=left_s))
         prefill_ms = self._speeds.of(service.name).prefill_ms(request.prompt_tokens)
         retry_after_s = self._retry_after_s(
             (service.name, request.model), decision.retry_after_s, prefill_ms / 1000
@@ -269,7 +274,8 @@
             key,
             now_s=now_s,
             ready_in_s=ready_in_s,
-            takes_s=own_s * self._member_count(),
+            takes_s=own_s,
+            members=max(1, self._member_count()),
         )
 
     def _queue_full_error(self, chosen: Candidate, own_s: float) -> JaytrayError:
--- a/packages/gateway/tests/request/harness.py
+++ b/packages/gateway/tests/request/harness.py
@@ -358,6 +358,7 @@
                 speeds=self.speeds,
                 forecasts=self.forecasts,
                 member_count=lambda: 1,
+                rng=random.Random(1),
                 lifecycle=self.lifecycle,
                 clock=clock,
             ),
