Withdraw breaks at targets when this member proves to be cut off

Change: crashes that only its own breaks have shown are withdrawn when a service proves to be cut off; those that other members have seen count.

--- a/packages/gateway/src/jaytray_gateway/process/prompt_part_guard.py
+++ b/packages/gateway/src/jaytray_gateway/process/prompt_part_guard.py
@@ -13,7 +13,7 @@
 attempts beside a blamed part are cleared of its crashes.
 """
 
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, deque
 from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
 
@@ -95,6 +95,8 @@
         self._on_explained = on_explained
         # Crashes that are not counted yet.
         self._crash_by_incarnation: dict[Incarnation, _Crash] = {}
+        # How many of their breaks this member has seen itself.
+        self._own_breaks_by_incarnation: Counter[Incarnation] = Counter()
         # Times of the first break at incarnations whose crash was counted.
         self._crashed_at_s_by_incarnation: OrderedDict[Incarnation, float] = (
             OrderedDict()
@@ -124,6 +126,23 @@
         evidence = PartEvidence(parts, False, target.target_id, target.incarnation)
         self.apply_evidence(evidence)
         self._notify_peers(evidence)
+        incarnation = (target.target_id, target.incarnation)
+        if incarnation in self._crash_by_incarnation:
+            self._own_breaks_by_incarnation[incarnation] += 1
+
+    def withdraw_breaks(self, targets: Iterable[TargetEntry]) -> None:
+        """Discount breaks at targets that this member, it turns out, does not reach.
+
+        A crash that other members have seen as well is counted all the same.
+        """
+        for target in targets:
+            incarnation = (target.target_id, target.incarnation)
+            own_breaks = self._own_breaks_by_incarnation.pop(incarnation, 0)
+            crash = self._crash_by_incarnation.get(incarnation)
+            if crash is not None and len(crash.chains) == own_breaks:
+                evidence = PartEvidence((), False, *incarnation)
+                self.apply_evidence(evidence)
+                self._notify_peers(evidence)
 
     def record_begun_response(self, parts: tuple[str, ...]) -> None:
         """Record a response that got beyond its beginning."""
@@ -159,6 +178,7 @@
         elif evidence.parts:
             self._add_break(incarnation, evidence.parts)
         elif self._crash_by_incarnation.pop(incarnation, None) is not None:
+            self._own_breaks_by_incarnation.pop(incarnation, None)
             get_logger().info(
                 "target_crash_refuted",
                 target=evidence.target_id,
@@ -195,6 +215,7 @@
         for incarnation, crash in list(self._crash_by_incarnation.items()):
             if now_s - crash.first_break_s >= SETTLE_S:
                 del self._crash_by_incarnation[incarnation]
+                self._own_breaks_by_incarnation.pop(incarnation, None)
                 self._crashed_at_s_by_incarnation[incarnation] = crash.first_break_s
                 self._count_crash(crash)
         while len(self._crashed_at_s_by_incarnation) > MAX_CRASH_RECORDS:
--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -18,7 +18,7 @@
 from jaytray_gateway.process.demand_average import DemandAverage
 from jaytray_gateway.process.departure_notices import DepartureNotices
 from jaytray_gateway.process.directory import Directory
-from jaytray_gateway.process.directory_exchange import DirectoryExchange
+from jaytray_gateway.process.directory_updates import make_store_follower
 from jaytray_gateway.process.engine_speed import EngineSpeeds
 from jaytray_gateway.process.evacuations import Evacuations
 from jaytray_gateway.process.fleet_digests import FleetDigests
@@ -63,7 +63,6 @@
 from jaytray_gateway.process.store_follower import StoreFollower
 from jaytray_gateway.process.store_reach import StoreReach
 from jaytray_gateway.process.stream_origins import StreamOrigins
-from jaytray_gateway.process.table_exchange import TableExchange
 from jaytray_gateway.process.table_version_check import TableVersionCheck
 from jaytray_gateway.process.target_backoff import TargetBackoff
 from jaytray_gateway.process.target_choice import TargetChooser
@@ -185,31 +184,17 @@
         rng=rng,
     )
     notices.use_hubs(digests.active_hubs, digests.reporters)
-    follower = StoreFollower(
+    follower = make_store_follower(
+        options=options,
+        adapter=adapter,
         directory=directory,
-        key_value=for_purpose(key_value, "directory"),
+        key_value=key_value,
+        reach=store_reach,
+        peers=peers,
+        topology=topology,
+        metrics=metrics,
         clock=clock,
         rng=rng,
-        bound_s=options.change_s,
-        reach=store_reach,
-        exchange=DirectoryExchange(
-            peers=peers,
-            directory=directory,
-            hubs=topology.directory_hubs,
-            clock=clock,
-            rng=rng,
-            bound_s=options.change_s,
-        ),
-        tables=TableExchange(
-            peers=peers,
-            directory=directory,
-            key=adapter.route_table_key,
-            hubs=topology.directory_hubs,
-            clock=clock,
-            rng=rng,
-            bound_s=options.change_s,
-        ),
-        count_update=metrics.count_directory_update,
     )
     grants = RateGrants(
         shares=shares,
@@ -238,6 +223,7 @@
         notify_peers=member_messages.broadcast_part_evidence,
         on_explained=crash_guard.forget_crash,
     )
+    reach.on_cut_off(part_guard.withdraw_breaks)
 
     members_prefix = adapter.records_prefix + MEMBERS_PREFIX
 
--- a/packages/gateway/src/jaytray_gateway/process/target_reach.py
+++ b/packages/gateway/src/jaytray_gateway/process/target_reach.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 from jaytray_core.clock import MonotonicClock
@@ -37,6 +37,10 @@
 FAILURE_CHECK_WAIT_S = 0.05
 
 
+# Called with the targets of a service that is cut off from now on.
+OnCutOff = Callable[[list[TargetEntry]], None]
+
+
 class _ServiceReach:
     """State of one service; `exchanges` are start times of those under way."""
 
@@ -63,9 +67,14 @@
         self._pools = pools
         self._clock = clock
         self._rng = rng
+        self._cut_off_listeners: list[OnCutOff] = []
         self._reach_by_service: dict[str, _ServiceReach] = {}
         self._next_exchange = 0
 
+    def on_cut_off(self, listener: OnCutOff) -> None:
+        """Call `listener` when a service turns out to be cut off."""
+        self._cut_off_listeners.append(listener)
+
     def is_cut_off(self, service: str) -> bool:
         """Return whether no target of the service accepts connections from here."""
         reach = self._reach_by_service.get(service)
@@ -165,6 +174,8 @@
             tried=",".join(target.target_id for target in tried),
             silent_s=round(now_s - reach.heard_at_s, 2) if reach.exchanges else "",
         )
+        for listener in self._cut_off_listeners:
+            listener(targets)
 
     async def _can_connect(self, targets: list[TargetEntry]) -> bool:
         """Return whether one of the targets accepts a connection."""
--- a/packages/gateway/tests/process/test_prompt_part_guard.py
+++ b/packages/gateway/tests/process/test_prompt_part_guard.py
@@ -73,6 +73,34 @@
         self.assertGreater(error.retry_after_s or 0.0, PART_QUARANTINE_S - 2 * SETTLE_S)
         self.guard.check(("first", "other"))
 
+    def test_breaks_of_a_cut_off_member_are_withdrawn(self) -> None:
+        # Soak seed 80001: a member took the breaks of its own cut-off for crashes, and
+        # a sound part that all prompts share was blamed for them.
+        peer = make_peer(self.clock)
+        for number in range(MAX_CRASHES + 1):
+            targets = [entry(f"t{number}"), entry(f"u{number}")]
+            for target in targets:
+                self.guard.record_break(("shared", f"own{number}"), target)
+            self.clock.now_s += 0.01
+            self.guard.withdraw_breaks(targets)
+            self.settle()
+        for evidence in self.sent:
+            peer.apply_evidence(evidence)
+        self.clock.now_s += SETTLE_S
+        peer.settle_crashes()
+        self.assertEqual(set(), self.quarantined())
+        self.assertEqual(frozenset(), peer.quarantined())
+
+    def test_crash_that_others_have_seen_too_is_not_withdrawn(self) -> None:
+        for number in range(MAX_CRASHES):
+            target = entry(f"t{number}")
+            self.guard.record_break(("shared", HARMFUL), target)
+            seen = PartEvidence((HARMFUL,), False, target.target_id, target.incarnation)
+            self.guard.apply_evidence(seen)
+            self.guard.withdraw_breaks([target])
+            self.settle()
+        self.assertEqual({HARMFUL}, self.quarantined())
+
     def test_parts_before_the_harmful_one_are_not_blamed(self) -> None:
         # No sound request with the shared parts ran between the crashes.
         for _ in range(MAX_CRASHES):
