--- a/packages/gateway/src/jaytray_gateway/process/subsystems.py
+++ b/packages/gateway/src/jaytray_gateway/process/subsystems.py
@@ -14,7 +14,7 @@
     make_target_pools,
 )
 from jaytray_gateway.ports import PlatformAdapter
-from jaytray_gateway.process.crash_guard import QUARANTINE_S, CrashGuard
+from jaytray_gateway.process.crash_guard import CrashGuard
 from jaytray_gateway.process.demand_average import DemandAverage
 from jaytray_gateway.process.departure_notices import DepartureNotices
 from jaytray_gateway.process.directory import Directory
@@ -24,6 +24,10 @@
 from jaytray_gateway.process.fleet_digests import FleetDigests
 from jaytray_gateway.process.fleet_topology import FleetTopology
 from jaytray_gateway.process.hub_notices import HubNotices
+from jaytray_gateway.process.item_records import (
+    make_quarantine_records,
+    make_software_version_records,
+)
 from jaytray_gateway.process.leased_records import LeasedRecords, RecordKind
 from jaytray_gateway.process.lifecycle import Lifecycle
 from jaytray_gateway.process.load_forecasts import LoadForecasts
@@ -43,10 +47,7 @@
     FENCING_BASE_KEY,
     FencingBase,
 )
-from jaytray_gateway.process.prompt_part_guard import (
-    PART_QUARANTINE_S,
-    PromptPartGuard,
-)
+from jaytray_gateway.process.prompt_part_guard import PromptPartGuard
 from jaytray_gateway.process.rate_grants import RateGrants
 from jaytray_gateway.process.rate_shares import RateShares
 from jaytray_gateway.process.relay_members import RelayMembers
@@ -55,10 +56,7 @@
 from jaytray_gateway.process.retry_budget import RetryBudget
 from jaytray_gateway.process.route_table_notices import RouteTableNotices
 from jaytray_gateway.process.send_control import build_send_control, max_copy_age_s
-from jaytray_gateway.process.software_versions import (
-    VERSION_MEMORY_S,
-    SoftwareVersions,
-)
+from jaytray_gateway.process.software_versions import SoftwareVersions
 from jaytray_gateway.process.store_calls import StoreCalls, for_purpose
 from jaytray_gateway.process.store_follower import StoreFollower
 from jaytray_gateway.process.store_reach import StoreReach
@@ -78,10 +76,6 @@
 REPLICA_DEMAND_WINDOW_S = 6.0
 # Prefix of the members' leased records, relative to the platform adapter's own prefix.
 MEMBERS_PREFIX = "members/"
-# Prefix of the records of quarantined requests and prompt parts.
-QUARANTINE_PREFIX = "quarantine/"
-# Prefix of the records of software versions, while a service has several.
-SOFTWARE_PREFIX = "software/"
 
 
 class Subsystems(NamedTuple):
@@ -375,33 +369,11 @@
         placement=placement,
         fencing_base=fencing_base,
         version_check=version_check,
-        quarantine_records=leased_records(
-            QUARANTINE_PREFIX,
-            {
-                "part": RecordKind(
-                    lease_s=PART_QUARANTINE_S,
-                    items=part_guard.quarantined,
-                    add=part_guard.quarantine,
-                    end=part_guard.end_quarantine,
-                ),
-                "request": RecordKind(
-                    lease_s=QUARANTINE_S,
-                    items=crash_guard.quarantined,
-                    add=crash_guard.quarantine,
-                    end=crash_guard.end_quarantine,
-                ),
-            },
+        quarantine_records=make_quarantine_records(
+            part_guard, crash_guard, leased_records
         ),
-        software_version_records=leased_records(
-            SOFTWARE_PREFIX,
-            {
-                "version": RecordKind(
-                    lease_s=VERSION_MEMORY_S,
-                    items=versions.recordable,
-                    add=versions.add_recorded,
-                    end=versions.end_recorded,
-                )
-            },
+        software_version_records=make_software_version_records(
+            versions, leased_records
         ),
         metrics=metrics,
         store_calls=store_calls,
