--- a/packages/gateway/src/jaytray_gateway/process/item_records.py
+++ b/packages/gateway/src/jaytray_gateway/process/item_records.py
@@ -1,6 +1,5 @@
 """Which findings of members are recorded in the key-value service.
 
-
 Requests and prompt parts in quarantine, and the software versions of a service while it
 has several.
 """
