--- a/packages/gateway/src/jaytray_gateway/process/store_follower.py
+++ b/packages/gateway/src/jaytray_gateway/process/store_follower.py
@@ -9,9 +9,9 @@
 themselves while nobody has a young copy.
 
 On a slow link, the response with a large route table takes much of the bound on a
-change. Hence a table that another member has read is read without a pause, in its
-newest version only. No read begins beside a watch that may still respond in time, and
-reads that take long are rarer.
+change. Hence a table that another member has read comes from a hub, or is read without
+a pause, in its newest version only. No read begins beside a watch that may still
+respond in time, and reads that take long are rarer.
 """
 
 import asyncio
@@ -59,12 +59,12 @@
 # at most 1.4 s old, plus the time of the calls.
 MEMBER_INTERVAL_S = 0.6
 HUB_INTERVAL_S = 0.4
+# The longest intervals as fractions of the bound.
+MEMBER_INTERVAL_FRACTION = 0.2
+HUB_INTERVAL_FRACTION = 0.13
 # Wait of watches in a fleet with hubs. A longer one would show no change earlier, and
 # as the age counts from its start, the copies of a group would be older.
 HUB_WATCH_WAIT_S = 0.05
-# The same as fractions of the bound.
-MEMBER_INTERVAL_FRACTION = 0.2
-HUB_INTERVAL_FRACTION = 0.13
 # Shortest pause between questions.
 MIN_ASK_PAUSE_S = 0.1
 # Ages of the copy, as fractions of the bound, at which a member asks its hubs again and
@@ -78,7 +78,7 @@
 MAX_LATE_WATCH_FRACTION = 0.2
 FOLLOWER_READ_INTERVAL_S = 30.0
 
-# Called with the source of each update: hub, watch or read.
+# Called with the source of each update: hub, hub_table, watch or read.
 CountUpdate = Callable[[str], None]
 
 
