--- a/packages/gateway/tests/request/scripted_target.py
+++ b/packages/gateway/tests/request/scripted_target.py
@@ -1,6 +1,7 @@
 """Targets for tests, which send scripted responses and record the requests."""
 
 import asyncio
+import time
 from typing import NamedTuple
 
 
@@ -15,7 +16,8 @@
     `is_leaving` states that the target is about to stop, `retry_after` for how long it
     wants no requests.
     `is_endless` repeats the body until the caller closes the connection.
-    `pieces` follow as chunks of their own, each after `piece_pause_s`.
+    `pieces` follow as chunks of their own, each after `piece_pause_s`. After each of
+    them the whole process pauses for `process_pause_s`.
     `raw` is sent instead of the rendered response, and the connection closed after it.
     `has_id` False leaves out the request's id.
     """
@@ -35,6 +37,7 @@
     retry_after: str = ""
     pieces: tuple[bytes, ...] = ()
     piece_pause_s: float = 0.0
+    process_pause_s: float = 0.0
     raw: bytes | None = None
     has_id: bool = True
 
@@ -120,6 +123,7 @@
         for piece in response.pieces:
             await asyncio.sleep(response.piece_pause_s)
             writer.write(b"%x\r\n%s\r\n" % (len(piece), piece))
+            time.sleep(response.process_pause_s)
             await writer.drain()
         if response.pieces:
             writer.write(LAST_CHUNK)
