Log pauses of the process, silence of given-up targets and the length of stops

New: `process_paused` and its metric, `silent_ms` of `request_try_ended`, and `after_signal_ms` of `drain_finished` and `gateway_stopped`. No change of logic.

--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -16,7 +16,8 @@
     ).split(),
     "request_try_ended": (
         "request_id target relayed_by outcome software_version original_request_id "
-        "last_event_id sends runs first_piece_ms chunks digest prompt_parts detail"
+        "last_event_id sends runs first_piece_ms chunks silent_ms digest prompt_parts "
+        "detail"
     ).split(),
     "unused_body_not_read": ("detail",),
     # An error in the code that handles a request; `exc_info` becomes the traceback.
@@ -114,9 +115,10 @@
     ).split(),
     # The process.
     "gateway_started": ("members",),
-    "gateway_stopped": (),
+    "gateway_stopped": ("after_signal_ms",),
+    "process_paused": ("paused_ms",),
     "settings_reread": ("changed",),
     "settings_unusable": ("error",),
     "drain_started": ("running",),
-    "drain_finished": ("running",),
+    "drain_finished": "running after_signal_ms".split(),
 }
--- a/packages/gateway/src/jaytray_gateway/process/metrics.py
+++ b/packages/gateway/src/jaytray_gateway/process/metrics.py
@@ -69,6 +69,7 @@
                 ("caller_connections", "Open connections of callers."),
                 ("caller_bytes", "Bytes held for callers' connections."),
                 ("caller_connections_ended", "Connections closed to keep bounds."),
+                ("process_paused_seconds", "Time for which the process did not run."),
                 ("log_lines_dropped", "Log lines dropped because the queue was full."),
             )
         }
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -20,6 +20,7 @@
 from jaytray_gateway.ports import PlatformAdapter
 from jaytray_gateway.process.metrics import GatewayMetrics
 from jaytray_gateway.process.options import GatewayOptions
+from jaytray_gateway.process.pause_watch import watch_pauses
 from jaytray_gateway.process.store_calls import StoreCalls
 from jaytray_gateway.process.subsystems import Subsystems, build_subsystems
 from jaytray_gateway.request.relayed_request import make_relay_app
@@ -100,7 +101,11 @@
             )
         await stack.enter_async_context(
             _supervised(
-                {**_background_tasks(subsystems), "caller_sweeps": servers.run_sweeps}
+                {
+                    **_background_tasks(subsystems),
+                    "caller_sweeps": servers.run_sweeps,
+                    "pause_watch": lambda: watch_pauses(clock=clock, metrics=metrics),
+                }
             )
         )
         if options.relay_address:
@@ -122,9 +127,12 @@
                 "gateway_started", members=len(subsystems.shares.member_ids)
             )
             await stop.wait()
+            signalled_s = clock()
             await _drain(subsystems, options, clock, stop_accepting)
     store_calls.log()
-    get_logger().info("gateway_stopped")
+    get_logger().info(
+        "gateway_stopped", after_signal_ms=round((clock() - signalled_s) * 1000)
+    )
 
 
 def _log_reload(
@@ -234,7 +242,8 @@
 ) -> None:
     """Fail the readiness probe, then close connections as their responses finish."""
     lifecycle = subsystems.lifecycle
-    ends_s = clock() + options.grace_s * GRACE_FRACTION
+    signalled_s = clock()
+    ends_s = signalled_s + options.grace_s * GRACE_FRACTION
     lifecycle.begin_stop(ends_at_s=ends_s)
     subsystems.placement.stop()
     get_logger().info("drain_started", running=lifecycle.running_requests)
@@ -249,7 +258,11 @@
     while lifecycle.running_requests and clock() < ends_s + FINAL_RESPONSES_S:
         await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
     await subsystems.membership.leave()
-    get_logger().info("drain_finished", running=running)
+    get_logger().info(
+        "drain_finished",
+        running=running,
+        after_signal_ms=round((clock() - signalled_s) * 1000),
+    )
 
 
 @asynccontextmanager
--- a/packages/gateway/src/jaytray_gateway/request/request_path.py
+++ b/packages/gateway/src/jaytray_gateway/request/request_path.py
@@ -131,7 +131,7 @@
                 await services.reach.check_failure(state.service.name)
         except ErrorResponse as err:
             state.is_under_way = False
-            log_attempt_ended(state, "error_answer", str(err))
+            log_attempt_ended(state, "error_answer", str(err), now_s=services.clock())
             if not reply.is_started:
                 state.last_error = err
             if _may_run_again(state, services):
@@ -181,7 +181,7 @@
     """Return if the request may be sent to another target; raise otherwise."""
     state.is_under_way = False
     state.attempts_not_run += 1
-    log_attempt_ended(state, "not_run", err.detail)
+    log_attempt_ended(state, "not_run", err.detail, now_s=services.clock())
     is_allowed = state.attempts_not_run < MAX_ATTEMPTS_NOT_RUN and (
         not err.reached_target or services.budget.try_take(state.service.name)
     )
@@ -207,7 +207,8 @@
     its target did.
     """
     state.is_under_way = False
-    log_attempt_ended(state, "timed_out" if err.is_timeout else "broken", err.detail)
+    outcome = "timed_out" if err.is_timeout else "broken"
+    log_attempt_ended(state, outcome, err.detail, now_s=services.clock())
     if not err.is_timeout and target is not None:
         services.crash_guard.record_broken_response(
             state.digest, target, sent_at_s=state.sent_at_s or services.clock()
--- a/packages/gateway/src/jaytray_gateway/request/run_state.py
+++ b/packages/gateway/src/jaytray_gateway/request/run_state.py
@@ -83,6 +83,8 @@
         # Start of the current attempt's response body, and the chunks of it so far.
         self.attempt_first_piece_s: float | None = None
         self.attempt_chunks = 0
+        # When the last of them was received.
+        self.last_chunk_s: float | None = None
         # The current attempt at its target, None before the first one.
         self.paced: PacedRequest | None = None
         # Whether the current attempt's response got beyond its beginning.
@@ -92,6 +94,7 @@
         """Forget what the attempt before has received."""
         self.attempt_first_piece_s = None
         self.attempt_chunks = 0
+        self.last_chunk_s = None
         self.is_begun = False
 
     def note_sent(self, now_s: float, *, copy_age_s: float) -> None:
@@ -104,6 +107,7 @@
     def note_chunk(self, now_s: float) -> None:
         """Record a chunk of the current attempt's response body."""
         self.attempt_chunks += 1
+        self.last_chunk_s = now_s
         if self.attempt_first_piece_s is None:
             self.attempt_first_piece_s = now_s
         if self.first_piece_s is None:
@@ -116,10 +120,13 @@
         return route.kind is RequestKind.IDEMPOTENT or route.is_resumable
 
 
-def log_attempt_ended(state: RequestState, outcome: str, detail: str) -> None:
+def log_attempt_ended(
+    state: RequestState, outcome: str, detail: str, *, now_s: float
+) -> None:
     """Log an attempt that did not give the request's final response.
 
-    `first_piece_ms` counts from the time at which the attempt was sent.
+    `first_piece_ms` counts from the time at which the attempt was sent, `silent_ms`
+    from the last chunk of its response.
     """
     request = state.admitted.request
     get_logger().info(
@@ -137,6 +144,7 @@
             state.sent_at_s, state.attempt_first_piece_s
         ),
         chunks=state.attempt_chunks,
+        silent_ms=_milliseconds_between(state.last_chunk_s, now_s),
         digest=state.digest,
         prompt_parts=",".join(part.part_id for part in request.prompt_parts),
         detail=detail,
--- /dev/null
+++ b/packages/gateway/tests/process/test_pause_watch.py
@@ -0,0 +1,38 @@
+"""Tests of noticing that the process did not run."""
+
+import asyncio
+import time
+
+import structlog
+from testtools import TestCase
+
+from jaytray_core.clock import monotonic_clock
+from jaytray_core.tasks import cancel_all
+from jaytray_gateway.process.metrics import GatewayMetrics
+from jaytray_gateway.process.pause_watch import CHECK_INTERVAL_S, watch_pauses
+
+
+class PauseWatchTests(TestCase):
+    def logged_pauses_ms(self, pause_s: float) -> list[int]:
+        """Return the pauses that are logged when the event loop is held up once."""
+
+        async def run() -> None:
+            watch = watch_pauses(clock=monotonic_clock, metrics=GatewayMetrics())
+            task = asyncio.create_task(watch)
+            await asyncio.sleep(CHECK_INTERVAL_S / 2)
+            time.sleep(pause_s)
+            await asyncio.sleep(CHECK_INTERVAL_S * 2)
+            await cancel_all([task])
+
+        with structlog.testing.capture_logs() as lines:
+            asyncio.run(run())
+        return [
+            line["paused_ms"] for line in lines if line["event"] == "process_paused"
+        ]
+
+    def test_pause_is_logged(self) -> None:
+        (paused_ms,) = self.logged_pauses_ms(1.0)
+        self.assertGreater(paused_ms, 800)
+
+    def test_short_pause_is_not_logged(self) -> None:
+        self.assertEqual([], self.logged_pauses_ms(0.05))
