--- a/packages/server/src/jaytray_server/connection/peer_network.py
+++ b/packages/server/src/jaytray_server/connection/peer_network.py
@@ -22,6 +22,7 @@
 from jaytray_core.codec import decode_msgpack, encode_msgpack
 from jaytray_core.errors import JaytrayError
 from jaytray_core.logs import get_logger
+from jaytray_core.tasks import cancel_all
 from jaytray_core.vm_list import VmEntry, VmState
 from jaytray_server.connection.peer_link import (
     HEARTBEAT_TIMEOUT_S,
@@ -201,12 +202,11 @@
             yield bound
         finally:
             self._context = None
-            receiver.cancel()
+            # Links close their own sockets, before the context would.
+            links = [*self._tasks_by_id.values()]
             for vm_id in [*self._links_by_id]:
                 self._drop_link(vm_id)
-            # Give the cancelled link tasks a chance to close their sockets.
-            await asyncio.sleep(0)
-            await asyncio.gather(receiver, return_exceptions=True)
+            await cancel_all([receiver, *links])
             socket.close(linger=0)
             authenticator.stop()
             context.destroy(linger=0)
