A stop waits until its last responses have left the process

A caller that reads slowly, or behind a slow link, got a response that ended in the middle: the drain counted running requests only, and a request is over when its response is in the buffers of its connection. With no request running the process ended 0.6 s after the balancer's drain time, and dropped what had not been sent.

The drain now also waits for the callers' connections: idle ones are closed at its beginning, the others after their last byte, all of them at its end.

--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -122,13 +122,13 @@
             )
         async with _serving(
             caller_server, options.callers_address, limits_buffers=bool(options.memory)
-        ) as stop_accepting:
+        ) as caller_port:
             get_logger().info(
                 "gateway_started", members=len(subsystems.shares.member_ids)
             )
             await stop.wait()
             signalled_s = clock()
-            await _drain(subsystems, options, clock, stop_accepting)
+            await _drain(subsystems, options, clock, caller_port)
     store_calls.log()
     get_logger().info(
         "gateway_stopped", after_signal_ms=round((clock() - signalled_s) * 1000)
@@ -238,9 +238,12 @@
     subsystems: Subsystems,
     options: GatewayOptions,
     clock: MonotonicClock,
-    stop_accepting: Callable[[], None],
+    caller_port: CallerServer,
 ) -> None:
-    """Fail the readiness probe, then close connections as their responses finish."""
+    """Fail the readiness probe, then close connections as their responses finish.
+
+    A connection stays until its caller has been sent all of the last response.
+    """
     lifecycle = subsystems.lifecycle
     signalled_s = clock()
     ends_s = signalled_s + options.grace_s * GRACE_FRACTION
@@ -249,8 +252,10 @@
     get_logger().info("drain_started", running=lifecycle.running_requests)
     await asyncio.sleep(BALANCER_DRAIN_S)
     lifecycle.refuses_late = True
-    stop_accepting()
-    while lifecycle.running_requests and clock() < ends_s:
+    caller_port.should_exit = True
+    while (
+        lifecycle.running_requests or caller_port.server_state.connections
+    ) and clock() < ends_s:
         lifecycle.is_refusing = clock() > ends_s - FINAL_REFUSALS_S
         await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
     running = lifecycle.running_requests
@@ -281,22 +286,18 @@
 @asynccontextmanager
 async def _serving(
     server: CallerServer, address: str, *, limits_buffers: bool = False
-) -> AsyncIterator[Callable[[], None]]:
-    """Serve HTTP on `address`; yields a function that starts the server's shutdown.
+) -> AsyncIterator[CallerServer]:
+    """Serve HTTP on `address`; yields the server.
 
-    After it is called, no connection is accepted, idle ones are closed, and each of
-    the others is closed after its response.
+    Once its `should_exit` is set, no connection is accepted, idle ones are closed, and
+    each of the others is closed after its response.
     """
     with open_caller_socket(address) as listener:
         if limits_buffers:
             limit_buffers(listener)
         serving = asyncio.create_task(server.serve(sockets=[listener]))
-
-        def end() -> None:
-            server.should_exit = True
-
         try:
-            yield end
+            yield server
         finally:
             server.should_exit = True
             server.force_exit = True
