A stop ends within its grace time, and cuts the last streams by itself

A process with streams to the end of its grace time was killed: it ended its requests 7.6 s after the signal (grace_s is 8), then revoked its lease, and then ended its four servers one after the other, each with two waits of up to 0.1 s, 8.05 to 8.22 s after the signal. A response that had begun was not ended at all, but broke when the process was killed.

The lease is revoked meanwhile, and all servers end at the same time.

--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -37,9 +37,9 @@
 # Time after the stop signal for which new requests are still served: the load balancer
 # needs two failed probes, one second apart, and its clients' connections stay open.
 BALANCER_DRAIN_S = 2.6
-# Fraction of the grace time after which requests that still run are ended: those whose
-# response has begun are cut off.
-GRACE_FRACTION = 0.95
+# End of the grace time in which the process ends. Requests that still run are ended
+# before it: those whose response has begun are cut off.
+END_S = 0.6
 # Longest time for the final responses of the others.
 FINAL_RESPONSES_S = 0.1
 DRAIN_CHECK_INTERVAL_S = 0.05
@@ -93,9 +93,11 @@
         )
         probe_server = servers.make_small(probe_app)
         caller_server = servers.make(caller_app)
+        open_servers = [probe_server, caller_server]
         await stack.enter_async_context(_serving(probe_server, options.probe_address))
         if options.metrics_address:
             metrics_server = servers.make_small(make_metrics_app(metrics.registry))
+            open_servers.append(metrics_server)
             await stack.enter_async_context(
                 _serving(metrics_server, options.metrics_address)
             )
@@ -113,6 +115,7 @@
                 subsystems.services, lifecycle=subsystems.lifecycle
             )
             relay_server = servers.make_relay(relay_app)
+            open_servers.append(relay_server)
             await stack.enter_async_context(
                 _serving(
                     relay_server,
@@ -129,6 +132,9 @@
             await stop.wait()
             signalled_s = clock()
             await _drain(subsystems, options, clock, caller_port)
+            # Each takes a moment to end, so they end at the same time.
+            for server in open_servers:
+                _end_server(server)
     store_calls.log()
     get_logger().info(
         "gateway_stopped", after_signal_ms=round((clock() - signalled_s) * 1000)
@@ -246,7 +252,7 @@
     """
     lifecycle = subsystems.lifecycle
     signalled_s = clock()
-    ends_s = signalled_s + options.grace_s * GRACE_FRACTION
+    ends_s = signalled_s + max(0.0, options.grace_s - END_S)
     lifecycle.begin_stop(ends_at_s=ends_s)
     subsystems.placement.stop()
     get_logger().info("drain_started", running=lifecycle.running_requests)
@@ -260,9 +266,12 @@
         await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
     running = lifecycle.running_requests
     lifecycle.end_requests()
-    while lifecycle.running_requests and clock() < ends_s + FINAL_RESPONSES_S:
+    leaving = asyncio.create_task(subsystems.membership.leave())
+    latest_s = ends_s + FINAL_RESPONSES_S
+    while lifecycle.running_requests and clock() < latest_s:
         await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
-    await subsystems.membership.leave()
+    await asyncio.wait((leaving,), timeout=max(0.0, latest_s - clock()))
+    await cancel_all([leaving])
     get_logger().info(
         "drain_finished",
         running=running,
@@ -299,6 +308,11 @@
         try:
             yield server
         finally:
-            server.should_exit = True
-            server.force_exit = True
+            _end_server(server)
             await asyncio.gather(serving, return_exceptions=True)
+
+
+def _end_server(server: CallerServer) -> None:
+    """Have the server end without waiting for its connections."""
+    server.should_exit = True
+    server.force_exit = True
--- a/packages/gateway/src/jaytray_gateway/request/time_limit.py
+++ b/packages/gateway/src/jaytray_gateway/request/time_limit.py
@@ -2,7 +2,8 @@
 
 Attempts end in time by themselves. The steps around them, such as looking up where a
 stream began, have time limits of their own, which may be longer than what the request
-has left. A response that has begun is not ended, however slowly its caller reads.
+has left. A response that has begun is not ended when it is due, however slowly its
+caller reads; it is cut off when the process stops.
 """
 
 import asyncio
@@ -39,7 +40,7 @@
 
     def end_request() -> None:
         nonlocal is_ended
-        if not reply.is_started and not limit.expired():
+        if not reply.is_finished and not limit.expired():
             is_ended = True
             limit.reschedule(asyncio.get_running_loop().time())
 
