Responses that are no HTTP are failures on every path

The users ask about a response with status 000 that a client got as an answer. Here a caller got 502 for it before as well, as the parser refuses statuses below 100 (tests of 16 forms on the path of targets, members and calls to the store and to targets). Of the same class, these were taken for answers: - statuses 600 to 999 of targets: the caller's connection was closed without an answer, as the callers' server knows no such status; by way of another member as well. - versions of the protocol other than 1.x, and responses with both a length and chunks: passed on as successes. Two ends may frame the latter differently. - the same in responses to calls (store, orders, reports, members): a write to the store counted as certainly not done, although nothing promised that.

--- a/packages/core/src/jaytray_core/adapters/http_pool.py
+++ b/packages/core/src/jaytray_core/adapters/http_pool.py
@@ -18,6 +18,7 @@
 
 from jaytray_core.adapters.held_bodies import PROCESS_BODIES, HeldBodies
 from jaytray_core.exchange_errors import ExchangeError, ExchangeProgress
+from jaytray_core.response_heads import head_fault
 
 Headers = list[tuple[str, str]]
 
@@ -90,6 +91,7 @@
         try:
             response = await self._read_head(transport, request)
             try:
+                _check_head(response)
                 yield response
             finally:
                 await response.aclose()
@@ -215,5 +217,14 @@
         return body.whole()
 
 
+def _check_head(response: httpx.Response) -> None:
+    """Raise `ExchangeError` if the head is not valid HTTP."""
+    version = response.http_version.removeprefix("HTTP/").encode("latin-1")
+    names = {name.lower().encode("latin-1") for name in response.headers}
+    fault = head_fault(response.status_code, version, names)
+    if fault is not None:
+        raise ExchangeError(progress=ExchangeProgress.BROKEN, detail=fault)
+
+
 def _exchange_error(progress: ExchangeProgress, err: Exception) -> ExchangeError:
     return ExchangeError(progress=progress, detail=str(err) or type(err).__name__)
--- a/packages/gateway/src/jaytray_gateway/connection/target_connection.py
+++ b/packages/gateway/src/jaytray_gateway/connection/target_connection.py
@@ -13,6 +13,7 @@
 
 from jaytray_core.addresses import parse_address
 from jaytray_core.exchange_errors import ExchangeError, ExchangeProgress
+from jaytray_core.response_heads import head_fault
 from jaytray_core.tcp_options import KeepAlive, set_keep_alive
 from jaytray_gateway.ports import HeaderList
 
@@ -141,6 +142,8 @@
                 raise ExchangeError(
                     progress=ExchangeProgress.BROKEN, detail=str(err)
                 ) from err
+            if isinstance(event, h11.Response):
+                _check_head(event)
             if isinstance(event, (h11.Response, h11.Data, h11.EndOfMessage)):
                 return event
             if isinstance(event, h11.InformationalResponse):
@@ -238,6 +241,14 @@
             self._data_waiter.set_result(None)
 
 
+def _check_head(head: h11.Response) -> None:
+    """Raise `ExchangeError` if the head is not valid HTTP."""
+    names = {name for name, _ in head.headers}
+    fault = head_fault(head.status_code, head.http_version, names)
+    if fault is not None:
+        raise ExchangeError(progress=ExchangeProgress.BROKEN, detail=fault)
+
+
 async def open_connection(
     address: str, *, timeout_s: float, max_buffered_bytes: int = MAX_BUFFERED_BYTES
 ) -> TargetConnection:
