Wait on for a late response head if no other target can take the request

The cause of the cut streams, on another path: the first attempt of a request that may be repeated waited for half of the remaining time, and was then given up whether or not another attempt could be made. With one target left its caller got 502 at half of the time limit, and the target's answer a moment later was dropped. The same decision now holds for heads and for streams (`request/stalls.py`).

--- a/packages/gateway/src/jaytray_gateway/request/attempt.py
+++ b/packages/gateway/src/jaytray_gateway/request/attempt.py
@@ -17,6 +17,7 @@
     may_have_run_error,
 )
 from jaytray_gateway.request.services import RequestServices
+from jaytray_gateway.request.stalls import extended_wait_s
 from jaytray_gateway.request.target_exchange import TargetExchange, exchange_with
 from jaytray_gateway.version.route_table import RequestKind
 
@@ -29,11 +30,6 @@
 # Fraction of the stall time for which a target that ends no event may be silent and
 # still counts as sending. Sound targets may be silent for more than a second.
 SILENT_FRACTION = 0.6
-# Interval at which a stream that stalls is checked for another target.
-STALL_CHECK_INTERVAL_S = 0.25
-# A wait that ends so late shows that this process was held up. What has arrived in the
-# meantime is read first.
-OVERSLEPT_S = 0.1
 # A target that accepts no connection for this long counts as unreachable although the
 # request's time limit ended the wait.
 MIN_CONNECT_S = 0.1
@@ -161,8 +157,7 @@
     services: RequestServices,
 ) -> bool:
     """Relay the response; returns whether it is a success."""
-    until_s = _head_deadline_s(state, services)
-    head = await exchange.read_head(until_s)
+    head = await _read_head(state, exchange, services)
     services.reach.record_bytes(state.service.name)
     if state.sent_at_s is not None:
         services.limits.record_response(
@@ -191,7 +186,7 @@
     if is_success and state.admitted.route.kind is RequestKind.STREAM:
         await _relay_stream(state, target, in_flight, exchange, head, reply, services)
         return True
-    body = await exchange.read_body(until_s)
+    body = await exchange.read_body(_attempt_deadline_s(state, services))
     state.runs += 1
     is_error = head.status >= HTTP_SERVER_ERROR
     if state.paced is not None and state.sent_at_s is not None:
@@ -234,12 +229,10 @@
         try:
             chunk = await exchange.read_chunk(until_s)
         except ExchangeError as err:
-            now_s = services.clock()
-            if err.progress is ExchangeProgress.TIMED_OUT and now_s < expires_at_s:
-                is_overslept = now_s - until_s > OVERSLEPT_S
-                if is_overslept or not _may_move(state, services):
-                    stays_until_s = now_s + STALL_CHECK_INTERVAL_S
-                    continue
+            extended_s = extended_wait_s(err, state, services, until_s=until_s)
+            if extended_s is not None:
+                stays_until_s = extended_s
+                continue
             is_sending = received_at_s > services.clock() - stall_s * SILENT_FRACTION
             is_unending = is_sending and until_s - event_at_s >= stall_s
             if err.progress is ExchangeProgress.TIMED_OUT and is_unending:
@@ -285,23 +278,6 @@
     await reply.finish()
 
 
-def _may_move(state: RequestState, services: RequestServices) -> bool:
-    """Return whether a stream that stalls could be resumed by another attempt now."""
-    service = state.service
-    if state.runs + 1 >= state.admitted.route.max_attempts:
-        return False
-    if not services.budget.has_token(service.name):
-        return False
-    if services.reach.is_cut_off(service.name) and not state.relayed_for:
-        return services.relays.choose(service.name, state.tried_members) is not None
-    return services.search.has_other(
-        state.admitted,
-        service,
-        state.tried,
-        software_version=state.required_version,
-    )
-
-
 def _is_queued(
     target: TargetEntry, state: RequestState, services: RequestServices
 ) -> bool:
@@ -379,8 +355,22 @@
         services.part_guard.record_begun_response(parts)
 
 
-def _head_deadline_s(state: RequestState, services: RequestServices) -> float:
-    """Return the time until which this attempt may wait for a response head."""
+async def _read_head(
+    state: RequestState, exchange: TargetExchange, services: RequestServices
+) -> ResponseHead:
+    until_s = _attempt_deadline_s(state, services)
+    while True:
+        try:
+            return await exchange.read_head(until_s)
+        except ExchangeError as err:
+            extended_s = extended_wait_s(err, state, services, until_s=until_s)
+            if extended_s is None:
+                raise
+            until_s = extended_s
+
+
+def _attempt_deadline_s(state: RequestState, services: RequestServices) -> float:
+    """Return the time until which this attempt may wait for a head or its body."""
     route = state.admitted.route
     expires_at_s = state.admitted.expires_at_s
     if route.kind is not RequestKind.IDEMPOTENT or state.runs + 1 >= route.max_attempts:
--- a/packages/gateway/tests/request/test_silent_targets.py
+++ b/packages/gateway/tests/request/test_silent_targets.py
@@ -3,7 +3,14 @@
 from testtools import TestCase
 
 from jaytray_core.clock import monotonic_clock
-from packages.gateway.tests.request.cases import CUT, EVENTS, OK, REST, RESUMABLE
+from packages.gateway.tests.request.cases import (
+    CUT,
+    EVENTS,
+    IDEMPOTENT,
+    OK,
+    REST,
+    RESUMABLE,
+)
 from packages.gateway.tests.request.harness import GatewayHarness
 from packages.gateway.tests.request.scripted_target import ScriptedResponse
 from packages.gateway.tests.request.support import run_with_harness
@@ -19,6 +26,28 @@
 RESUMED = ScriptedResponse(body=REST, is_stream=True)
 
 
+class SlowHeadTests(TestCase):
+    """Requests that may be repeated were given up at half of their time."""
+
+    LATE = ScriptedResponse(body=b"late", delay_s=SILENCE_S)
+    HALF_S = SILENCE_S - 0.3
+    LIMIT_S = 2 * HALF_S
+
+    def check(self, expected: bytes, *others: list[ScriptedResponse]) -> None:
+        async def check(harness: GatewayHarness) -> None:
+            received = await harness.send_request()
+            self.assertEqual((200, expected), (received.status, received.body))
+
+        route = IDEMPOTENT._replace(timeout_s=self.LIMIT_S)
+        run_with_harness(check, [self.LATE], *others, route=route)
+
+    def test_late_response_is_awaited_if_there_is_no_other_target(self) -> None:
+        self.check(b"late")
+
+    def test_request_goes_to_another_target_at_half_of_its_time(self) -> None:
+        self.check(b"ok", [OK])
+
+
 class SilentTargetTests(TestCase):
     """Streams ended in the middle although their targets went on a moment later."""
 
