Streams that have begun last until their time limit, not 40 ms less

Streams that reached the limit of their route or caller were cut 40 ms before it: the margin that lets a final response arrive in time was taken off streams as well, and off the time that their targets are given. What a target sent in that time was lost, and by the rule for planned stops a stream that ends before its limit counts as cut by its VM.

Streams of another member too.

The two tests `..._before_its_limit` failed before.

--- a/packages/gateway/src/jaytray_gateway/request/admission.py
+++ b/packages/gateway/src/jaytray_gateway/request/admission.py
@@ -25,7 +25,10 @@
 
 
 class AdmittedRequest(NamedTuple):
-    """An admitted request; `expires_at_s` is when its final response is due."""
+    """An admitted request.
+
+    `expires_at_s` is when its final response is due, a little before its time limit.
+    """
 
     request: RoutedRequest
     table_version: int
@@ -35,6 +38,11 @@
     priority: int
     expires_at_s: float
 
+    @property
+    def limit_at_s(self) -> float:
+        """Return the time limit, until which a response that has begun may last."""
+        return self.expires_at_s + RESPONSE_MARGIN_S
+
     @property
     def account_name(self) -> str:
         """Return the client account's name, or an empty string on a public route."""
--- a/packages/gateway/src/jaytray_gateway/request/attempt.py
+++ b/packages/gateway/src/jaytray_gateway/request/attempt.py
@@ -6,6 +6,7 @@
 from jaytray_gateway.process.prompt_part_guard import RESPONSE_BEGUN_S
 from jaytray_gateway.process.stream_origins import StreamOrigin, stream_key
 from jaytray_gateway.process.target_entry import TargetEntry
+from jaytray_gateway.request.admission import AdmittedRequest
 from jaytray_gateway.request.caller_timeout import stall_timeout_s
 from jaytray_gateway.request.event_buffer import EventBoundary
 from jaytray_gateway.request.reply import CallerReply
@@ -90,7 +91,7 @@
         return Dispatch(
             target_id=target.target_id,
             account=admitted.account_name,
-            time_left_s=max(0.001, admitted.expires_at_s - services.clock()),
+            time_left_s=max(0.001, _target_limit_s(admitted) - services.clock()),
             priority=admitted.priority if state.service.engine else None,
             resume_event_id=(
                 state.event_buffer.last_event_id if state.event_buffer else ""
@@ -215,21 +216,24 @@
     services: RequestServices,
 ) -> None:
     """Relay the stream in chunks; the head is sent with the first one."""
-    expires_at_s = state.admitted.expires_at_s
-    stall_s = stall_timeout_s(state.admitted.route)
+    admitted = state.admitted
+    stall_s = stall_timeout_s(admitted.route)
     progress_at_s = services.clock()
     event_at_s = received_at_s = progress_at_s
     # Until then the stream stays with its target although it ends no event.
     stays_until_s = progress_at_s
     boundary = EventBoundary()
     while True:
-        until_s = expires_at_s
+        limit_s = admitted.limit_at_s if reply.is_started else admitted.expires_at_s
+        until_s = limit_s
         if state.event_buffer is not None and state.first_piece_s is not None:
             until_s = min(until_s, max(progress_at_s + stall_s, stays_until_s))
         try:
             chunk = await exchange.read_chunk(until_s)
         except ExchangeError as err:
-            extended_s = extended_wait_s(err, state, services, until_s=until_s)
+            extended_s = extended_wait_s(
+                err, state, services, until_s=until_s, limit_s=limit_s
+            )
             if extended_s is not None:
                 stays_until_s = extended_s
                 continue
@@ -278,6 +282,12 @@
     await reply.finish()
 
 
+def _target_limit_s(admitted: AdmittedRequest) -> float:
+    """Return until when the target may work: streams are passed on as they come."""
+    is_stream = admitted.route.kind is RequestKind.STREAM
+    return admitted.limit_at_s if is_stream else admitted.expires_at_s
+
+
 def _is_queued(
     target: TargetEntry, state: RequestState, services: RequestServices
 ) -> bool:
@@ -363,7 +373,13 @@
         try:
             return await exchange.read_head(until_s)
         except ExchangeError as err:
-            extended_s = extended_wait_s(err, state, services, until_s=until_s)
+            extended_s = extended_wait_s(
+                err,
+                state,
+                services,
+                until_s=until_s,
+                limit_s=state.admitted.expires_at_s,
+            )
             if extended_s is None:
                 raise
             until_s = extended_s
--- a/packages/gateway/src/jaytray_gateway/request/relay.py
+++ b/packages/gateway/src/jaytray_gateway/request/relay.py
@@ -223,6 +223,8 @@
         await reply.send_complete(head.status_code, headers, body)
         return
     while (chunk := await exchange.read_chunk(until_s)) is not None:
+        # A response that has begun may last until the time limit.
+        until_s = state.admitted.limit_at_s
         state.note_chunk(services.clock())
         if state.event_buffer is not None:
             chunk = state.event_buffer.feed(chunk)
--- a/packages/gateway/src/jaytray_gateway/request/stalls.py
+++ b/packages/gateway/src/jaytray_gateway/request/stalls.py
@@ -21,16 +21,19 @@
     services: RequestServices,
     *,
     until_s: float,
+    limit_s: float,
 ) -> float | None:
-    """Return until when to wait on after a wait until `until_s`, None to give up."""
+    """Return until when to wait on after a wait until `until_s`, None to give up.
+
+    It is `limit_s` at the latest.
+    """
     now_s = services.clock()
-    expires_at_s = state.admitted.expires_at_s
-    if err.progress is not ExchangeProgress.TIMED_OUT or now_s >= expires_at_s:
+    if err.progress is not ExchangeProgress.TIMED_OUT or now_s >= limit_s:
         return None
     was_held_up = now_s - until_s > OVERSLEPT_S
     if not was_held_up and _may_move(state, services):
         return None
-    return min(expires_at_s, now_s + CHECK_INTERVAL_S)
+    return min(limit_s, now_s + CHECK_INTERVAL_S)
 
 
 def _may_move(state: RequestState, services: RequestServices) -> bool:
--- a/packages/gateway/tests/request/test_time_limits.py
+++ b/packages/gateway/tests/request/test_time_limits.py
@@ -120,6 +120,36 @@
         route = route._replace(timeout_s=LIMIT_S)
         run_with_harness(check, [events], route=route)
 
+    def test_stream_that_has_begun_is_not_cut_before_its_limit(self) -> None:
+        async def check(harness: GatewayHarness) -> None:
+            begun_s = monotonic_clock()
+            received = await harness.send_request()
+            self.assertEqual((EVENTS, False), (received.body, received.is_whole))
+            self.assertGreaterEqual(monotonic_clock() - begun_s, LIMIT_S)
+
+        silent = ScriptedResponse(
+            body=EVENTS, is_stream=True, pieces=(b"id: 3\n",), piece_pause_s=5.0
+        )
+        for route in (STREAM, RESUMABLE):
+            run_with_harness(check, [silent], route=route._replace(timeout_s=LIMIT_S))
+
+    def test_stream_of_another_member_is_not_cut_before_its_limit(self) -> None:
+        async def run() -> None:
+            silent = ScriptedResponse(
+                body=EVENTS, is_stream=True, pieces=(b"id: 3\n",), piece_pause_s=5.0
+            )
+            route = STREAM._replace(timeout_s=1.0)
+            async with open_fleet([silent], route=route, vms=2) as fleet:
+                cut_off, _ = fleet.vms
+                cut_off.set_link(TargetLink.RESET)
+                await cut_off.send_request()
+                begun_s = monotonic_clock()
+                received = await cut_off.send_request()
+                self.assertEqual((EVENTS, False), (received.body, received.is_whole))
+                self.assertGreaterEqual(monotonic_clock() - begun_s, 1.0)
+
+        asyncio.run(run())
+
     def test_stream_whose_origin_no_member_states(self) -> None:
         async def run() -> None:
             route = RESUMABLE._replace(timeout_s=LIMIT_S)
