A stop signal that comes in a pause of the process counts from its beginning

A VM that was paused when its signal came took long requests for 2.6 s from the end of the pause, that is, up to 3.9 s after the signal, and cut them when its grace time was over. `PauseWatch` tells how long a pause has lasted that has just ended; requests that may last too long are refused from the earliest time at which the signal may have come, and those under way keep 0.85 of the grace time from when it was noticed.

--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -20,7 +20,7 @@
 from jaytray_gateway.ports import PlatformAdapter
 from jaytray_gateway.process.metrics import GatewayMetrics
 from jaytray_gateway.process.options import GatewayOptions
-from jaytray_gateway.process.pause_watch import watch_pauses
+from jaytray_gateway.process.pause_watch import PauseWatch
 from jaytray_gateway.process.store_calls import StoreCalls
 from jaytray_gateway.process.subsystems import Subsystems, build_subsystems
 from jaytray_gateway.request.relayed_request import make_relay_app
@@ -40,6 +40,9 @@
 # End of the grace time in which the process ends. Requests that still run are ended
 # before it: those whose response has begun are cut off.
 END_S = 0.6
+# Fraction of the grace time that requests have from the time at which the signal is
+# noticed, which a pause of the process delays.
+LEAST_GRACE_FRACTION = 0.85
 # Longest time for the final responses of the others.
 FINAL_RESPONSES_S = 0.1
 DRAIN_CHECK_INTERVAL_S = 0.05
@@ -75,6 +78,7 @@
     subsystems = build_subsystems(
         options, adapter, key_value, lease_key_value, metrics, store_calls, clock
     )
+    pause_watch = PauseWatch(clock=clock, metrics=metrics)
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(subsystems.hub.listen(options.peers_address))
         stack.callback(subsystems.pools.close)
@@ -106,7 +110,7 @@
                 {
                     **_background_tasks(subsystems),
                     "caller_sweeps": servers.run_sweeps,
-                    "pause_watch": lambda: watch_pauses(clock=clock, metrics=metrics),
+                    "pause_watch": pause_watch.run,
                 }
             )
         )
@@ -131,7 +135,10 @@
             )
             await stop.wait()
             signalled_s = clock()
-            await _drain(subsystems, options, clock, caller_port)
+            earliest_s = signalled_s - pause_watch.current_pause_s()
+            await _drain(
+                subsystems, options, clock, caller_port, earliest_signal_s=earliest_s
+            )
             # Each takes a moment to end, so they end at the same time.
             for server in open_servers:
                 _end_server(server)
@@ -245,18 +252,24 @@
     options: GatewayOptions,
     clock: MonotonicClock,
     caller_port: CallerServer,
+    *,
+    earliest_signal_s: float,
 ) -> None:
     """Fail the readiness probe, then close connections as their responses finish.
 
-    A connection stays until its caller has been sent all of the last response.
+    A connection stays until its caller has been sent all of the last response. The
+    signal came at `earliest_signal_s` or since, if the process was paused.
     """
     lifecycle = subsystems.lifecycle
     signalled_s = clock()
-    ends_s = signalled_s + max(0.0, options.grace_s - END_S)
+    ends_s = max(
+        earliest_signal_s + options.grace_s - END_S,
+        signalled_s + options.grace_s * LEAST_GRACE_FRACTION,
+    )
     lifecycle.begin_stop(ends_at_s=ends_s)
     subsystems.placement.stop()
     get_logger().info("drain_started", running=lifecycle.running_requests)
-    await asyncio.sleep(BALANCER_DRAIN_S)
+    await asyncio.sleep(max(0.0, earliest_signal_s + BALANCER_DRAIN_S - clock()))
     lifecycle.refuses_late = True
     caller_port.should_exit = True
     while (
--- a/packages/gateway/tests/process/test_pause_watch.py
+++ b/packages/gateway/tests/process/test_pause_watch.py
@@ -9,7 +9,7 @@
 from jaytray_core.clock import monotonic_clock
 from jaytray_core.tasks import cancel_all
 from jaytray_gateway.process.metrics import GatewayMetrics
-from jaytray_gateway.process.pause_watch import CHECK_INTERVAL_S, watch_pauses
+from jaytray_gateway.process.pause_watch import CHECK_INTERVAL_S, PauseWatch
 
 
 class PauseWatchTests(TestCase):
@@ -17,8 +17,8 @@
         """Return the pauses that are logged when the event loop is held up once."""
 
         async def run() -> None:
-            watch = watch_pauses(clock=monotonic_clock, metrics=GatewayMetrics())
-            task = asyncio.create_task(watch)
+            watch = PauseWatch(clock=monotonic_clock, metrics=GatewayMetrics())
+            task = asyncio.create_task(watch.run())
             await asyncio.sleep(CHECK_INTERVAL_S / 2)
             time.sleep(pause_s)
             await asyncio.sleep(CHECK_INTERVAL_S * 2)
@@ -36,3 +36,19 @@
 
     def test_short_pause_is_not_logged(self) -> None:
         self.assertEqual([], self.logged_pauses_ms(0.05))
+
+    def test_pause_is_known_at_its_end_and_forgotten_soon(self) -> None:
+        async def run() -> tuple[float, float]:
+            watch = PauseWatch(clock=monotonic_clock, metrics=GatewayMetrics())
+            task = asyncio.create_task(watch.run())
+            await asyncio.sleep(CHECK_INTERVAL_S / 2)
+            time.sleep(1.0)
+            at_end_s = watch.current_pause_s()
+            await asyncio.sleep(CHECK_INTERVAL_S * 3)
+            later_s = watch.current_pause_s()
+            await cancel_all([task])
+            return at_end_s, later_s
+
+        at_end_s, later_s = asyncio.run(run())
+        self.assertGreater(at_end_s, 0.8)
+        self.assertLess(later_s, 0.5)
