--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -39,7 +39,7 @@
 BALANCER_DRAIN_S = 2.6
 # End of the grace time in which the process ends. Requests that still run are ended
 # before it: those whose response has begun are cut off.
-END_S = 0.6
+END_S = 0.9
 # Fraction of the grace time that requests have from the time at which the signal is
 # noticed, which a pause of the process delays.
 LEAST_GRACE_FRACTION = 0.85
