--- a/packages/gateway/src/jaytray_gateway/connection/bounded_protocol.py
+++ b/packages/gateway/src/jaytray_gateway/connection/bounded_protocol.py
@@ -24,10 +24,8 @@
 )
 from jaytray_gateway.connection.caller_transport import CallerTransport
 from jaytray_gateway.process.memory_budget import PROGRESS_BYTES, Stage
-from jaytray_server.connection.caller_protocol import CallerProtocol
+from jaytray_server.connection.caller_protocol import CONNECTION_STATE, CallerProtocol
 
-# Key in the state of the ASGI scope for the connection of a request.
-CONNECTION_STATE = "caller_connection"
 # Unparsed bytes with which reading pauses.
 MAX_UNPARSED_BYTES = 16_384
 # Sizes of pieces that are parsed at once: of bodies with a length, and of chunked ones,
@@ -64,7 +62,8 @@
     `scope` is that of an ASGI application; its connection may be without bounds.
     """
     connection = scope.get("state", {}).get(CONNECTION_STATE)
-    if connection is not None and not connection.may_run():
+    is_bounded = isinstance(connection, BoundedCallerProtocol)
+    if is_bounded and not connection.may_run():
         raise JaytrayError(
             messages.MEMORY_FULL, step=Step.ADMIT, retry_after_s=RETRY_AFTER_S
         )
@@ -95,7 +94,6 @@
 
     def __init__(self, *, bounds: CallerBounds, **options: Any) -> None:
         super().__init__(**options)
-        self.app_state = {**self.app_state, CONNECTION_STATE: self}
         self._bounds = bounds
         self._unparsed = bytearray()
         self._searched = 0
--- a/packages/gateway/src/jaytray_gateway/connection/caller_app.py
+++ b/packages/gateway/src/jaytray_gateway/connection/caller_app.py
@@ -29,6 +29,7 @@
 from jaytray_server.request.caller_presence import (
     CallerDisconnected,
     cancel_on_disconnect,
+    departure_check,
 )
 
 Receive = Callable[[], Awaitable[Any]]
@@ -48,7 +49,11 @@
     async def serve(scope: Any, receive: Receive, send: Send) -> None:
         if scope["type"] != "http":
             return
-        reply = CallerReply(send=send, closes_connection=lifecycle.is_stopping)
+        reply = CallerReply(
+            send=send,
+            closes_connection=lifecycle.is_stopping,
+            has_caller_left=departure_check(scope),
+        )
         lifecycle.running_requests += 1
         try:
             await _serve_one(scope, receive, reply)
--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -19,6 +19,8 @@
         "last_event_id sends runs first_piece_ms chunks silent_ms digest prompt_parts "
         "detail"
     ).split(),
+    # A request that is due to be sent to a target or a member, without a caller.
+    "caller_left_before_send": "request_id relayed_for sends runs waited_ms".split(),
     "unused_body_not_read": ("detail",),
     # An error in the code that handles a request; `exc_info` becomes the traceback.
     "request_error": "request_id error exc_info".split(),
--- a/packages/gateway/src/jaytray_gateway/request/relayed_request.py
+++ b/packages/gateway/src/jaytray_gateway/request/relayed_request.py
@@ -44,6 +44,7 @@
 from jaytray_server.request.caller_presence import (
     CallerDisconnected,
     cancel_on_disconnect,
+    departure_check,
 )
 
 STATUS_OK = 200
@@ -59,7 +60,11 @@
     async def serve(scope: Any, receive: Any, send: Any) -> None:
         if scope["type"] != "http":
             return
-        reply = CallerReply(send=send, closes_connection=lifecycle.is_stopping)
+        reply = CallerReply(
+            send=send,
+            closes_connection=lifecycle.is_stopping,
+            has_caller_left=departure_check(scope),
+        )
         key = dict(scope["headers"]).get(RELAY_KEY_HEADER, b"")
         is_member = hmac.compare_digest(key, services.relays.own_key.encode())
         if scope["raw_path"] == TABLE_VERSION_PATH:
--- a/packages/gateway/src/jaytray_gateway/request/reply.py
+++ b/packages/gateway/src/jaytray_gateway/request/reply.py
@@ -11,14 +11,22 @@
 class CallerReply:
     """One response: `start` once, then any number of `send`, then `finish`.
 
-    `on_start` is called before the first byte is sent.
+    `on_start` is called before the first byte is sent. `has_caller_left` asks whether
+    the caller has left, which may not have been noticed yet.
     """
 
-    def __init__(self, *, send: Send, closes_connection: bool) -> None:
+    def __init__(
+        self,
+        *,
+        send: Send,
+        closes_connection: bool,
+        has_caller_left: Callable[[], bool] = lambda: False,
+    ) -> None:
         self.is_started = False
         self.is_finished = False
         self.status = 0
         self.closes_connection = closes_connection
+        self.has_caller_left = has_caller_left
         self.on_start: Callable[[], None] | None = None
         self._send = send
 
--- a/packages/gateway/src/jaytray_gateway/request/run_state.py
+++ b/packages/gateway/src/jaytray_gateway/request/run_state.py
@@ -151,6 +151,20 @@
     )
 
 
+def log_if_caller_left(state: RequestState, has_left: bool, *, now_s: float) -> None:
+    """Log that a request is due to be sent whose caller has left."""
+    if has_left:
+        request = state.admitted.request
+        get_logger().info(
+            "caller_left_before_send",
+            request_id=request.request_id,
+            relayed_for=state.relayed_for,
+            sends=state.sends,
+            runs=state.runs,
+            waited_ms=_milliseconds_between(request.received_at_s, now_s),
+        )
+
+
 def _last_event_id(state: RequestState) -> str:
     """Return the id of the last event that the caller has received."""
     received = state.event_buffer.last_event_id if state.event_buffer else ""
--- a/packages/server/src/jaytray_server/connection/caller_protocol.py
+++ b/packages/server/src/jaytray_server/connection/caller_protocol.py
@@ -14,8 +14,11 @@
 
 from jaytray_core import message_registry as messages
 from jaytray_core.errors import JaytrayError, Step
+from jaytray_core.peer_close import is_closed_by_peer
 from jaytray_core.refusal_body import encode_refusal
 
+# Key in the state of the ASGI scope for the connection of a request.
+CONNECTION_STATE = "caller_connection"
 _FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 
 
@@ -51,6 +54,7 @@
         self, *, current_timeouts: Callable[[], CallerTimeouts], **options: Any
     ) -> None:
         super().__init__(**options)
+        self.app_state = {**self.app_state, CONNECTION_STATE: self}
         timeouts = current_timeouts()
         self._header_timeout_s = timeouts.header_s
         # uvicorn declares an int but only passes it to `call_later`: a float works.
@@ -66,6 +70,13 @@
             self.timeout_keep_alive, self.timeout_keep_alive_handler
         )
 
+    @property
+    def has_caller_left(self) -> bool:
+        """Return whether the caller has closed the connection, also if not yet seen."""
+        return self.transport.is_closing() or is_closed_by_peer(
+            self.transport.get_extra_info("socket")
+        )
+
     def timeout_keep_alive_handler(self) -> None:
         """Close the connection unless a response to a pipelined request is pending."""
         if self.conn.our_state not in (h11.SEND_RESPONSE, h11.SEND_BODY):
--- a/packages/server/src/jaytray_server/request/caller_presence.py
+++ b/packages/server/src/jaytray_server/request/caller_presence.py
@@ -5,6 +5,7 @@
 from typing import Any, TypeVar
 
 from jaytray_core.tasks import cancel_all
+from jaytray_server.connection.caller_protocol import CONNECTION_STATE, CallerProtocol
 
 T = TypeVar("T")
 Receive = Callable[[], Awaitable[Any]]
@@ -14,6 +15,17 @@
     """The caller closed its connection or stopped reading."""
 
 
+def departure_check(scope: Any) -> Callable[[], bool]:
+    """Return a function that tells whether the caller of a request has left.
+
+    `scope` is that of an ASGI application; without a connection no caller ever leaves.
+    """
+    connection = scope.get("state", {}).get(CONNECTION_STATE)
+    if not isinstance(connection, CallerProtocol):
+        return lambda: False
+    return lambda: connection.has_caller_left
+
+
 async def cancel_on_disconnect(receive: Receive, work: Coroutine[Any, Any, T]) -> T:
     """Return the result of `work`; cancel it when the caller disconnects.
 
