Requests whose caller has left are not sent

Callers give up a request that is not read after a second, so a member that is behind sends only such requests.

Cause: the event loop reads a request in one turn and the close behind it in the next; the request is sent in between if a connection to the target is idle. The same at the end of each wait.

Change: the kernel is asked whether the connection is closed before a request is admitted, so that it is not charged, and right before each send to a target or to another member. Such a request ends as if its close had been read.

--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -19,7 +19,7 @@
         "last_event_id sends runs first_piece_ms chunks silent_ms digest prompt_parts "
         "detail"
     ).split(),
-    # A request that is due to be sent to a target or a member, without a caller.
+    # A request that is not sent, as its caller has left.
     "caller_left_before_send": "request_id relayed_for sends runs waited_ms".split(),
     "unused_body_not_read": ("detail",),
     # An error in the code that handles a request; `exc_info` becomes the traceback.
--- a/packages/gateway/src/jaytray_gateway/request/attempt.py
+++ b/packages/gateway/src/jaytray_gateway/request/attempt.py
@@ -15,7 +15,7 @@
     AttemptNotRun,
     ErrorResponse,
     RequestState,
-    log_if_caller_left,
+    check_caller,
     may_have_run_error,
 )
 from jaytray_gateway.request.services import RequestServices
@@ -84,7 +84,7 @@
         # The request may have been quarantined while it waited for a replica.
         services.crash_guard.check(state.digest)
         services.part_guard.check(request.shared_part_ids)
-        log_if_caller_left(state, reply.has_caller_left(), now_s=services.clock())
+        check_caller(state, reply.has_caller_left, now_s=services.clock())
         # Last, as the permit is used up.
         if not services.permits.try_use(target):
             raise AttemptNotRun("no permit for a cold target", reached_target=False)
--- a/packages/gateway/src/jaytray_gateway/request/relay.py
+++ b/packages/gateway/src/jaytray_gateway/request/relay.py
@@ -25,7 +25,7 @@
     AttemptFailed,
     AttemptNotRun,
     RequestState,
-    log_if_caller_left,
+    check_caller,
 )
 from jaytray_gateway.request.services import RequestServices
 from jaytray_gateway.request.target_exchange import TargetExchange
@@ -114,7 +114,7 @@
         async with _connection_to(
             member, services, state.admitted.expires_at_s
         ) as connection:
-            log_if_caller_left(state, reply.has_caller_left(), now_s=services.clock())
+            check_caller(state, reply.has_caller_left, now_s=services.clock())
             state.note_sent(
                 services.clock(), copy_age_s=services.admission.table_age_s()
             )
--- a/packages/gateway/src/jaytray_gateway/request/request_path.py
+++ b/packages/gateway/src/jaytray_gateway/request/request_path.py
@@ -24,6 +24,7 @@
 from jaytray_gateway.request.services import RequestServices
 from jaytray_gateway.request.time_limit import time_limit
 from jaytray_gateway.version.route_table import RequestKind, choose_service
+from jaytray_server.request.caller_presence import CallerDisconnected
 
 # Attempts that may end without the target running the request before it is refused.
 MAX_ATTEMPTS_NOT_RUN = 3
@@ -37,6 +38,8 @@
     state: RequestState | None = None
     error: JaytrayError | None = None
     try:
+        if reply.has_caller_left():
+            raise CallerDisconnected
         admitted = await services.admission.admit(request)
         async with time_limit(admitted, reply, services, lambda: state):
             state = await _prepare(admitted, services)
--- a/packages/gateway/src/jaytray_gateway/request/run_state.py
+++ b/packages/gateway/src/jaytray_gateway/request/run_state.py
@@ -1,5 +1,6 @@
 """State of one admitted request, outcomes of its attempts, and its refusals."""
 
+from collections.abc import Callable
 from typing import Any
 
 from jaytray_core import message_registry as messages
@@ -10,6 +11,7 @@
 from jaytray_gateway.request.admission import AdmittedRequest
 from jaytray_gateway.request.event_buffer import EventBuffer
 from jaytray_gateway.version.route_table import RequestKind, Service
+from jaytray_server.request.caller_presence import CallerDisconnected
 
 # Retry-After when targets did not run the request.
 NOT_RUN_RETRY_S = 0.25
@@ -151,9 +153,11 @@
     )
 
 
-def log_if_caller_left(state: RequestState, has_left: bool, *, now_s: float) -> None:
-    """Log that a request is due to be sent whose caller has left."""
-    if has_left:
+def check_caller(
+    state: RequestState, has_caller_left: Callable[[], bool], *, now_s: float
+) -> None:
+    """Raise `CallerDisconnected` if there is no caller to send the request for."""
+    if has_caller_left():
         request = state.admitted.request
         get_logger().info(
             "caller_left_before_send",
@@ -163,6 +167,7 @@
             runs=state.runs,
             waited_ms=_milliseconds_between(request.received_at_s, now_s),
         )
+        raise CallerDisconnected
 
 
 def _last_event_id(state: RequestState) -> str:
--- a/packages/gateway/tests/request/scripted_target.py
+++ b/packages/gateway/tests/request/scripted_target.py
@@ -63,6 +63,8 @@
         self.repeated_without_id = False
         self.heads: list[bytes] = []
         self.open_connections = 0
+        # Requests that are being responded to.
+        self.running = 0
         self.address = "127.0.0.1:1"
 
     async def serve(
@@ -90,6 +92,19 @@
         length = int(header_value(head, b"content-length") or b"0")
         await reader.readexactly(length)
         self.heads.append(head)
+        self.running += 1
+        try:
+            return await self._respond(head, reader, writer, refusals)
+        finally:
+            self.running -= 1
+
+    async def _respond(
+        self,
+        head: bytes,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        refusals: list[bytes],
+    ) -> bool:
         parts = header_value(head, b"x-parts").split(b",")
         if self.crashing_part and self.crashing_part in parts:
             writer.write(_render(CRASH, header_value(head, b"x-id")))
--- a/packages/server/src/jaytray_server/connection/caller_protocol.py
+++ b/packages/server/src/jaytray_server/connection/caller_protocol.py
@@ -70,12 +70,17 @@
             self.timeout_keep_alive, self.timeout_keep_alive_handler
         )
 
-    @property
-    def has_caller_left(self) -> bool:
-        """Return whether the caller has closed the connection, also if not yet seen."""
-        return self.transport.is_closing() or is_closed_by_peer(
-            self.transport.get_extra_info("socket")
-        )
+    def end_if_caller_left(self) -> bool:
+        """Return whether the caller has closed the connection, also if not yet seen.
+
+        The connection is ended then, so that its request is told in the next turn.
+        """
+        if self.transport.is_closing():
+            return True
+        if is_closed_by_peer(self.transport.get_extra_info("socket")):
+            self.transport.abort()
+            return True
+        return False
 
     def timeout_keep_alive_handler(self) -> None:
         """Close the connection unless a response to a pipelined request is pending."""
