Callers that leave behind further bytes are noticed

Cause: BoundedCallerProtocol stopped reading once bytes of a next request had arrived behind the running one, and a socket that is not read shows neither an end nor a reset. The class: a watch that ends with what it depends on.

Change: the connection of a running request is read on. 64 KB of what follows are kept; beyond that reading pauses for 0.25 s, half of the time in which a caller that leaves is to be noticed, so that a long request behind a short one is served as before. After that, what arrives is dropped, and the request that lacks it is refused with 503 as not run, after the responses before it. The memory held is no more than before: a read of 64 KB could already follow.

--- a/packages/gateway/src/jaytray_gateway/connection/bounded_protocol.py
+++ b/packages/gateway/src/jaytray_gateway/connection/bounded_protocol.py
@@ -1,8 +1,8 @@
 """HTTP/1.1 for callers that may misbehave: bounds what is held for each connection.
 
 Heads are checked before they are parsed. Received bytes are parsed in pieces, and other
-tasks run in between. A request is not read before the response to the one before it is
-written, and a response that is not read ends its connection after a while.
+tasks run in between. A request is not parsed before the response to the one before it
+is written, and a response that is not read ends its connection after a while.
 """
 
 import asyncio
@@ -11,7 +11,6 @@
 from typing import Any
 
 import h11
-from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.h11_impl import RequestResponseCycle
 
 from jaytray_core import message_registry as messages
@@ -23,6 +22,8 @@
     CallerBounds,
 )
 from jaytray_gateway.connection.caller_transport import CallerTransport
+from jaytray_gateway.connection.paced_flow import PacedFlow
+from jaytray_gateway.connection.read_ahead import ReadAhead
 from jaytray_gateway.process.memory_budget import PROGRESS_BYTES, Stage
 from jaytray_server.connection.caller_protocol import CONNECTION_STATE, CallerProtocol
 
@@ -69,24 +70,6 @@
         )
 
 
-class _PacedFlow(FlowControl):
-    """Flow control that calls back when the application wants more of a body."""
-
-    def __init__(self, transport: asyncio.Transport, on_wanted: Any) -> None:
-        super().__init__(transport)
-        self._on_wanted = on_wanted
-
-    def pause_reading(self) -> None:
-        """Give the application no more; the protocol decides what is received."""
-        self.read_paused = True
-
-    def resume_reading(self) -> None:
-        """Give the application more."""
-        if self.read_paused:
-            self.read_paused = False
-            self._on_wanted()
-
-
 class BoundedCallerProtocol(CallerProtocol, asyncio.BufferedProtocol):
     """One caller's connection within the bounds of its process."""
 
@@ -106,6 +89,7 @@
         self._is_receiving_paused = False
         self._parsing: asyncio.Handle | None = None
         self._waits_for_turn = False
+        self.read_ahead = ReadAhead(on_dropping=self._after_parsing)
 
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
@@ -115,7 +99,7 @@
             transport=transport, still_receives=self._still_receives
         )
         super().connection_made(wrapped)
-        self.flow = _PacedFlow(wrapped, self._parse_soon)
+        self.flow = PacedFlow(wrapped, self._parse_soon)
         self._bounds.connections.add(self)
         address = self.client[0] if self.client else ""
         self._holding = self._bounds.budget.open(
@@ -129,6 +113,7 @@
         """Release what was held."""
         self._bounds.connections.discard(self)
         self._bounds.budget.release(self._holding)
+        self.read_ahead.end()
         self._unparsed.clear()
         if self._parsing is not None:
             self._parsing.cancel()
@@ -149,7 +134,7 @@
         if self.transport.is_closing():
             return
         self._unset_keepalive_if_required()
-        self._unparsed += self._bounds.read_buffer[:nbytes]
+        self.read_ahead.keep(self._unparsed, self._bounds.read_buffer[:nbytes])
         self._parse()
 
     def parse_turn(self) -> None:
@@ -164,6 +149,7 @@
 
     def on_response_complete(self) -> None:
         """Go on with the next request, of which a part may have arrived."""
+        self.read_ahead.end()
         if self.conn.their_state is h11.DONE:
             self._head_cost = self._body_bytes = 0
         if self.conn.our_state is h11.DONE and self.conn.their_state is h11.DONE:
@@ -212,7 +198,29 @@
 
     def _still_receives(self) -> bool:
         is_received = self.conn.their_state in (h11.SEND_BODY, h11.ERROR)
-        return bool(is_received or self._unparsed) and self._bounds.may_linger()
+        has_more = is_received or self._unparsed or self.read_ahead.has_dropped
+        return bool(has_more) and self._bounds.may_linger()
+
+    @property
+    def _is_running(self) -> bool:
+        """Return whether a complete request has not been responded to."""
+        return self.conn.their_state in (h11.DONE, h11.MUST_CLOSE)
+
+    def _may_read(self) -> bool:
+        if not self._is_running:
+            return not (
+                self._waits_for_turn or len(self._unparsed) > MAX_UNPARSED_BYTES
+            )
+        if self._unparsed and self.conn.their_state is h11.MUST_CLOSE:
+            self.read_ahead.drop(self._unparsed)
+        return self.read_ahead.may_read(len(self._unparsed))
+
+    def _lacks_dropped_bytes(self) -> bool:
+        """Return whether a request cannot be complete, as a part of it was dropped."""
+        if not self.read_ahead.has_dropped or self._waits_for_turn:
+            return False
+        state = self.conn.their_state
+        return state is h11.IDLE or (state is h11.SEND_BODY and not self._unparsed)
 
     def _unread_bytes(self) -> int:
         return self.transport.get_write_buffer_size()
@@ -289,6 +297,9 @@
             self._unparsed.clear()
             self._stop_header_timer()
             return
+        if self._lacks_dropped_bytes():
+            self._refuse_for_memory()
+            return
         is_head_begun = self.conn.their_state is h11.IDLE and bool(self._unparsed)
         if is_head_begun and self._header_timer is None:
             self._header_timer = self.loop.call_later(
@@ -296,12 +307,7 @@
             )
         elif not is_head_begun:
             self._stop_header_timer()
-        is_next_request = self.conn.their_state is h11.DONE and bool(self._unparsed)
-        is_paused = (
-            is_next_request
-            or self._waits_for_turn
-            or len(self._unparsed) > MAX_UNPARSED_BYTES
-        )
+        is_paused = not self._may_read()
         if is_paused:
             self.transport.pause_reading()
         elif self._is_receiving_paused:
@@ -348,11 +354,13 @@
         if self.conn.their_state is h11.IDLE and not self._unparsed and not is_new:
             self.transport.close()
             return
-        self._refuse(
-            JaytrayError(
-                messages.MEMORY_FULL, step=Step.ADMIT, retry_after_s=RETRY_AFTER_S
-            )
+        self._refuse_for_memory()
+
+    def _refuse_for_memory(self) -> None:
+        error = JaytrayError(
+            messages.MEMORY_FULL, step=Step.ADMIT, retry_after_s=RETRY_AFTER_S
         )
+        self._refuse(error)
 
     def _refuse(self, error: JaytrayError) -> None:
         """Refuse the request that is being received, and close.
--- a/packages/gateway/tests/connection/test_left_callers.py
+++ b/packages/gateway/tests/connection/test_left_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -11,6 +12,7 @@
 from testtools import TestCase
 
 from jaytray_core.clock import monotonic_clock
+from jaytray_core.tasks import cancel_all
 from jaytray_gateway.connection.bounded_protocol import BoundedCallerProtocol
 from jaytray_gateway.connection.caller_bounds import CallerBounds
 from jaytray_gateway.connection.caller_servers import limit_buffers
@@ -31,10 +33,13 @@
 # Time for a request to reach its target.
 SENT_S = 0.2
 RUN_S = 2.0
+LONG_BYTES = 1_000_000
 SLOW = ScriptedResponse(delay_s=RUN_S)
 REJECTED = ScriptedResponse(status=503, is_not_run=True, delay_s=SENT_S + 0.1)
 LONG_ROUTE = IDEMPOTENT._replace(timeout_s=2 * RUN_S)
 
+Leave = Callable[[socket.socket], None]
+
 
 def render(request_id: bytes, body: bytes = b"data") -> bytes:
     fields = (b"x-id: " + request_id, b"x-key: " + KEY)
@@ -43,6 +48,19 @@
     return head + b"\r\n\r\n" + body
 
 
+NEXT = render(b"next")
+LONG_NEXT = render(b"next", bytes(LONG_BYTES))
+
+
+def close(caller: socket.socket) -> None:
+    caller.close()
+
+
+def reset(caller: socket.socket) -> None:
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    caller.close()
+
+
 @asynccontextmanager
 async def open_port(vm: GatewayHarness) -> AsyncIterator[int]:
     """Serve the harness's callers; yields the port."""
@@ -70,6 +88,14 @@
         await vm.pools.open_idle(target.target_id, target.address, timeout_s=1.0)
 
 
+async def send_in_background(caller: socket.socket, data: bytes) -> None:
+    """Send until everything is sent or the other end stops reading."""
+    try:
+        await asyncio.get_running_loop().sock_sendall(caller, data)
+    except OSError:
+        pass
+
+
 def run_at_port(
     check: Callable[[GatewayHarness, int], Awaitable[None]],
     *responses: list[ScriptedResponse],
@@ -83,6 +109,40 @@
 
 
 class LeftCallersTests(TestCase):
+    @parameterized.expand(
+        [
+            (f"{name}_of_the_next_request_then_{leave.__name__}", ahead, leave)
+            for name, ahead in (
+                ("nothing", b""),
+                ("a_part", NEXT[:20]),
+                ("all", NEXT),
+                ("all_of_a_long_body", LONG_NEXT),
+            )
+            for leave in (close, reset)
+        ]
+    )
+    def test_close_behind_more_bytes_ends_the_run(
+        self, _name: str, ahead: bytes, leave: Leave
+    ) -> None:
+        # Reading paused once bytes of a next request had arrived.
+        async def check(vm: GatewayHarness, port: int) -> None:
+            (target,) = vm.targets
+            caller = socket.create_connection(("127.0.0.1", port))
+            caller.setblocking(False)
+            await send_in_background(caller, render(b"r1"))
+            await asyncio.sleep(SENT_S)
+            sending = asyncio.create_task(send_in_background(caller, ahead))
+            await asyncio.sleep(SENT_S)
+            self.assertEqual(1, len(target.heads))
+            await cancel_all([sending])
+            leave(caller)
+            await asyncio.sleep(NOTICED_S)
+            self.assertEqual(0, target.running)
+            await asyncio.sleep(RUN_S)
+            self.assertEqual(1, len(target.heads))
+
+        run_at_port(check, [SLOW])
+
     @parameterized.expand([("new_connection", False), ("open_connection", True)])
     def test_request_whose_caller_has_left_is_not_sent(
         self, _name: str, is_open: bool
