The end of a caller that does not read ends its request at once

Cause: at the end of the stream asyncio closes the transport, which reports the loss only after its write buffer is empty, and uvicorn ends the request only then.

A complete response is still sent to its end.

Shown by test_end_of_a_caller_that_does_not_read_ends_the_run_0_end_sending, which failed before; the case with a full close passed before and stays, as the kernel resets such a connection.

--- a/packages/gateway/tests/connection/test_left_callers.py
+++ b/packages/gateway/tests/connection/test_left_callers.py
@@ -23,7 +23,7 @@
     make_caller_server,
     open_caller_socket,
 )
-from packages.gateway.tests.request.cases import IDEMPOTENT
+from packages.gateway.tests.request.cases import IDEMPOTENT, RESUMABLE
 from packages.gateway.tests.request.harness import KEY, GatewayHarness
 from packages.gateway.tests.request.scripted_target import ScriptedResponse
 from packages.gateway.tests.request.support import open_harness
@@ -36,7 +36,11 @@
 LONG_BYTES = 1_000_000
 SLOW = ScriptedResponse(delay_s=RUN_S)
 REJECTED = ScriptedResponse(status=503, is_not_run=True, delay_s=SENT_S + 0.1)
+ENDLESS = ScriptedResponse(
+    body=b"data: " + b"x" * 90 + b"\n\n", is_endless=True, is_unframed=True
+)
 LONG_ROUTE = IDEMPOTENT._replace(timeout_s=2 * RUN_S)
+LONG_STREAM = RESUMABLE._replace(timeout_s=10.0)
 
 Leave = Callable[[socket.socket], None]
 
@@ -61,6 +65,10 @@
     caller.close()
 
 
+def end_sending(caller: socket.socket) -> None:
+    caller.shutdown(socket.SHUT_WR)
+
+
 @asynccontextmanager
 async def open_port(vm: GatewayHarness) -> AsyncIterator[int]:
     """Serve the harness's callers; yields the port."""
@@ -177,3 +185,25 @@
             self.assertEqual([], second.heads)
 
         run_at_port(check, [REJECTED], [SLOW])
+
+    @parameterized.expand([(leave.__name__, leave) for leave in (end_sending, close)])
+    def test_end_of_a_caller_that_does_not_read_ends_the_run(
+        self, _name: str, leave: Leave
+    ) -> None:
+        # The transport waited until its buffer was empty.
+        async def check(vm: GatewayHarness, port: int) -> None:
+            (target,) = vm.targets
+            caller = socket.create_connection(("127.0.0.1", port))
+            caller.sendall(render(b"r1"))
+            await asyncio.sleep(1.0)
+            self.assertEqual(1, target.running)
+            leave(caller)
+            await asyncio.sleep(NOTICED_S)
+            self.assertEqual(0, target.running)
+            caller.close()
+
+        run_at_port(
+            check,
+            [ENDLESS],
+            route=LONG_STREAM,
+        )
--- a/packages/server/src/jaytray_server/connection/caller_protocol.py
+++ b/packages/server/src/jaytray_server/connection/caller_protocol.py
@@ -10,7 +10,7 @@
 from typing import Any, NamedTuple
 
 import h11
-from uvicorn.protocols.http.h11_impl import H11Protocol
+from uvicorn.protocols.http.h11_impl import H11Protocol, RequestResponseCycle
 
 from jaytray_core import message_registry as messages
 from jaytray_core.errors import JaytrayError, Step
@@ -100,6 +100,17 @@
         elif not is_header_begun:
             self._stop_header_timer()
 
+    def eof_received(self) -> None:
+        """End the connection at once if its request still runs: the caller has left.
+
+        Closing it would wait until the caller has read what was already sent.
+        """
+        # uvicorn does not declare that there is none before the first request.
+        cycle: RequestResponseCycle | None = self.cycle
+        is_running = cycle is not None and not cycle.response_complete
+        if is_running and not self.transport.is_closing():
+            self.transport.abort()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the header timer of a closed connection."""
         self._stop_header_timer()
