jaytrayd notices callers that leave behind further bytes

The same cause as in the gateway, found by looking for it elsewhere: uvicorn stops reading once a next request has arrived behind the running one, so jaytrayd did not see its caller leave.

Change: CallerProtocol reads on, with the bound that the gateway's ports have (read_ahead.py moved to where both can use it); the refusal of a request that is being received is shared as well.

--- a/packages/gateway/src/jaytray_gateway/connection/bounded_protocol.py
+++ b/packages/gateway/src/jaytray_gateway/connection/bounded_protocol.py
@@ -11,11 +11,9 @@
 from typing import Any
 
 import h11
-from uvicorn.protocols.http.h11_impl import RequestResponseCycle
 
 from jaytray_core import message_registry as messages
 from jaytray_core.errors import JaytrayError, Step
-from jaytray_core.refusal_body import encode_refusal
 from jaytray_gateway.connection.caller_bounds import (
     PARSE_S,
     READ_BYTES,
@@ -23,9 +21,9 @@
 )
 from jaytray_gateway.connection.caller_transport import CallerTransport
 from jaytray_gateway.connection.paced_flow import PacedFlow
-from jaytray_gateway.connection.read_ahead import ReadAhead
 from jaytray_gateway.process.memory_budget import PROGRESS_BYTES, Stage
 from jaytray_server.connection.caller_protocol import CONNECTION_STATE, CallerProtocol
+from jaytray_server.connection.read_ahead import ReadAhead
 
 # Unparsed bytes with which reading pauses.
 MAX_UNPARSED_BYTES = 16_384
@@ -149,7 +147,6 @@
 
     def on_response_complete(self) -> None:
         """Go on with the next request, of which a part may have arrived."""
-        self.read_ahead.end()
         if self.conn.their_state is h11.DONE:
             self._head_cost = self._body_bytes = 0
         if self.conn.our_state is h11.DONE and self.conn.their_state is h11.DONE:
@@ -160,7 +157,9 @@
             self._head_cost = self._body_bytes = 0
             self._unparsed.clear()
             self._update()
-        elif self._unparsed:
+
+    def _read_next(self) -> None:
+        if self._unparsed:
             self._parse_soon()
         else:
             self._after_parsing()
@@ -201,13 +200,8 @@
         has_more = is_received or self._unparsed or self.read_ahead.has_dropped
         return bool(has_more) and self._bounds.may_linger()
 
-    @property
-    def _is_running(self) -> bool:
-        """Return whether a complete request has not been responded to."""
-        return self.conn.their_state in (h11.DONE, h11.MUST_CLOSE)
-
     def _may_read(self) -> bool:
-        if not self._is_running:
+        if not self.is_running():
             return not (
                 self._waits_for_turn or len(self._unparsed) > MAX_UNPARSED_BYTES
             )
@@ -367,29 +361,7 @@
 
         No target has it: the application has not been given all of it.
         """
-        body = encode_refusal(error)
-        headers = [
-            (b"content-type", b"application/json"),
-            (b"content-length", b"%d" % len(body)),
-            (b"connection", b"close"),
-        ]
-        if error.retry_after_s:
-            headers.append((b"retry-after", b"%.2f" % error.retry_after_s))
-        if self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            for event in (
-                h11.Response(status_code=error.status, headers=headers),
-                h11.Data(data=body),
-                h11.EndOfMessage(),
-            ):
-                self.transport.write(self.conn.send(event) or b"")
-        # uvicorn does not declare that there is none before the first request.
-        cycle: RequestResponseCycle | None = self.cycle
-        if cycle is not None and not cycle.response_complete:
-            cycle.disconnected = True
-            cycle.body = bytearray()
-            cycle.message_event.set()
-        self.flow.resume_writing()
-        self.transport.close()
+        self.refuse(error)
         self._unparsed.clear()
         self._stop_header_timer()
         self._bounds.budget.release(self._holding)
--- a/packages/server/src/jaytray_server/connection/caller_protocol.py
+++ b/packages/server/src/jaytray_server/connection/caller_protocol.py
@@ -2,7 +2,8 @@
 
 A request with both framing headers is refused, and nothing after it is read. The
 connection is closed if a header is not completed in time or if it stays idle. Bytes
-that are not HTTP get a JSON refusal like that of any other request.
+that are not HTTP get a JSON refusal like that of any other request. While a request
+runs, its connection is read on, so that its caller is seen to leave.
 """
 
 import asyncio
@@ -10,15 +11,19 @@
 from typing import Any, NamedTuple
 
 import h11
+from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.h11_impl import H11Protocol, RequestResponseCycle
 
 from jaytray_core import message_registry as messages
 from jaytray_core.errors import JaytrayError, Step
 from jaytray_core.peer_close import is_closed_by_peer
 from jaytray_core.refusal_body import encode_refusal
+from jaytray_server.connection.read_ahead import ReadAhead
 
 # Key in the state of the ASGI scope for the connection of a request.
 CONNECTION_STATE = "caller_connection"
+# Retry-After of a request of which a part was dropped.
+DROPPED_RETRY_AFTER_S = 0.5
 _FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 
 
@@ -47,6 +52,21 @@
     return guarded
 
 
+class _BodyFlow(FlowControl):
+    """Flow control that does not stop reading behind a running request."""
+
+    def __init__(
+        self, transport: asyncio.Transport, is_running: Callable[[], bool]
+    ) -> None:
+        super().__init__(transport)
+        self._is_running = is_running
+
+    def pause_reading(self) -> None:
+        """Stop reading a body that the application does not take."""
+        if not self._is_running():
+            super().pause_reading()
+
+
 class CallerProtocol(H11Protocol):
     """One caller's connection; its timeouts are read once, when it begins."""
 
@@ -60,16 +80,24 @@
         # uvicorn declares an int but only passes it to `call_later`: a float works.
         self.timeout_keep_alive = timeouts.idle_s  # type: ignore[assignment]
         self._header_timer: asyncio.TimerHandle | None = None
+        self.read_ahead = ReadAhead(on_dropping=self._limit_reading)
+        # Bytes behind a running request that the parser has not been given.
+        self._ahead = bytearray()
 
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
     ) -> None:
         """Start the idle timer, which closes the connection if no request arrives."""
         super().connection_made(transport)
+        self.flow = _BodyFlow(transport, self.is_running)
         self.timeout_keep_alive_task = self.loop.call_later(
             self.timeout_keep_alive, self.timeout_keep_alive_handler
         )
 
+    def is_running(self) -> bool:
+        """Return whether a complete request has not been responded to."""
+        return self.conn.their_state in (h11.DONE, h11.MUST_CLOSE)
+
     def end_if_caller_left(self) -> bool:
         """Return whether the caller has closed the connection, also if not yet seen.
 
@@ -89,6 +117,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Process received bytes and run the timer of an incomplete header."""
+        if self.is_running():
+            self.read_ahead.keep(self._ahead, memoryview(data))
+            self._limit_reading()
+            return
         super().data_received(data)
         is_header_begun = (
             self.conn.their_state is h11.IDLE and self.conn.trailing_data[0] != b""
@@ -100,6 +132,44 @@
         elif not is_header_begun:
             self._stop_header_timer()
 
+    def on_response_complete(self) -> None:
+        """Go on with the next request, of which a part may have arrived."""
+        self.read_ahead.end()
+        super().on_response_complete()
+        if not self.transport.is_closing():
+            self._read_next()
+
+    def _read_next(self) -> None:
+        """Process what arrived behind the request that has been responded to."""
+        if not self.is_running():
+            self.transport.resume_reading()
+            ahead = bytes(self._ahead)
+            self._ahead.clear()
+            if ahead:
+                self.data_received(ahead)
+        if self.is_running():
+            self._limit_reading()
+        elif self.read_ahead.has_dropped:
+            self._refuse_dropped()
+
+    def _limit_reading(self) -> None:
+        """Read on behind a running request as far as its bytes may be kept."""
+        if self._ahead and self.conn.their_state is h11.MUST_CLOSE:
+            self.read_ahead.drop(self._ahead)
+        if self.read_ahead.may_read(len(self._ahead)):
+            self.transport.resume_reading()
+        else:
+            self.transport.pause_reading()
+
+    def _refuse_dropped(self) -> None:
+        """Refuse a request of which a part was dropped, and close."""
+        error = JaytrayError(
+            messages.MEMORY_FULL,
+            step=Step.ADMIT,
+            retry_after_s=DROPPED_RETRY_AFTER_S,
+        )
+        self.refuse(error)
+
     def eof_received(self) -> None:
         """End the connection at once if its request still runs: the caller has left.
 
@@ -119,17 +189,38 @@
     def send_400_response(self, msg: str) -> None:
         """Send a JSON refusal for bytes that are not valid HTTP, and close."""
         error = _malformed_error(msg)
-        body = encode_refusal(error)
-        headers = _closing_headers(body)
         if self.conn.our_state is h11.IDLE:
-            for event in (
-                h11.Response(status_code=error.status, headers=headers),
-                h11.Data(data=body),
-                h11.EndOfMessage(),
-            ):
-                self.transport.write(self.conn.send(event) or b"")
+            self._send_refusal(error)
+        self.transport.close()
+
+    def refuse(self, error: JaytrayError) -> None:
+        """Refuse the request that is being received, and close.
+
+        The application has not been given all of it, and is told that its caller left.
+        """
+        if self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            self._send_refusal(error)
+        # uvicorn does not declare that there is none before the first request.
+        cycle: RequestResponseCycle | None = self.cycle
+        if cycle is not None and not cycle.response_complete:
+            cycle.disconnected = True
+            cycle.body = bytearray()
+            cycle.message_event.set()
+        self.flow.resume_writing()
         self.transport.close()
 
+    def _send_refusal(self, error: JaytrayError) -> None:
+        body = encode_refusal(error)
+        headers = _closing_headers(body)
+        if error.retry_after_s:
+            headers.append((b"retry-after", b"%.2f" % error.retry_after_s))
+        for event in (
+            h11.Response(status_code=error.status, headers=headers),
+            h11.Data(data=body),
+            h11.EndOfMessage(),
+        ):
+            self.transport.write(self.conn.send(event) or b"")
+
     def _stop_header_timer(self) -> None:
         if self._header_timer is not None:
             self._header_timer.cancel()
