--- a/packages/gateway/src/jaytray_gateway/connection/bounded_protocol.py
+++ b/packages/gateway/src/jaytray_gateway/connection/bounded_protocol.py
@@ -22,7 +22,11 @@
 from jaytray_gateway.connection.caller_transport import CallerTransport
 from jaytray_gateway.connection.paced_flow import PacedFlow
 from jaytray_gateway.process.memory_budget import PROGRESS_BYTES, Stage
-from jaytray_server.connection.caller_protocol import CONNECTION_STATE, CallerProtocol
+from jaytray_server.connection.caller_protocol import (
+    CONNECTION_STATE,
+    CallerProtocol,
+    memory_full_error,
+)
 from jaytray_server.connection.read_ahead import ReadAhead
 
 # Unparsed bytes with which reading pauses.
@@ -46,7 +50,6 @@
 BODY_RATE_FROM_S = 10.0
 # A response of which nothing was read for this time ends its connection.
 MAX_UNREAD_S = 10.0
-RETRY_AFTER_S = 0.5
 # Received bytes of a response that wait for a caller who does not read: those buffered
 # in this process and in the kernel, and those that one read adds.
 UNREAD_RESPONSE_BYTES = 196_608
@@ -63,9 +66,7 @@
     connection = scope.get("state", {}).get(CONNECTION_STATE)
     is_bounded = isinstance(connection, BoundedCallerProtocol)
     if is_bounded and not connection.may_run():
-        raise JaytrayError(
-            messages.MEMORY_FULL, step=Step.ADMIT, retry_after_s=RETRY_AFTER_S
-        )
+        raise memory_full_error()
 
 
 class BoundedCallerProtocol(CallerProtocol, asyncio.BufferedProtocol):
@@ -185,7 +186,7 @@
             error = JaytrayError(
                 messages.BODY_TIMEOUT, step=Step.DECODE, timeout_s=BODY_RATE_FROM_S
             )
-            self._refuse(error)
+            self.refuse(error)
 
     def _take_back_next_head(self) -> None:
         """Take bytes of the next request back from the parser, with a new parser."""
@@ -255,7 +256,7 @@
         is_text = self._unparsed[0] >= _FIRST_PRINTABLE
         limit = self._bounds.header_bytes()
         if size > limit + HEAD_SLACK_BYTES or fields > MAX_HEAD_FIELDS:
-            self._refuse(
+            self.refuse(
                 JaytrayError(
                     messages.HEADERS_TOO_LARGE,
                     step=Step.DECODE,
@@ -292,7 +293,7 @@
             self._stop_header_timer()
             return
         if self._lacks_dropped_bytes():
-            self._refuse_for_memory()
+            self.refuse_for_memory()
             return
         is_head_begun = self.conn.their_state is h11.IDLE and bool(self._unparsed)
         if is_head_begun and self._header_timer is None:
@@ -348,20 +349,14 @@
         if self.conn.their_state is h11.IDLE and not self._unparsed and not is_new:
             self.transport.close()
             return
-        self._refuse_for_memory()
-
-    def _refuse_for_memory(self) -> None:
-        error = JaytrayError(
-            messages.MEMORY_FULL, step=Step.ADMIT, retry_after_s=RETRY_AFTER_S
-        )
-        self._refuse(error)
+        self.refuse_for_memory()
 
-    def _refuse(self, error: JaytrayError) -> None:
-        """Refuse the request that is being received, and close.
+    def refuse(self, error: JaytrayError) -> None:
+        """Refuse the request that is being received, close, and release what is held.
 
         No target has it: the application has not been given all of it.
         """
-        self.refuse(error)
+        super().refuse(error)
         self._unparsed.clear()
         self._stop_header_timer()
         self._bounds.budget.release(self._holding)
--- a/packages/server/src/jaytray_server/connection/caller_protocol.py
+++ b/packages/server/src/jaytray_server/connection/caller_protocol.py
@@ -22,8 +22,8 @@
 
 # Key in the state of the ASGI scope for the connection of a request.
 CONNECTION_STATE = "caller_connection"
-# Retry-After of a request of which a part was dropped.
-DROPPED_RETRY_AFTER_S = 0.5
+# Retry-After of a request for which there is no memory.
+MEMORY_RETRY_AFTER_S = 0.5
 _FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 
 
@@ -150,7 +150,7 @@
         if self.is_running():
             self._limit_reading()
         elif self.read_ahead.has_dropped:
-            self._refuse_dropped()
+            self.refuse_for_memory()
 
     def _limit_reading(self) -> None:
         """Read on behind a running request as far as its bytes may be kept."""
@@ -161,15 +161,6 @@
         else:
             self.transport.pause_reading()
 
-    def _refuse_dropped(self) -> None:
-        """Refuse a request of which a part was dropped, and close."""
-        error = JaytrayError(
-            messages.MEMORY_FULL,
-            step=Step.ADMIT,
-            retry_after_s=DROPPED_RETRY_AFTER_S,
-        )
-        self.refuse(error)
-
     def eof_received(self) -> None:
         """End the connection at once if its request still runs: the caller has left.
 
@@ -209,6 +200,10 @@
         self.flow.resume_writing()
         self.transport.close()
 
+    def refuse_for_memory(self) -> None:
+        """Refuse the request that is being received, as it cannot be held."""
+        self.refuse(memory_full_error())
+
     def _send_refusal(self, error: JaytrayError) -> None:
         body = encode_refusal(error)
         headers = _closing_headers(body)
@@ -227,6 +222,13 @@
             self._header_timer = None
 
 
+def memory_full_error() -> JaytrayError:
+    """Return the error for a request for which there is no memory."""
+    return JaytrayError(
+        messages.MEMORY_FULL, step=Step.ADMIT, retry_after_s=MEMORY_RETRY_AFTER_S
+    )
+
+
 def _malformed_error(detail: str) -> JaytrayError:
     return JaytrayError(messages.MALFORMED_MESSAGE, step=Step.DECODE, detail=detail)
 
