--- a/packages/gateway/src/jaytray_gateway/log_events.py
+++ b/packages/gateway/src/jaytray_gateway/log_events.py
@@ -95,6 +95,8 @@
     "directory_hub_skipped": "peer reason".split(),
     "table_not_answered": "peer revision".split(),
     "table_not_decompressed": ("error",),
+    # Bytes sent to other members in the last ten seconds.
+    "peer_traffic": "bytes most_bytes_per_s by_topic".split(),
     # Members.
     "member_recorded": "is_written lease".split(),
     "member_unreadable": "member error".split(),
--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -21,6 +21,7 @@
 from jaytray_gateway.process.metrics import GatewayMetrics
 from jaytray_gateway.process.options import GatewayOptions
 from jaytray_gateway.process.pause_watch import PauseWatch
+from jaytray_gateway.process.peer_traffic import PeerTraffic
 from jaytray_gateway.process.store_calls import StoreCalls
 from jaytray_gateway.process.subsystems import Subsystems, build_subsystems
 from jaytray_gateway.request.relayed_request import make_relay_app
@@ -51,7 +52,7 @@
 FINAL_REFUSALS_S = 0.7
 HOUSEKEEPING_INTERVAL_S = 1.0
 # Interval of the log line on calls to the key-value service, in housekeeping rounds.
-ROUNDS_PER_STORE_CALLS_LINE = 10
+ROUNDS_PER_COUNTS_LINE = 10
 
 
 async def run_gateway(
@@ -201,10 +202,13 @@
 
 async def _run_housekeeping(subsystems: Subsystems) -> None:
     """Drop stale state and update the gauges once per second."""
+    traffic = PeerTraffic(sent_by_topic=subsystems.hub.bytes_by_topic)
     for housekeeping_round in itertools.count(1):
         await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
-        if housekeeping_round % ROUNDS_PER_STORE_CALLS_LINE == 0:
+        traffic.update()
+        if housekeeping_round % ROUNDS_PER_COUNTS_LINE == 0:
             subsystems.store_calls.log()
+            traffic.log()
         subsystems.member_updates.update_counted()
         subsystems.pools.close_stale()
         subsystems.replicas.drop_expired_notices()
--- a/packages/server/src/jaytray_server/connection/peer_network.py
+++ b/packages/server/src/jaytray_server/connection/peer_network.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import itertools
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import NamedTuple
@@ -80,6 +80,7 @@
         self.own_key_value_contact_s = -float("inf")
         self.bytes_sent = 0
         self.messages_sent = 0
+        self.bytes_by_topic: Counter[str] = Counter()
         self._links_by_id: dict[str, PeerLink] = {}
         self._tasks_by_id: dict[str, asyncio.Task[None]] = {}
         self._handlers_by_topic: dict[str, PeerHandler] = {}
@@ -278,6 +279,7 @@
         if len(frame) > MAX_ENVELOPE_BYTES:
             return False
         self.bytes_sent += len(frame)
+        self.bytes_by_topic[envelope.topic] += len(frame)
         self.messages_sent += 1
         return link.enqueue(frame, now_s=self.clock())
 
