--- a/packages/gateway/src/jaytray_gateway/process/runtime.py
+++ b/packages/gateway/src/jaytray_gateway/process/runtime.py
@@ -51,7 +51,7 @@
 # check for it four times per second.
 FINAL_REFUSALS_S = 0.7
 HOUSEKEEPING_INTERVAL_S = 1.0
-# Interval of the log line on calls to the key-value service, in housekeeping rounds.
+# Interval of the log lines on calls to the key-value service and on peer traffic.
 ROUNDS_PER_COUNTS_LINE = 10
 
 
