--- a/packages/gateway/tests/connection/test_read_ahead.py
+++ b/packages/gateway/tests/connection/test_read_ahead.py
@@ -31,6 +31,25 @@
     )
 
 
+async def send_too_much_behind(first: bytes, ahead: bytes) -> tuple[bytes, int]:
+    """Send more behind a running request than is kept, then let it be answered.
+
+    Returns all that is received, and the bytes that were held.
+    """
+    async with open_server() as server:
+        server.app.may_answer.clear()
+        reader, writer = await server.connect()
+        writer.write(first)
+        await wait_for(lambda: server.app.bodies == [0])
+        writer.write(ahead)
+        await wait_for(lambda: has_dropped(server))
+        held = server.budget.total_bytes
+        server.app.may_answer.set()
+        received = await read_until_closed(reader)
+        writer.close()
+        return received, held
+
+
 class ReadAheadTests(TestCase):
     def test_long_request_behind_a_short_one_is_served(self) -> None:
         async def run() -> bytes:
@@ -50,21 +69,7 @@
         self, _name: str, ahead: bytes, served: int | None
     ) -> None:
         # Reading goes on although what arrives cannot be kept.
-        async def run() -> tuple[bytes, int]:
-            async with open_server() as server:
-                server.app.may_answer.clear()
-                reader, writer = await server.connect()
-                writer.write(GET)
-                await wait_for(lambda: server.app.bodies == [0])
-                writer.write(ahead)
-                await wait_for(lambda: has_dropped(server))
-                held = server.budget.total_bytes
-                server.app.may_answer.set()
-                received = await read_until_closed(reader)
-                writer.close()
-                return received, held
-
-        received, held = asyncio.run(run())
+        received, held = asyncio.run(send_too_much_behind(GET, ahead))
         self.assertLess(held, MAX_HELD_BYTES)
         refused = received[received.rindex(b"HTTP/1.1") :]
         self.assertEqual((b"503", "not_run"), refusal(refused))
@@ -72,21 +77,7 @@
             self.assertEqual(served, received.count(b"200 OK"))
 
     def test_bytes_behind_a_last_request_do_not_cost_its_response(self) -> None:
-        async def run() -> tuple[bytes, int]:
-            async with open_server() as server:
-                server.app.may_answer.clear()
-                reader, writer = await server.connect()
-                writer.write(CLOSING_GET)
-                await wait_for(lambda: server.app.bodies == [0])
-                writer.write(LONG_POST)
-                await wait_for(lambda: has_dropped(server))
-                held = server.budget.total_bytes
-                server.app.may_answer.set()
-                received = await read_until_closed(reader)
-                writer.close()
-                return received, held
-
-        received, held = asyncio.run(run())
+        received, held = asyncio.run(send_too_much_behind(CLOSING_GET, LONG_POST))
         self.assertLess(held, MAX_HELD_BYTES)
         self.assertEqual(1, received.count(b"HTTP/1.1"))
         self.assertIn(b"200 OK", received)
