--- a/packages/gateway/src/jaytray_gateway/connection/bounded_protocol.py
+++ b/packages/gateway/src/jaytray_gateway/connection/bounded_protocol.py
@@ -27,7 +27,6 @@
     CallerProtocol,
     memory_full_error,
 )
-from jaytray_server.connection.read_ahead import ReadAhead
 
 # Unparsed bytes with which reading pauses.
 MAX_UNPARSED_BYTES = 16_384
@@ -88,7 +87,6 @@
         self._is_receiving_paused = False
         self._parsing: asyncio.Handle | None = None
         self._waits_for_turn = False
-        self.read_ahead = ReadAhead(on_dropping=self._after_parsing)
 
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
@@ -206,9 +204,10 @@
             return not (
                 self._waits_for_turn or len(self._unparsed) > MAX_UNPARSED_BYTES
             )
-        if self._unparsed and self.conn.their_state is h11.MUST_CLOSE:
-            self.read_ahead.drop(self._unparsed)
-        return self.read_ahead.may_read(len(self._unparsed))
+        return self._may_read_ahead(self._unparsed)
+
+    def _limit_reading(self) -> None:
+        self._after_parsing()
 
     def _lacks_dropped_bytes(self) -> bool:
         """Return whether a request cannot be complete, as a part of it was dropped."""
--- a/packages/gateway/src/jaytray_gateway/process/peer_traffic.py
+++ b/packages/gateway/src/jaytray_gateway/process/peer_traffic.py
@@ -30,8 +30,9 @@
 
     def log(self) -> None:
         """Log what was sent since the last line, unless that is nothing."""
-        news = collections.Counter(self._sent_by_topic) - self._logged_by_topic
-        self._logged_by_topic = collections.Counter(self._sent_by_topic)
+        sent_by_topic = collections.Counter(self._sent_by_topic)
+        news = sent_by_topic - self._logged_by_topic
+        self._logged_by_topic = sent_by_topic
         if news:
             get_logger().info(
                 "peer_traffic",
--- a/packages/server/src/jaytray_server/connection/caller_protocol.py
+++ b/packages/server/src/jaytray_server/connection/caller_protocol.py
@@ -152,11 +152,15 @@
         elif self.read_ahead.has_dropped:
             self.refuse_for_memory()
 
+    def _may_read_ahead(self, kept: bytearray) -> bool:
+        """Return whether to read on behind the running request, with `kept` so far."""
+        if kept and self.conn.their_state is h11.MUST_CLOSE:
+            self.read_ahead.drop(kept)
+        return self.read_ahead.may_read(len(kept))
+
     def _limit_reading(self) -> None:
         """Read on behind a running request as far as its bytes may be kept."""
-        if self._ahead and self.conn.their_state is h11.MUST_CLOSE:
-            self.read_ahead.drop(self._ahead)
-        if self.read_ahead.may_read(len(self._ahead)):
+        if self._may_read_ahead(self._ahead):
             self.transport.resume_reading()
         else:
             self.transport.pause_reading()
@@ -166,10 +170,7 @@
 
         Closing it would wait until the caller has read what was already sent.
         """
-        # uvicorn does not declare that there is none before the first request.
-        cycle: RequestResponseCycle | None = self.cycle
-        is_running = cycle is not None and not cycle.response_complete
-        if is_running and not self.transport.is_closing():
+        if self._open_cycle() is not None and not self.transport.is_closing():
             self.transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -191,9 +192,8 @@
         """
         if self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self._send_refusal(error)
-        # uvicorn does not declare that there is none before the first request.
-        cycle: RequestResponseCycle | None = self.cycle
-        if cycle is not None and not cycle.response_complete:
+        cycle = self._open_cycle()
+        if cycle is not None:
             cycle.disconnected = True
             cycle.body = bytearray()
             cycle.message_event.set()
@@ -204,6 +204,12 @@
         """Refuse the request that is being received, as it cannot be held."""
         self.refuse(memory_full_error())
 
+    def _open_cycle(self) -> RequestResponseCycle | None:
+        """Return the request that the application has and has not responded to."""
+        # uvicorn does not declare that there is none before the first request.
+        cycle: RequestResponseCycle | None = self.cycle
+        return cycle if cycle is not None and not cycle.response_complete else None
+
     def _send_refusal(self, error: JaytrayError) -> None:
         body = encode_refusal(error)
         headers = _closing_headers(body)
