Bytes sent to members are counted once, by topic

The sum was kept beside the counts by topic, and heartbeats were only in the sum, so the line peer_traffic, which is to state all that a gateway sends, left them out. The sum is derived now; the metric of jaytrayd stays what it was.

--- a/packages/server/src/jaytray_server/connection/peer_network.py
+++ b/packages/server/src/jaytray_server/connection/peer_network.py
@@ -78,7 +78,6 @@
         self.vms_by_id: dict[str, VmEntry] = {}
         self.heard_by_id: dict[str, LastHeartbeat] = {}
         self.own_key_value_contact_s = -float("inf")
-        self.bytes_sent = 0
         self.messages_sent = 0
         self.bytes_by_topic: Counter[str] = Counter()
         self._links_by_id: dict[str, PeerLink] = {}
@@ -91,6 +90,11 @@
         self._chosen: frozenset[str] = frozenset()
         self._context: zmq.asyncio.Context | None = None
 
+    @property
+    def bytes_sent(self) -> int:
+        """Return the bytes of all messages since the start."""
+        return self.bytes_by_topic.total()
+
     def peer_network(self) -> PeerNetwork:
         """Return the interface for other subsystems."""
         return PeerNetwork(
@@ -278,7 +282,6 @@
         frame = encode_msgpack(envelope)
         if len(frame) > MAX_ENVELOPE_BYTES:
             return False
-        self.bytes_sent += len(frame)
         self.bytes_by_topic[envelope.topic] += len(frame)
         self.messages_sent += 1
         return link.enqueue(frame, now_s=self.clock())
@@ -356,7 +359,7 @@
         )
         is_answer = link.vm_id not in self._chosen
         frame = encode_msgpack(envelope._replace(needs_relay=is_answer))
-        self.bytes_sent += len(frame)
+        self.bytes_by_topic[HEARTBEAT_TOPIC] += len(frame)
         self.messages_sent += 1
         return frame
 
